--- a/src/bin/alderstand-adapter.rs
+++ b/src/bin/starlingplank-wirehost.rs
@@ -1,9 +1,9 @@
 //! Hosts many independent gateways on the simulator's wire, on standard input and output.
 #![forbid(unsafe_code)]
 
-use alderstand::decide::Gateway;
-use alderstand::interface::{Action, Event, Settings};
-use alderstand::wire::{self, Entry, Front, Line, Registry};
+use starlingplank::decide::Gateway;
+use starlingplank::interface::{Action, Event, Settings};
+use starlingplank::wire::{self, Entry, Front, Line, Registry};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Settings and events for tests.
 #![allow(dead_code)]
 
-use alderstand::interface::*;
+use starlingplank::interface::*;
 
 pub fn class(name: &str, aim: Ms, give_up: Ms, threads: f64) -> Class {
     Class {
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use alderstand::decide::Gateway;
-use alderstand::interface::*;
+use starlingplank::decide::Gateway;
+use starlingplank::interface::*;
 use common::{class, engine, fleet, incoming, member, outcome, sends, settings};
 
 /// A gateway with a fleet, and a clock.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use alderstand::decide::Gateway;
-use alderstand::interface::*;
+use starlingplank::decide::Gateway;
+use starlingplank::interface::*;
 use common::{engine, incoming, member, settings};
 use std::collections::BTreeMap;
 
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The wire: what is read, what is written, what is refused.
 
-use alderstand::interface::*;
-use alderstand::wire::{self, Line};
+use starlingplank::interface::*;
+use starlingplank::wire::{self, Line};
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
@@ -13,7 +13,7 @@
 specifics.width_by_class=1\ttick=5.0\tzones=east,west\tsome.later.key=7";
 
 fn adapter(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_alderstand-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_starlingplank-wirehost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
