--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,628 @@
+//! The reducer: `(state, event, now) -> effects`. It owns every request from its arrival to its one final
+//! answer, every attempt, all timers, the drain and the end. It opens no socket and reads no clock, and knows
+//! no wire: fronts hand it requests, engine wires hand it outcomes, and the runtime performs its effects.
+
+use crate::config::Listed;
+use crate::decide::Gateway;
+use crate::interface::*;
+use crate::limits::Limits;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// What a request carries to its engine; no decision looks at it.
+#[derive(Debug, Default, PartialEq)]
+pub struct Statement {
+    /// The client's name for the request.
+    pub name: String,
+    /// The class's name.
+    pub class: String,
+    /// The statement, as it came.
+    pub text: Vec<u8>,
+    /// The idempotency key, if any.
+    pub key: Option<String>,
+    /// Data that follows the statement.
+    pub data: Vec<u8>,
+    /// Further parameters and credentials to pass on, where the engines' interface has them.
+    pub params: Vec<(String, String)>,
+    /// The client can take the answer in parts; else it is passed on only when all is there.
+    pub streams: bool,
+}
+
+impl Statement {
+    fn bytes(&self) -> usize {
+        self.text.len() + self.data.len()
+    }
+}
+
+/// A result: its bytes in the parts in which they came, and what describes them.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Rows {
+    /// Text of rows, in order.
+    pub parts: Vec<Vec<u8>>,
+    /// Headers of the engine's answer that the client should see.
+    pub headers: Vec<(String, String)>,
+}
+
+/// A request as a front took it.
+#[derive(Debug)]
+pub struct Ask {
+    /// The module's view of it.
+    pub asked: Incoming,
+    /// What is sent.
+    pub statement: Rc<Statement>,
+}
+
+/// What an engine said about a failure, for fronts whose clients expect it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineError {
+    /// Status code.
+    pub status: u16,
+    /// The engine's own code.
+    pub code: u32,
+    /// Its text.
+    pub text: Vec<u8>,
+}
+
+/// The one final answer.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    /// All rows.
+    Served(Rows),
+    /// The rest of what was begun came whole.
+    Finished,
+    /// What was begun can not be finished.
+    Cut,
+    /// Turned away; trying again is harmless, best after so many milliseconds.
+    Refused(Ms),
+    /// Failed, with the engine's words if there are any.
+    Failed(Option<EngineError>),
+    /// Failed because its time ran out.
+    Expired,
+}
+
+/// How an attempt ended, as an engine wire saw it.
+#[derive(Debug)]
+pub struct End {
+    /// Its outcome.
+    pub outcome: Outcome,
+    /// Its work, where told.
+    pub work: Option<Ms>,
+    /// The engine's load, where told.
+    pub report: Option<Report>,
+    /// The result of one that was served whole.
+    pub rows: Rows,
+    /// What the engine said of a failure.
+    pub error: Option<EngineError>,
+}
+
+impl End {
+    /// An end with nothing but its outcome.
+    pub fn plain(outcome: Outcome) -> Self {
+        Self { outcome, work: None, report: None, rows: Rows::default(), error: None }
+    }
+}
+
+/// One attempt.
+pub type AttemptId = (RequestId, u32);
+
+/// What happens to a gateway.
+#[derive(Debug)]
+pub enum Event {
+    /// The name service's whole list, with its number.
+    List(u64, Vec<Listed>),
+    /// A request was taken.
+    Taken(Ask),
+    /// Its client left or withdrew it.
+    Left(RequestId),
+    /// The first part of an answer that is passed on as it comes.
+    Begun(AttemptId, Rows),
+    /// A further part.
+    More(AttemptId, Vec<u8>),
+    /// An attempt ended.
+    Ended(AttemptId, End),
+    /// A probe was answered.
+    Probed(u64, bool, Option<Report>),
+    /// Whatever is due by now is due.
+    Clock,
+    /// All that has come in was handed over: decide.
+    Turn,
+    /// The end was asked for.
+    Terminate,
+}
+
+/// What an attempt carries.
+#[derive(Debug, Clone)]
+pub struct Send {
+    /// Which.
+    pub id: AttemptId,
+    /// The engine.
+    pub engine: EngineId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What is sent.
+    pub statement: Rc<Statement>,
+    /// How long its answer is waited for.
+    pub budget: Ms,
+    /// Memory granted; 0: the engine's choice.
+    pub memory_mb: f64,
+    /// 0 to 3.
+    pub priority: u8,
+}
+
+/// What the runtime is asked to do.
+#[derive(Debug)]
+pub enum Effect {
+    /// Send an attempt.
+    Send(Send),
+    /// Give an attempt up: nothing it brings is wanted.
+    GiveUp(AttemptId, EngineId),
+    /// Change the priority of an attempt that is out.
+    Hurry(AttemptId, EngineId, u8),
+    /// Probe an engine under this number.
+    Probe(u64, EngineId, SocketAddr),
+    /// Send nothing that still waits to an engine that drains or is gone.
+    Shut(EngineId),
+    /// Pass on the first part of an answer.
+    Begin(RequestId, Rows),
+    /// Pass on a further part.
+    Part(RequestId, Vec<u8>),
+    /// Give the final answer.
+    Answer(RequestId, Answer),
+    /// All is answered: leave.
+    Exit,
+}
+
+struct Attempt {
+    engine: EngineId,
+    sent: Ms,
+    out: bool,
+}
+
+struct Request {
+    statement: Rc<Statement>,
+    class: ClassId,
+    deadline: Ms,
+    /// A keyed statement may not leave later than this: an engine that saw its key before forgets it then.
+    send_by: Ms,
+    attempts: Vec<Attempt>,
+    begun: bool,
+    over: bool,
+    terms: (f64, u8),
+    error: Option<EngineError>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum Due {
+    Module(u64),
+    Attempt(AttemptId),
+    Deadline(RequestId),
+    Probe(u64),
+    Gone(EngineId),
+    Leave,
+    AnswerAll,
+}
+
+/// Timers order by time alone, earliest first.
+struct Timer(Ms, u64, Due);
+
+impl PartialEq for Timer {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+impl Eq for Timer {}
+impl PartialOrd for Timer {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Timer {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        other.0.total_cmp(&self.0).then(other.1.cmp(&self.1))
+    }
+}
+
+/// Attempts and outcomes of one class so far.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Counts {
+    /// Requests taken.
+    pub taken: u64,
+    /// Attempts sent.
+    pub attempts: u64,
+    /// Ends of attempts, in the order of [`Outcome`].
+    pub outcomes: [u64; 8],
+    /// Requests served, refused, failed, and left by their clients.
+    pub answers: [u64; 4],
+}
+
+/// The state of one gateway.
+pub struct Core {
+    module: Gateway,
+    settings: Settings,
+    limits: Limits,
+    serial: Option<u64>,
+    engines: BTreeMap<EngineId, Listed>,
+    requests: BTreeMap<RequestId, Request>,
+    /// First sends by idempotency key.
+    keys: BTreeMap<String, Ms>,
+    probes: BTreeMap<u64, (EngineId, Ms)>,
+    timers: BinaryHeap<Timer>,
+    numbers: u64,
+    held: usize,
+    open: usize,
+    counts: Vec<Counts>,
+    pending: Vec<crate::interface::Event>,
+    terminating: Option<Ms>,
+}
+
+impl Core {
+    /// A gateway that has taken nothing yet.
+    ///
+    /// # Errors
+    /// The settings contradict themselves.
+    pub fn new(settings: Settings, limits: Limits, now: Ms) -> Result<Self, SettingsError> {
+        Ok(Self {
+            module: Gateway::new(settings.clone(), now)?,
+            counts: vec![Counts::default(); settings.classes.len()],
+            settings,
+            limits,
+            serial: None,
+            engines: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            probes: BTreeMap::new(),
+            timers: BinaryHeap::new(),
+            numbers: 0,
+            held: 0,
+            open: 0,
+            pending: Vec::new(),
+            terminating: None,
+        })
+    }
+
+    /// Attempts and outcomes by class, in the order of the settings.
+    pub fn counts(&self) -> &[Counts] {
+        &self.counts
+    }
+
+    /// Whether the end was asked for.
+    pub fn terminating(&self) -> bool {
+        self.terminating.is_some()
+    }
+
+    /// When [`Event::Clock`] is due next.
+    pub fn next_due(&self) -> Option<Ms> {
+        self.timers.peek().map(|t| t.0)
+    }
+
+    /// Takes one event.
+    pub fn handle(&mut self, now: Ms, event: Event, effects: &mut Vec<Effect>) {
+        match event {
+            Event::List(serial, list) => self.list(now, serial, list, effects),
+            Event::Taken(ask) => self.take(now, ask, effects),
+            Event::Left(id) => self.leave(id),
+            Event::Begun(id, rows) => self.begin(now, id, rows, effects),
+            Event::More(id, part) => {
+                if self.attempt(id).is_some_and(|a| a.out) {
+                    effects.push(Effect::Part(id.0, part));
+                }
+            }
+            Event::Ended(id, end) => self.end(now, id, end, effects),
+            Event::Probed(tag, ok, report) => self.probed(now, tag, ok, report),
+            Event::Clock => self.clock(now, effects),
+            Event::Turn => self.turn(now, effects),
+            Event::Terminate => {
+                if self.terminating.is_none() {
+                    self.terminating = Some(now);
+                    self.timer(now + self.limits.term_window, Due::Leave);
+                    self.timer(now + self.limits.term_answer, Due::AnswerAll);
+                }
+            }
+        }
+        self.exit_when_done(now, effects);
+    }
+
+    fn timer(&mut self, at: Ms, due: Due) {
+        self.numbers += 1;
+        self.timers.push(Timer(at, self.numbers, due));
+    }
+
+    fn attempt(&self, id: AttemptId) -> Option<&Attempt> {
+        self.requests.get(&id.0).and_then(|r| r.attempts.get(id.1 as usize))
+    }
+
+    /// Lists come whole and numbered; one older than what is known came late and says nothing new.
+    fn list(&mut self, now: Ms, serial: u64, list: Vec<Listed>, effects: &mut Vec<Effect>) {
+        if self.serial.is_some_and(|known| serial <= known) {
+            return;
+        }
+        self.serial = Some(serial);
+        let mut before = std::mem::take(&mut self.engines);
+        for listed in &list {
+            before.remove(&listed.member.engine);
+            if listed.member.availability != Availability::Live {
+                effects.push(Effect::Shut(listed.member.engine.clone()));
+            }
+            self.engines.insert(listed.member.engine.clone(), listed.clone());
+        }
+        for (engine, _) in before {
+            effects.push(Effect::Shut(engine.clone()));
+            self.timer(now + self.limits.gone_grace, Due::Gone(engine));
+        }
+        let members = list.into_iter().map(|l| l.member).collect();
+        self.pending.push(crate::interface::Event::Members { whole: true, members });
+    }
+
+    fn take(&mut self, now: Ms, ask: Ask, effects: &mut Vec<Effect>) {
+        let (id, class, deadline) = (ask.asked.id, ask.asked.class, ask.asked.deadline);
+        self.counts[class.0].taken += 1;
+        // Guards the memory: past these limits a request is turned away before the module hears of it.
+        if self.open >= self.limits.max_open || self.held + ask.statement.bytes() > self.limits.held_bytes {
+            self.counts[class.0].answers[1] += 1;
+            effects.push(Effect::Answer(id, Answer::Refused(self.settings.max_retry_after)));
+            return;
+        }
+        self.open += 1;
+        self.held += ask.statement.bytes();
+        // The engines drop a repeat only for so long after the key's first send. A repeat that came within
+        // that time must not leave after it: it would run twice.
+        let window = self.window(class);
+        let first = ask.statement.key.as_ref().and_then(|k| self.keys.get(k));
+        let send_by = match (window, first) {
+            (Some(window), Some(first)) if now < first + window => first + window - self.limits.answer_margin,
+            _ => f64::INFINITY,
+        };
+        let request = Request {
+            statement: ask.statement,
+            class,
+            deadline,
+            send_by,
+            attempts: Vec::new(),
+            begun: false,
+            over: false,
+            terms: (0.0, 1),
+            error: None,
+        };
+        self.requests.insert(id, request);
+        self.timer(deadline, Due::Deadline(id));
+        self.pending.push(crate::interface::Event::Request(ask.asked));
+    }
+
+    fn window(&self, class: ClassId) -> Option<Ms> {
+        match self.settings.classes[class.0].repeat {
+            Repeat::Keyed { window, .. } => Some(window),
+            _ => None,
+        }
+    }
+
+    fn leave(&mut self, id: RequestId) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
+        r.over = true;
+        self.open -= 1;
+        self.counts[r.class.0].answers[3] += 1;
+        self.pending.push(crate::interface::Event::Gone(id));
+        self.forget(id);
+    }
+
+    /// Drops a request once it is answered and nothing is out for it.
+    fn forget(&mut self, id: RequestId) {
+        let Some(r) = self.requests.get(&id).filter(|r| r.over && r.attempts.iter().all(|a| !a.out)) else {
+            return;
+        };
+        self.held -= r.statement.bytes();
+        self.requests.remove(&id);
+    }
+
+    /// The one place from which final answers go.
+    fn answer(&mut self, id: RequestId, answer: Answer, effects: &mut Vec<Effect>) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
+        r.over = true;
+        self.open -= 1;
+        let answer = if r.begun && !matches!(answer, Answer::Finished) { Answer::Cut } else { answer };
+        let kind = match &answer {
+            Answer::Served(_) | Answer::Finished => 0,
+            Answer::Refused(_) => 1,
+            Answer::Cut | Answer::Failed(_) | Answer::Expired => 2,
+        };
+        self.counts[r.class.0].answers[kind] += 1;
+        effects.push(Effect::Answer(id, answer));
+        self.forget(id);
+    }
+
+    fn begin(&mut self, now: Ms, id: AttemptId, rows: Rows, effects: &mut Vec<Effect>) {
+        let Some(r) = self.requests.get_mut(&id.0).filter(|r| !r.over && !r.begun) else { return };
+        if !r.attempts.get(id.1 as usize).is_some_and(|a| a.out) || now >= r.deadline {
+            return;
+        }
+        r.begun = true;
+        self.pending.push(crate::interface::Event::Streaming { id: id.0 });
+        effects.push(Effect::Begin(id.0, rows));
+    }
+
+    /// An attempt ended. A late word on one that was given up finds it not out, and changes nothing.
+    fn end(&mut self, now: Ms, id: AttemptId, end: End, effects: &mut Vec<Effect>) {
+        let Some(r) = self.requests.get_mut(&id.0) else { return };
+        let Some(a) = r.attempts.get_mut(id.1 as usize).filter(|a| a.out) else { return };
+        a.out = false;
+        let (engine, took) = (a.engine.clone(), now - a.sent);
+        self.counts[r.class.0].outcomes[end.outcome as usize] += 1;
+        r.error = end.error;
+        let begun = r.begun;
+        if end.outcome == Outcome::Ok {
+            let whole = if begun { Answer::Finished } else { Answer::Served(end.rows) };
+            self.answer(id.0, whole, effects);
+        } else if begun {
+            self.answer(id.0, Answer::Cut, effects);
+        }
+        let over = self.requests.get(&id.0).is_none_or(|r| r.over);
+        self.pending.push(crate::interface::Event::Outcome {
+            id: id.0,
+            attempt: id.1,
+            engine,
+            outcome: end.outcome,
+            took,
+            over,
+            work: end.work,
+            report: end.report,
+        });
+        self.forget(id.0);
+    }
+
+    /// Ends an attempt from this side.
+    fn give_up(&mut self, now: Ms, id: AttemptId, outcome: Outcome, effects: &mut Vec<Effect>) {
+        let Some(engine) = self.attempt(id).filter(|a| a.out).map(|a| a.engine.clone()) else { return };
+        effects.push(Effect::GiveUp(id, engine));
+        self.end(now, id, End::plain(outcome), effects);
+    }
+
+    fn probed(&mut self, now: Ms, tag: u64, ok: bool, report: Option<Report>) {
+        if let Some((engine, sent)) = self.probes.remove(&tag) {
+            self.pending.push(crate::interface::Event::Probed { engine, ok, took: now - sent, report });
+        }
+    }
+
+    fn clock(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+        while self.timers.peek().is_some_and(|t| t.0 <= now) {
+            let Some(Timer(_, _, due)) = self.timers.pop() else { return };
+            match due {
+                Due::Module(token) => self.pending.push(crate::interface::Event::Timer(token)),
+                // A stream that has begun has no deadline any more.
+                Due::Attempt(id) if self.requests.get(&id.0).is_some_and(|r| !r.begun) => {
+                    self.give_up(now, id, Outcome::Timeout, effects);
+                }
+                // The module answers in time by itself. This makes sure of it, whatever it does.
+                Due::Deadline(id) => {
+                    if self.requests.get(&id).is_some_and(|r| !r.over && !r.begun) {
+                        self.stop(now, id, Outcome::Timeout, effects);
+                        self.answer(id, Answer::Expired, effects);
+                        self.pending.push(crate::interface::Event::Gone(id));
+                    }
+                }
+                Due::Probe(tag) => self.probed(now, tag, false, None),
+                // What ran on an engine that has left the list has ended with it, or never will.
+                Due::Gone(engine) if !self.engines.contains_key(&engine) => {
+                    for id in self.out_on(&engine) {
+                        self.give_up(now, id, Outcome::Reset, effects);
+                    }
+                }
+                Due::AnswerAll => self.answer_all(now, effects),
+                Due::Attempt(_) | Due::Gone(_) | Due::Leave => {}
+            }
+        }
+    }
+
+    fn out_on(&self, engine: &EngineId) -> Vec<AttemptId> {
+        let all = self
+            .requests
+            .iter()
+            .flat_map(|(id, r)| r.attempts.iter().zip(0..).map(move |(a, n)| (*id, n, a)));
+        all.filter(|(_, _, a)| a.out && a.engine == *engine).map(|(id, n, _)| (id, n)).collect()
+    }
+
+    fn stop(&mut self, now: Ms, id: RequestId, outcome: Outcome, effects: &mut Vec<Effect>) {
+        let attempts = self.requests.get(&id).map_or(0, |r| r.attempts.len() as u32);
+        (0..attempts).for_each(|n| self.give_up(now, (id, n), outcome, effects));
+    }
+
+    /// The program must end soon: what is still open is answered while that can be done.
+    fn answer_all(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+        let open: Vec<_> = self.requests.iter().filter(|(_, r)| !r.over).map(|(id, _)| *id).collect();
+        for id in open {
+            let Some(r) = self.requests.get(&id) else { continue };
+            let harmless = match self.settings.classes[r.class.0].repeat {
+                Repeat::Safe | Repeat::Keyed { scope: Scope::All, .. } => true,
+                _ => r.attempts.is_empty(),
+            };
+            self.stop(now, id, Outcome::Cancelled, effects);
+            let answer =
+                if harmless { Answer::Refused(self.settings.max_retry_after) } else { Answer::Failed(None) };
+            self.answer(id, answer, effects);
+            self.pending.push(crate::interface::Event::Gone(id));
+        }
+    }
+
+    fn exit_when_done(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+        let window = |from: Ms| now >= from + self.limits.term_window;
+        if self.open == 0 && self.terminating.is_some_and(window) {
+            effects.push(Effect::Exit);
+        }
+    }
+
+    /// Lets the module decide, and again while its own actions give it news.
+    fn turn(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+        let mut actions = Vec::new();
+        for _ in 0..=self.settings.send_cap {
+            if self.pending.is_empty() {
+                return;
+            }
+            let events = std::mem::take(&mut self.pending);
+            self.module.turn(now, &events, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action, effects);
+            }
+        }
+    }
+
+    fn act(&mut self, now: Ms, action: Action, effects: &mut Vec<Effect>) {
+        match action {
+            Action::Send { id, engine, timeout } => self.send(now, id, engine, timeout, effects),
+            Action::Refuse { id, retry_after } => self.answer(id, Answer::Refused(retry_after), effects),
+            Action::Fail { id } => {
+                let error = self.requests.get_mut(&id).and_then(|r| r.error.take());
+                self.answer(id, Answer::Failed(error), effects);
+            }
+            Action::Cancel { id, attempt } => self.give_up(now, (id, attempt), Outcome::Cancelled, effects),
+            Action::Terms { id, memory_mb, priority } => {
+                let Some(r) = self.requests.get_mut(&id) else { return };
+                let changed = r.terms.1 != priority;
+                r.terms = (memory_mb, priority);
+                for (a, n) in r.attempts.iter().zip(0..).filter(|(a, _)| a.out && changed) {
+                    effects.push(Effect::Hurry((id, n), a.engine.clone(), priority));
+                }
+            }
+            Action::Timer { after, token } => self.timer(now + after, Due::Module(token)),
+            // The list is polled all the time; there is nothing to subscribe to.
+            Action::Watch => {}
+            Action::Probe { engine } => {
+                let Some(address) = self.engines.get(&engine).map(|l| l.address) else { return };
+                self.numbers += 1;
+                let tag = self.numbers;
+                self.probes.insert(tag, (engine.clone(), now));
+                self.timer(now + self.limits.probe, Due::Probe(tag));
+                effects.push(Effect::Probe(tag, engine, address));
+            }
+        }
+    }
+
+    fn send(&mut self, now: Ms, id: RequestId, engine: EngineId, timeout: Ms, effects: &mut Vec<Effect>) {
+        let listed = self.engines.get(&engine).filter(|l| l.member.availability == Availability::Live);
+        let address = listed.map(|l| l.address);
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let number = r.attempts.len() as u32;
+        let lone = r.attempts.iter().all(|a| !a.out) || self.settings.may_copy;
+        r.attempts.push(Attempt { engine: engine.clone(), sent: now, out: true });
+        let ends = r.deadline - self.limits.answer_margin;
+        let ends = if timeout > 0.0 { ends.min(now + timeout) } else { ends };
+        let (Some(address), true) = (address, lone && !r.over && now < r.send_by && now < ends) else {
+            return self.end(now, (id, number), End::plain(Outcome::Moot), effects);
+        };
+        self.counts[r.class.0].attempts += 1;
+        let (statement, (memory_mb, priority)) = (r.statement.clone(), r.terms);
+        let class = r.class;
+        effects.push(Effect::Send(Send {
+            id: (id, number),
+            engine,
+            address,
+            statement: statement.clone(),
+            budget: ends - now,
+            memory_mb,
+            priority,
+        }));
+        self.timer(ends, Due::Attempt((id, number)));
+        if let (Some(window), Some(key)) = (self.window(class), &statement.key) {
+            self.keys.retain(|_, at| now < *at + window);
+            self.keys.entry(key.clone()).or_insert(now);
+        }
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -69,6 +69,7 @@
 const PROBE_NOISE: f64 = 0.35; // of the shortest to its zone, within which a probe shows no delay
 const UNDELAYED: f64 = 0.5; // threads a core where a probe shows none: the middle of what that can be
 const SCATTER: f64 = 1.0; // threads a core that an engine's load is unsure by once it is stale
+const TEND: Ms = 10.0; // what is out is looked at so often: all of it each turn costs too much CPU
 const HEDGE_WITHIN: f64 = 0.7; // of the aim: a copy must be expected to end by then
 
 /// The decisions of one gateway.
@@ -91,6 +92,7 @@
     behind: Option<bool>, // the group that waits: long or not
     next_step: Ms,
     next_timer: Ms,
+    next_tend: Ms,
     watch_at: Ms,
 }
 
@@ -124,6 +126,7 @@
             behind: None,
             next_step: now,
             next_timer: now,
+            next_tend: now,
         })
     }
 
@@ -441,6 +444,7 @@
             e.slow += 0.01 * (self.fleet.usual_slow - e.slow);
             e.errors *= FADE;
             e.cold_sent.retain(|(t, _)| *t >= now - self.s.tip_after);
+            e.cold_sum = e.cold_sent.iter().map(|(_, w)| w).sum();
             if e.heard.is_none_or(|t| now - t > STALE) {
                 e.others = self.fleet.usual_load * e.cores;
                 e.busy = false;
@@ -631,7 +635,9 @@
     fn ration_left(&self) -> bool {
         let Some(ration) = self.s.ration else { return true };
         // Windows are taken a little long for what was spent and a little short for what was earned.
-        let since = |q: &VecDeque<Ms>, span: f64| q.iter().filter(|t| **t > self.now - span).count() as f64;
+        // Both lie in order of time. Every send asks this, so counting them all would cost more with traffic.
+        let since =
+            |q: &VecDeque<Ms>, span: f64| (q.len() - q.partition_point(|t| *t <= self.now - span)) as f64;
         let spent = since(&self.extras, ration.span + 2.0 * self.s.tick);
         let earned = since(&self.taken, ration.span - 2.0 * self.s.tick);
         spent + 1.0 <= ration.free + ration.per_request * earned
@@ -651,8 +657,9 @@
     /// also hold when all hear of a start at once. Harms a gateway with most of the traffic.
     fn cold_budget(&self, r: &Request, e: &Engine) -> bool {
         let warmth = self.warmth(e);
-        let from = self.now - self.s.tip_after;
-        let sent: f64 = e.cold_sent.iter().filter(|(t, _)| *t >= from).map(|(_, w)| w).sum();
+        if warmth >= 1.0 {
+            return true;
+        }
         let all = COLD_MARGIN * self.s.fall_multiple * warmth * e.cores * self.s.tip_after;
         let work = self.work(r.asked.class);
         let even = 1.0 / self.s.gateways as f64;
@@ -663,7 +670,7 @@
             let (most, by) = (all / work, COLD_CHANCE * COLD_CHANCE);
             (most + by / 2.0 - COLD_CHANCE * (most + by / 4.0).sqrt()) * work * even
         };
-        warmth >= 1.0 || sent + work * e.chance <= part
+        e.cold_sum + work * e.chance <= part
     }
 
     /// Usual work of a class; its whole aim before anything was learned.
@@ -778,6 +785,10 @@
 
     /// Attempts that are out: second copies, cancels, priorities, and the end of the client's patience.
     fn tend_running(&mut self, actions: &mut Vec<Action>) {
+        if self.now < self.next_tend {
+            return;
+        }
+        self.next_tend = self.now + TEND;
         let ids: Vec<_> = self.requests.values().filter(|r| r.out() > 0).map(|r| r.asked.id).collect();
         for id in ids {
             // The time-out at the deadline normally ends a request; this is for clocks that jump.
@@ -895,6 +906,7 @@
             self.fleet.own += width;
             e.count += 1.0;
             e.cold_sent.push_back((now, work));
+            e.cold_sum += work;
             if let Some(d) = asked_data {
                 if self.s.classes[class.0].is_load {
                     e.held_for.insert(d, now + mean * size);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,12 +1,17 @@
 //! Workload-management decisions for gateways in front of analytic engines.
 //!
 //! [`Gateway`](decide::Gateway) is fed [`Event`](interface::Event)s and answers with
-//! [`Action`](interface::Action)s. It does no I/O and reads no clock; see the README for an example.
+//! [`Action`](interface::Action)s. It does no I/O and reads no clock. [`core`] wraps it
+//! in a reducer that owns requests and attempts, and [`net`] holds the sockets around that.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod config;
+pub mod core;
 pub mod decide;
 pub mod interface;
+pub mod limits;
+pub mod net;
 mod state;
 pub mod wire;
 
--- /dev/null
+++ b/src/limits.rs
@@ -0,0 +1,102 @@
+//! Every size, count and time that the program keeps to, filled once at start and handed down.
+
+use crate::interface::Ms;
+use crate::wire::{Fields, WireError};
+use std::time::Duration;
+
+/// The limits of one gateway.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Limits {
+    /// Clients' connections at most.
+    pub front_conns: usize,
+    /// Connections to all engines at most.
+    pub engine_conns: usize,
+    /// Requests open on one client connection at most.
+    pub open_per_conn: usize,
+    /// Requests held open in all.
+    pub max_open: usize,
+    /// Bytes of one message, or of one HTTP body, at most.
+    pub message_bytes: usize,
+    /// Bytes of one HTTP head at most.
+    pub head_bytes: usize,
+    /// Bytes of a result that are held before any are passed on, or at most where it is passed on whole.
+    pub result_bytes: usize,
+    /// Bytes that wait for one reader; a client that lets more pile up is cut off.
+    pub outbox_bytes: usize,
+    /// Bytes of statements and results held in all.
+    pub held_bytes: usize,
+    /// Read from a socket at a time.
+    pub read_bytes: usize,
+    /// Slices handed to one gathered write.
+    pub gather: usize,
+    /// Events waiting for the reducer.
+    pub queue: usize,
+    /// Attempts that one engine connection carries.
+    pub streams: usize,
+    /// A connection that is not up by then has failed.
+    pub connect: Duration,
+    /// Idle engine connections are closed after this: a little before the engine would.
+    pub idle: Duration,
+    /// A client connection with nothing open, or one that stops inside a message, is closed after this.
+    pub front_idle: Duration,
+    /// Time between looks for what has gone idle.
+    pub sweep: Duration,
+    /// A probe unanswered by then has failed.
+    pub probe: Ms,
+    /// Time kept before a deadline for the answer to leave.
+    pub answer_margin: Ms,
+    /// Time after which attempts on an engine that the name service dropped are given up.
+    pub gone_grace: Ms,
+    /// Time between questions to the name service.
+    pub names_poll: Duration,
+    /// Questions to the name service whose answers are still taken.
+    pub names_open: usize,
+    /// Bytes of a datagram of the name service at most.
+    pub names_bytes: usize,
+    /// After SIGTERM, new requests are taken at least this long.
+    pub term_window: Ms,
+    /// After SIGTERM, whatever is open is answered by then.
+    pub term_answer: Ms,
+    /// Time for the last answers to leave.
+    pub term_flush: Duration,
+}
+
+impl Limits {
+    /// Limits of the machine and of the settings, the rest at its defaults.
+    ///
+    /// # Errors
+    /// Names the first value that cannot be read.
+    pub fn read(f: &Fields) -> Result<Self, WireError> {
+        let sockets = f.number_or("machine.sockets", 1024.0)? as usize;
+        let memory = f.number_or("machine.memory_mb", 192.0)? * 1024.0 * 1024.0;
+        let ms = |x: f64| Duration::from_secs_f64((x / 1000.0).clamp(0.001, 3600.0));
+        Ok(Self {
+            front_conns: sockets * 45 / 100,
+            engine_conns: sockets * 45 / 100,
+            open_per_conn: 32,
+            max_open: f.number_or("limits.max_open", 20_000.0)?.clamp(1.0, 20_000.0) as usize,
+            message_bytes: 1 << 20,
+            head_bytes: 16 << 10,
+            result_bytes: 64 << 10,
+            outbox_bytes: 2 << 20,
+            held_bytes: (memory * 0.4) as usize,
+            read_bytes: 16 << 10,
+            gather: 64,
+            queue: 1024,
+            streams: f.number_or("limits.streams_per_conn", 32.0)?.max(1.0) as usize,
+            connect: ms(f.number_or("limits.connect_timeout", 250.0)?),
+            idle: ms(f.number_or("limits.idle_close", 15_000.0)? * 0.8),
+            front_idle: ms(60_000.0),
+            sweep: ms(250.0),
+            probe: 300.0,
+            answer_margin: 10.0,
+            gone_grace: 200.0,
+            names_poll: ms(200.0),
+            names_open: 16,
+            names_bytes: 16 << 10,
+            term_window: 800.0,
+            term_answer: 3_300.0,
+            term_flush: ms(200.0),
+        })
+    }
+}
--- /dev/null
+++ b/src/net/conn.rs
@@ -0,0 +1,234 @@
+//! One connection: what waits to be written, in frames that go out by gathered writes, and what was read.
+
+use crate::core::AttemptId;
+use crate::limits::Limits;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io::{self, IoSlice};
+use std::rc::Rc;
+use tokio::io::Interest;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// A part of a frame: a head written for it, or a body shared with its owner.
+#[derive(Debug, Clone)]
+pub enum Part {
+    /// Bytes of its own.
+    Own(Vec<u8>),
+    /// The text of a statement.
+    Text(Rc<crate::core::Statement>),
+    /// The data of a statement.
+    Data(Rc<crate::core::Statement>),
+}
+
+impl Part {
+    fn bytes(&self) -> &[u8] {
+        match self {
+            Part::Own(bytes) => bytes,
+            Part::Text(statement) => &statement.text,
+            Part::Data(statement) => &statement.data,
+        }
+    }
+}
+
+/// A message to be written whole, unless it is withdrawn before its first byte leaves.
+#[derive(Debug)]
+pub struct Frame {
+    /// The attempt that it sends, if it does.
+    pub attempt: Option<AttemptId>,
+    /// Its bytes.
+    pub parts: Vec<Part>,
+}
+
+impl Frame {
+    /// A message that sends no attempt.
+    pub fn plain(bytes: Vec<u8>) -> Self {
+        Self { attempt: None, parts: vec![Part::Own(bytes)] }
+    }
+
+    fn len(&self) -> usize {
+        self.parts.iter().map(|p| p.bytes().len()).sum()
+    }
+}
+
+/// What waits for one reader. Its bytes count towards its own limit and towards a sum over all connections.
+#[derive(Debug)]
+pub struct Outbox {
+    frames: RefCell<VecDeque<Frame>>,
+    /// Of the first frame, what has left.
+    begun: Cell<usize>,
+    bytes: Cell<usize>,
+    total: Rc<Cell<usize>>,
+    closing: Cell<Option<Close>>,
+    wake: Notify,
+}
+
+/// How a connection is to end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Close {
+    /// Once all that waits is written.
+    AfterWrite,
+    /// At once.
+    Now,
+}
+
+impl Outbox {
+    /// Nothing waits.
+    pub fn new(total: Rc<Cell<usize>>) -> Self {
+        let (frames, begun, bytes) = Default::default();
+        Self { frames, begun, bytes, total, closing: Cell::new(None), wake: Notify::new() }
+    }
+
+    /// Bytes that wait.
+    pub fn waiting(&self) -> usize {
+        self.bytes.get()
+    }
+
+    fn count(&self, more: usize, less: usize) {
+        self.bytes.set(self.bytes.get() + more - less);
+        self.total.set(self.total.get() + more - less);
+    }
+
+    /// Adds a message. A reader who lets too much pile up is cut off: it stalls nobody else.
+    pub fn push(&self, frame: Frame, limits: &Limits) {
+        if self.closing.get().is_some() {
+            return;
+        }
+        let len = frame.len();
+        if self.bytes.get() + len > limits.outbox_bytes || self.total.get() + len > limits.held_bytes {
+            eprintln!("a connection was closed: its reader is too slow");
+            return self.close(Close::Now);
+        }
+        self.count(len, 0);
+        self.frames.borrow_mut().push_back(frame);
+        self.wake.notify_one();
+    }
+
+    /// Ends the connection; nothing more is taken.
+    pub fn close(&self, how: Close) {
+        if self.closing.get() != Some(Close::Now) {
+            self.closing.set(Some(how));
+        }
+        self.wake.notify_one();
+    }
+
+    /// Whether the end was asked for.
+    pub fn closing(&self) -> bool {
+        self.closing.get().is_some()
+    }
+
+    /// Takes back the message of an attempt if none of it has left.
+    pub fn withdraw(&self, attempt: AttemptId) -> bool {
+        let mut frames = self.frames.borrow_mut();
+        let from = usize::from(self.begun.get() > 0);
+        let Some(at) = (from..frames.len()).find(|i| frames[*i].attempt == Some(attempt)) else {
+            return false;
+        };
+        let len = frames.remove(at).map_or(0, |f| f.len());
+        self.count(0, len);
+        true
+    }
+
+    /// The attempts none of whose bytes have left.
+    pub fn unsent(&self) -> Vec<AttemptId> {
+        let frames = self.frames.borrow();
+        frames.iter().skip(usize::from(self.begun.get() > 0)).filter_map(|f| f.attempt).collect()
+    }
+
+    fn advance(&self, mut written: usize) {
+        self.count(0, written);
+        let mut frames = self.frames.borrow_mut();
+        written += self.begun.get();
+        while let Some(len) = frames.front().map(Frame::len).filter(|len| *len <= written) {
+            written -= len;
+            frames.pop_front();
+        }
+        self.begun.set(written);
+    }
+
+    /// Writes what waits until the connection is to end.
+    pub async fn write_all(&self, stream: &TcpStream, limits: &Limits) -> io::Result<()> {
+        loop {
+            if self.closing.get() == Some(Close::Now) {
+                return Ok(());
+            }
+            if self.frames.borrow().is_empty() {
+                if self.closing.get().is_some() {
+                    return Ok(());
+                }
+                self.wake.notified().await;
+                continue;
+            }
+            let written = {
+                let frames = self.frames.borrow();
+                let mut skip = self.begun.get();
+                let mut slices = Vec::new();
+                for bytes in frames.iter().flat_map(|f| &f.parts).map(Part::bytes) {
+                    let from = skip.min(bytes.len());
+                    skip -= from;
+                    if from < bytes.len() {
+                        slices.push(IoSlice::new(&bytes[from..]));
+                    }
+                    if slices.len() == limits.gather {
+                        break;
+                    }
+                }
+                stream.try_write_vectored(&slices)
+            };
+            match written {
+                Ok(written) => self.advance(written),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    tokio::select! {
+                        ready = stream.ready(Interest::WRITABLE) => drop(ready?),
+                        () = self.wake.notified() => {}
+                    }
+                }
+                Err(e) => return Err(e),
+            }
+        }
+    }
+}
+
+impl Drop for Outbox {
+    fn drop(&mut self) {
+        self.total.set(self.total.get() - self.bytes.get());
+    }
+}
+
+/// What was read and not yet used. It grows only as bytes arrive.
+#[derive(Debug, Default)]
+pub struct Inbox {
+    bytes: Vec<u8>,
+    from: usize,
+}
+
+impl Inbox {
+    /// What is not yet used.
+    pub fn unread(&self) -> &[u8] {
+        &self.bytes[self.from..]
+    }
+
+    /// Marks bytes as used.
+    pub fn used(&mut self, n: usize) {
+        self.from = (self.from + n).min(self.bytes.len());
+    }
+
+    /// Reads what there is; false at the end of the stream.
+    pub async fn fill(&mut self, stream: &TcpStream, limits: &Limits) -> io::Result<bool> {
+        self.bytes.drain(..self.from);
+        self.from = 0;
+        // One large message must not keep its memory for the rest of a connection's life.
+        if self.bytes.is_empty() && self.bytes.capacity() > 4 * limits.read_bytes {
+            self.bytes = Vec::new();
+        }
+        loop {
+            stream.readable().await?;
+            self.bytes.reserve(limits.read_bytes);
+            match stream.try_read_buf(&mut self.bytes) {
+                Ok(n) => return Ok(n > 0),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/engine/mod.rs
@@ -0,0 +1,4 @@
+//! Engine wires: they turn attempts into what engines read, and what these say into outcomes.
+
+pub mod pool;
+pub mod resp;
--- /dev/null
+++ b/src/net/engine/resp.rs
@@ -0,0 +1,145 @@
+//! The platform's engines: RESP arrays of bulk strings. Answers are read in place.
+
+use crate::core::Send;
+use crate::interface::Report;
+use crate::net::conn::{Frame, Part};
+use std::io::Write;
+use winnow::ascii::{crlf, dec_uint};
+use winnow::combinator::{delimited, preceded, terminated};
+use winnow::error::{EmptyError, ErrMode};
+use winnow::prelude::*;
+use winnow::token::take;
+use winnow::Partial;
+
+type In<'a> = Partial<&'a [u8]>;
+type Res<T> = Result<T, ErrMode<EmptyError>>;
+
+/// An answer of an engine, still in the buffer.
+#[derive(Debug, PartialEq)]
+pub struct Reply<'a> {
+    /// The id or tag that it answers.
+    pub id: &'a str,
+    /// What it says.
+    pub word: &'a [u8],
+    /// Its fields, `name=value` parted by commas.
+    pub fields: &'a str,
+    /// Its body.
+    pub body: &'a [u8],
+}
+
+/// What reading the start of a buffer brought.
+#[derive(Debug, PartialEq)]
+pub enum Read<'a> {
+    /// An answer, and the bytes that it took.
+    Reply(Reply<'a>, usize),
+    /// Not all of one is there.
+    More,
+    /// This is no answer.
+    Bad,
+}
+
+fn bulk<'a>(limit: usize) -> impl FnMut(&mut In<'a>) -> Res<&'a [u8]> {
+    move |i: &mut In<'a>| {
+        let len: usize = delimited(b'$', dec_uint, crlf).verify(|n| *n <= limit).parse_next(i)?;
+        terminated(take(len), crlf).parse_next(i)
+    }
+}
+
+fn word<'a>(limit: usize) -> impl FnMut(&mut In<'a>) -> Res<&'a str> {
+    move |i: &mut In<'a>| bulk(limit).verify_map(|b| std::str::from_utf8(b).ok()).parse_next(i)
+}
+
+fn array<'a>(limit: usize) -> impl FnMut(&mut In<'a>) -> Res<Reply<'a>> {
+    move |i: &mut In<'a>| {
+        let parts: usize = terminated(preceded(b'*', dec_uint), crlf).parse_next(i)?;
+        if !(2..=4).contains(&parts) {
+            return Err(ErrMode::Backtrack(EmptyError));
+        }
+        let (id, said) = (word(limit), bulk(limit)).parse_next(i)?;
+        let fields = if parts > 2 { word(limit).parse_next(i)? } else { "-" };
+        let body = if parts > 3 { bulk(limit).parse_next(i)? } else { &[] };
+        Ok(Reply { id, word: said, fields, body })
+    }
+}
+
+/// Reads one answer, no part of which is longer than the limit.
+pub fn read(bytes: &[u8], limit: usize) -> Read<'_> {
+    let mut i = Partial::new(bytes);
+    match array(limit).parse_next(&mut i) {
+        Ok(reply) => Read::Reply(reply, bytes.len() - i.len()),
+        Err(ErrMode::Incomplete(_)) => Read::More,
+        Err(_) => Read::Bad,
+    }
+}
+
+impl<'a> Reply<'a> {
+    /// The value of a field.
+    pub fn field(&self, name: &str) -> Option<&'a str> {
+        let pairs = self.fields.split(',').filter_map(|pair| pair.split_once('='));
+        pairs.into_iter().find(|(n, _)| *n == name).map(|(_, value)| value)
+    }
+
+    /// The value of a field that is a number.
+    pub fn number(&self, name: &str) -> Option<f64> {
+        self.field(name).and_then(|v| v.parse().ok()).filter(|v: &f64| v.is_finite())
+    }
+
+    /// The load report in `use`, if there is one.
+    pub fn report(&self) -> Option<Report> {
+        self.field("use").map(report)
+    }
+}
+
+/// Reads `inflight:7;util:0.61`, by the platform's names or the simulator's.
+pub fn report(text: &str) -> Report {
+    let mut report = Report::default();
+    for (name, value) in text.split(';').filter_map(|pair| pair.split_once(':')) {
+        let value = value.parse().ok();
+        match name {
+            "inflight" | "concurrent" => report.inflight = value,
+            "queue" | "depth" => report.queue = value,
+            "util" | "load_share" => report.util = value,
+            "x0" => report.memory = value,
+            "x1" => report.disks = value,
+            _ => {}
+        }
+    }
+    report
+}
+
+fn command(parts: &[&[u8]], open: Option<usize>) -> Vec<u8> {
+    let mut out = Vec::with_capacity(128);
+    let _ = write!(out, "*{}\r\n", parts.len() + usize::from(open.is_some()));
+    for part in parts {
+        let _ = write!(out, "${}\r\n", part.len());
+        out.extend_from_slice(part);
+        out.extend_from_slice(b"\r\n");
+    }
+    if let Some(len) = open {
+        let _ = write!(out, "${len}\r\n");
+    }
+    out
+}
+
+/// A command without a body.
+pub fn say(parts: &[&str]) -> Frame {
+    let parts: Vec<&[u8]> = parts.iter().map(|p| p.as_bytes()).collect();
+    Frame::plain(command(&parts, None))
+}
+
+/// `want`: the statement goes out as it came in, shared by all attempts.
+pub fn want(send: &Send) -> Frame {
+    let s = &send.statement;
+    let mut fields = format!("queue={},budget={:.0}", s.class, send.budget.max(1.0));
+    if let Some(key) = &s.key {
+        fields += &format!(",uniq={key}");
+    }
+    if send.memory_mb >= 1.0 {
+        fields += &format!(",mem={:.0}", send.memory_mb);
+    }
+    fields += &format!(",prio={}", send.priority);
+    let head = command(&[b"want", s.name.as_bytes(), fields.as_bytes()], Some(s.text.len() + s.data.len()));
+    let parts =
+        vec![Part::Own(head), Part::Text(s.clone()), Part::Data(s.clone()), Part::Own(b"\r\n".to_vec())];
+    Frame { attempt: Some(send.id), parts }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,8 @@
+//! Sockets, wires and the runtime that performs the reducer's effects. Nothing here decides.
+
+pub mod conn;
+pub mod engine;
+pub mod front;
+pub mod names;
+pub mod runtime;
+pub mod sql;
--- /dev/null
+++ b/src/net/runtime.rs
@@ -0,0 +1,136 @@
+//! The loop that feeds the reducer and performs its effects: one thread, as the machine has one core.
+
+use crate::config::Config;
+use crate::core::{Core, Effect, Event};
+use crate::net::engine::pool::{Engines, RespEngines};
+use crate::net::front::{thrift, Desk};
+use crate::net::names;
+use std::io;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc;
+use tokio::time::{sleep_until, timeout, Instant, MissedTickBehavior};
+
+/// Serves until SIGTERM, then until all that was taken is answered.
+///
+/// # Errors
+/// An address cannot be listened at, or the settings contradict themselves.
+pub async fn serve(config: Config) -> io::Result<()> {
+    let limits = Rc::new(config.limits.clone());
+    let settings = Rc::new(config.settings.clone());
+    let (sender, mut receiver) = mpsc::channel(limits.queue);
+    let desk = Desk::new(settings.clone(), limits.clone(), sender.clone());
+    let core = Core::new(config.settings.clone(), config.limits.clone(), desk.clock.now());
+    let core = core.map_err(io::Error::other)?;
+    let engines = Box::new(RespEngines::new(limits.clone(), desk.total.clone(), sender.clone()));
+    let mut gateway = Runtime { core, engines, desk: desk.clone(), exit: false };
+    gateway.handle([Event::List(config.serial, config.known.clone())]);
+
+    let mut term = signal(SignalKind::terminate())?;
+    let listener = TcpListener::bind(config.listen).await?;
+    println!("{} listens at {}", config.name, listener.local_addr()?);
+    tokio::task::spawn_local(accept(listener, desk.clone()));
+    if let Some(at) = config.names {
+        let (settings, limits, sender) = (settings.clone(), limits.clone(), sender.clone());
+        tokio::task::spawn_local(async move { names::poll(at, &settings, &limits, &sender).await });
+    }
+    let mut sweep = tokio::time::interval(limits.sweep);
+    sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    while !gateway.exit {
+        let due = gateway
+            .core
+            .next_due()
+            .map_or_else(|| Instant::now() + limits.sweep, |at| desk.clock.instant(at).into());
+        let mut events = Vec::new();
+        tokio::select! {
+            event = receiver.recv() => events.extend(event),
+            () = sleep_until(due) => {}
+            _ = sweep.tick() => gateway.engines.sweep(),
+            _ = term.recv() => {
+                println!("SIGTERM: answering what was taken");
+                desk.terminating.set(true);
+                events.push(Event::Terminate);
+            }
+        }
+        while let Ok(event) = receiver.try_recv() {
+            events.push(event);
+            if events.len() >= limits.queue {
+                break;
+            }
+        }
+        gateway.handle(events);
+    }
+    // The last answers leave before the program does.
+    let flushed = async {
+        while desk.writing() {
+            tokio::task::yield_now().await;
+        }
+    };
+    let _ = timeout(limits.term_flush, flushed).await;
+    Ok(())
+}
+
+struct Runtime {
+    core: Core,
+    engines: Box<dyn Engines>,
+    desk: Rc<Desk>,
+    exit: bool,
+}
+
+impl Runtime {
+    /// Hands events to the reducer, lets it decide, and performs what it asks for, until that brings no news.
+    fn handle(&mut self, events: impl IntoIterator<Item = Event>) {
+        let mut effects = Vec::new();
+        let mut news: Vec<Event> = events.into_iter().collect();
+        loop {
+            let now = self.desk.clock.now();
+            for event in news.drain(..).chain([Event::Clock, Event::Turn]) {
+                self.core.handle(now, event, &mut effects);
+            }
+            for effect in effects.drain(..) {
+                self.perform(effect, &mut news);
+            }
+            if news.is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn perform(&mut self, effect: Effect, news: &mut Vec<Event>) {
+        match effect {
+            Effect::Send(send) => self.engines.send(send, news),
+            Effect::GiveUp(id, _) => self.engines.give_up(id),
+            Effect::Hurry(id, _, priority) => self.engines.hurry(id, priority),
+            Effect::Probe(tag, engine, address) => self.engines.probe(tag, &engine, address, news),
+            Effect::Shut(engine) => self.engines.shut(&engine, news),
+            Effect::Begin(id, rows) => self.desk.begin(id, rows),
+            Effect::Part(id, bytes) => self.desk.part(id, bytes),
+            Effect::Answer(id, answer) => self.desk.answer(id, answer),
+            Effect::Exit => self.exit = true,
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, desk: Rc<Desk>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let Some(out) = desk.connect() else {
+                    eprintln!("{peer}: too many connections; closed");
+                    continue;
+                };
+                let desk = desk.clone();
+                tokio::task::spawn_local(async move {
+                    thrift::serve(stream, out, desk.clone()).await;
+                    desk.disconnect();
+                });
+            }
+            // Out of descriptors, or the client left again: others may still be served.
+            Err(e) => {
+                eprintln!("accept: {e}");
+                tokio::time::sleep(desk.limits.names_poll).await;
+            }
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -105,6 +105,8 @@
     /// When it last refused connections: it may come back cold.
     pub lost: Option<Ms>,
     pub cold_sent: VecDeque<(Ms, f64)>,
+    /// Sum of it, a step old at most.
+    pub cold_sum: f64,
     /// From 0 to 1: rounds this gateway's part of the engine's cold budget.
     pub chance: f64,
     /// When that is drawn anew.
@@ -173,6 +175,7 @@
             back: NEVER,
             lost: None,
             cold_sent: VecDeque::new(),
+            cold_sum: 0.0,
             chance: 1.0,
             redraw: now,
             started: None,
@@ -187,8 +190,8 @@
         let kind = Kind { name: String::new(), cores: self.cores, memory_mb: self.memory_mb };
         let fresh = Self::new(self.member.clone(), &kind, self.last_answer, self.jitter);
         let (threads, count) = (self.threads, self.count);
-        let cold_sent = std::mem::take(&mut self.cold_sent);
-        *self = Self { threads, count, cold_sent, started: Some(started), ..fresh };
+        let (cold_sent, cold_sum) = (std::mem::take(&mut self.cold_sent), self.cold_sum);
+        *self = Self { threads, count, cold_sent, cold_sum, started: Some(started), ..fresh };
     }
 }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -111,6 +111,11 @@
 }
 
 impl Fields {
+    /// Pairs read from elsewhere than a line: a configuration.
+    pub fn new(message: &str, pairs: BTreeMap<String, String>) -> Self {
+        Self { message: message.to_owned(), pairs }
+    }
+
     fn parse(line: &str) -> Result<Self, WireError> {
         let mut parts = line.split('\t');
         let message = parts.next().unwrap_or_default().to_owned();
@@ -124,7 +129,8 @@
         Ok(Self { message, pairs })
     }
 
-    fn bad(&self, field: &str, why: &'static str) -> WireError {
+    /// A field whose value cannot be used.
+    pub fn bad(&self, field: &str, why: &'static str) -> WireError {
         WireError::Unreadable {
             message: self.message.clone(),
             field: field.to_owned(),
@@ -133,12 +139,17 @@
         }
     }
 
-    fn text(&self, field: &str) -> Result<&str, WireError> {
+    /// A field that must be there.
+    ///
+    /// # Errors
+    /// The field is missing.
+    pub fn text(&self, field: &str) -> Result<&str, WireError> {
         self.opt(field)
             .ok_or_else(|| WireError::Missing { message: self.message.clone(), field: field.to_owned() })
     }
 
-    fn opt(&self, field: &str) -> Option<&str> {
+    /// A field that may be there.
+    pub fn opt(&self, field: &str) -> Option<&str> {
         self.pairs.get(field).map(String::as_str)
     }
 
@@ -159,7 +170,11 @@
         }
     }
 
-    fn number_or(&self, field: &str, default: f64) -> Result<f64, WireError> {
+    /// A finite number, or the default where there is none.
+    ///
+    /// # Errors
+    /// The field is no such number.
+    pub fn number_or(&self, field: &str, default: f64) -> Result<f64, WireError> {
         match self.opt(field) {
             Some(_) => self.number(field),
             None => Ok(default),
@@ -182,7 +197,8 @@
         self.text("engine").map(|e| EngineId(Arc::from(e)))
     }
 
-    fn list(&self, field: &str) -> Vec<&str> {
+    /// The parts of a list joined by commas.
+    pub fn list(&self, field: &str) -> Vec<&str> {
         self.opt(field).map(|v| v.split(',').filter(|s| !s.is_empty()).collect()).unwrap_or_default()
     }
 
@@ -265,7 +281,8 @@
     }
 }
 
-fn zone_of(zones: &[String], name: &str) -> Option<ZoneId> {
+/// The zone named so, if the settings know it.
+pub fn zone_of(zones: &[String], name: &str) -> Option<ZoneId> {
     zones.iter().position(|z| z == name).map(ZoneId)
 }
 
@@ -354,7 +371,11 @@
     })
 }
 
-fn settings(f: &Fields) -> Result<Settings, WireError> {
+/// The settings that pairs hold.
+///
+/// # Errors
+/// Names the first one that cannot be read.
+pub fn settings(f: &Fields) -> Result<Settings, WireError> {
     let zones: Vec<String> = f.list("zones").iter().map(|z| (*z).to_owned()).collect();
     let names = f.list("skus");
     let numbers = |field: &str| -> Result<Vec<f64>, WireError> {
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
+use common::{class, engine, fleet, incoming, member, outcome, sends, settings};
 use starlingplank::decide::Gateway;
 use starlingplank::interface::*;
-use common::{class, engine, fleet, incoming, member, outcome, sends, settings};
 
 /// A gateway with a fleet, and a clock.
 struct Bed {
--- a/tests/gate.rs
+++ b/tests/gate.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
+use common::{engine, fleet, incoming, member, outcome, sends, settings};
 use starlingplank::decide::Gateway;
 use starlingplank::interface::*;
-use common::{engine, fleet, incoming, member, outcome, sends, settings};
 
 fn start(s: Settings, engines: usize) -> Gateway {
     let mut gateway = Gateway::new(s, 0.0).expect("settings are good");
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
+use common::{engine, incoming, member, settings};
 use starlingplank::decide::Gateway;
 use starlingplank::interface::*;
-use common::{engine, incoming, member, settings};
 use std::collections::BTreeMap;
 
 #[derive(Clone)]
