Load heard from util is util times slowdown: ends the jam that outlives a burst

A trace of the bound and the share showed engines nearly idle and yet 1.6 threads a core 'loaded': learn_report (src/decide.rs) added 1/speed-1 to util, and speed, learnt from answers alone, stood still once nothing was sent. Their product is what both measure.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -69,7 +69,8 @@
 const PROBE_NOISE: f64 = 0.35; // of the shortest to its zone, within which a probe shows no delay
 const UNDELAYED: f64 = 0.5; // threads a core where a probe shows none: the middle of what that can be
 const SCATTER: f64 = 1.0; // threads a core that an engine's load is unsure by once it is stale
-const TEND: Ms = 10.0; // what is out is looked at so often: all of it each turn costs too much CPU
+const TEND: Ms = 20.0; // what is out is looked at so often: all of it each turn costs too much CPU
+const PLACE: Ms = 4.0; // and what is held: in a jam that is hundreds, at every engine
 const HEDGE_WITHIN: f64 = 0.7; // of the aim: a copy must be expected to end by then
 
 /// The decisions of one gateway.
@@ -93,6 +94,7 @@
     next_step: Ms,
     next_timer: Ms,
     next_tend: Ms,
+    next_place: Ms,
     watch_at: Ms,
 }
 
@@ -127,6 +129,7 @@
             next_step: now,
             next_timer: now,
             next_tend: now,
+            next_place: now,
         })
     }
 
@@ -248,14 +251,14 @@
             e.busy = waits || high(report.util) || high(report.memory) || high(report.disks);
         }
         // One estimate with one meaning, threads a core of all gateways, from the best evidence there is:
-        // queries in hand; else cores in use and how much longer queries take than their work, as cores idle
-        // while all wait for disks; else how much longer a probe takes than the shortest to that zone.
+        // queries in hand; else cores in use times how much longer queries take than their work, as cores idle
+        // while all wait for disks (a sum of the two would call idle engines crowded by what was slow before); else how much longer a probe takes than the shortest to that zone.
         let f = &mut self.fleet;
         let own = e.usual_count * f.width / e.cores;
         let report = report.unwrap_or_default();
         let all = match (sane(report.inflight), sane(report.util), sane(probe)) {
             (Some(n), ..) => own + (n - e.usual_count).max(0.0) * f.width / e.cores,
-            (_, Some(util), _) => util.min(1.0) + (1.0 / f.speed.max(1.0 / SLOW_MOST) - 1.0).max(0.0),
+            (_, Some(util), _) => util.min(1.0) / f.speed.clamp(1.0 / SLOW_MOST, 1.0),
             (.., Some(took)) if self.stood == 0.0 => {
                 let floor = f.floors.entry(e.member.zone).or_insert(took);
                 *floor = took.min(*floor);
@@ -578,19 +581,24 @@
     }
 
     /// The bound binds only under pressure: own part of it on this engine, where one query always fits, and
-    /// all gateways' threads as reported. Own part over the fleet is rounded by chance, up for who is ahead.
+    /// all gateways' threads as reported.
     fn room(&self, e: &Engine, r: &Request) -> bool {
-        let (class, size) = (r.asked.class, r.size);
-        let width = self.s.classes[class.0].threads;
-        let all = LEVELS[self.bound] * self.cores(e);
-        let ahead = self.behind == Some(!self.classes[class.0].long);
-        let crowded = (e.threads + e.others) / self.cores(e).max(0.1) > CROWDED;
+        let width = self.s.classes[r.asked.class.0].threads;
+        let cores = self.cores(e);
+        let all = LEVELS[self.bound] * cores;
+        let crowded = (e.threads + e.others) / cores.max(0.1) > CROWDED;
         let pressed = e.busy || crowded || e.slow > FAR_ABOVE_BEST;
+        !pressed
+            || e.threads + width <= (all * self.fleet.share).max(width)
+                && e.threads + e.others + width * (r.size.min(3.0) - 0.5) <= all.max(width)
+    }
+
+    /// Whether own part over the fleet has room, rounded by chance, up for who is ahead.
+    fn fleet_room(&self, r: &Request) -> bool {
+        let width = self.s.classes[r.asked.class.0].threads;
+        let ahead = self.behind == Some(!self.classes[r.asked.class.0].long);
         let over = width * if ahead { 1.0 } else { r.chance };
-        self.fleet.own + width * size.min(3.0) <= self.part() + over
-            && (!pressed
-                || e.threads + width <= (all * self.fleet.share).max(width)
-                    && e.threads + e.others + width * (size.min(3.0) - 0.5) <= all.max(width))
+        self.fleet.own + width * r.size.min(3.0) <= self.part() + over
     }
 
     /// What this gateway may run on all engines together: its share of the bound, far more while the fleet is
@@ -681,6 +689,9 @@
 
     /// Routing: of the engines that the gate, health and the bound allow, the one with most free room.
     fn route(&self, r: &Request) -> Option<EngineId> {
+        if !self.fleet_room(r) {
+            return None;
+        }
         let width = self.s.classes[r.asked.class.0].threads;
         // More than half ejected means a shared cause: using them beats having none.
         let live = self.engines.values().filter(|e| e.member.availability == Availability::Live);
@@ -738,8 +749,11 @@
         self.tend_running(actions);
         self.place_held(actions);
         let from = self.now - STEP - self.s.ration.map_or(0.0, |r| r.span);
-        self.taken.retain(|t| *t >= from);
-        self.extras.retain(|t| *t >= from);
+        for line in [&mut self.taken, &mut self.extras] {
+            while line.front().is_some_and(|t| *t < from) {
+                line.pop_front();
+            }
+        }
         self.keys.retain(|_, k| !k.line.is_empty() || k.rest_until > self.now);
         // An idle gateway's timer is slow: a request that comes with little time left needs one sooner.
         let after = if self.requests.is_empty() { STEP } else { (4.0 * self.s.tick).clamp(1.0, 20.0) };
@@ -752,6 +766,10 @@
     /// Requests that wait: no attempt out and no answer yet. Favoured group first, then the other; within
     /// a group those that cost least by their estimates, then in turn.
     fn place_held(&mut self, actions: &mut Vec<Action>) {
+        if self.now < self.next_place {
+            return;
+        }
+        self.next_place = self.now + PLACE;
         let held = self.requests.values().filter(|r| !r.over && r.out() == 0);
         let order = |r: &Request| {
             let behind = self.behind == Some(self.classes[r.asked.class.0].long);
