--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,12 +6,13 @@
 use crate::decide::Gateway;
 use crate::interface::*;
 use crate::limits::Limits;
+use crate::net::conn::Outbox;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// What a request carries to its engine; no decision looks at it.
-#[derive(Debug, Default, PartialEq)]
+#[derive(Debug, Default)]
 pub struct Statement {
     /// The client's name for the request.
     pub name: String,
@@ -25,8 +26,8 @@
     pub data: Vec<u8>,
     /// Further parameters and credentials to pass on, where the engines' interface has them.
     pub params: Vec<(String, String)>,
-    /// The client can take the answer in parts; else it is passed on only when all is there.
-    pub streams: bool,
+    /// Where the answer can be passed on in parts, what waits for its reader; else it is passed on whole.
+    pub flow: Option<Rc<Outbox>>,
 }
 
 impl Statement {
@@ -447,13 +448,19 @@
         a.out = false;
         let (engine, took) = (a.engine.clone(), now - a.sent);
         self.counts[r.class.0].outcomes[end.outcome as usize] += 1;
-        r.error = end.error;
         let begun = r.begun;
         if end.outcome == Outcome::Ok {
-            let whole = if begun { Answer::Finished } else { Answer::Served(end.rows) };
+            let whole = match end.error {
+                _ if begun => Answer::Finished,
+                // The engine did its part: the statement itself is at fault.
+                Some(error) => Answer::Failed(Some(error)),
+                None => Answer::Served(end.rows),
+            };
             self.answer(id.0, whole, effects);
         } else if begun {
             self.answer(id.0, Answer::Cut, effects);
+        } else {
+            r.error = end.error;
         }
         let over = self.requests.get(&id.0).is_none_or(|r| r.over);
         self.pending.push(crate::interface::Event::Outcome {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -45,6 +45,7 @@
 const SLOW_WEIGHT: f64 = 0.1; // of one outcome in an engine's slowness
 const SPEED_WEIGHT: f64 = 0.02; // of a thread's outcome or note in the fleet's speed ...
 const SPEED_SPAN: Ms = 500.0; // ... if it ran so long: shorter ones were out for less of the time
+const CRAWL: f64 = 4.0; // times slower, past which idle cores mean that all wait for disks
 const SLOW_MOST: f64 = 10.0;
 const ERROR_WEIGHT: f64 = 0.2; // of one outcome in it
 const ERRORS: f64 = 0.3; // recent share of failures that ejects an engine
@@ -69,8 +70,9 @@
 const PROBE_NOISE: f64 = 0.35; // of the shortest to its zone, within which a probe shows no delay
 const UNDELAYED: f64 = 0.5; // threads a core where a probe shows none: the middle of what that can be
 const SCATTER: f64 = 1.0; // threads a core that an engine's load is unsure by once it is stale
-const TEND: Ms = 20.0; // what is out is looked at so often: all of it each turn costs too much CPU
-const PLACE: Ms = 4.0; // and what is held: in a jam that is hundreds, at every engine
+const MANY: usize = 64; // past so many, going through all of them each turn costs too much CPU ...
+const TEND: Ms = 20.0; // ... and what is out is looked at so often
+const PLACE: Ms = 4.0; // ... and what is held so often
 const HEDGE_WITHIN: f64 = 0.7; // of the aim: a copy must be expected to end by then
 
 /// The decisions of one gateway.
@@ -258,7 +260,10 @@
         let report = report.unwrap_or_default();
         let all = match (sane(report.inflight), sane(report.util), sane(probe)) {
             (Some(n), ..) => own + (n - e.usual_count).max(0.0) * f.width / e.cores,
-            (_, Some(util), _) => util.min(1.0) / f.speed.clamp(1.0 / SLOW_MOST, 1.0),
+            (_, Some(util), _) => {
+                let (util, slow) = (util.min(1.0), 1.0 / f.speed.clamp(1.0 / SLOW_MOST, 1.0));
+                util * slow + (1.0 - util) * (slow - CRAWL).max(0.0)
+            }
             (.., Some(took)) if self.stood == 0.0 => {
                 let floor = f.floors.entry(e.member.zone).or_insert(took);
                 *floor = took.min(*floor);
@@ -769,7 +774,6 @@
         if self.now < self.next_place {
             return;
         }
-        self.next_place = self.now + PLACE;
         let held = self.requests.values().filter(|r| !r.over && r.out() == 0);
         let order = |r: &Request| {
             let behind = self.behind == Some(self.classes[r.asked.class.0].long);
@@ -777,6 +781,7 @@
             (r.over_quota || late, behind, (r.size * 4.0).round() as u64)
         };
         let mut line: Vec<_> = held.map(|r| (order(r), r.taken, r.asked.id)).collect();
+        self.next_place = self.now + if line.len() > MANY { PLACE } else { 0.0 };
         line.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         for (_, _, id) in line {
             let Some(r) = self.requests.get(&id) else { continue };
@@ -806,8 +811,8 @@
         if self.now < self.next_tend {
             return;
         }
-        self.next_tend = self.now + TEND;
         let ids: Vec<_> = self.requests.values().filter(|r| r.out() > 0).map(|r| r.asked.id).collect();
+        self.next_tend = self.now + if ids.len() > MANY { TEND } else { 0.0 };
         for id in ids {
             // The time-out at the deadline normally ends a request; this is for clocks that jump.
             let past = |r: &Request| self.now >= r.asked.deadline + self.s.answer_slack / 2.0;
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -61,6 +61,7 @@
     total: Rc<Cell<usize>>,
     closing: Cell<Option<Close>>,
     wake: Notify,
+    drained: Notify,
 }
 
 /// How a connection is to end.
@@ -76,7 +77,15 @@
     /// Nothing waits.
     pub fn new(total: Rc<Cell<usize>>) -> Self {
         let (frames, begun, bytes) = Default::default();
-        Self { frames, begun, bytes, total, closing: Cell::new(None), wake: Notify::new() }
+        Self {
+            frames,
+            begun,
+            bytes,
+            total,
+            closing: Cell::new(None),
+            wake: Notify::new(),
+            drained: Notify::new(),
+        }
     }
 
     /// Bytes that wait.
@@ -89,6 +98,13 @@
         self.total.set(self.total.get() + more - less);
     }
 
+    /// Waits until no more than that waits, or the connection ends.
+    pub async fn room(&self, bytes: usize) {
+        while self.bytes.get() > bytes && self.closing.get().is_none() {
+            self.drained.notified().await;
+        }
+    }
+
     /// Adds a message. A reader who lets too much pile up is cut off: it stalls nobody else.
     pub fn push(&self, frame: Frame, limits: &Limits) {
         if self.closing.get().is_some() {
@@ -109,6 +125,7 @@
         if self.closing.get() != Some(Close::Now) {
             self.closing.set(Some(how));
         }
+        self.drained.notify_one();
         self.wake.notify_one();
     }
 
@@ -144,6 +161,8 @@
             frames.pop_front();
         }
         self.begun.set(written);
+        drop(frames);
+        self.drained.notify_one();
     }
 
     /// Writes what waits until the connection is to end.
--- /dev/null
+++ b/src/net/engine/clickhouse.rs
@@ -0,0 +1,366 @@
+//! Engines that speak the ClickHouse HTTP interface: one attempt at a time on a connection, which is used again.
+//! An attempt given up ends its connection, as that is how such an engine hears of it.
+
+use crate::core::{AttemptId, End, EngineError, Event, Rows, Send};
+use crate::interface::{EngineId, Outcome};
+use crate::limits::Limits;
+use crate::net::conn::{Close, Frame, Inbox, Outbox, Part};
+use crate::net::engine::pool::Engines;
+use crate::net::http::{self, Length, Read};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::Sender;
+use tokio::sync::Notify;
+use tokio::time::{timeout, Instant};
+
+/// The engine turned the query away before it ran.
+const TOO_MANY_SIMULTANEOUS_QUERIES: u32 = 202;
+
+#[derive(Clone)]
+enum Job {
+    Attempt(AttemptId, Option<Rc<Outbox>>),
+    Probe(u64),
+}
+
+struct Conn {
+    address: SocketAddr,
+    out: Outbox,
+    job: RefCell<Option<Job>>,
+    wake: Notify,
+    dead: Cell<bool>,
+    retired: Cell<bool>,
+    used: Cell<Instant>,
+}
+
+impl Conn {
+    fn free(&self) -> bool {
+        self.job.borrow().is_none() && !self.dead.get() && !self.retired.get() && !self.out.closing()
+    }
+
+    fn holds(&self, id: AttemptId) -> bool {
+        matches!(&*self.job.borrow(), Some(Job::Attempt(held, _)) if *held == id)
+    }
+}
+
+/// All connections to engines of this kind.
+pub struct HttpEngines {
+    pools: BTreeMap<EngineId, Vec<Rc<Conn>>>,
+    limits: Rc<Limits>,
+    total: Rc<Cell<usize>>,
+    events: Sender<Event>,
+}
+
+impl HttpEngines {
+    /// No connection yet.
+    pub fn new(limits: Rc<Limits>, total: Rc<Cell<usize>>, events: Sender<Event>) -> Self {
+        Self { pools: BTreeMap::new(), limits, total, events }
+    }
+
+    fn start(&mut self, engine: &EngineId, address: SocketAddr, job: Job, frame: Frame) -> bool {
+        let pool = self.pools.entry(engine.clone()).or_default();
+        pool.iter().filter(|c| c.address != address).for_each(|c| c.retired.set(true));
+        let free = pool.iter().filter(|c| c.free()).max_by_key(|c| c.used.get()).cloned();
+        let open = |p: &Vec<Rc<Conn>>| p.iter().filter(|c| !c.dead.get()).count();
+        if free.is_none() && self.pools.values().map(open).sum::<usize>() >= self.limits.engine_conns {
+            return false;
+        }
+        let conn = free.unwrap_or_else(|| {
+            let conn = Rc::new(Conn {
+                address,
+                out: Outbox::new(self.total.clone()),
+                job: RefCell::default(),
+                wake: Notify::new(),
+                dead: Cell::new(false),
+                retired: Cell::new(false),
+                used: Cell::new(Instant::now()),
+            });
+            self.pools.entry(engine.clone()).or_default().push(conn.clone());
+            tokio::task::spawn_local(run(conn.clone(), self.limits.clone(), self.events.clone()));
+            conn
+        });
+        *conn.job.borrow_mut() = Some(job);
+        conn.used.set(Instant::now());
+        conn.out.push(frame, &self.limits);
+        conn.wake.notify_one();
+        true
+    }
+
+    fn holder(&self, id: AttemptId) -> Option<&Rc<Conn>> {
+        self.pools.values().flatten().find(|c| c.holds(id))
+    }
+}
+
+impl Engines for HttpEngines {
+    fn send(&mut self, send: Send, events: &mut Vec<Event>) {
+        let job = Job::Attempt(send.id, send.statement.flow.clone());
+        let frame = request(&send);
+        if !self.start(&send.engine, send.address, job, frame) {
+            eprintln!("no connection is left for an attempt on {}", send.engine.0);
+            events.push(Event::Ended(send.id, End::plain(Outcome::Moot)));
+        }
+    }
+
+    fn give_up(&mut self, id: AttemptId) {
+        let Some(conn) = self.holder(id) else { return };
+        *conn.job.borrow_mut() = None;
+        if !conn.out.withdraw(id) {
+            conn.out.close(Close::Now);
+        }
+    }
+
+    // The interface has no way to change what already runs.
+    fn hurry(&mut self, _: AttemptId, _: u8) {}
+
+    fn probe(&mut self, tag: u64, engine: &EngineId, address: SocketAddr, events: &mut Vec<Event>) {
+        let frame = Frame::plain(format!("GET /ping HTTP/1.1\r\nHost: {address}\r\n\r\n").into_bytes());
+        if !self.start(engine, address, Job::Probe(tag), frame) {
+            events.push(Event::Probed(tag, false, None));
+        }
+    }
+
+    fn shut(&mut self, engine: &EngineId, events: &mut Vec<Event>) {
+        for conn in self.pools.get(engine).into_iter().flatten() {
+            conn.retired.set(true);
+            for id in conn.out.unsent() {
+                if conn.out.withdraw(id) {
+                    *conn.job.borrow_mut() = None;
+                    events.push(Event::Ended(id, End::plain(Outcome::Moot)));
+                }
+            }
+        }
+    }
+
+    fn sweep(&mut self) {
+        for pool in self.pools.values_mut() {
+            for conn in pool.iter().filter(|c| !c.dead.get() && c.job.borrow().is_none()) {
+                if conn.retired.get() || conn.used.get().elapsed() >= self.limits.idle {
+                    conn.retired.set(true);
+                    conn.out.close(Close::AfterWrite);
+                }
+            }
+            pool.retain(|c| !c.dead.get());
+        }
+        self.pools.retain(|_, pool| !pool.is_empty());
+    }
+}
+
+/// The request of an attempt: terms and key as the interface's own settings, credentials as headers.
+fn request(send: &Send) -> Frame {
+    let s = &send.statement;
+    // A second attempt must not meet the name of the first where that may run still.
+    let name = if send.id.1 == 0 { s.name.clone() } else { format!("{}-{}", s.name, send.id.1) };
+    let mut target = format!("/?query_id={}", http::encode(&name));
+    let _ = write!(target, "&max_execution_time={:.0}", (send.budget / 1000.0).ceil().max(1.0));
+    // 0 is no priority at all, 1 the highest.
+    let _ = write!(target, "&priority={}", 4 - send.priority.min(3));
+    target += "&cancel_http_readonly_queries_on_client_close=1";
+    if send.memory_mb >= 1.0 {
+        // Past the grant a query spills to disk.
+        let bytes = send.memory_mb.round() as u64 * 1024 * 1024;
+        let _ = write!(target, "&max_bytes_before_external_group_by={bytes}");
+        let _ = write!(target, "&max_bytes_before_external_sort={bytes}");
+    }
+    if let Some(key) = &s.key {
+        let _ = write!(target, "&insert_deduplication_token={}", http::encode(key));
+    }
+    let mut headers = String::new();
+    for (name, value) in &s.params {
+        let header = match name.as_str() {
+            "user" => Some("X-ClickHouse-User"),
+            "password" => Some("X-ClickHouse-Key"),
+            "database" => Some("X-ClickHouse-Database"),
+            "Authorization" => Some("Authorization"),
+            _ => None,
+        };
+        // A line end in a value would be a header of the client's making.
+        match header.filter(|_| !value.contains(char::is_control)) {
+            Some(header) => {
+                let _ = write!(headers, "{header}: {value}\r\n");
+            }
+            None => {
+                let _ = write!(target, "&{}={}", http::encode(name), http::encode(value));
+            }
+        }
+    }
+    let body = if s.data.is_empty() {
+        Part::Text(s.clone())
+    } else {
+        let _ = write!(target, "&query={}", http::encode(&String::from_utf8_lossy(&s.text)));
+        Part::Data(s.clone())
+    };
+    let length = if s.data.is_empty() { s.text.len() } else { s.data.len() };
+    let head = format!(
+        "POST {target} HTTP/1.1\r\nHost: {}\r\n{headers}Content-Length: {length}\r\n\r\n",
+        send.address
+    );
+    Frame { attempt: Some(send.id), parts: vec![Part::Own(head.into_bytes()), body] }
+}
+
+async fn run(conn: Rc<Conn>, limits: Rc<Limits>, events: Sender<Event>) {
+    let stream = timeout(limits.connect, TcpStream::connect(conn.address)).await.ok().and_then(Result::ok);
+    if let Some(stream) = &stream {
+        let _ = stream.set_nodelay(true);
+        tokio::select! {
+            ended = conn.out.write_all(stream, &limits) => drop(ended),
+            _ = read(&conn, stream, &limits, &events) => {}
+        }
+    }
+    conn.dead.set(true);
+    let unsent = conn.out.unsent();
+    conn.out.close(Close::Now);
+    let job = conn.job.borrow_mut().take();
+    let event = match job {
+        None => return,
+        Some(Job::Probe(tag)) => Event::Probed(tag, false, None),
+        Some(Job::Attempt(id, _)) => {
+            let outcome = match &stream {
+                None => Outcome::ConnectFailed,
+                Some(_) if unsent.contains(&id) => Outcome::Moot,
+                Some(_) => Outcome::Reset,
+            };
+            Event::Ended(id, End::plain(outcome))
+        }
+    };
+    let _ = events.send(event).await;
+}
+
+/// Reads answers until the connection is of no more use. None ends it.
+async fn read(conn: &Conn, stream: &TcpStream, limits: &Limits, events: &Sender<Event>) -> Option<()> {
+    let mut inbox = Inbox::default();
+    loop {
+        while conn.job.borrow().is_none() {
+            tokio::select! {
+                () = conn.wake.notified() => {}
+                // The engine closed an idle connection, or says what nobody asked.
+                _ = inbox.fill(stream, limits) => return None,
+            }
+        }
+        let keep = answer(conn, &mut inbox, stream, limits, events).await?;
+        conn.used.set(Instant::now());
+        if !keep {
+            return None;
+        }
+    }
+}
+
+async fn fill(inbox: &mut Inbox, stream: &TcpStream, limits: &Limits) -> Option<()> {
+    inbox.fill(stream, limits).await.ok().filter(|more| *more).map(|_| ())
+}
+
+/// Reads one answer and tells what became of the attempt. The job is looked up anew each time: an attempt may
+/// be given up at any point.
+async fn answer(
+    conn: &Conn,
+    inbox: &mut Inbox,
+    stream: &TcpStream,
+    limits: &Limits,
+    events: &Sender<Event>,
+) -> Option<bool> {
+    let (status, headers, length, keep) = loop {
+        match http::read_head(inbox.unread()) {
+            Read::Done(head, used) => {
+                let status = http::status(&head)?;
+                let own = |n: &str| n.len() > 13 && n[..13].eq_ignore_ascii_case("x-clickhouse-");
+                let kept =
+                    head.headers.iter().filter(|(n, _)| own(n) || n.eq_ignore_ascii_case("content-type"));
+                let headers: Vec<_> = kept.map(|(n, v)| ((*n).to_owned(), (*v).to_owned())).collect();
+                let all = (status, headers, head.body(Length::Stream)?, head.keeps(head.first));
+                inbox.used(used);
+                if status != 100 {
+                    break all;
+                }
+            }
+            Read::Bad => return None,
+            Read::More if inbox.unread().len() > limits.head_bytes => return None,
+            Read::More => fill(inbox, stream, limits).await?,
+        }
+    };
+    let mut rows = Rows { parts: Vec::new(), headers };
+    let (mut bytes, mut begun, mut left) = (0, false, length);
+    loop {
+        let part = match left {
+            Length::Bytes(0) => break,
+            Length::Bytes(n) => {
+                let part = inbox.unread()[..inbox.unread().len().min(n)].to_vec();
+                inbox.used(part.len());
+                left = Length::Bytes(n - part.len());
+                part
+            }
+            Length::Stream => {
+                let part = inbox.unread().to_vec();
+                inbox.used(part.len());
+                part
+            }
+            Length::Chunked => match http::read_chunk(inbox.unread(), 4 * limits.message_bytes) {
+                Read::Done([], used) => {
+                    inbox.used(used);
+                    break;
+                }
+                Read::Done(chunk, used) => {
+                    let part = chunk.to_vec();
+                    inbox.used(used);
+                    part
+                }
+                Read::Bad => return None,
+                Read::More => Vec::new(),
+            },
+        };
+        if part.is_empty() {
+            match fill(inbox, stream, limits).await {
+                Some(()) => continue,
+                // Without a length, the end of the stream is the end of the body, whole or not.
+                None if left == Length::Stream && status != 200 => break,
+                None => return None,
+            }
+        }
+        bytes += part.len();
+        let job = conn.job.borrow().clone()?;
+        match job {
+            Job::Attempt(id, Some(flow)) if begun => {
+                // The engine is read no faster than the client reads.
+                flow.room(limits.result_bytes).await;
+                events.send(Event::More(id, part)).await.ok()?;
+            }
+            Job::Attempt(id, flow) => {
+                rows.parts.push(part);
+                if status == 200 && bytes > limits.result_bytes && flow.is_some() {
+                    begun = true;
+                    events.send(Event::Begun(id, std::mem::take(&mut rows))).await.ok()?;
+                } else if bytes > limits.message_bytes {
+                    eprintln!("a result of more than {bytes} bytes cannot be passed on whole");
+                    conn.job.borrow_mut().take();
+                    events.send(Event::Ended(id, End::plain(Outcome::Error))).await.ok()?;
+                    return None;
+                }
+            }
+            Job::Probe(_) => {}
+        }
+    }
+    let job = conn.job.borrow_mut().take()?;
+    let event = match job {
+        Job::Probe(tag) => Event::Probed(tag, status == 200, None),
+        Job::Attempt(id, _) => Event::Ended(id, end(status, rows)),
+    };
+    events.send(event).await.ok()?;
+    Some(keep)
+}
+
+fn end(status: u16, rows: Rows) -> End {
+    let code = rows.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case("x-clickhouse-exception-code"));
+    let code = code.and_then(|(_, v)| v.parse().ok());
+    if status == 200 && code.is_none() {
+        return End { rows, ..End::plain(Outcome::Ok) };
+    }
+    let outcome = match (status, code) {
+        (_, Some(TOO_MANY_SIMULTANEOUS_QUERIES)) => Outcome::Full,
+        // The statement's own fault: the engine did its part, and another would say the same.
+        (400..=404 | 413 | 422, _) => Outcome::Ok,
+        _ => Outcome::Error,
+    };
+    let error = EngineError { status, code: code.unwrap_or(0), text: rows.parts.concat() };
+    End { error: Some(error), ..End::plain(outcome) }
+}
--- a/src/net/engine/pool.rs
+++ b/src/net/engine/pool.rs
@@ -139,7 +139,7 @@
 
     fn give_up(&mut self, id: AttemptId) {
         let Some((conn, name)) = self.at.remove(&id) else { return };
-        if !conn.flights.borrow().get(&name).is_some_and(|f| f.id == id) {
+        if conn.flights.borrow().get(&name).is_none_or(|f| f.id != id) {
             return;
         }
         let Some(flight) = conn.end(&name) else { return };
--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -1,5 +1,6 @@
 //! Fronts: they turn what clients ask into requests, and final answers into what clients read.
 
+pub mod clickhouse;
 pub mod rules;
 pub mod thrift;
 
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -1,13 +1,16 @@
 //! The loop that feeds the reducer and performs its effects: one thread, as the machine has one core.
 
-use crate::config::Config;
+use crate::config::{Config, EngineWire};
 use crate::core::{Core, Effect, Event};
+use crate::net::conn::Outbox;
+use crate::net::engine::clickhouse::HttpEngines;
 use crate::net::engine::pool::{Engines, RespEngines};
-use crate::net::front::{thrift, Desk};
+use crate::net::front::{clickhouse, thrift, Desk};
 use crate::net::names;
+use std::future::Future;
 use std::io;
 use std::rc::Rc;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
 use tokio::time::{sleep_until, timeout, Instant, MissedTickBehavior};
@@ -23,14 +26,32 @@
     let desk = Desk::new(settings.clone(), limits.clone(), sender.clone());
     let core = Core::new(config.settings.clone(), config.limits.clone(), desk.clock.now());
     let core = core.map_err(io::Error::other)?;
-    let engines = Box::new(RespEngines::new(limits.clone(), desk.total.clone(), sender.clone()));
+    let (total, events) = (desk.total.clone(), sender.clone());
+    let engines: Box<dyn Engines> = match config.engines {
+        EngineWire::Resp => Box::new(RespEngines::new(limits.clone(), total, events)),
+        EngineWire::ClickHouse => Box::new(HttpEngines::new(limits.clone(), total, events)),
+    };
     let mut gateway = Runtime { core, engines, desk: desk.clone(), exit: false };
     gateway.handle([Event::List(config.serial, config.known.clone())]);
 
     let mut term = signal(SignalKind::terminate())?;
     let listener = TcpListener::bind(config.listen).await?;
     println!("{} listens at {}", config.name, listener.local_addr()?);
-    tokio::task::spawn_local(accept(listener, desk.clone()));
+    let serve_thrift = {
+        let desk = desk.clone();
+        move |stream, out| thrift::serve(stream, out, desk.clone())
+    };
+    tokio::task::spawn_local(accept(listener, desk.clone(), serve_thrift));
+    if let Some((at, rules)) = config.clickhouse {
+        let listener = TcpListener::bind(at).await?;
+        println!("{} listens at {} for ClickHouse HTTP", config.name, listener.local_addr()?);
+        let (desk, rules) = (desk.clone(), Rc::new(rules));
+        let serve_http = {
+            let desk = desk.clone();
+            move |stream, out| clickhouse::serve(stream, out, desk.clone(), rules.clone())
+        };
+        tokio::task::spawn_local(accept(listener, desk, serve_http));
+    }
     if let Some(at) = config.names {
         let (settings, limits, sender) = (settings.clone(), limits.clone(), sender.clone());
         tokio::task::spawn_local(async move { names::poll(at, &settings, &limits, &sender).await });
@@ -61,6 +82,12 @@
         }
         gateway.handle(events);
     }
+    for (class, c) in settings.classes.iter().zip(gateway.core.counts()) {
+        println!(
+            "{}: {} taken, {} attempts, ended {:?}, answered {:?}",
+            class.name, c.taken, c.attempts, c.outcomes, c.answers
+        );
+    }
     // The last answers leave before the program does.
     let flushed = async {
         while desk.writing() {
@@ -112,7 +139,12 @@
     }
 }
 
-async fn accept(listener: TcpListener, desk: Rc<Desk>) {
+/// Accepts connections, each served on its own.
+async fn accept<S, F>(listener: TcpListener, desk: Rc<Desk>, serve: S)
+where
+    S: Fn(TcpStream, Rc<Outbox>) -> F,
+    F: Future<Output = ()> + 'static,
+{
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
@@ -120,9 +152,9 @@
                     eprintln!("{peer}: too many connections; closed");
                     continue;
                 };
-                let desk = desk.clone();
+                let (desk, served) = (desk.clone(), serve(stream, out));
                 tokio::task::spawn_local(async move {
-                    thrift::serve(stream, out, desk.clone()).await;
+                    served.await;
                     desk.disconnect();
                 });
             }
--- /dev/null
+++ b/tests/sockets.rs
@@ -0,0 +1,150 @@
+//! One test for each rule, with the program, its clients and its engines on real sockets.
+
+mod stand;
+
+use rstest::rstest;
+use stand::*;
+use std::io::Write;
+use std::net::TcpListener;
+
+const LOOKUP: [(&str, &str); 3] = [("verb", "lookup"), ("txn", "00000000000000a1"), ("limit", "5000")];
+
+fn served(parts: &[String]) -> Option<String> {
+    Some(match parts[0].as_str() {
+        "want" => reply(&[&parts[1], "served", "pages=1,cost=5,need=8", "a\tb\tc\n"]),
+        "busy" => reply(&[&parts[1], "green", "use=util:0.1", ""]),
+        _ => String::new(),
+    })
+}
+
+#[test]
+fn request_goes_on_unchanged_and_all_pages_come_back_in_order() {
+    let (at, log) = resp_engine(|parts| {
+        Some(match (parts[0].as_str(), parts.get(2).map(String::as_str)) {
+            ("want", _) => reply(&[&parts[1], "served", "pages=3,cost=5,need=8", "1\n"]),
+            // The second page comes after the third.
+            ("turn", Some("1")) => String::new(),
+            ("turn", _) => {
+                reply(&[&parts[1], "rows", "page=2", "3\n"]) + &reply(&[&parts[1], "rows", "page=1", "2\n"])
+            }
+            _ => return served(parts),
+        })
+    });
+    let gateway = Gateway::start(&config(&[at], "resp", 5000));
+    let mut client = gateway.client();
+    let fields = [("verb", "load"), ("txn", "00000000000000a1"), ("limit", "4000"), ("unique", "k1")];
+    client.write_all(&call(1, &fields, "insert into s_1.t\r\n")).expect("sent");
+    assert_eq!(answer(&mut client), (1, "served", "1\n2\n3\n".into()));
+    let log = log.lock().expect("log");
+    let want = log.iter().find(|p| p[0] == "want").expect("sent");
+    assert_eq!((want[1].as_str(), want[3].as_str()), ("00000000000000a1", "insert into s_1.t\r\n"));
+    assert!(want[2].starts_with("queue=load,budget=") && want[2].contains(",uniq=k1"), "{want:?}");
+}
+
+#[test]
+fn lost_page_is_an_error_that_may_have_run_and_a_safe_request_goes_out_again() {
+    let tries = std::sync::atomic::AtomicUsize::new(0);
+    let (at, log) = resp_engine(move |parts| {
+        let first = || tries.fetch_add(1, std::sync::atomic::Ordering::SeqCst) == 0;
+        Some(match parts[0].as_str() {
+            "want" if first() => reply(&[&parts[1], "served", "pages=2,cost=5,need=8", "1\n"]),
+            "turn" => reply(&[&parts[1], "crashed", "-", ""]),
+            _ => return served(parts),
+        })
+    });
+    let gateway = Gateway::start(&config(&[at], "resp", 5000));
+    let mut client = gateway.client();
+    client.write_all(&call(1, &LOOKUP, "select 1")).expect("sent");
+    let (_, kind, body) = answer(&mut client);
+    // Alone, the ill engine is left for a while: the answer is a refusal or the second try's rows, never half.
+    assert!(kind == "overloaded" && body.contains("later") || body == "a\tb\tc\n", "{kind} {body}");
+    assert!(log.lock().expect("log").iter().filter(|p| p[0] == "want").count() <= 2);
+}
+
+#[test]
+fn refused_connection_ends_in_a_refusal_with_a_time_to_come_back() {
+    let closed = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let gateway = Gateway::start(&config(&[closed], "resp", 5000));
+    let mut client = gateway.client();
+    client.write_all(&call(7, &LOOKUP, "select 1")).expect("sent");
+    let (seq, kind, body) = answer(&mut client);
+    assert_eq!((seq, kind), (7, "overloaded"));
+    assert!(body.contains("later"));
+}
+
+#[test]
+fn deadline_ends_an_attempt_and_is_answered_once() {
+    let (at, log) = resp_engine(|parts| if parts[0] == "want" { Some(String::new()) } else { served(parts) });
+    let gateway = Gateway::start(&config(&[at], "resp", 5000));
+    let mut client = gateway.client();
+    client
+        .write_all(&call(1, &[("verb", "lookup"), ("txn", "a1"), ("limit", "300")], "select 1"))
+        .expect("sent");
+    let (seq, kind, _) = answer(&mut client);
+    assert!(seq == 1 && kind != "served", "{kind}");
+    until(&log, |l| l.iter().any(|p| p[0] == "never_mind"));
+    // The next thing that comes is the answer to the next question, not a second answer.
+    client.write_all(&health(2)).expect("sent");
+    assert_eq!(answer(&mut client).0, 2);
+}
+
+#[rstest]
+#[case::cancel(true)]
+#[case::close(false)]
+fn client_that_leaves_gives_its_attempts_up(#[case] says_so: bool) {
+    let (at, log) = resp_engine(|parts| if parts[0] == "want" { Some(String::new()) } else { served(parts) });
+    let gateway = Gateway::start(&config(&[at], "resp", 20_000));
+    let mut client = gateway.client();
+    client.write_all(&call(1, &LOOKUP, "select 1")).expect("sent");
+    until(&log, |l| l.iter().any(|p| p[0] == "want"));
+    if says_so {
+        client.write_all(&cancel(1)).expect("sent");
+    } else {
+        drop(client);
+    }
+    until(&log, |l| l.iter().any(|p| p[0] == "never_mind" && p[1] == "00000000000000a1"));
+}
+
+#[rstest]
+#[case::too_long(vec![0x7f, 0xff, 0xff, 0xff, 0])]
+#[case::no_thrift(vec![0, 0, 0, 8, 1, 2, 3, 4, 5, 6, 7, 8])]
+fn bad_frame_closes_its_connection_alone(#[case] bytes: Vec<u8>) {
+    let (at, _) = resp_engine(served);
+    let gateway = Gateway::start(&config(&[at], "resp", 5000));
+    let (mut bad, mut good) = (gateway.client(), gateway.client());
+    bad.write_all(&bytes).expect("sent");
+    assert_eq!(std::io::Read::read(&mut bad, &mut [0; 16]).unwrap_or(0), 0);
+    good.write_all(&call(1, &LOOKUP, "select 1")).expect("sent");
+    assert_eq!(answer(&mut good).1, "served");
+}
+
+#[test]
+fn sigterm_answers_what_was_taken_and_ends_well() {
+    let (at, log) = resp_engine(|parts| if parts[0] == "want" { Some(String::new()) } else { served(parts) });
+    let mut gateway = Gateway::start(&config(&[at], "resp", 20_000));
+    let mut client = gateway.client();
+    client
+        .write_all(&call(1, &[("verb", "lookup"), ("txn", "a1"), ("limit", "20000")], "select 1"))
+        .expect("sent");
+    until(&log, |l| l.iter().any(|p| p[0] == "want"));
+    gateway.terminate();
+    assert_eq!(answer(&mut client).1, "overloaded");
+    assert!(gateway.child.wait().expect("it ends").success());
+}
+
+#[rstest]
+#[case("", "not JSON")]
+#[case("{\"settings\":{}}", "entropy")]
+#[case("{\"settings\":{\"balancers\":1},\"seed\":\"1\"}", "classes")]
+fn bad_configuration_is_said_plainly(#[case] text: &str, #[case] _names: &str) {
+    let file = std::env::temp_dir().join(format!("starlingplank-bad-{}-{}", std::process::id(), text.len()));
+    std::fs::write(&file, text).expect("a file");
+    let out = std::process::Command::new(env!("CARGO_BIN_EXE_starlingplank"))
+        .args(["check-config", "--config"])
+        .arg(&file)
+        .output()
+        .expect("it runs");
+    std::fs::remove_file(file).expect("removed");
+    assert!(!out.status.success());
+    assert!(String::from_utf8_lossy(&out.stderr).starts_with("starlingplank: "));
+}
--- /dev/null
+++ b/tests/stand/mod.rs
@@ -0,0 +1,302 @@
+//! The program on loopback, and stand-ins for what it speaks with.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// A running gateway; killed at the end of its test.
+pub struct Gateway {
+    pub child: Child,
+    pub thrift: SocketAddr,
+    pub http: Option<SocketAddr>,
+    said: Option<thread::JoinHandle<Vec<String>>>,
+}
+
+const SETTINGS: &str = r#"{"balancers":1,"zones":["a"],"locality":"a","skus":["std"],"tick":1.0,
+ "classes":[
+  {"name":"lookup","on_time":500,"give_up":GIVE_UP,"idempotency":"idempotent","worth":1},
+  {"name":"load","on_time":900,"give_up":GIVE_UP,"idempotency":"deduplicated","dedup_scope":"all","window":12000}],
+ "specifics":{"cpu_of_kind":[8],"memory_by_kind_mb":[8192],"width_by_class":[1,2],"is_load":[false,true],
+  "class_waits":[true,false],"grants_count":true,"takes_priority":true,"most_grant":0.4},
+ "limits":{"send_cap":3,"cancelling":true,"retry_after":true,"max_retry_after":1000,"connect_timeout":250},
+ "rules":{"answer_slack":20,"drain_grace":2000,"extra_free":2,"extra_per_request":0.2,"ratio_span":10000}}"#;
+
+/// The settings of the tests, requests given up after that many milliseconds.
+pub fn config(engines: &[SocketAddr], wire: &str, give_up: u32) -> String {
+    let member = |(i, at): (usize, &SocketAddr)| {
+        format!(
+            r#"{{"id":"s-{i}","host_port":"{at}","locality":"a","flavor":"std","cell":0,"phase":"ready","size":1,"up_since_ms":0}}"#
+        )
+    };
+    let members: Vec<_> = engines.iter().enumerate().map(member).collect();
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"7","engines":"{wire}",
+         "clickhouse":{{"listen":"127.0.0.1:0","rules":[{{"class":"load","verbs":["insert"]}},{{"class":"lookup"}}]}},
+         "limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},
+         "known":{{"cursor":1,"cmds":[{{"cursor":1,"nodes":{{"revision":1,"complete":true,"members":[{}]}}}}]}},
+         "settings":{}}}"#,
+        members.join(","),
+        SETTINGS.replace("GIVE_UP", &give_up.to_string())
+    )
+}
+
+impl Gateway {
+    pub fn start(config: &str) -> Self {
+        let dir = std::env::temp_dir().join(format!(
+            "starlingplank-{}-{:?}",
+            std::process::id(),
+            thread::current().id()
+        ));
+        std::fs::write(&dir, config).expect("a file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_starlingplank"))
+            .env("PROXY_CONFIG", &dir)
+            .arg("serve")
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
+        let mut address = || {
+            let line = lines.next().expect("a line").expect("text");
+            line.split(' ').nth(3).and_then(|a| a.parse().ok()).expect("an address")
+        };
+        let (thrift, http) = (address(), Some(address()));
+        // Whatever else it says is read as it comes, so that it never waits for a reader.
+        let said = Some(thread::spawn(move || lines.map_while(Result::ok).collect()));
+        std::fs::remove_file(dir).expect("removed");
+        Self { child, thrift, http, said }
+    }
+
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+    }
+
+    /// Ends it; what it says of each class at its end.
+    pub fn counts(mut self) -> Vec<String> {
+        self.terminate();
+        assert!(self.child.wait().expect("it ends").success());
+        let said = self.said.take().expect("once").join().expect("read");
+        said.into_iter().filter(|l| l.contains(" taken, ")).collect()
+    }
+
+    pub fn client(&self) -> TcpStream {
+        connect(self.thrift)
+    }
+
+    pub fn web(&self) -> TcpStream {
+        connect(self.http.expect("set up"))
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn connect(at: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(at).expect("it listens");
+    stream.set_read_timeout(Some(Duration::from_secs(30))).expect("set");
+    stream
+}
+
+fn text(out: &mut Vec<u8>, bytes: &[u8]) {
+    out.extend((bytes.len() as u32).to_be_bytes());
+    out.extend(bytes);
+}
+
+fn message(kind: u8, name: &str, seq: i32, args: &[u8]) -> Vec<u8> {
+    let mut out = vec![0x80, 1, 0, kind];
+    text(&mut out, name.as_bytes());
+    out.extend(seq.to_be_bytes());
+    out.extend(args);
+    [&(out.len() as u32).to_be_bytes()[..], &out].concat()
+}
+
+/// A `call` as the platform's clients write it.
+pub fn call(seq: i32, fields: &[(&str, &str)], body: &str) -> Vec<u8> {
+    let mut args = vec![13, 0, 1, 11, 11];
+    args.extend((fields.len() as u32).to_be_bytes());
+    for (name, value) in fields {
+        text(&mut args, name.as_bytes());
+        text(&mut args, value.as_bytes());
+    }
+    args.extend([11, 0, 2]);
+    text(&mut args, body.as_bytes());
+    args.push(0);
+    message(1, "call", seq, &args)
+}
+
+pub fn cancel(seq: i32) -> Vec<u8> {
+    message(4, "cancel", 99, &[&[8, 0, 1][..], &seq.to_be_bytes(), &[0]].concat())
+}
+
+pub fn health(seq: i32) -> Vec<u8> {
+    message(1, "health", seq, &[2, 0, 1, 0, 0])
+}
+
+/// Number, kind (`served`, `overloaded`, `internal` or `exception`) and text of the next answer.
+pub fn answer(stream: &mut TcpStream) -> (i32, &'static str, String) {
+    let mut len = [0; 4];
+    stream.read_exact(&mut len).expect("an answer");
+    let mut frame = vec![0; u32::from_be_bytes(len) as usize];
+    stream.read_exact(&mut frame).expect("all of it");
+    let name = u32::from_be_bytes(frame[4..8].try_into().expect("4")) as usize;
+    let rest = &frame[8 + name..];
+    let seq = i32::from_be_bytes(rest[..4].try_into().expect("4"));
+    let kind = match (frame[3], rest[6]) {
+        (2, 0) => "served",
+        (2, 1) => "overloaded",
+        (2, 2) => "internal",
+        _ => "exception",
+    };
+    let body = match kind {
+        "served" => {
+            let len = u32::from_be_bytes(rest[10..14].try_into().expect("4")) as usize;
+            String::from_utf8_lossy(&rest[14..14 + len]).into_owned()
+        }
+        _ => String::from_utf8_lossy(rest).into_owned(),
+    };
+    (seq, kind, body)
+}
+
+/// What a stand-in was sent, in order.
+pub type Log = Arc<Mutex<Vec<Vec<String>>>>;
+
+/// A command of the platform's engines, as an array of strings.
+fn command(reader: &mut impl BufRead) -> Option<Vec<String>> {
+    let mut line = String::new();
+    reader.read_line(&mut line).ok().filter(|n| *n > 0)?;
+    let count: usize = line.trim().strip_prefix('*')?.parse().ok()?;
+    (0..count)
+        .map(|_| {
+            let mut line = String::new();
+            reader.read_line(&mut line).ok()?;
+            let mut bytes = vec![0; line.trim().strip_prefix('$')?.parse::<usize>().ok()? + 2];
+            reader.read_exact(&mut bytes).ok()?;
+            bytes.truncate(bytes.len() - 2);
+            String::from_utf8(bytes).ok()
+        })
+        .collect()
+}
+
+/// An answer of the platform's engines.
+pub fn reply(parts: &[&str]) -> String {
+    let bulk = |p: &&str| format!("${}\r\n{p}\r\n", p.len());
+    format!("*{}\r\n{}", parts.len(), parts.iter().map(bulk).collect::<String>())
+}
+
+/// A platform engine that answers each command by `act`; none closes the connection.
+pub fn resp_engine(act: impl Fn(&[String]) -> Option<String> + Send + Sync + 'static) -> (SocketAddr, Log) {
+    serve(move |stream, log| {
+        let mut reader = BufReader::new(stream.try_clone().expect("cloned"));
+        while let Some(parts) = command(&mut reader) {
+            log.lock().expect("log").push(parts.clone());
+            let Some(said) = act(&parts) else { return };
+            if stream.write_all(said.as_bytes()).is_err() {
+                return;
+            }
+        }
+    })
+}
+
+/// A ClickHouse engine that answers each request, its target and body, by `act`; none closes the connection.
+pub fn http_engine(act: impl Fn(&str, &str) -> Option<String> + Send + Sync + 'static) -> (SocketAddr, Log) {
+    serve(move |stream, log| {
+        let mut reader = BufReader::new(stream.try_clone().expect("cloned"));
+        while let Some((head, body)) = web_message(&mut reader) {
+            let target = head[0].split(' ').nth(1).expect("a target").to_owned();
+            log.lock().expect("log").push(vec![target.clone(), body.clone()]);
+            let Some(said) = act(&target, &body) else { return };
+            if stream.write_all(said.as_bytes()).is_err() {
+                return;
+            }
+        }
+        log.lock().expect("log").push(vec!["closed".into()]);
+    })
+}
+
+fn serve(each: impl Fn(&mut TcpStream, &Log) + Send + Sync + 'static) -> (SocketAddr, Log) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (at, log) = (listener.local_addr().expect("bound"), Log::default());
+    let (each, seen) = (Arc::new(each), log.clone());
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let (each, seen) = (each.clone(), seen.clone());
+            thread::spawn(move || each(&mut stream, &seen));
+        }
+    });
+    (at, log)
+}
+
+/// Head lines and body of an HTTP message; a body cut short ends where the stream does.
+pub fn web_message(reader: &mut impl BufRead) -> Option<(Vec<String>, String)> {
+    let mut head: Vec<String> = Vec::new();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        match line.trim_end() {
+            "" => break,
+            line => head.push(line.to_owned()),
+        }
+    }
+    let headers: BTreeMap<String, String> = head[1..]
+        .iter()
+        .filter_map(|l| l.split_once(": "))
+        .map(|(n, v)| (n.to_lowercase(), v.to_owned()))
+        .collect();
+    let mut body = Vec::new();
+    if let Some(length) = headers.get("content-length") {
+        body = vec![0; length.parse().ok()?];
+        reader.read_exact(&mut body).ok()?;
+    } else if headers.contains_key("transfer-encoding") {
+        loop {
+            let mut line = String::new();
+            if reader.read_line(&mut line).unwrap_or(0) == 0 {
+                body.extend(b"<cut>");
+                break;
+            }
+            let size = usize::from_str_radix(line.trim(), 16).ok()?;
+            let mut chunk = vec![0; size + 2];
+            if reader.read_exact(&mut chunk).is_err() {
+                body.extend(b"<cut>");
+                break;
+            }
+            if size == 0 {
+                break;
+            }
+            body.extend(&chunk[..size]);
+        }
+    }
+    Some((head, String::from_utf8_lossy(&body).into_owned()))
+}
+
+/// An HTTP answer.
+pub fn web_answer(status: &str, headers: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Sends a request and reads its answer: status line and headers as one text, and the body.
+pub fn ask(stream: &mut TcpStream, request: &str) -> (String, String) {
+    stream.write_all(request.as_bytes()).expect("sent");
+    let mut reader = BufReader::new(stream);
+    let (head, body) = web_message(&mut reader).expect("an answer");
+    (head.join("\n"), body)
+}
+
+/// Waits until the log holds what is looked for: an event, not a time.
+pub fn until(log: &Log, found: impl Fn(&[Vec<String>]) -> bool) {
+    for _ in 0..30_000 {
+        if found(&log.lock().expect("log")) {
+            return;
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+    panic!("never came: {:?}", log.lock().expect("log"));
+}
