--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -201,6 +201,7 @@
     Probe(u64),
     Gone(EngineId),
     Leave,
+    Turn,
     AnswerAll,
 }
 
@@ -254,6 +255,8 @@
     open: usize,
     counts: Vec<Counts>,
     pending: Vec<crate::interface::Event>,
+    /// The module decides no sooner: a turn costs much the same for one event as for many.
+    next_turn: Ms,
     terminating: Option<Ms>,
 }
 
@@ -278,6 +281,7 @@
             held: 0,
             open: 0,
             pending: Vec::new(),
+            next_turn: now,
             terminating: None,
         })
     }
@@ -302,7 +306,7 @@
         match event {
             Event::List(serial, list) => self.list(now, serial, list, effects),
             Event::Taken(ask) => self.take(now, ask, effects),
-            Event::Left(id) => self.leave(id),
+            Event::Left(id) => self.leave(now, id, effects),
             Event::Begun(id, rows) => self.begin(now, id, rows, effects),
             Event::More(id, part) => {
                 if self.attempt(id).is_some_and(|a| a.out) {
@@ -386,7 +390,7 @@
             error: None,
         };
         self.requests.insert(id, request);
-        self.timer(deadline, Due::Deadline(id));
+        self.timer(deadline - self.limits.answer_margin / 2.0, Due::Deadline(id));
         self.pending.push(crate::interface::Event::Request(ask.asked));
     }
 
@@ -397,12 +401,14 @@
         }
     }
 
-    fn leave(&mut self, id: RequestId) {
+    /// Its attempts end here and now: one that still waits to be sent must not leave after its client has.
+    fn leave(&mut self, now: Ms, id: RequestId, effects: &mut Vec<Effect>) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
         r.over = true;
         self.open -= 1;
         self.counts[r.class.0].answers[3] += 1;
         self.pending.push(crate::interface::Event::Gone(id));
+        self.stop(now, id, Outcome::Cancelled, effects);
         self.forget(id);
     }
 
@@ -514,7 +520,7 @@
                     }
                 }
                 Due::AnswerAll => self.answer_all(now, effects),
-                Due::Attempt(_) | Due::Gone(_) | Due::Leave => {}
+                Due::Attempt(_) | Due::Gone(_) | Due::Leave | Due::Turn => {}
             }
         }
     }
@@ -558,6 +564,11 @@
 
     /// Lets the module decide, and again while its own actions give it news.
     fn turn(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+        if self.pending.is_empty() || now < self.next_turn {
+            return;
+        }
+        self.next_turn = now + self.limits.turn_gap;
+        self.timer(self.next_turn, Due::Turn);
         let mut actions = Vec::new();
         for _ in 0..=self.settings.send_cap {
             if self.pending.is_empty() {
@@ -574,9 +585,13 @@
     fn act(&mut self, now: Ms, action: Action, effects: &mut Vec<Effect>) {
         match action {
             Action::Send { id, engine, timeout } => self.send(now, id, engine, timeout, effects),
-            Action::Refuse { id, retry_after } => self.answer(id, Answer::Refused(retry_after), effects),
+            Action::Refuse { id, retry_after } => {
+                self.stop(now, id, Outcome::Cancelled, effects);
+                self.answer(id, Answer::Refused(retry_after), effects);
+            }
             Action::Fail { id } => {
                 let error = self.requests.get_mut(&id).and_then(|r| r.error.take());
+                self.stop(now, id, Outcome::Cancelled, effects);
                 self.answer(id, Answer::Failed(error), effects);
             }
             Action::Cancel { id, attempt } => self.give_up(now, (id, attempt), Outcome::Cancelled, effects),
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -43,6 +43,8 @@
     pub sweep: Duration,
     /// A probe unanswered by then has failed.
     pub probe: Ms,
+    /// Time between two turns of the module.
+    pub turn_gap: Ms,
     /// Time kept before a deadline for the answer to leave.
     pub answer_margin: Ms,
     /// Time after which attempts on an engine that the name service dropped are given up.
@@ -89,7 +91,8 @@
             front_idle: ms(60_000.0),
             sweep: ms(250.0),
             probe: 300.0,
-            answer_margin: 10.0,
+            turn_gap: f.number_or("tick", 1.0)?.clamp(2.0, 5.0),
+            answer_margin: 20.0,
             gone_grace: 200.0,
             names_poll: ms(200.0),
             names_open: 16,
--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,148 @@
+//! The reducer by itself: no sockets, and the clock is a number.
+
+mod common;
+
+use common::settings;
+use starlingplank::config::Listed;
+use starlingplank::core::{Answer, Ask, AttemptId, Core, Effect, End, Event, Statement};
+use starlingplank::interface::*;
+use starlingplank::limits::Limits;
+use starlingplank::wire::Fields;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+struct Bed {
+    core: Core,
+    now: Ms,
+}
+
+impl Bed {
+    fn new(settings: Settings) -> Self {
+        let limits = Limits::read(&Fields::new("settings", BTreeMap::new())).expect("defaults");
+        Self { core: Core::new(settings, limits, 1_000.0).expect("sound"), now: 1_000.0 }
+    }
+
+    fn step(&mut self, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.now += 5.0; // a turn may follow each event
+        self.core.handle(self.now, event, &mut effects);
+        self.core.handle(self.now, Event::Clock, &mut effects);
+        self.core.handle(self.now, Event::Turn, &mut effects);
+        effects
+    }
+
+    fn list(&mut self, serial: u64, engines: &[&str]) -> Vec<Effect> {
+        let listed = |id: &&str| Listed {
+            member: Member {
+                engine: EngineId((*id).into()),
+                zone: Some(ZoneId(0)),
+                kind: Some(KindId(0)),
+                cell: 0,
+                availability: Availability::Live,
+                started: None,
+            },
+            address: "127.0.0.1:1".parse().expect("an address"),
+        };
+        self.step(Event::List(serial, engines.iter().map(listed).collect()))
+    }
+
+    fn take(&mut self, id: u64, key: Option<&str>) -> Vec<Effect> {
+        let asked = Incoming {
+            id: RequestId(id),
+            class: ClassId(0),
+            tenant: None,
+            key: None,
+            deadline: self.now + 2_000.0,
+            work: None,
+            memory_mb: None,
+            data: None,
+            repeat: false,
+        };
+        let statement = Rc::new(Statement { key: key.map(str::to_owned), ..Statement::default() });
+        self.step(Event::Taken(Ask { asked, statement }))
+    }
+}
+
+fn sent(effects: &[Effect]) -> Option<AttemptId> {
+    effects.iter().find_map(|e| if let Effect::Send(s) = e { Some(s.id) } else { None })
+}
+
+fn answers(effects: &[Effect]) -> Vec<&Answer> {
+    effects.iter().filter_map(|e| if let Effect::Answer(_, a) = e { Some(a) } else { None }).collect()
+}
+
+#[test]
+fn a_late_answer_to_an_attempt_given_up_is_not_the_next_one_s() {
+    let mut bed = Bed::new(settings());
+    bed.list(1, &["a", "b"]);
+    let first = sent(&bed.take(1, None)).expect("sent");
+    let effects = bed.step(Event::Ended(first, End::plain(Outcome::ConnectFailed)));
+    let second = sent(&effects).expect("sent again");
+    assert_eq!(second, (first.0, 1));
+    assert!(answers(&bed.step(Event::Ended(first, End::plain(Outcome::Ok)))).is_empty());
+    assert_eq!(answers(&bed.step(Event::Ended(second, End::plain(Outcome::Ok)))).len(), 1);
+    assert!(answers(&bed.step(Event::Ended(second, End::plain(Outcome::Ok)))).is_empty(), "a second answer");
+}
+
+#[test]
+fn a_list_that_came_late_changes_nothing_and_one_that_is_new_shuts_what_left() {
+    let mut bed = Bed::new(settings());
+    bed.list(5, &["a"]);
+    assert!(!bed.list(4, &[]).iter().any(|e| matches!(e, Effect::Shut(_))));
+    let first = sent(&bed.take(1, None)).expect("sent");
+    assert!(bed.list(6, &[]).iter().any(|e| matches!(e, Effect::Shut(_))));
+    // What ran there can end no more: it is given up soon, not at its deadline.
+    bed.now += 300.0;
+    let effects = bed.step(Event::Clock);
+    assert!(effects.iter().any(|e| matches!(e, Effect::GiveUp(id, _) if *id == first)));
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_attempts_at_once() {
+    let mut bed = Bed::new(settings());
+    bed.list(1, &["a"]);
+    let first = sent(&bed.take(1, None)).expect("sent");
+    let mut effects = Vec::new();
+    bed.core.handle(bed.now, Event::Left(RequestId(1)), &mut effects);
+    assert!(effects.iter().any(|e| matches!(e, Effect::GiveUp(id, _) if *id == first)));
+}
+
+#[test]
+fn a_deadline_is_answered_once_and_in_time() {
+    let mut bed = Bed::new(settings());
+    bed.list(1, &["a"]);
+    assert!(sent(&bed.take(1, None)).is_some());
+    bed.now += 1_990.0;
+    assert_eq!(answers(&bed.step(Event::Clock)).len(), 1);
+    bed.now += 100.0;
+    assert!(answers(&bed.step(Event::Clock)).is_empty());
+}
+
+#[test]
+fn a_repeat_of_a_key_does_not_leave_once_the_engines_may_have_forgotten_it() {
+    let mut s = settings();
+    s.classes[0].repeat = Repeat::Keyed { scope: Scope::All, window: 1_000.0 };
+    let mut bed = Bed::new(s);
+    bed.list(1, &["a"]);
+    let first = sent(&bed.take(1, Some("k"))).expect("sent");
+    bed.step(Event::Ended(first, End::plain(Outcome::Ok)));
+    bed.now += 980.0;
+    assert_eq!(sent(&bed.take(2, Some("k"))), None);
+    assert!(sent(&bed.take(3, Some("other"))).is_some());
+    bed.now += 100.0;
+    assert!(sent(&bed.take(4, Some("k"))).is_some(), "past the window it is a load of its own");
+}
+
+#[test]
+fn the_end_answers_what_is_open_and_then_exits() {
+    let mut bed = Bed::new(settings());
+    bed.list(1, &["a"]);
+    bed.take(1, None);
+    bed.step(Event::Terminate);
+    bed.now += 1_000.0;
+    assert!(!bed.step(Event::Clock).iter().any(|e| matches!(e, Effect::Exit)));
+    bed.now += 2_500.0;
+    let effects = bed.step(Event::Clock);
+    assert_eq!(answers(&effects).len(), 1);
+    assert!(effects.iter().any(|e| matches!(e, Effect::Exit)));
+}
--- /dev/null
+++ b/tests/parsers.rs
@@ -0,0 +1,109 @@
+//! Tables of cases for the parsers: what is read, what needs more, what is refused.
+
+use rstest::rstest;
+use starlingplank::interface::Settings;
+use starlingplank::net::engine::resp::{self, Read};
+use starlingplank::net::front::thrift::{self, Message};
+use starlingplank::net::{http, names};
+use starlingplank::wire::{self, Line};
+
+#[rstest]
+#[case("*4\r\n$1\r\nq\r\n$6\r\nserved\r\n$7\r\npages=2\r\n$4\r\na\r\nb\r\nrest", "q served 2 4 rest")]
+#[case("*2\r\n$2\r\np1\r\n$5\r\ngreen\r\n", "p1 green - 0 ")]
+#[case("*4\r\n$1\r\nq\r\n$6\r\nser", "more")]
+#[case("", "more")]
+#[case("*1\r\n$1\r\nq\r\n", "bad")]
+#[case("*4\r\n$99999\r\n", "bad")]
+#[case("+OK\r\n", "bad")]
+#[case("*4\r\n$-1\r\n", "bad")]
+fn engine_answers(#[case] bytes: &str, #[case] expected: &str) {
+    let got = match resp::read(bytes.as_bytes(), 1000) {
+        Read::Reply(r, used) => {
+            let word = String::from_utf8_lossy(r.word);
+            let pages = r.field("pages").unwrap_or("-");
+            format!("{} {word} {pages} {} {}", r.id, r.body.len(), &bytes[used..])
+        }
+        Read::More => "more".into(),
+        Read::Bad => "bad".into(),
+    };
+    assert_eq!(got, expected);
+}
+
+#[test]
+fn load_reports_are_read_by_either_name() {
+    for text in ["inflight:7;util:0.5;new:1", "concurrent:7;load_share:0.5"] {
+        let report = resp::report(text);
+        assert_eq!((report.inflight, report.util), (Some(7.0), Some(0.5)));
+    }
+}
+
+const CALL: &[u8] = b"\x80\x01\x00\x01\x00\x00\x00\x04call\x00\x00\x00\x07\
+    \x0d\x00\x01\x0b\x0b\x00\x00\x00\x01\x00\x00\x00\x01a\x00\x00\x00\x01b\x08\x00\x09\x00\x00\x00\x01\x0b\x00\x02\x00\x00\x00\x02hi\x00";
+
+#[test]
+fn a_call_is_read_past_fields_that_nobody_knows_and_no_part_of_it_panics() {
+    let Some(Message::Call { seq: 7, fields, body: b"hi" }) = thrift::message(CALL) else {
+        panic!("not read")
+    };
+    assert_eq!(fields.get("a"), Some(&"b"));
+    for cut in 0..CALL.len() {
+        assert!(!matches!(thrift::message(&CALL[..cut]), Some(Message::Call { .. })), "cut at {cut}");
+    }
+}
+
+#[rstest]
+#[case("GET /?a=%41+b HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\n", "GET Some(Bytes(3))")]
+#[case("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "POST Some(Chunked)")]
+#[case("POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n", "POST None")]
+#[case("POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\n", "POST None")]
+#[case("POST / HTTP/1.1\r\nHost", "more")]
+#[case("POST / HTTP/1.1\r\nno header\r\n\r\n", "bad")]
+fn heads(#[case] text: &str, #[case] expected: &str) {
+    let got = match http::read_head(text.as_bytes()) {
+        http::Read::Done(head, _) => format!("{} {:?}", head.first, head.body(http::Length::Bytes(0))),
+        http::Read::More => "more".into(),
+        http::Read::Bad => "bad".into(),
+    };
+    assert_eq!(got, expected);
+    assert_eq!(http::decode("%41+b%"), "A b%");
+}
+
+fn settings() -> Settings {
+    let text = "PROVISION\tfront_id=f\tentropy=1\tskus=std\tzones=east,west";
+    let Ok(Line::Provision(_, settings)) = wire::parse(text) else { panic!("not read") };
+    *settings
+}
+
+/// One engine, its names compressed: the target's zone and the owner point back into the question.
+fn packet() -> Vec<u8> {
+    let mut p = vec![0, 9, 0x84, 0, 0, 1, 0, 1, 0, 1, 0, 2];
+    p.extend(b"\x05_work\x04_tcp\x05fleet\x05local\x00\x00\x21\x00\x01");
+    p.extend(b"\xc0\x0c\x00\x21\x00\x01\x00\x00\x00\x00\x00\x17\x00\x01\x00\x28\x23\x82\x04s-ab\x04west\x05hosts\x00");
+    let target = (p.len() - 17) as u8;
+    p.extend(b"\xc0\x0c\x00\x06\x00\x01\x00\x00\x00\x00\x00\x16\x00\x00\x00\x00\x00\x2a");
+    p.extend([0; 16]);
+    p.extend([0xc0, target]);
+    p.extend(b"\x00\x01\x00\x01\x00\x00\x00\x00\x00\x04\x7f\x00\x00\x05");
+    p.extend([0xc0, target]);
+    p.extend(b"\x00\x10\x00\x01\x00\x00\x00\x00\x00\x10\x08kind=std\x06cell=2");
+    p
+}
+
+#[test]
+fn a_list_is_read_and_what_is_cut_short_is_not_taken_for_one() {
+    let packet = packet();
+    let answered = names::read(&packet, &settings()).expect("read");
+    assert_eq!((answered.id, answered.serial), (9, 42));
+    let engine = &answered.list[0];
+    assert_eq!((&*engine.member.engine.0, engine.member.cell), ("s-ab", 2));
+    assert_eq!(engine.address.to_string(), "127.0.0.5:9090");
+    assert_eq!(engine.member.zone, Some(starlingplank::interface::ZoneId(1)));
+    assert!(engine.member.availability != starlingplank::interface::Availability::Live, "priority 1 drains");
+    for cut in 0..packet.len() {
+        assert_eq!(names::read(&packet[..cut], &settings()), None, "cut at {cut}");
+    }
+    // A name that points at itself ends.
+    let mut looped = packet.clone();
+    looped[12..14].copy_from_slice(&[0xc0, 0x0c]);
+    assert_eq!(names::read(&looped, &settings()), None);
+}
