--- a/src/limits.rs
+++ b/src/limits.rs
@@ -41,6 +41,8 @@
     pub front_idle: Duration,
     /// Time between looks for what has gone idle.
     pub sweep: Duration,
+    /// Being later than this for what is due is worth a line in the log.
+    pub stall: Ms,
     /// A probe unanswered by then has failed.
     pub probe: Ms,
     /// Time between two turns of the module.
@@ -90,6 +92,7 @@
             idle: ms(f.number_or("limits.idle_close", 15_000.0)? * 0.8),
             front_idle: ms(60_000.0),
             sweep: ms(250.0),
+            stall: 50.0,
             probe: 300.0,
             turn_gap: f.number_or("tick", 1.0)?.clamp(2.0, 5.0),
             answer_margin: 20.0,
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -59,10 +59,8 @@
     let mut sweep = tokio::time::interval(limits.sweep);
     sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
     while !gateway.exit {
-        let due = gateway
-            .core
-            .next_due()
-            .map_or_else(|| Instant::now() + limits.sweep, |at| desk.clock.instant(at).into());
+        let due_at = gateway.core.next_due();
+        let due = due_at.map_or_else(|| Instant::now() + limits.sweep, |at| desk.clock.instant(at).into());
         let mut events = Vec::new();
         tokio::select! {
             event = receiver.recv() => events.extend(event),
@@ -80,6 +78,11 @@
                 break;
             }
         }
+        // Answers that were due meanwhile are late through no decision: the log should tell.
+        let late = due_at.map_or(0.0, |at| desk.clock.now() - at);
+        if late > limits.stall {
+            eprintln!("stood still for {late:.0} ms");
+        }
         gateway.handle(events);
     }
     for (class, c) in settings.classes.iter().zip(gateway.core.counts()) {
