--- a/src/decide.rs
+++ b/src/decide.rs
@@ -253,8 +253,10 @@
             e.busy = waits || high(report.util) || high(report.memory) || high(report.disks);
         }
         // One estimate with one meaning, threads a core of all gateways, from the best evidence there is:
-        // queries in hand; else cores in use times how much longer queries take than their work, as cores idle
-        // while all wait for disks (a sum of the two would call idle engines crowded by what was slow before); else how much longer a probe takes than the shortest to that zone.
+        // queries in hand; else cores in use times how much longer queries take than their work, as
+        // cores idle
+        // while all wait for disks (a sum of the two would call idle engines crowded by what was slow
+        // before); else how much longer a probe takes than the shortest to that zone.
         let f = &mut self.fleet;
         let own = e.usual_count * f.width / e.cores;
         let report = report.unwrap_or_default();
