SIGHUP re-reads the configuration and moves the name service; nothing else ends

At fault: runtime::serve installed a handler for SIGTERM alone, and names::poll had its address by value. Now the handlers are there before anything else; a reload sends the new address through a watch channel, whose socket is a new one, so that what the old address still says is not heard; the reducer, its serial, pools and connections are not touched. A file that can't be used leaves the old configuration, with a log line; other changes wait for a start, with a log line.

--- a/src/main.rs
+++ b/src/main.rs
@@ -63,7 +63,8 @@
         Command::Serve(file) => {
             let config = read(&file)?;
             let threads = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-            tokio::task::LocalSet::new().block_on(&threads, runtime::serve(config))?;
+            tokio::task::LocalSet::new()
+                .block_on(&threads, runtime::serve(config, || read(&file).map_err(|e| e.to_string())))?;
         }
     }
     Ok(())
--- a/src/net/names.rs
+++ b/src/net/names.rs
@@ -8,6 +8,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::Sender;
+use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 use winnow::binary::{be_u16, be_u32, length_take, u8};
 use winnow::error::EmptyError;
@@ -158,43 +159,58 @@
 }
 
 /// Asks every so often, with a fresh id each time; an answer is taken if it answers one of the last questions
-/// and comes from the address asked. While nothing comes, the list held stays.
-pub async fn poll(at: SocketAddr, settings: &Settings, limits: &Limits, events: &Sender<Event>) {
+/// and comes from the address asked. While nothing comes, the list held stays. A new address is asked at once:
+/// its socket is a new one, so that nothing the old address still says is heard.
+pub async fn poll(
+    mut at: watch::Receiver<Option<SocketAddr>>,
+    settings: &Settings,
+    limits: &Limits,
+    events: &Sender<Event>,
+) {
+    loop {
+        let address = *at.borrow_and_update();
+        tokio::select! {
+            () = ask(address, settings, limits, events) => return,
+            changed = at.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
+/// Asks one address until nobody wants the answers any more.
+async fn ask(at: Option<SocketAddr>, settings: &Settings, limits: &Limits, events: &Sender<Event>) {
+    let Some(at) = at else { return std::future::pending().await };
     let mut open: VecDeque<u16> = VecDeque::new();
     let mut buffer = vec![0; limits.names_bytes];
+    // Connected, so that the system takes datagrams from that address alone.
+    let unbound = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+    let socket = loop {
+        match UdpSocket::bind(unbound).await {
+            Ok(socket) if socket.connect(at).await.is_ok() => break socket,
+            _ => tokio::time::sleep(limits.names_poll).await,
+        }
+    };
+    let mut tick = tokio::time::interval(limits.names_poll);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        // Connected, so that the system takes datagrams from that address alone.
-        let unbound = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
-        let socket = match UdpSocket::bind(unbound).await {
-            Ok(socket) if socket.connect(at).await.is_ok() => socket,
-            _ => {
-                tokio::time::sleep(limits.names_poll).await;
-                continue;
-            }
-        };
-        let mut tick = tokio::time::interval(limits.names_poll);
-        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        loop {
-            tokio::select! {
-                _ = tick.tick() => {
-                    let id = fastrand::u16(..);
-                    open.push_back(id);
-                    if open.len() > limits.names_open {
-                        open.pop_front();
-                    }
-                    // A lost question is followed by the next one.
-                    let _ = socket.send(&question(id)).await;
+        tokio::select! {
+            _ = tick.tick() => {
+                let id = fastrand::u16(..);
+                open.push_back(id);
+                if open.len() > limits.names_open {
+                    open.pop_front();
                 }
-                got = socket.recv(&mut buffer) => {
-                    // A refused datagram shows up here; the next question tries again.
-                    let Ok(len) = got else { continue };
-                    let Some(answered) = read(&buffer[..len], settings) else { continue };
-                    let asked = open.iter().position(|id| *id == answered.id);
-                    if asked.and_then(|at| open.remove(at)).is_some()
-                        && events.send(Event::List(answered.serial, answered.list)).await.is_err()
-                    {
-                        return;
-                    }
+                // A lost question is followed by the next one.
+                let _ = socket.send(&question(id)).await;
+            }
+            got = socket.recv(&mut buffer) => {
+                // A refused datagram shows up here; the next question tries again.
+                let Ok(len) = got else { continue };
+                let Some(answered) = read(&buffer[..len], settings) else { continue };
+                let asked = open.iter().position(|id| *id == answered.id);
+                if asked.and_then(|at| open.remove(at)).is_some()
+                    && events.send(Event::List(answered.serial, answered.list)).await.is_err()
+                {
+                    return;
                 }
             }
         }
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -2,6 +2,7 @@
 
 use crate::config::{Config, EngineWire};
 use crate::core::{Core, Effect, Event};
+use crate::interface::Settings;
 use crate::net::conn::Outbox;
 use crate::net::engine::clickhouse::HttpEngines;
 use crate::net::engine::pool::{Engines, RespEngines};
@@ -12,14 +13,17 @@
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, timeout, Instant, MissedTickBehavior};
 
-/// Serves until SIGTERM, then until all that was taken is answered.
+/// Serves until SIGTERM, then until all that was taken is answered. At SIGHUP `reload` reads the configuration
+/// again: the name service may have moved, while connections, requests and all that was learned stay.
 ///
 /// # Errors
 /// An address cannot be listened at, or the settings contradict themselves.
-pub async fn serve(config: Config) -> io::Result<()> {
+pub async fn serve(config: Config, reload: impl Fn() -> Result<Config, String>) -> io::Result<()> {
+    // Before anything else: a signal without a handler would end the program.
+    let (mut term, mut hangup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     let limits = Rc::new(config.limits.clone());
     let settings = Rc::new(config.settings.clone());
     let (sender, mut receiver) = mpsc::channel(limits.queue);
@@ -34,7 +38,6 @@
     let mut gateway = Runtime { core, engines, desk: desk.clone(), exit: false };
     gateway.handle([Event::List(config.serial, config.known.clone())]);
 
-    let mut term = signal(SignalKind::terminate())?;
     let listener = TcpListener::bind(config.listen).await?;
     println!("{} listens at {}", config.name, listener.local_addr()?);
     let serve_thrift = {
@@ -52,9 +55,10 @@
         };
         tokio::task::spawn_local(accept(listener, desk, serve_http));
     }
-    if let Some(at) = config.names {
+    let (names, asked) = watch::channel(config.names);
+    {
         let (settings, limits, sender) = (settings.clone(), limits.clone(), sender.clone());
-        tokio::task::spawn_local(async move { names::poll(at, &settings, &limits, &sender).await });
+        tokio::task::spawn_local(async move { names::poll(asked, &settings, &limits, &sender).await });
     }
     let mut sweep = tokio::time::interval(limits.sweep);
     sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -66,6 +70,18 @@
             event = receiver.recv() => events.extend(event),
             () = sleep_until(due) => {}
             _ = sweep.tick() => gateway.engines.sweep(),
+            _ = hangup.recv() => match reload() {
+                Ok(new) => {
+                    println!("SIGHUP: the name service is at {:?}", new.names);
+                    if (new.listen, &new.limits) != (config.listen, &config.limits)
+                        || (Settings { seed: config.settings.seed, ..new.settings }) != config.settings
+                    {
+                        eprintln!("SIGHUP: what else is new in the configuration waits for the next start");
+                    }
+                    names.send_replace(new.names);
+                }
+                Err(why) => eprintln!("SIGHUP: the old configuration stays: {why}"),
+            },
             _ = term.recv() => {
                 println!("SIGTERM: answering what was taken");
                 desk.terminating.set(true);
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 use stand::*;
 use std::io::Write;
-use std::net::TcpListener;
+use std::net::{TcpListener, UdpSocket};
 
 const LOOKUP: [(&str, &str); 3] = [("verb", "lookup"), ("txn", "00000000000000a1"), ("limit", "5000")];
 
@@ -132,6 +132,41 @@
     assert!(gateway.child.wait().expect("it ends").success());
 }
 
+/// SIGHUP ended the program. A reload asks the new name service alone, and nothing that is open notices it.
+#[test]
+fn sighup_moves_the_name_service_and_keeps_all_else() {
+    let names = [(); 2].map(|()| UdpSocket::bind("127.0.0.1:0").expect("a port"));
+    names.iter().for_each(|n| n.set_read_timeout(Some(std::time::Duration::from_secs(30))).expect("set"));
+    let at = |i: usize| names[i].local_addr().expect("bound");
+    let question = |i: usize| {
+        let mut bytes = [0; 512];
+        let (len, from) = names[i].recv_from(&mut bytes).expect("asked");
+        (bytes[..len].to_vec(), from)
+    };
+    let (first, _) = resp_engine(served);
+    let (second, log) = resp_engine(served);
+    let with =
+        |i: usize| config(&[first], "resp", 5000).replacen('{', &format!("{{\"names\":\"{}\",", at(i)), 1);
+    let gateway = Gateway::start(&with(0));
+    let mut client = gateway.client();
+    let mut ask = |seq| {
+        client.write_all(&call(seq, &LOOKUP, "select 1")).expect("sent");
+        answer(&mut client)
+    };
+    assert_eq!(ask(1).1, "served");
+    // What cannot be used changes nothing: the old address is asked on.
+    gateway.reload("{");
+    let old = [(); 3].map(|()| question(0))[2].clone();
+    gateway.reload(&with(1));
+    let (asked, from) = question(1);
+    // The old address still answers a question of its own, with a later number and no engine at all.
+    names[0].send_to(&names_answer(&old.0, 1000, &[]), old.1).expect("sent");
+    names[1].send_to(&names_answer(&asked, 99, &[("s-9", second)]), from).expect("sent");
+    while log.lock().expect("log").iter().all(|p| p[0] != "want") {
+        assert_eq!(ask(2).1, "served");
+    }
+}
+
 #[rstest]
 #[case("", "not JSON")]
 #[case("{\"settings\":{}}", "entropy")]
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -12,6 +13,7 @@
 /// A running gateway; killed at the end of its test.
 pub struct Gateway {
     pub child: Child,
+    pub file: PathBuf,
     pub thrift: SocketAddr,
     pub http: Option<SocketAddr>,
     said: Option<thread::JoinHandle<Vec<String>>>,
@@ -67,13 +69,22 @@
         let (thrift, http) = (address(), Some(address()));
         // Whatever else it says is read as it comes, so that it never waits for a reader.
         let said = Some(thread::spawn(move || lines.map_while(Result::ok).collect()));
-        std::fs::remove_file(dir).expect("removed");
-        Self { child, thrift, http, said }
+        Self { child, file: dir, thrift, http, said }
     }
 
-    pub fn terminate(&self) {
+    pub fn signal(&self, which: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+        assert!(Command::new("kill").args([which, &id]).status().expect("kill runs").success());
+    }
+
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Writes a new configuration and has it read.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.file, config).expect("a file");
+        self.signal("-HUP");
     }
 
     /// Ends it; what it says of each class at its end.
@@ -97,7 +108,31 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// A name service's answer to a question: a list of these engines, with that number.
+pub fn names_answer(question: &[u8], serial: u32, engines: &[(&str, SocketAddr)]) -> Vec<u8> {
+    let record = |out: &mut Vec<u8>, owner: &[u8], kind: u8, data: &[u8]| {
+        out.extend(owner);
+        out.extend([0, kind, 0, 1, 0, 0, 0, 0]);
+        out.extend((data.len() as u16).to_be_bytes());
+        out.extend(data);
+    };
+    let count = engines.len() as u8;
+    let mut out = [&question[..2], &[0x84, 0, 0, 1, 0, count, 0, 1, 0, count], &question[12..]].concat();
+    let target = |id: &str| [&[id.len() as u8], id.as_bytes(), b"\x01a\x05hosts\0"].concat();
+    for (id, at) in engines {
+        let data = [&[0, 0, 0, 40][..], &at.port().to_be_bytes(), &target(id)].concat();
+        record(&mut out, &[0xc0, 12], 33, &data);
+    }
+    record(&mut out, &[0], 6, &[&[0, 0][..], &serial.to_be_bytes(), &[0; 16]].concat());
+    for (id, at) in engines {
+        let SocketAddr::V4(at) = at else { panic!("IPv4") };
+        record(&mut out, &target(id), 1, &at.ip().octets());
     }
+    out
 }
 
 fn connect(at: SocketAddr) -> TcpStream {
