The longest-idle connection gives way to a new one; silent or unfit clients end soon

At fault: Desk::connect refused the new one while connections that had asked once kept their places for 60 s (front_idle), as did silent and half-said ones. Now the connection idle longest gives way; one without an answer or stuck inside a message ends 1.5 s on; a number that is none, negative or past all sense, a missing limit, key or id is an error (it was passed over and served); a second request under one number or name ends its connection, another connection's is an error; inboxes count in the bytes held and keep no memory while idle; engines have a share of descriptors of their own; repeated log lines are counted. Ruled out: slow readers (no such line in the logs), engine resets.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -37,8 +37,16 @@
     pub connect: Duration,
     /// Idle engine connections are closed after this: a little before the engine would.
     pub idle: Duration,
-    /// A client connection with nothing open, or one that stops inside a message, is closed after this.
+    /// A client connection with nothing open is closed after this.
     pub front_idle: Duration,
+    /// One that was never answered and has nothing open, or that stops inside a message, is closed after this.
+    pub front_silent: Duration,
+    /// No connection is closed to make room for another before it has been idle this long.
+    pub front_grace: Duration,
+    /// A new connection for which no room is made by then is closed.
+    pub front_wait: Duration,
+    /// Between two log lines that say the same of what others do wrong.
+    pub log_gap: Duration,
     /// Time between looks for what has gone idle.
     pub sweep: Duration,
     /// Being later than this for what is due is worth a line in the log.
@@ -75,8 +83,8 @@
         let memory = f.number_or("machine.memory_mb", 192.0)? * 1024.0 * 1024.0;
         let ms = |x: f64| Duration::from_secs_f64((x / 1000.0).clamp(0.001, 3600.0));
         Ok(Self {
-            front_conns: sockets * 45 / 100,
-            engine_conns: sockets * 45 / 100,
+            front_conns: sockets * 60 / 100,
+            engine_conns: sockets * 25 / 100,
             open_per_conn: 32,
             max_open: f.number_or("limits.max_open", 20_000.0)?.clamp(1.0, 20_000.0) as usize,
             message_bytes: 1 << 20,
@@ -91,6 +99,10 @@
             connect: ms(f.number_or("limits.connect_timeout", 250.0)?),
             idle: ms(f.number_or("limits.idle_close", 15_000.0)? * 0.8),
             front_idle: ms(60_000.0),
+            front_silent: ms(1_500.0),
+            front_grace: ms(50.0),
+            front_wait: ms(1_000.0),
+            log_gap: ms(1_000.0),
             sweep: ms(250.0),
             stall: 50.0,
             probe: 300.0,
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -2,6 +2,7 @@
 
 use crate::core::AttemptId;
 use crate::limits::Limits;
+use crate::net::log;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
@@ -9,6 +10,7 @@
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// A part of a frame: a head written for it, or a body shared with its owner.
 #[derive(Debug, Clone)]
@@ -88,6 +90,11 @@
         }
     }
 
+    /// The sum over all connections.
+    pub fn total(&self) -> Rc<Cell<usize>> {
+        self.total.clone()
+    }
+
     /// Bytes that wait.
     pub fn waiting(&self) -> usize {
         self.bytes.get()
@@ -112,7 +119,7 @@
         }
         let len = frame.len();
         if self.bytes.get() + len > limits.outbox_bytes || self.total.get() + len > limits.held_bytes {
-            eprintln!("a connection was closed: its reader is too slow");
+            log::seldom(limits, "a connection was closed: its reader is too slow");
             return self.close(Close::Now);
         }
         self.count(len, 0);
@@ -215,13 +222,28 @@
 }
 
 /// What was read and not yet used. It grows only as bytes arrive.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Inbox {
     bytes: Vec<u8>,
     from: usize,
+    /// What of it is counted in the sum over all connections.
+    counted: usize,
+    total: Rc<Cell<usize>>,
+    /// When the first of the bytes not yet used came.
+    since: Option<Instant>,
 }
 
 impl Inbox {
+    /// Nothing was read.
+    pub fn new(total: Rc<Cell<usize>>) -> Self {
+        Self { bytes: Vec::new(), from: 0, counted: 0, total, since: None }
+    }
+
+    /// Since when a message has been incomplete.
+    pub fn since(&self) -> Option<Instant> {
+        self.since.filter(|_| !self.unread().is_empty())
+    }
+
     /// What is not yet used.
     pub fn unread(&self) -> &[u8] {
         &self.bytes[self.from..]
@@ -230,24 +252,46 @@
     /// Marks bytes as used.
     pub fn used(&mut self, n: usize) {
         self.from = (self.from + n).min(self.bytes.len());
+        self.since = None;
     }
 
     /// Reads what there is; false at the end of the stream.
     pub async fn fill(&mut self, stream: &TcpStream, limits: &Limits) -> io::Result<bool> {
         self.bytes.drain(..self.from);
         self.from = 0;
-        // One large message must not keep its memory for the rest of a connection's life.
-        if self.bytes.is_empty() && self.bytes.capacity() > 4 * limits.read_bytes {
+        // Of the many connections most are idle most of the time: none keeps memory while it waits.
+        if self.bytes.is_empty() {
             self.bytes = Vec::new();
+            self.count();
         }
         loop {
             stream.readable().await?;
             self.bytes.reserve(limits.read_bytes);
             match stream.try_read_buf(&mut self.bytes) {
-                Ok(n) => return Ok(n > 0),
+                Ok(n) => {
+                    self.count();
+                    self.since = self.since.or_else(|| Some(Instant::now()));
+                    // Many long messages at once must not take the memory of all: the long ones go first.
+                    if self.total.get() > limits.held_bytes && self.counted > 4 * limits.read_bytes {
+                        return Err(io::ErrorKind::OutOfMemory.into());
+                    }
+                    return Ok(n > 0);
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(e) => return Err(e),
             }
         }
     }
+
+    fn count(&mut self) {
+        let now = self.bytes.capacity();
+        self.total.set(self.total.get() + now - self.counted);
+        self.counted = now;
+    }
+}
+
+impl Drop for Inbox {
+    fn drop(&mut self) {
+        self.total.set(self.total.get() - self.counted);
+    }
 }
--- a/src/net/engine/clickhouse.rs
+++ b/src/net/engine/clickhouse.rs
@@ -230,7 +230,7 @@
 
 /// Reads answers until the connection is of no more use. None ends it.
 async fn read(conn: &Conn, stream: &TcpStream, limits: &Limits, events: &Sender<Event>) -> Option<()> {
-    let mut inbox = Inbox::default();
+    let mut inbox = Inbox::new(conn.out.total());
     loop {
         while conn.job.borrow().is_none() {
             tokio::select! {
--- a/src/net/engine/pool.rs
+++ b/src/net/engine/pool.rs
@@ -231,7 +231,7 @@
 }
 
 async fn read(conn: &Conn, stream: &TcpStream, limits: &Limits, events: &Sender<Event>) {
-    let mut inbox = Inbox::default();
+    let mut inbox = Inbox::new(conn.out.total());
     loop {
         loop {
             let (event, used) = match resp::read(inbox.unread(), limits.message_bytes) {
--- a/src/net/front/clickhouse.rs
+++ b/src/net/front/clickhouse.rs
@@ -4,16 +4,16 @@
 use crate::core::{Answer, EngineError, Rows, Statement};
 use crate::interface::{Repeat, RequestId};
 use crate::limits::Limits;
-use crate::net::conn::{Close, Frame, Inbox, Outbox, Part};
+use crate::net::conn::{Close, Frame, Inbox, Part};
 use crate::net::front::rules::ClassRules;
-use crate::net::front::{Asked, Client, Desk};
+use crate::net::front::{Asked, Client, Desk, Seat};
 use crate::net::http::{self, Head, Length, Read};
+use crate::net::log;
 use sha2::{Digest, Sha256};
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::timeout;
 
 // Codes of ClickHouse's own exceptions.
 const BAD_REQUEST: (u16, u32, &str) = (400, 36, "BAD_ARGUMENTS");
@@ -21,11 +21,12 @@
 const BAD_METHOD: (u16, u32, &str) = (501, 48, "NOT_IMPLEMENTED");
 const TOO_LARGE: (u16, u32, &str) = (413, 307, "TOO_MANY_BYTES");
 const TOO_MANY: (u16, u32, &str) = (503, 202, "TOO_MANY_SIMULTANEOUS_QUERIES");
+const SAME_NAME: (u16, u32, &str) = (500, 216, "QUERY_WITH_SAME_ID_IS_ALREADY_RUNNING");
 const TIMEOUT: (u16, u32, &str) = (408, 159, "TIMEOUT_EXCEEDED");
 const NETWORK: (u16, u32, &str) = (502, 210, "NETWORK_ERROR");
 
 struct Session {
-    out: Rc<Outbox>,
+    seat: Rc<Seat>,
     limits: Rc<Limits>,
     answered: Notify,
     /// Cleared by an answer that can not be followed by another.
@@ -69,7 +70,7 @@
     fn say(&self, status: u16, headers: &[(&str, &str)], body: Vec<Vec<u8>>) {
         let head = self.head(status, headers, Some(body.iter().map(Vec::len).sum()));
         let parts = std::iter::once(head).chain(body).map(Part::Own).collect();
-        self.out.push(Frame { attempt: None, parts }, &self.limits);
+        self.seat.say(Frame { attempt: None, parts }, &self.limits);
     }
 
     fn fail(&self, (status, code, name): (u16, u32, &str), what: &str, more: &[(&str, &str)]) {
@@ -95,7 +96,7 @@
 impl Client for Caller {
     fn begin(&self, rows: Rows) {
         let head = self.session.head(200, &self.headers(&rows), None);
-        self.session.out.push(Frame::plain(head), &self.session.limits);
+        self.session.seat.say(Frame::plain(head), &self.session.limits);
         rows.parts.into_iter().for_each(|part| self.part(part));
     }
 
@@ -103,7 +104,7 @@
         if !bytes.is_empty() {
             let parts = [format!("{:x}\r\n", bytes.len()).into_bytes(), bytes, b"\r\n".to_vec()];
             let frame = Frame { attempt: None, parts: parts.into_iter().map(Part::Own).collect() };
-            self.session.out.push(frame, &self.session.limits);
+            self.session.seat.say(frame, &self.session.limits);
         }
     }
 
@@ -112,7 +113,7 @@
         let id = ("X-ClickHouse-Query-Id", &*self.name);
         match answer {
             Answer::Served(rows) => s.say(200, &self.headers(&rows), rows.parts.clone()),
-            Answer::Finished => s.out.push(Frame::plain(b"0\r\n\r\n".to_vec()), &s.limits),
+            Answer::Finished => s.seat.say(Frame::plain(b"0\r\n\r\n".to_vec()), &s.limits),
             // No last chunk: the client sees that the result is not whole.
             Answer::Cut => s.keep.set(false),
             Answer::Refused(later) => {
@@ -127,23 +128,24 @@
                 s.say(status, &[kind, ("X-ClickHouse-Exception-Code", &code), id], vec![text]);
             }
         }
+        s.seat.ended();
         s.answered.notify_one();
     }
 }
 
 /// Serves one client, one request after the other, until the connection ends.
-pub async fn serve(stream: TcpStream, out: Rc<Outbox>, desk: Rc<Desk>, rules: Rc<ClassRules>) {
+pub async fn serve(stream: TcpStream, seat: Rc<Seat>, desk: Rc<Desk>, rules: Rc<ClassRules>) {
     let _ = stream.set_nodelay(true);
     let limits = desk.limits.clone();
     let session = Rc::new(Session {
-        out: out.clone(),
+        seat: seat.clone(),
         limits: limits.clone(),
         answered: Notify::new(),
         keep: Cell::new(true),
     });
     let open = Cell::new(None);
     tokio::select! {
-        ended = out.write_all(&stream, &limits) => drop(ended),
+        ended = seat.out.write_all(&stream, &limits) => drop(ended),
         () = read(&stream, &session, &desk, &rules, &open) => {}
     }
     // A client that left is waited for no longer, also in the middle of its result.
@@ -159,7 +161,7 @@
     rules: &ClassRules,
     open: &Cell<Option<RequestId>>,
 ) {
-    let mut inbox = Inbox::default();
+    let mut inbox = Inbox::new(desk.total.clone());
     while session.keep.get() {
         let Some(id) = read_request(stream, &mut inbox, session, desk, rules).await else { continue };
         open.set(Some(id));
@@ -177,14 +179,13 @@
         open.set(None);
     }
     // What was said still leaves.
-    session.out.close(Close::AfterWrite);
+    session.seat.out.close(Close::AfterWrite);
     std::future::pending::<()>().await;
 }
 
 /// Reads more, or says that the connection is of no more use.
 async fn more(stream: &TcpStream, inbox: &mut Inbox, session: &Session) -> bool {
-    let filled = timeout(session.limits.front_idle, inbox.fill(stream, &session.limits)).await;
-    let good = matches!(filled, Ok(Ok(true)));
+    let good = session.seat.read(inbox, stream, &session.limits).await;
     session.keep.set(session.keep.get() && good);
     good
 }
@@ -200,7 +201,7 @@
     let limits = &session.limits;
     let bad = |which, what: &str| {
         session.keep.set(false);
-        eprintln!("an HTTP request was turned away: {what}");
+        log::seldom(limits, "an HTTP request that cannot be used was turned away");
         session.fail(which, what, &[]);
         None
     };
@@ -211,7 +212,7 @@
                     return bad(BAD_REQUEST, "The length of the body is not clear");
                 };
                 if head.header("expect").is_some() {
-                    session.out.push(Frame::plain(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec()), limits);
+                    session.seat.out.push(Frame::plain(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec()), limits);
                 }
                 let request = Request::new(&head);
                 inbox.used(used);
@@ -368,6 +369,10 @@
         session.fail(BAD_REQUEST, "The query id cannot be used", &[]);
         return None;
     }
+    if desk.named(&name).is_some() {
+        session.fail(SAME_NAME, "A query with this id is already running", &[]);
+        return None;
+    }
     // As ClickHouse does: what comes by GET may only read.
     if request.method == "GET" && !matches!(request.param("readonly"), "1" | "2") {
         request.take("readonly");
@@ -380,9 +385,10 @@
         key,
         data,
         params: request.params,
-        flow: request.parts.then(|| session.out.clone()),
+        flow: request.parts.then(|| session.seat.out.clone()),
     };
     let asked = Asked { class, arrived, limit, work: None, memory_mb: None, statement };
+    session.seat.asked();
     desk.take(id, Box::new(Caller { session: session.clone(), name }), asked).await;
     Some(id)
 }
--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -7,23 +7,26 @@
 use crate::core::{Answer, Ask, Event, Rows, Statement};
 use crate::interface::{ClassId, DataSet, Incoming, Ms, RequestId, Settings};
 use crate::limits::Limits;
-use crate::net::conn::Outbox;
+use crate::net::conn::{Close, Frame, Inbox, Outbox};
 use crate::net::sql;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::rc::{Rc, Weak};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc::Sender;
+use tokio::sync::Notify;
+use tokio::time::{timeout_at, Instant};
 
 /// The system's Unix clock at the start, carried on by a clock that never jumps.
 #[derive(Debug, Clone, Copy)]
-pub struct Clock(Ms, Instant);
+pub struct Clock(Ms, std::time::Instant);
 
 impl Clock {
     /// Set from the system's clock.
     pub fn start() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self(unix.as_secs_f64() * 1000.0, Instant::now())
+        Self(unix.as_secs_f64() * 1000.0, std::time::Instant::now())
     }
 
     /// Unix milliseconds.
@@ -32,7 +35,7 @@
     }
 
     /// The instant of a time.
-    pub fn instant(&self, at: Ms) -> Instant {
+    pub fn instant(&self, at: Ms) -> std::time::Instant {
         self.1 + std::time::Duration::from_secs_f64(((at - self.0) / 1000.0).max(0.0))
     }
 }
@@ -47,6 +50,9 @@
     fn answer(self: Box<Self>, answer: Answer);
 }
 
+/// Who waits for a request, and what it is.
+type Waiting = (Box<dyn Client>, Rc<Statement>);
+
 /// What fronts share: where requests are handed in and answers given out.
 pub struct Desk {
     /// The module's settings.
@@ -61,12 +67,71 @@
     pub total: Rc<Cell<usize>>,
     /// The end was asked for.
     pub terminating: Cell<bool>,
-    waiting: RefCell<HashMap<RequestId, Box<dyn Client>>>,
-    outboxes: RefCell<Vec<Weak<Outbox>>>,
-    conns: Cell<usize>,
+    waiting: RefCell<HashMap<RequestId, Waiting>>,
+    /// Requests that are open, by their clients' names for them, over all connections.
+    names: RefCell<HashMap<String, RequestId>>,
+    seats: RefCell<Vec<Rc<Seat>>>,
+    freed: Notify,
     next: Cell<u64>,
 }
 
+/// A client's connection.
+pub struct Seat {
+    /// What waits to be written.
+    pub out: Rc<Outbox>,
+    opened: Instant,
+    open: Cell<usize>,
+    answered: Cell<bool>,
+    /// When it connected, asked or was answered last.
+    active: Cell<Instant>,
+}
+
+impl Seat {
+    /// A request was taken from it.
+    pub fn asked(&self) {
+        self.open.set(self.open.get() + 1);
+        self.active.set(Instant::now());
+    }
+
+    /// A request that was taken from it has ended.
+    pub fn ended(&self) {
+        self.open.set(self.open.get().saturating_sub(1));
+        self.active.set(Instant::now());
+    }
+
+    /// Says something to the client.
+    pub fn say(&self, frame: Frame, limits: &Limits) {
+        self.answered.set(true);
+        self.active.set(Instant::now());
+        self.out.push(frame, limits);
+    }
+
+    /// Reads more; false once the connection is of no more use. Guards against clients that say nothing, stop
+    /// inside a message, or ask for nothing that has an answer: they are told so by a close, and soon.
+    pub async fn read(&self, inbox: &mut Inbox, stream: &TcpStream, limits: &Limits) -> bool {
+        loop {
+            let unanswered = Some(self.opened).filter(|_| !self.answered.get());
+            let silent = unanswered.into_iter().chain(inbox.since()).min().map(|at| at + limits.front_silent);
+            let until = silent.unwrap_or(self.active.get() + limits.front_idle);
+            // What is open is waited for, whatever else the client does.
+            let until = match self.open.get() {
+                0 if until <= Instant::now() => return false,
+                0 => until,
+                _ => Instant::now() + limits.front_silent,
+            };
+            if let Ok(filled) = timeout_at(until, inbox.fill(stream, limits)).await {
+                return matches!(filled, Ok(true));
+            }
+        }
+    }
+
+    /// Since when nothing has been open and nothing has waited to be written.
+    fn idle(&self) -> Option<Instant> {
+        let idle = self.open.get() == 0 && self.out.waiting() == 0 && !self.out.closing();
+        idle.then_some(self.active.get())
+    }
+}
+
 impl Desk {
     /// Nobody waits yet.
     pub fn new(settings: Rc<Settings>, limits: Rc<Limits>, events: Sender<Event>) -> Rc<Self> {
@@ -78,33 +143,53 @@
             total: Rc::default(),
             terminating: Cell::new(false),
             waiting: RefCell::default(),
-            outboxes: RefCell::default(),
-            conns: Cell::new(0),
+            names: RefCell::default(),
+            seats: RefCell::default(),
+            freed: Notify::new(),
             next: Cell::new(1),
         })
     }
 
-    /// A client's connection, or none if there are too many.
-    pub fn connect(&self) -> Option<Rc<Outbox>> {
-        if self.conns.get() >= self.limits.front_conns {
-            return None;
+    /// A place for a client's new connection. In a full house the connection that has been idle longest gives
+    /// way: a new one is likely to bring a request, and its client waits for the answer. None: all have
+    /// something open, for as long as the client can be left waiting.
+    pub async fn connect(&self) -> Option<Rc<Seat>> {
+        let until = Instant::now() + self.limits.front_wait;
+        while self.seats.borrow().len() >= self.limits.front_conns {
+            let longest = self
+                .seats
+                .borrow()
+                .iter()
+                .filter_map(|s| s.idle().map(|at| (at, s.clone())))
+                .min_by_key(|x| x.0);
+            let again = match longest {
+                Some((at, seat)) if at.elapsed() >= self.limits.front_grace => {
+                    seat.out.close(Close::Now);
+                    until
+                }
+                Some((at, _)) => at + self.limits.front_grace,
+                None => until,
+            };
+            if timeout_at(again.min(until), self.freed.notified()).await.is_err() && Instant::now() >= until {
+                return None;
+            }
         }
-        self.conns.set(self.conns.get() + 1);
         let out = Rc::new(Outbox::new(self.total.clone()));
-        let mut all = self.outboxes.borrow_mut();
-        all.retain(|o| o.strong_count() > 0);
-        all.push(Rc::downgrade(&out));
-        Some(out)
+        let (open, answered, opened) = (Cell::new(0), Cell::new(false), Instant::now());
+        let seat = Rc::new(Seat { out, opened, open, answered, active: Cell::new(opened) });
+        self.seats.borrow_mut().push(seat.clone());
+        Some(seat)
     }
 
     /// A client's connection has ended.
-    pub fn disconnect(&self) {
-        self.conns.set(self.conns.get() - 1);
+    pub fn disconnect(&self, seat: &Rc<Seat>) {
+        self.seats.borrow_mut().retain(|s| !Rc::ptr_eq(s, seat));
+        self.freed.notify_one();
     }
 
     /// Whether anything still waits to be written to clients.
     pub fn writing(&self) -> bool {
-        self.outboxes.borrow().iter().filter_map(Weak::upgrade).any(|o| o.waiting() > 0 && !o.closing())
+        self.seats.borrow().iter().any(|s| s.out.waiting() > 0 && !s.out.closing())
     }
 
     /// An id for a request that is about to be taken.
@@ -128,34 +213,46 @@
             data,
             repeat: false,
         };
-        self.waiting.borrow_mut().insert(id, client);
-        let ask = Ask { asked: asked_of_module, statement: Rc::new(asked.statement) };
+        let statement = Rc::new(asked.statement);
+        self.names.borrow_mut().insert(statement.name.clone(), id);
+        self.waiting.borrow_mut().insert(id, (client, statement.clone()));
+        let ask = Ask { asked: asked_of_module, statement };
         let _ = self.events.send(Event::Taken(ask)).await;
     }
 
+    /// The open request with that name. Two under one name could not be told apart at their engines.
+    pub fn named(&self, name: &str) -> Option<RequestId> {
+        self.names.borrow().get(name).copied()
+    }
+
+    fn gone(&self, id: RequestId) -> Option<Box<dyn Client>> {
+        let (client, statement) = self.waiting.borrow_mut().remove(&id)?;
+        self.names.borrow_mut().remove(&statement.name);
+        Some(client)
+    }
+
     /// Withdraws a request whose client no longer waits.
     pub async fn leave(&self, id: RequestId) {
-        if self.waiting.borrow_mut().remove(&id).is_some() {
+        if self.gone(id).is_some() {
             let _ = self.events.send(Event::Left(id)).await;
         }
     }
 
     /// Passes on the first part of an answer.
     pub fn begin(&self, id: RequestId, rows: Rows) {
-        self.waiting.borrow().get(&id).into_iter().for_each(|c| c.begin(rows.clone()));
+        self.waiting.borrow().get(&id).into_iter().for_each(|(c, _)| c.begin(rows.clone()));
     }
 
     /// Passes on a further part.
     pub fn part(&self, id: RequestId, bytes: Vec<u8>) {
-        if let Some(client) = self.waiting.borrow().get(&id) {
+        if let Some((client, _)) = self.waiting.borrow().get(&id) {
             client.part(bytes);
         }
     }
 
     /// Gives the final answer.
     pub fn answer(&self, id: RequestId, answer: Answer) {
-        let client = self.waiting.borrow_mut().remove(&id);
-        client.into_iter().for_each(|c| c.answer(answer.clone()));
+        self.gone(id).into_iter().for_each(|c| c.answer(answer.clone()));
     }
 }
 
--- a/src/net/front/thrift.rs
+++ b/src/net/front/thrift.rs
@@ -1,15 +1,15 @@
 //! The platform's protocol: framed Thrift, strict binary. Heads are read in place, answers are gathered.
 
 use crate::core::{Answer, Rows, Statement};
-use crate::interface::{ClassId, RequestId};
+use crate::interface::{ClassId, Repeat, RequestId};
 use crate::limits::Limits;
-use crate::net::conn::{Close, Frame, Inbox, Outbox, Part};
-use crate::net::front::{Asked, Client, Desk};
+use crate::net::conn::{Close, Frame, Inbox, Part};
+use crate::net::front::{Asked, Client, Desk, Seat};
+use crate::net::log;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
 use winnow::binary::{be_i16, be_i32, be_u32, u8};
 use winnow::error::EmptyError;
 use winnow::prelude::*;
@@ -29,6 +29,8 @@
 const DEPTH: usize = 16;
 const UNKNOWN_METHOD: i32 = 1;
 const PROTOCOL_ERROR: i32 = 7;
+/// No time, work or memory is more: weeks in milliseconds, petabytes in megabytes.
+const MOST: f64 = 1e10;
 
 /// A message, its parts still in the buffer.
 #[derive(Debug, PartialEq)]
@@ -246,7 +248,7 @@
 }
 
 struct Session {
-    out: Rc<Outbox>,
+    seat: Rc<Seat>,
     limits: Rc<Limits>,
     open: RefCell<HashMap<i32, RequestId>>,
 }
@@ -262,27 +264,29 @@
     fn part(&self, _: Vec<u8>) {}
 
     fn answer(self: Box<Self>, answer: Answer) {
-        self.session.open.borrow_mut().remove(&self.seq);
+        if self.session.open.borrow_mut().remove(&self.seq).is_some() {
+            self.session.seat.ended();
+        }
         let frame = match answer {
             Answer::Served(rows) => self::answer("call", self.seq, rows, true),
             Answer::Refused(later) => overloaded(self.seq, later),
             Answer::Failed(_) | Answer::Cut | Answer::Finished => internal(self.seq, "failed"),
             Answer::Expired => internal(self.seq, "out of time"),
         };
-        self.session.out.push(frame, &self.session.limits);
+        self.session.seat.say(frame, &self.session.limits);
     }
 }
 
 /// Serves one client until its connection ends; then nobody waits for what is open on it.
-pub async fn serve(stream: TcpStream, out: Rc<Outbox>, desk: Rc<Desk>) {
+pub async fn serve(stream: TcpStream, seat: Rc<Seat>, desk: Rc<Desk>) {
     let limits = desk.limits.clone();
-    let session = Rc::new(Session { out: out.clone(), limits: limits.clone(), open: RefCell::default() });
+    let session = Rc::new(Session { seat: seat.clone(), limits: limits.clone(), open: RefCell::default() });
     let _ = stream.set_nodelay(true);
     tokio::select! {
-        ended = out.write_all(&stream, &limits) => drop(ended),
+        ended = seat.out.write_all(&stream, &limits) => drop(ended),
         () = read(&stream, &session, &desk) => {}
     }
-    out.close(Close::Now);
+    seat.out.close(Close::Now);
     let open: Vec<_> = session.open.borrow_mut().drain().collect();
     for (_, id) in open {
         desk.leave(id).await;
@@ -290,76 +294,101 @@
 }
 
 async fn read(stream: &TcpStream, session: &Rc<Session>, desk: &Rc<Desk>) {
-    let mut inbox = Inbox::default();
+    let limits = &session.limits;
+    let mut inbox = Inbox::new(desk.total.clone());
     loop {
         while let Some(len) = frame_len(inbox.unread()) {
-            if len > session.limits.message_bytes {
-                return eprintln!("a client's frame of {len} bytes is too long; the connection was closed");
+            if len > limits.message_bytes {
+                return log::seldom(limits, "a client's frame is too long; the connection was closed");
             }
             let Some(frame) = inbox.unread().get(4..len) else { break };
             let Some(message) = message(frame) else {
-                return eprintln!("a client's message cannot be read; the connection was closed");
+                return log::seldom(limits, "a client's message cannot be read; the connection was closed");
             };
-            take_message(message, session, desk).await;
+            if !take_message(message, session, desk).await {
+                return log::seldom(
+                    limits,
+                    "a client used a number or name twice; the connection was closed",
+                );
+            }
             inbox.used(len);
         }
-        let idle = session.open.borrow().is_empty();
-        match timeout(session.limits.front_idle, inbox.fill(stream, &session.limits)).await {
-            Ok(Ok(true)) => {}
-            Err(_) if !idle => {}
-            _ => return,
+        if !session.seat.read(&mut inbox, stream, limits).await {
+            return;
         }
     }
 }
 
-async fn take_message(message: Message<'_>, session: &Rc<Session>, desk: &Rc<Desk>) {
-    let say = |frame| session.out.push(frame, &session.limits);
+/// False: the client breaks the protocol, and nothing that is open on its connection can be told apart.
+async fn take_message(message: Message<'_>, session: &Rc<Session>, desk: &Rc<Desk>) -> bool {
+    let say = |frame| session.seat.say(frame, &session.limits);
     match message {
         Message::Health(seq) => say(answer("health", seq, Rows::default(), !desk.terminating.get())),
         Message::Unknown(seq, name) => say(unknown(seq, name)),
         Message::Cancel(seq) => {
             let id = session.open.borrow_mut().remove(&seq);
             if let Some(id) = id {
+                session.seat.ended();
                 desk.leave(id).await;
             }
         }
         Message::Call { seq, fields, body } => {
             if session.open.borrow().contains_key(&seq) {
-                return eprintln!("a client used the number {seq} twice; its second request is passed over");
+                return false;
             }
             if session.open.borrow().len() >= session.limits.open_per_conn {
-                return say(overloaded(seq, desk.settings.max_retry_after));
+                say(overloaded(seq, desk.settings.max_retry_after));
+                return true;
+            }
+            let named = fields.get("txn").and_then(|txn| desk.named(txn));
+            if named.is_some_and(|id| session.open.borrow().values().any(|open| *open == id)) {
+                return false;
+            }
+            match asked(&fields, body, desk) {
+                Ok(_) if named.is_some() => say(internal(seq, "txn is that of another open request")),
+                Ok(asked) => {
+                    let id = desk.number();
+                    session.open.borrow_mut().insert(seq, id);
+                    session.seat.asked();
+                    desk.take(id, Box::new(Caller { session: session.clone(), seq }), asked).await;
+                }
+                Err(why) => say(internal(seq, why)),
             }
-            let asked = match asked(&fields, body, desk) {
-                Ok(asked) => asked,
-                Err(why) => return say(internal(seq, why)),
-            };
-            let id = desk.number();
-            session.open.borrow_mut().insert(seq, id);
-            desk.take(id, Box::new(Caller { session: session.clone(), seq }), asked).await;
         }
     }
+    true
 }
 
 fn asked(fields: &BTreeMap<&str, &str>, body: &[u8], desk: &Desk) -> Result<Asked, &'static str> {
     let arrived = desk.clock.now();
-    let number = |name: &str| fields.get(name).and_then(|v| v.parse::<f64>().ok()).filter(|v| v.is_finite());
+    // A figure that is none, or past all sense, makes the request unfit: what it would do is not what was asked.
+    let number = |name: &str| match fields.get(name).map(|v| v.parse::<f64>()) {
+        None => Ok(None),
+        Some(Ok(v)) if (0.0..=MOST).contains(&v) => Ok(Some(v)),
+        Some(_) => Err("a figure cannot be used"),
+    };
     let verb = *fields.get("verb").ok_or("verb is missing")?;
     let class = desk.settings.classes.iter().position(|c| c.name == verb).ok_or("verb is no class")?;
     let txn = *fields.get("txn").ok_or("txn is missing")?;
     // What goes on into an engine's field must not end that field.
-    let plain = |text: &str| !text.is_empty() && text.len() <= 256 && !text.contains([',', '=', '\r', '\n']);
-    let key = fields.get("unique").copied();
-    if !plain(txn) || key.is_some_and(|k| !plain(k)) {
-        return Err("txn or unique cannot be used");
+    let plain =
+        |text: &str| (1..=256).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_alphanumeric());
+    let keyed = matches!(desk.settings.classes[class].repeat, Repeat::Keyed { .. });
+    let key = fields.get("unique").copied().filter(|_| keyed);
+    if !plain(txn) || keyed && !key.is_some_and(plain) {
+        return Err("txn or unique is missing or cannot be used");
     }
     let give_up = desk.settings.classes[class].give_up;
+    let limit = number("limit")?.ok_or("limit is missing")?;
+    if limit > 10.0 * give_up {
+        return Err("limit is longer than any request of its class may take");
+    }
     Ok(Asked {
         class: ClassId(class),
         arrived,
-        limit: number("limit").unwrap_or(give_up).clamp(0.0, 10.0 * give_up),
-        work: number("cpu"),
-        memory_mb: number("mem"),
+        limit,
+        work: number("cpu")?,
+        memory_mb: number("mem")?,
         statement: Statement {
             name: txn.to_owned(),
             class: verb.to_owned(),
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -3,10 +3,10 @@
 use crate::config::{Config, EngineWire};
 use crate::core::{Core, Effect, Event};
 use crate::interface::Settings;
-use crate::net::conn::Outbox;
 use crate::net::engine::clickhouse::HttpEngines;
 use crate::net::engine::pool::{Engines, RespEngines};
-use crate::net::front::{clickhouse, thrift, Desk};
+use crate::net::front::{clickhouse, thrift, Desk, Seat};
+use crate::net::log;
 use crate::net::names;
 use std::future::Future;
 use std::io;
@@ -42,7 +42,7 @@
     println!("{} listens at {}", config.name, listener.local_addr()?);
     let serve_thrift = {
         let desk = desk.clone();
-        move |stream, out| thrift::serve(stream, out, desk.clone())
+        move |stream, seat| thrift::serve(stream, seat, desk.clone())
     };
     tokio::task::spawn_local(accept(listener, desk.clone(), serve_thrift));
     if let Some((at, rules)) = config.clickhouse {
@@ -51,7 +51,7 @@
         let (desk, rules) = (desk.clone(), Rc::new(rules));
         let serve_http = {
             let desk = desk.clone();
-            move |stream, out| clickhouse::serve(stream, out, desk.clone(), rules.clone())
+            move |stream, seat| clickhouse::serve(stream, seat, desk.clone(), rules.clone())
         };
         tokio::task::spawn_local(accept(listener, desk, serve_http));
     }
@@ -161,20 +161,20 @@
 /// Accepts connections, each served on its own.
 async fn accept<S, F>(listener: TcpListener, desk: Rc<Desk>, serve: S)
 where
-    S: Fn(TcpStream, Rc<Outbox>) -> F,
+    S: Fn(TcpStream, Rc<Seat>) -> F,
     F: Future<Output = ()> + 'static,
 {
     loop {
         match listener.accept().await {
-            Ok((stream, peer)) => {
-                let Some(out) = desk.connect() else {
-                    eprintln!("{peer}: too many connections; closed");
+            Ok((stream, _)) => {
+                let Some(seat) = desk.connect().await else {
+                    log::seldom(&desk.limits, "a connection was closed: all others have requests open");
                     continue;
                 };
-                let (desk, served) = (desk.clone(), serve(stream, out));
+                let (desk, served) = (desk.clone(), serve(stream, seat.clone()));
                 tokio::task::spawn_local(async move {
                     served.await;
-                    desk.disconnect();
+                    desk.disconnect(&seat);
                 });
             }
             // Out of descriptors, or the client left again: others may still be served.
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -183,3 +183,83 @@
     assert!(!out.status.success());
     assert!(String::from_utf8_lossy(&out.stderr).starts_with("starlingplank: "));
 }
+
+fn closed(stream: &mut std::net::TcpStream) -> bool {
+    match std::io::Read::read(stream, &mut [0; 16]) {
+        Ok(read) => read == 0,
+        Err(e) => e.kind() == std::io::ErrorKind::ConnectionReset,
+    }
+}
+
+/// A full house turned new connections away, with the requests on them, while idle ones kept their places.
+#[test]
+fn full_house_closes_what_has_been_idle_longest_and_serves_what_is_new() {
+    let (at, _) = resp_engine(served);
+    let gateway = Gateway::start(&config(&[at], "resp", 5000).replace("\"sockets\":256", "\"sockets\":20"));
+    let ask = |client: &mut std::net::TcpStream, seq| {
+        let txn = format!("{seq:016x}");
+        let fields = [("verb", "lookup"), ("txn", &*txn), ("limit", "5000")];
+        client.write_all(&call(seq, &fields, "select 1")).expect("sent");
+        answer(client).1
+    };
+    let mut stayed: Vec<_> = (1..=30)
+        .map(|seq| {
+            let mut client = gateway.client();
+            assert_eq!(ask(&mut client, seq), "served", "client {seq}");
+            client
+        })
+        .collect();
+    assert!(closed(&mut stayed[0]), "the first has been idle longest");
+    assert_eq!(ask(&mut stayed[29], 31), "served");
+}
+
+#[rstest]
+#[case::silent(vec![])]
+#[case::half_said(call(1, &LOOKUP, "select 1")[..20].to_vec())]
+#[case::asks_for_nothing(cancel(7))]
+fn client_that_keeps_silent_is_closed(#[case] bytes: Vec<u8>) {
+    let (at, _) = resp_engine(served);
+    let gateway = Gateway::start(&config(&[at], "resp", 5000));
+    let mut client = gateway.client();
+    client.write_all(&bytes).expect("sent");
+    assert!(closed(&mut client), "a close, not a read that timed out");
+}
+
+/// Such figures were passed over, and what was left of the request was served.
+#[rstest]
+#[case(&[("verb", "lookup"), ("txn", "a1"), ("limit", "NaN")])]
+#[case(&[("verb", "lookup"), ("txn", "a1"), ("limit", "-5")])]
+#[case(&[("verb", "lookup"), ("txn", "a1"), ("limit", "900000000")])]
+#[case(&[("verb", "lookup"), ("txn", "a1")])]
+#[case(&[("verb", "lookup"), ("txn", "a1"), ("limit", "500"), ("cpu", "much")])]
+#[case(&[("verb", "lookup"), ("txn", "a1"), ("limit", "500"), ("mem", "1e300")])]
+#[case(&[("verb", "lookup"), ("limit", "500")])]
+#[case(&[("verb", "lookup"), ("txn", "a,b=c"), ("limit", "500")])]
+#[case(&[("verb", "none"), ("txn", "a1"), ("limit", "500")])]
+#[case(&[("verb", "load"), ("txn", "a1"), ("limit", "500")])]
+fn request_that_cannot_be_used_is_an_error_and_never_leaves(#[case] fields: &[(&str, &str)]) {
+    let (at, log) = resp_engine(served);
+    let gateway = Gateway::start(&config(&[at], "resp", 5000));
+    let mut client = gateway.client();
+    client.write_all(&call(1, fields, "select 1")).expect("sent");
+    assert_eq!(answer(&mut client).1, "internal");
+    assert!(log.lock().expect("log").iter().all(|p| p[0] != "want"));
+}
+
+/// Two requests under one number or name can't be told apart: the engine's answer to one would pass for the other's.
+#[rstest]
+#[case::number(1, "00000000000000a2")]
+#[case::name(2, "00000000000000a1")]
+fn second_request_under_one_number_or_name_ends_its_connection(#[case] seq: i32, #[case] txn: &str) {
+    let (at, log) = resp_engine(|parts| if parts[0] == "want" { Some(String::new()) } else { served(parts) });
+    let gateway = Gateway::start(&config(&[at], "resp", 5000));
+    let (mut client, mut other) = (gateway.client(), gateway.client());
+    client.write_all(&call(1, &LOOKUP, "select 1")).expect("sent");
+    until(&log, |l| l.iter().any(|p| p[0] == "want"));
+    other.write_all(&call(1, &LOOKUP, "select 2")).expect("sent");
+    assert_eq!(answer(&mut other).1, "internal", "another connection's is an error of its own");
+    let fields = [("verb", "lookup"), ("txn", txn), ("limit", "5000")];
+    client.write_all(&call(seq, &fields, "select 2")).expect("sent");
+    assert!(closed(&mut client));
+    until(&log, |l| l.iter().any(|p| p[0] == "never_mind"));
+}
