Loads run first and hold their set while out; grants no longer shrink; waits follow the aim

At fault in decide.rs: priority() gave loads 1 against the lookups' 3, so that they held their group for long; route() sent lookups where the group had been read lately, behind its load (WARM); the set counted as held for a guess only; send() shrank grants to half the estimate, as these engines send no notes of spills; the wait of 100 ms was short of the time in which room comes up. Gone engines were never forgotten.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -14,7 +14,8 @@
 const STEP: Ms = 100.0; // the control period
 const RATIO: f64 = 1.5; // runtime/arrival ratio over the other group's that puts a group behind
 const WAIT_LEAST: Ms = 100.0; // a held query waits this ...
-const WAIT_SHARE: f64 = 0.1; // ... or this share of its expected latency
+const WAIT_SHARE: f64 = 0.1; // ... or this share of its expected latency ...
+const WAIT_AIM: f64 = 0.25; // ... or of its aim: room comes up sooner than a refused client comes back
 
 // ---- Learning ----
 const MEMORY: f64 = 0.03; // weight of a new outcome in a band, once enough are in
@@ -27,7 +28,7 @@
 const BEST_FALLS: f64 = 0.05; // a step
 const BEST_RISES: f64 = 0.005;
 const PRIOR: f64 = 0.4; // share of a class's aim taken as latency before any outcome
-const GRANT: f64 = 1.25; // memory asked for over the estimate, at first
+const GRANT: f64 = 1.6; // memory asked for over the estimate, at least: too little costs far more work
 const RECENT: f64 = 0.99; // decay a step of arrivals, runtimes and shares: about ten seconds
 
 // ---- Pressure and health ----
@@ -63,8 +64,6 @@
 const NEWS_WAIT: Ms = 25.0; // ... or this has passed
 const PROBE_EVERY: Ms = 400.0; // an engine heard of within this is not probed
 const PROBES_SAVED: f64 = 16.0; // each request taken pays for one probe; so many may be saved up
-const WARM: f64 = 0.2; // threads a core that a data set read there lately is worth
-const WARM_LASTS: Ms = 10_000.0;
 const NEAR: f64 = 0.02; // the same for an engine in our zone
 const PROBE_WORK: f64 = 0.5; // share of the shortest probe that is work at the engine, not the way there
 const PROBE_NOISE: f64 = 0.35; // of the shortest to its zone, within which a probe shows no delay
@@ -162,6 +161,11 @@
         self.requests.len()
     }
 
+    /// Engines that are still remembered.
+    pub fn known_engines(&self) -> usize {
+        self.engines.len()
+    }
+
     /// The bound last chosen, in threads a core over all gateways.
     pub fn bound(&self) -> f64 {
         LEVELS[self.bound]
@@ -303,7 +307,7 @@
         if r.out() == 0 {
             r.held = now;
         }
-        let size = r.size;
+        let (size, data) = (r.size, r.asked.data);
         if let Some(key) = r.asked.key.filter(|_| self.s.classes[class.0].ordered) {
             if matches!(how, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
                 let k = self.keys.entry(key).or_default();
@@ -321,6 +325,11 @@
         e.threads = (e.threads - width).max(0.0);
         self.fleet.own = (self.fleet.own - width).max(0.0);
         e.count = (e.count - 1.0).max(0.0);
+        if let Some(n) = data.and_then(|d| e.loading.get_mut(&d)).filter(|_| self.s.classes[class.0].is_load)
+        {
+            *n -= 1;
+            e.loading.retain(|_, n| *n > 0);
+        }
         let failed = match how {
             Outcome::Ok => {
                 e.last_answer = now;
@@ -386,7 +395,7 @@
                 let weight = SPEED_WEIGHT * self.s.classes[r.asked.class.0].threads;
                 self.fleet.speed += weight * (speed - self.fleet.speed);
             }
-            Note::Spill(missing) if missing > 0.0 => c.grant = (c.grant * 1.03).min(3.0),
+            Note::Spill(missing) if missing > 0.0 => c.grant = (c.grant * 1.03).min(2.0 * GRANT),
             _ => {}
         }
         // An engine that sends notes is not silent.
@@ -454,6 +463,7 @@
             e.slow += 0.01 * (self.fleet.usual_slow - e.slow);
             e.errors *= FADE;
             e.cold_sent.retain(|(t, _)| *t >= now - self.s.tip_after);
+            e.held_for.retain(|_, t| now < *t);
             e.cold_sum = e.cold_sent.iter().map(|(_, w)| w).sum();
             if e.heard.is_none_or(|t| now - t > STALE) {
                 e.others = self.fleet.usual_load * e.cores;
@@ -487,6 +497,10 @@
                 c.best += weight.max(1.0 / c.learned) * (now_best - c.best);
             }
         }
+        // What has gone and says nothing more has no more to teach.
+        let still = now - self.s.warm_within - SLOW_START;
+        let gone = |e: &Engine| e.member.availability == Availability::Gone && e.count <= 0.0;
+        self.engines.retain(|_, e| !gone(e) || e.last_answer.max(e.probed) > still);
         self.take_overdue();
         self.choose_bound();
         self.choose_groups();
@@ -722,19 +736,18 @@
                 continue;
             }
             let free = LEVELS[self.bound] - (e.threads + e.others + width) / self.cores(e).max(0.1);
-            let warm =
-                r.asked.data.and_then(|d| e.warm_for.get(&d)).is_some_and(|t| self.now - t < WARM_LASTS);
             let near = e.member.zone == self.s.zone;
             // What is not known for sure is spread by chance: many gateways with one view would herd.
             let age = e.heard.map_or(1.0, |t| ((self.now - t) / STALE).min(1.0));
             let unsure = SCATTER * age * (e.jitter + r.chance * 100.0).fract();
             // Loads of one set stand still behind each other, and so does what waits for them: not there.
             let of = &self.s.classes[r.asked.class.0];
-            let held = r.asked.data.and_then(|d| e.held_for.get(&d)).is_some_and(|t| self.now < *t);
+            let held = r.asked.data.is_some_and(|d| {
+                e.loading.contains_key(&d) || e.held_for.get(&d).is_some_and(|t| self.now < *t)
+            });
             let free =
                 free - LEVELS[LEVELS.len() - 1] * f64::from(held && (of.is_load || of.waits_for_loads));
-            let warm = warm && !of.is_load;
-            let score = free + WARM * f64::from(warm) + NEAR * f64::from(near) + 0.05 * e.jitter + unsure;
+            let score = free + NEAR * f64::from(near) + 0.05 * e.jitter + unsure;
             let known = heard_of == 0 || fresh(&e) || !self.s.may_probe;
             if top.is_none_or(|(k, best, _)| (known, score) > (k, best)) {
                 top = Some((known, score, id));
@@ -792,7 +805,8 @@
                 continue;
             }
             let expected = self.latency_at(r.asked.class, LEVELS[self.bound]).0 * r.size;
-            let cap = WAIT_LEAST.max(WAIT_SHARE * expected);
+            let aim = self.s.classes[r.asked.class.0].aim;
+            let cap = WAIT_LEAST.max(WAIT_SHARE * expected).max(WAIT_AIM * aim);
             let hopeless = !r.attempts.is_empty() && !self.engines.values().any(|e| self.gate(r, e));
             // A stand-still may pass the deadline. The turn of a key is no queue: its wait begins there, and
             // what stands too far back to end in time is answered now.
@@ -847,6 +861,8 @@
         let late = self.now - r.taken > self.aim(r.asked.class, r.size);
         match (late, self.classes[r.asked.class.0].long) {
             _ if !self.s.priorities => 1,
+            // All that reads its data set stands still there until it ends, and keeps its memory.
+            _ if self.s.classes[r.asked.class.0].is_load => 3,
             (true, _) => 0,
             (_, long) => 3 - 2 * u8::from(long),
         }
@@ -917,12 +933,14 @@
         let estimate = r.asked.memory_mb.filter(|m| self.s.grants && m.is_finite());
         let grant = estimate.map_or(0.0, |m| (m * self.classes[class.0].grant).min(most));
         let work = self.work(class);
-        let (asked_data, size) = (r.asked.data, r.size);
+        let asked_data = r.asked.data;
         self.set_terms(id, grant, priority, actions);
         if let Some(r) = self.requests.get_mut(&id) {
             r.attempts.push(attempt);
         }
-        self.classes[class.0].grant = (self.classes[class.0].grant * 0.999).max(0.5);
+        // Back to the least, never under it: not every engine tells of spills.
+        self.classes[class.0].grant = (self.classes[class.0].grant * 0.999).max(GRANT);
+
         if let Some(e) = self.engines.get_mut(engine) {
             if e.ejected.is_some() || e.count == 0.0 {
                 e.last_answer = e.last_answer.max(now); // silence is counted from here
@@ -934,11 +952,8 @@
             e.cold_sum += work;
             if let Some(d) = asked_data {
                 if self.s.classes[class.0].is_load {
-                    e.held_for.insert(d, now + mean * size);
-                    e.held_for.retain(|_, t| *t > now);
+                    *e.loading.entry(d).or_default() += 1;
                 }
-                e.warm_for.insert(d, now);
-                e.warm_for.retain(|_, t| now - *t < WARM_LASTS);
             }
         }
         self.extras.extend((!first).then_some(now));
--- a/src/state.rs
+++ b/src/state.rs
@@ -113,9 +113,10 @@
     pub redraw: Ms,
     pub started: Option<Ms>,
     pub probed: Ms,
-    pub warm_for: BTreeMap<DataSet, Ms>,
-    /// Data sets that a load is thought to hold here, until then.
+    /// Data sets that another gateway's load is thought to hold here, until then.
     pub held_for: BTreeMap<DataSet, Ms>,
+    /// Our loads that are out here, by their data sets.
+    pub loading: BTreeMap<DataSet, u32>,
 }
 
 /// One attempt of a request.
@@ -180,8 +181,8 @@
             redraw: now,
             started: None,
             probed: NEVER,
-            warm_for: BTreeMap::new(),
             held_for: BTreeMap::new(),
+            loading: BTreeMap::new(),
         }
     }
 
