A spoilt or stuck engine answer closes its connection; copies are dropped, lost pages end

At fault in pool.rs: take_page (copies, results that do not say their pages, half rows), take (unknown words ended one attempt and the connection was used on), read (no bound on the time inside an answer, 2 MB held), pick (one connection an engine); in decide.rs: learn_outcome counted each Reset. Now what no engine in order says closes the connection and ends all on it as may-have-run; an answer must come whole within 500 ms of its first byte, the next page within 500 ms; no part or result is longer than 64 KB; from four attempts on a connection a further one is opened, within half of the engine's part of the descriptors; a broken connection is one failure. Ruled out: answers to attempts given up (ids are not sent again on a connection).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -343,7 +343,13 @@
                 self.fleet.speed += weight * (1.0 / slow - self.fleet.speed);
                 Some(false)
             }
-            Outcome::Error | Outcome::Reset => Some(true),
+            // One connection that breaks is one failure, however many attempts it carried.
+            Outcome::Reset if e.reset_at == now => None,
+            Outcome::Reset => {
+                e.reset_at = now;
+                Some(true)
+            }
+            Outcome::Error => Some(true),
             Outcome::ConnectFailed => {
                 e.lost = Some(now);
                 Some(true)
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -33,6 +33,11 @@
     pub queue: usize,
     /// Attempts that one engine connection carries.
     pub streams: usize,
+    /// Attempts on one engine connection from which a further one is opened, where there is room for it: what
+    /// is spoilt or reset takes all with it that is on the same connection.
+    pub streams_wanted: usize,
+    /// An engine that stops inside an answer, or keeps a page back, is waited for no longer than this.
+    pub engine_silent: Duration,
     /// A connection that is not up by then has failed.
     pub connect: Duration,
     /// Idle engine connections are closed after this: a little before the engine would.
@@ -96,6 +101,8 @@
             gather: 64,
             queue: 1024,
             streams: f.number_or("limits.streams_per_conn", 32.0)?.max(1.0) as usize,
+            streams_wanted: 4,
+            engine_silent: ms(500.0),
             connect: ms(f.number_or("limits.connect_timeout", 250.0)?),
             idle: ms(f.number_or("limits.idle_close", 15_000.0)? * 0.8),
             front_idle: ms(60_000.0),
--- a/src/net/engine/clickhouse.rs
+++ b/src/net/engine/clickhouse.rs
@@ -134,7 +134,7 @@
         }
     }
 
-    fn sweep(&mut self) {
+    fn sweep(&mut self, _: &mut Vec<Event>) {
         for pool in self.pools.values_mut() {
             for conn in pool.iter().filter(|c| !c.dead.get() && c.job.borrow().is_none()) {
                 if conn.retired.get() || conn.used.get().elapsed() >= self.limits.idle {
--- a/src/net/engine/pool.rs
+++ b/src/net/engine/pool.rs
@@ -6,13 +6,14 @@
 use crate::limits::Limits;
 use crate::net::conn::{Close, Inbox, Outbox};
 use crate::net::engine::resp::{self, Read, Reply};
+use crate::net::log;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Sender;
-use tokio::time::{timeout, Instant};
+use tokio::time::{sleep_until, timeout, Instant};
 
 /// What the runtime asks of the engines' side, whatever they speak. News that comes at once is pushed to
 /// `events`; all else arrives through the channel.
@@ -27,8 +28,8 @@
     fn probe(&mut self, tag: u64, engine: &EngineId, address: SocketAddr, events: &mut Vec<Event>);
     /// Takes back what has not left for an engine that drains or is gone.
     fn shut(&mut self, engine: &EngineId, events: &mut Vec<Event>);
-    /// Closes what has gone idle.
-    fn sweep(&mut self);
+    /// Closes what has gone idle, and ends what an engine keeps back.
+    fn sweep(&mut self, events: &mut Vec<Event>);
 }
 
 /// A result as its pages come in.
@@ -37,6 +38,8 @@
     parts: Vec<Option<Vec<u8>>>,
     bytes: usize,
     end: End,
+    /// When the last page came.
+    since: Instant,
 }
 
 #[derive(Debug)]
@@ -74,6 +77,19 @@
             && !self.spent.borrow().contains(name)
     }
 
+    /// Ends attempts whose further pages do not come: they ran, and the rest of their results is lost.
+    fn drop_stuck(&self, limits: &Limits, events: &mut Vec<Event>) {
+        let stuck = |f: &Flight| f.pages.as_ref().is_some_and(|p| p.since.elapsed() > limits.engine_silent);
+        let names: Vec<_> =
+            self.flights.borrow().iter().filter(|(_, f)| stuck(f)).map(|(n, _)| n.clone()).collect();
+        for name in names {
+            let Some(flight) = self.end(&name) else { continue };
+            self.out.push(resp::say(&["shut", &name]), limits);
+            self.spent.borrow_mut().insert(name);
+            events.push(Event::Ended(flight.id, End::plain(Outcome::Error)));
+        }
+    }
+
     fn end(&self, name: &str) -> Option<Flight> {
         self.used.set(Instant::now());
         self.flights.borrow_mut().remove(name)
@@ -100,12 +116,18 @@
         let pool = self.pools.entry(engine.clone()).or_default();
         pool.iter().filter(|c| c.address != address).for_each(|c| c.retired.set(true));
         let free = pool.iter().filter(|c| c.takes(&self.limits, name));
-        if let Some(conn) = free.min_by_key(|c| (!c.up.get(), c.flights.borrow().len())) {
-            return Some(conn.clone());
-        }
+        let free = free.min_by_key(|c| (!c.up.get(), c.flights.borrow().len())).cloned();
         let open = |p: &Vec<Rc<Conn>>| p.iter().filter(|c| !c.dead.get()).count();
+        let part = self.limits.engine_conns / self.pools.len().max(1);
+        let more = |c: &Conn| {
+            let busy = c.flights.borrow().len() >= self.limits.streams_wanted;
+            busy && self.pools.get(engine).map_or(0, open) < part / 2
+        };
+        if free.as_ref().is_some_and(|c| !more(c)) {
+            return free;
+        }
         if self.pools.values().map(open).sum::<usize>() >= self.limits.engine_conns {
-            return None;
+            return free;
         }
         let conn = Rc::new(Conn {
             address,
@@ -183,7 +205,10 @@
         }
     }
 
-    fn sweep(&mut self) {
+    fn sweep(&mut self, events: &mut Vec<Event>) {
+        for conn in self.pools.values().flatten() {
+            conn.drop_stuck(&self.limits, events);
+        }
         for pool in self.pools.values_mut() {
             for conn in pool.iter().filter(|c| !c.dead.get() && c.empty()) {
                 if conn.retired.get() || conn.used.get().elapsed() >= self.limits.idle {
@@ -234,93 +259,113 @@
     let mut inbox = Inbox::new(conn.out.total());
     loop {
         loop {
-            let (event, used) = match resp::read(inbox.unread(), limits.message_bytes) {
+            let (taken, used) = match resp::read(inbox.unread(), limits.result_bytes) {
                 Read::Reply(reply, used) => (take(conn, &reply, limits), used),
-                Read::More if inbox.unread().len() > 2 * limits.message_bytes => {
-                    return eprintln!("an engine's answer is too long; the connection was closed");
-                }
+                Read::More if inbox.unread().len() > 2 * limits.result_bytes => (Taken::Spoilt, 0),
                 Read::More => break,
-                Read::Bad => {
-                    return eprintln!("an engine's answer cannot be read; the connection was closed")
-                }
+                Read::Bad => (Taken::Spoilt, 0),
             };
             inbox.used(used);
-            if let Some(event) = event {
-                if events.send(event).await.is_err() {
-                    return;
+            match taken {
+                Taken::Nothing => {}
+                Taken::News(event) => {
+                    if events.send(event).await.is_err() {
+                        return;
+                    }
+                }
+                // Whatever follows on this connection, nobody can tell what it answers.
+                Taken::Spoilt => {
+                    return log::seldom(
+                        limits,
+                        "an engine's answer cannot be used; the connection was closed",
+                    );
                 }
             }
         }
-        if !matches!(inbox.fill(stream, limits).await, Ok(true)) {
-            return;
+        let stuck = inbox.since().map(|since| since + limits.engine_silent);
+        let stuck = async move {
+            match stuck {
+                Some(until) => sleep_until(until).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            more = inbox.fill(stream, limits) => if !matches!(more, Ok(true)) { return },
+            () = stuck => {
+                return log::seldom(limits, "an engine stopped inside an answer; the connection was closed");
+            }
         }
     }
 }
 
-/// What an answer means. One to an id that was given up means nothing any more.
-fn take(conn: &Conn, reply: &Reply<'_>, limits: &Limits) -> Option<Event> {
+/// What an answer brings.
+enum Taken {
+    /// It is to nothing that is open here: given up, unknown, or a second copy.
+    Nothing,
+    News(Event),
+    /// It is none that an engine in order would give.
+    Spoilt,
+}
+
+/// What an answer means.
+fn take(conn: &Conn, reply: &Reply<'_>, limits: &Limits) -> Taken {
     if let Some(tag) = reply.id.strip_prefix('p').and_then(|t| t.parse().ok()) {
-        if conn.probes.borrow_mut().remove(&tag) {
-            conn.used.set(Instant::now());
-            return Some(Event::Probed(tag, reply.word == b"green", reply.report()));
+        if !conn.probes.borrow_mut().remove(&tag) {
+            return Taken::Nothing;
         }
+        conn.used.set(Instant::now());
+        return Taken::News(Event::Probed(tag, reply.word == b"green", reply.report()));
     }
     let outcome = match reply.word {
         b"served" | b"rows" => return take_page(conn, reply, limits),
         b"overload" => Outcome::Full,
         b"nobody" => Outcome::Moot,
         b"crashed" => Outcome::Error,
-        other => {
-            eprintln!("an engine said {:?}", String::from_utf8_lossy(other));
-            Outcome::Error
-        }
+        _ => return Taken::Spoilt,
     };
-    let flight = conn.end(reply.id)?;
+    let Some(flight) = conn.end(reply.id) else { return Taken::Nothing };
     // What ran far enough to have pages has run, whatever is said of it now.
     let outcome = if flight.pages.is_some() { Outcome::Error } else { outcome };
-    Some(Event::Ended(flight.id, End { report: reply.report(), ..End::plain(outcome) }))
+    Taken::News(Event::Ended(flight.id, End { report: reply.report(), ..End::plain(outcome) }))
 }
 
 /// A page, the first with the result's measures. The attempt has ended well once all of them are here: a page
-/// that is lost is an error of an attempt that ran.
-fn take_page(conn: &Conn, reply: &Reply<'_>, limits: &Limits) -> Option<Event> {
+/// that is lost is an error of an attempt that ran. A copy of a page that is here changes nothing.
+fn take_page(conn: &Conn, reply: &Reply<'_>, limits: &Limits) -> Taken {
     let mut flights = conn.flights.borrow_mut();
-    let flight = flights.get_mut(reply.id)?;
+    let Some(flight) = flights.get_mut(reply.id) else { return Taken::Nothing };
     let first = reply.word == b"served";
-    let number = if first { 0 } else { reply.number("page").map_or(usize::MAX, |n| n as usize) };
+    let whole = |name: &str, most: usize| {
+        reply.number(name).filter(|n| n.fract() == 0.0 && (1.0..=most as f64).contains(n)).map(|n| n as usize)
+    };
     if first && flight.pages.is_none() {
-        let count = reply.number("pages").map_or(1, |n| (n as usize).max(1));
-        // A count beyond all sense is no result: no page fits it.
-        let count = if count > limits.queue { 0 } else { count };
+        // Pages past all sense are no result, and neither is one that does not say how many it has.
+        let Some(count) = whole("pages", limits.queue) else { return Taken::Spoilt };
         let end = End { work: reply.number("cost"), report: reply.report(), ..End::plain(Outcome::Ok) };
         let parts = (0..count).map(|_| None).collect();
-        flight.pages = Some(Pages { parts, bytes: 0, end });
+        flight.pages = Some(Pages { parts, bytes: 0, end, since: Instant::now() });
         for page in 1..count {
             conn.out.push(resp::say(&["turn", reply.id, &page.to_string()]), limits);
         }
     }
-    let pages = flight.pages.as_mut().filter(|p| {
-        p.parts.get(number).is_some_and(Option::is_none) && p.bytes + reply.body.len() <= limits.message_bytes
-    });
-    let Some(pages) = pages else {
-        eprintln!("an engine's page does not fit its result");
-        let id = flight.id;
-        flights.remove(reply.id);
-        conn.spent.borrow_mut().insert(reply.id.to_owned());
-        conn.out.push(resp::say(&["shut", reply.id]), limits);
-        return Some(Event::Ended(id, End::plain(Outcome::Error)));
-    };
+    let number = if first { Some(0) } else { whole("page", limits.queue) };
+    let (Some(pages), Some(number)) = (flight.pages.as_mut(), number) else { return Taken::Spoilt };
+    match pages.parts.get(number) {
+        Some(Some(_)) => return Taken::Nothing,
+        Some(None) if resp::rows(reply.body) && pages.bytes + reply.body.len() <= limits.result_bytes => {}
+        _ => return Taken::Spoilt,
+    }
+    pages.since = Instant::now();
     pages.bytes += reply.body.len();
     pages.parts[number] = Some(reply.body.to_vec());
     if pages.parts.iter().any(Option::is_none) {
-        return None;
+        return Taken::Nothing;
     }
     if pages.parts.len() > 1 {
         conn.out.push(resp::say(&["shut", reply.id]), limits);
     }
     drop(flights);
-    let flight = conn.end(reply.id)?;
-    let pages = flight.pages?;
+    let Some(Flight { id, pages: Some(pages) }) = conn.end(reply.id) else { return Taken::Nothing };
     let rows = Rows { parts: pages.parts.into_iter().flatten().collect(), headers: Vec::new() };
-    Some(Event::Ended(flight.id, End { rows, ..pages.end }))
+    Taken::News(Event::Ended(id, End { rows, ..pages.end }))
 }
--- a/src/net/engine/resp.rs
+++ b/src/net/engine/resp.rs
@@ -107,6 +107,13 @@
     report
 }
 
+/// Whether this is a page of a result: whole rows of three columns of text.
+pub fn rows(body: &[u8]) -> bool {
+    let whole = body.is_empty() || body.ends_with(b"\n");
+    let three = |row: &str| row.bytes().filter(|b| *b == b'\t').count() == 2;
+    whole && std::str::from_utf8(body).is_ok_and(|text| text.lines().all(three))
+}
+
 fn command(parts: &[&[u8]], open: Option<usize>) -> Vec<u8> {
     let mut out = Vec::with_capacity(128);
     let _ = write!(out, "*{}\r\n", parts.len() + usize::from(open.is_some()));
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -69,7 +69,7 @@
         tokio::select! {
             event = receiver.recv() => events.extend(event),
             () = sleep_until(due) => {}
-            _ = sweep.tick() => gateway.engines.sweep(),
+            _ = sweep.tick() => gateway.engines.sweep(&mut events),
             _ = hangup.recv() => match reload() {
                 Ok(new) => {
                     println!("SIGHUP: the name service is at {:?}", new.names);
--- a/src/state.rs
+++ b/src/state.rs
@@ -97,6 +97,8 @@
     pub errors: f64,
     pub last_answer: Ms,
     pub full_at: Ms,
+    /// When a connection last broke.
+    pub reset_at: Ms,
     /// Until then; a trial follows.
     pub ejected: Option<Ms>,
     pub ejections: u32,
@@ -171,6 +173,7 @@
             errors: 0.0,
             last_answer: now,
             full_at: NEVER,
+            reset_at: NEVER,
             ejected: None,
             ejections: 0,
             back: NEVER,
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -776,3 +776,16 @@
     bed.pass(30_000.0);
     assert_eq!(bed.gateway.known_engines(), 1);
 }
+
+/// One spoilt answer ended all that was on its connection, and each of those counted as a failure of its own.
+#[test]
+fn a_connection_that_breaks_is_one_failure_of_its_engine() {
+    let mut bed = Bed::new(settings(), 1);
+    let out: Vec<_> = (0..4).map(|_| bed.ask(0)).collect();
+    let broken: Vec<_> =
+        out.iter().map(|(id, to)| outcome(*id, 0, to.as_ref().expect("sent"), Outcome::Reset, 5.0)).collect();
+    bed.now += 5.0;
+    bed.turn(&broken);
+    bed.pass(300.0);
+    assert!(bed.ask(0).1.is_some(), "the engine was left out");
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -238,6 +238,7 @@
                 return;
             }
         }
+        log.lock().expect("log").push(vec!["closed".into()]);
     })
 }
 
