--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -208,7 +208,8 @@
     let ok_share = 0.7 + 0.3 * rng.f64();
     let mut next = 0;
     let mut first = vec![Event::Members { whole: true, members: (0..6).map(member).collect() }];
-    for turn in 0..2_400 {
+    // After the last arrival a day runs on past the longest deadline, 5,050 ms later.
+    for turn in 0..3_100 {
         let now = f64::from(turn) * 5.0;
         let mut events = std::mem::take(&mut first);
         if rng.u8(..60) == 0 {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -153,7 +153,7 @@
         let mut text = String::from("TURN\twall=10\tturn=1\n");
         fronts.iter().for_each(|f| text += &opening(f));
         text += "YOUR_TURN\n";
-        for turn in 2..60 {
+        for turn in 2..120 {
             text += &format!("TURN\twall={}\tturn={turn}\n", turn * 10);
             for f in fronts {
                 text += &format!(
