The module plans by the time there is and sends nothing in the time kept for the answer

At fault: Core::take handed the module the client's deadline, while Core::send ends attempts answer_margin before it. Now the module is told that earlier time. Ruled out: drains, lost connections, 'nobody' from engines, the end after SIGTERM (none of these Moots).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -391,7 +391,10 @@
         };
         self.requests.insert(id, request);
         self.timer(deadline - self.limits.answer_margin / 2.0, Due::Deadline(id));
-        self.pending.push(crate::interface::Event::Request(ask.asked));
+        // The module plans by the time that there is: attempts end before the deadline, so that the answer can
+        // leave. With the client's own deadline it sent again in the time between, which went against its ration.
+        let deadline = deadline - self.limits.answer_margin;
+        self.pending.push(crate::interface::Event::Request(Incoming { deadline, ..ask.asked }));
     }
 
     fn window(&self, class: ClassId) -> Option<Ms> {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -118,6 +118,21 @@
     assert!(answers(&bed.step(Event::Clock)).is_empty());
 }
 
+/// At the end of its time an attempt was followed by two more that could not leave, both counted as sent.
+#[test]
+fn nothing_is_sent_in_the_time_kept_for_the_answer() {
+    let mut bed = Bed::new(settings());
+    bed.list(1, &["a", "b"]);
+    assert!(sent(&bed.take(1, None)).is_some());
+    bed.now += 1_970.0;
+    let mut effects = Vec::new();
+    for _ in 0..6 {
+        effects.extend(bed.step(Event::Clock));
+    }
+    assert_eq!((answers(&effects).len(), sent(&effects)), (1, None));
+    assert_eq!(bed.core.counts()[0].outcomes[Outcome::Moot as usize], 0);
+}
+
 #[test]
 fn a_repeat_of_a_key_does_not_leave_once_the_engines_may_have_forgotten_it() {
     let mut s = settings();
