Workspace: the decisions in crates/decision, and the reducer knows no connection

Need: new subsystems are packages of their own, and the circle core -> net::conn -> core kept them from being split. The reducer names the trait Flow, which a connection's outbox implements. Listed moves to the reducer, which alone needs it.

--- a/src/config.rs
+++ b/src/config.rs
@@ -1,6 +1,7 @@
 //! The configuration: JSON flattened to the pairs that [`wire`](crate::wire) reads, so that the simulator's
 //! first message and the file at start are read by one reader into one [`Settings`].
 
+use crate::core::Listed;
 use crate::interface::{Availability, EngineId, KindId, Member, Settings, SettingsError};
 use crate::limits::Limits;
 use crate::net::front::rules::ClassRules;
@@ -27,15 +28,6 @@
     Settings(#[from] SettingsError),
 }
 
-/// An engine as the name service lists it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Listed {
-    /// What the module is told.
-    pub member: Member,
-    /// Where it listens. The id, never this, says which engine it is: addresses are used again.
-    pub address: SocketAddr,
-}
-
 /// Which interface the engines speak.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EngineWire {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,15 +2,32 @@
 //! answer, every attempt, all timers, the drain and the end. It opens no socket and reads no clock, and knows
 //! no wire: fronts hand it requests, engine wires hand it outcomes, and the runtime performs its effects.
 
-use crate::config::Listed;
 use crate::decide::Gateway;
 use crate::interface::*;
 use crate::limits::Limits;
-use crate::net::conn::Outbox;
 use std::collections::{BTreeMap, BinaryHeap};
+use std::fmt::Debug;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 
+/// An engine as the list names it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Listed {
+    /// What the module is told.
+    pub member: Member,
+    /// Where it listens. The id, never this, says which engine it is: addresses are used again.
+    pub address: SocketAddr,
+}
+
+/// What waits for the reader of an answer that is passed on in parts. A front implements it; an engine wire asks
+/// it for room before it reads on, so that a slow reader slows its own engine and memory stays bounded.
+pub trait Flow: Debug {
+    /// Waits until no more than so many bytes wait for the reader, or the reader has gone.
+    fn room(&self, bytes: usize) -> Pin<Box<dyn Future<Output = ()> + '_>>;
+}
+
 /// What a request carries to its engine; no decision looks at it.
 #[derive(Debug, Default)]
 pub struct Statement {
@@ -27,7 +44,7 @@
     /// Further parameters and credentials to pass on, where the engines' interface has them.
     pub params: Vec<(String, String)>,
     /// Where the answer can be passed on in parts, what waits for its reader; else it is passed on whole.
-    pub flow: Option<Rc<Outbox>>,
+    pub flow: Option<Rc<dyn Flow>>,
 }
 
 impl Statement {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,13 +6,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub use starlingplank_decision::{decide, interface};
+
 pub mod config;
 pub mod core;
-pub mod decide;
-pub mod interface;
 pub mod limits;
 pub mod net;
-mod state;
 pub mod wire;
 
 #[cfg(doctest)]
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -1,11 +1,13 @@
 //! One connection: what waits to be written, in frames that go out by gathered writes, and what was read.
 
-use crate::core::AttemptId;
+use crate::core::{AttemptId, Flow, Statement};
 use crate::limits::Limits;
 use crate::net::log;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::future::Future;
 use std::io::{self, IoSlice};
+use std::pin::Pin;
 use std::rc::Rc;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
@@ -18,9 +20,9 @@
     /// Bytes of its own.
     Own(Vec<u8>),
     /// The text of a statement.
-    Text(Rc<crate::core::Statement>),
+    Text(Rc<Statement>),
     /// The data of a statement.
-    Data(Rc<crate::core::Statement>),
+    Data(Rc<Statement>),
 }
 
 impl Part {
@@ -105,13 +107,6 @@
         self.total.set(self.total.get() + more - less);
     }
 
-    /// Waits until no more than that waits, or the connection ends.
-    pub async fn room(&self, bytes: usize) {
-        while self.bytes.get() > bytes && self.closing.get().is_none() {
-            self.drained.notified().await;
-        }
-    }
-
     /// Adds a message. A reader who lets too much pile up is cut off: it stalls nobody else.
     pub fn push(&self, frame: Frame, limits: &Limits) {
         if self.closing.get().is_some() {
@@ -215,6 +210,16 @@
     }
 }
 
+impl Flow for Outbox {
+    fn room(&self, bytes: usize) -> Pin<Box<dyn Future<Output = ()> + '_>> {
+        Box::pin(async move {
+            while self.bytes.get() > bytes && self.closing.get().is_none() {
+                self.drained.notified().await;
+            }
+        })
+    }
+}
+
 impl Drop for Outbox {
     fn drop(&mut self) {
         self.total.set(self.total.get() - self.bytes.get());
--- a/src/net/engine/clickhouse.rs
+++ b/src/net/engine/clickhouse.rs
@@ -1,7 +1,7 @@
 //! Engines that speak the ClickHouse HTTP interface: one attempt at a time on a connection, which is used again.
 //! An attempt given up ends its connection, as that is how such an engine hears of it.
 
-use crate::core::{AttemptId, End, EngineError, Event, Rows, Send};
+use crate::core::{AttemptId, End, EngineError, Event, Flow, Rows, Send};
 use crate::interface::{EngineId, Outcome};
 use crate::limits::Limits;
 use crate::net::conn::{Close, Frame, Inbox, Outbox, Part};
@@ -22,7 +22,7 @@
 
 #[derive(Clone)]
 enum Job {
-    Attempt(AttemptId, Option<Rc<Outbox>>),
+    Attempt(AttemptId, Option<Rc<dyn Flow>>),
     Probe(u64),
 }
 
--- a/src/net/front/clickhouse.rs
+++ b/src/net/front/clickhouse.rs
@@ -1,7 +1,7 @@
 //! The ClickHouse HTTP interface, for clients that speak it: the same requests, deadlines and answers as the
 //! platform's protocol, in that interface's words.
 
-use crate::core::{Answer, EngineError, Rows, Statement};
+use crate::core::{Answer, EngineError, Flow, Rows, Statement};
 use crate::interface::{Repeat, RequestId};
 use crate::limits::Limits;
 use crate::net::conn::{Close, Frame, Inbox, Part};
@@ -385,7 +385,7 @@
         key,
         data,
         params: request.params,
-        flow: request.parts.then(|| session.seat.out.clone()),
+        flow: request.parts.then(|| -> Rc<dyn Flow> { session.seat.out.clone() }),
     };
     let asked = Asked { class, arrived, limit, work: None, memory_mb: None, statement };
     session.seat.asked();
--- a/src/net/names.rs
+++ b/src/net/names.rs
@@ -1,7 +1,7 @@
 //! The name service: SRV records over UDP, asked for again and again.
 
-use crate::config::{describe, Listed};
-use crate::core::Event;
+use crate::config::describe;
+use crate::core::{Event, Listed};
 use crate::interface::{Availability, Settings};
 use crate::limits::Limits;
 use std::collections::{BTreeMap, VecDeque};
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -3,8 +3,7 @@
 mod common;
 
 use common::settings;
-use starlingplank::config::Listed;
-use starlingplank::core::{Answer, Ask, AttemptId, Core, Effect, End, Event, Statement};
+use starlingplank::core::{Answer, Ask, AttemptId, Core, Effect, End, Event, Listed, Statement};
 use starlingplank::interface::*;
 use starlingplank::limits::Limits;
 use starlingplank::wire::Fields;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -236,7 +236,7 @@
             events.push(Event::Peer((0..rng.usize(..300)).map(|_| rng.u8(..)).collect()));
         }
         // The gateway is killed and comes back with its last list; what it held is the clients' to retry.
-        if turn == 1_200 && seed % 3 == 0 {
+        if turn == 1_200 && seed.is_multiple_of(3) {
             gateway = Gateway::new(Settings { seed: rng.u64(..), ..s.clone() }, now).expect("good");
             for r in check.requests.values_mut() {
                 r.answered.get_or_insert(now);
