Operator's files in HCL, checked whole with file, line and key; logs through tracing

Need: new subsystems are set up by the operator, who had a JSON file whose faults were told one by one, without a line, and a log without times or levels. Change: HCL files by hcl-edit (it keeps the place of each value, which serde readers drop), checked against one table of keys, forms and ranges, and flattened into the pairs that the JSON and the simulator's first message become too. A file may be a whole configuration or stand beside the platform's, where the platform's keys are turned away. deploy/clickhouse.json becomes clickhouse.hcl. Log lines go through tracing, as text or JSON; what others do wrong is still counted.

--- a/src/net/engine/clickhouse.rs
+++ b/src/net/engine/clickhouse.rs
@@ -99,7 +99,7 @@
         let job = Job::Attempt(send.id, send.statement.flow.clone());
         let frame = request(&send);
         if !self.start(&send.engine, send.address, job, frame) {
-            eprintln!("no connection is left for an attempt on {}", send.engine.0);
+            tracing::warn!("no connection is left for an attempt on {}", send.engine.0);
             events.push(Event::Ended(send.id, End::plain(Outcome::Moot)));
         }
     }
@@ -331,7 +331,7 @@
                     begun = true;
                     events.send(Event::Begun(id, std::mem::take(&mut rows))).await.ok()?;
                 } else if bytes > limits.message_bytes {
-                    eprintln!("a result of more than {bytes} bytes cannot be passed on whole");
+                    tracing::warn!("a result of more than {bytes} bytes cannot be passed on whole");
                     conn.job.borrow_mut().take();
                     events.send(Event::Ended(id, End::plain(Outcome::Error))).await.ok()?;
                     return None;
--- a/src/net/engine/pool.rs
+++ b/src/net/engine/pool.rs
@@ -150,7 +150,7 @@
     fn send(&mut self, send: Send, events: &mut Vec<Event>) {
         let name = send.statement.name.clone();
         let Some(conn) = self.pick(&send.engine, send.address, &name) else {
-            eprintln!("no connection is left for an attempt on {}", send.engine.0);
+            tracing::warn!("no connection is left for an attempt on {}", send.engine.0);
             return events.push(Event::Ended(send.id, End::plain(Outcome::Moot)));
         };
         conn.used.set(Instant::now());
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -39,7 +39,7 @@
     gateway.handle([Event::List(config.serial, config.known.clone())]);
 
     let listener = TcpListener::bind(config.listen).await?;
-    println!("{} listens at {}", config.name, listener.local_addr()?);
+    tracing::info!("{} listens at {}", config.name, listener.local_addr()?);
     let serve_thrift = {
         let desk = desk.clone();
         move |stream, seat| thrift::serve(stream, seat, desk.clone())
@@ -47,7 +47,7 @@
     tokio::task::spawn_local(accept(listener, desk.clone(), serve_thrift));
     if let Some((at, rules)) = config.clickhouse {
         let listener = TcpListener::bind(at).await?;
-        println!("{} listens at {} for ClickHouse HTTP", config.name, listener.local_addr()?);
+        tracing::info!("{} listens at {} for ClickHouse HTTP", config.name, listener.local_addr()?);
         let (desk, rules) = (desk.clone(), Rc::new(rules));
         let serve_http = {
             let desk = desk.clone();
@@ -72,18 +72,18 @@
             _ = sweep.tick() => gateway.engines.sweep(&mut events),
             _ = hangup.recv() => match reload() {
                 Ok(new) => {
-                    println!("SIGHUP: the name service is at {:?}", new.names);
+                    tracing::info!("SIGHUP: the name service is at {:?}", new.names);
                     if (new.listen, &new.limits) != (config.listen, &config.limits)
                         || (Settings { seed: config.settings.seed, ..new.settings }) != config.settings
                     {
-                        eprintln!("SIGHUP: what else is new in the configuration waits for the next start");
+                        tracing::warn!("SIGHUP: what else is new in the configuration waits for the next start");
                     }
                     names.send_replace(new.names);
                 }
-                Err(why) => eprintln!("SIGHUP: the old configuration stays: {why}"),
+                Err(why) => tracing::warn!("SIGHUP: the old configuration stays: {why}"),
             },
             _ = term.recv() => {
-                println!("SIGTERM: answering what was taken");
+                tracing::info!("SIGTERM: answering what was taken");
                 desk.terminating.set(true);
                 events.push(Event::Terminate);
             }
@@ -97,14 +97,18 @@
         // Answers that were due meanwhile are late through no decision: the log should tell.
         let late = due_at.map_or(0.0, |at| desk.clock.now() - at);
         if late > limits.stall {
-            eprintln!("stood still for {late:.0} ms");
+            tracing::warn!("stood still for {late:.0} ms");
         }
         gateway.handle(events);
     }
     for (class, c) in settings.classes.iter().zip(gateway.core.counts()) {
-        println!(
+        tracing::info!(
             "{}: {} taken, {} attempts, ended {:?}, answered {:?}",
-            class.name, c.taken, c.attempts, c.outcomes, c.answers
+            class.name,
+            c.taken,
+            c.attempts,
+            c.outcomes,
+            c.answers
         );
     }
     // The last answers leave before the program does.
@@ -179,7 +183,7 @@
             }
             // Out of descriptors, or the client left again: others may still be served.
             Err(e) => {
-                eprintln!("accept: {e}");
+                tracing::error!("accept: {e}");
                 tokio::time::sleep(desk.limits.names_poll).await;
             }
         }
--- /dev/null
+++ b/tests/operator.rs
@@ -0,0 +1,121 @@
+//! The operator's file: what is right becomes settings, what is wrong is told whole, with file, line and key.
+
+use rstest::rstest;
+use starlingplank::config::{Config, ConfigError, EngineWire};
+use starlingplank::interface::{Repeat, Scope};
+use std::process::Command;
+
+const WHOLE: &str = include_str!("../deploy/clickhouse.hcl");
+
+fn problems(text: &str, platform: Option<&str>) -> Vec<String> {
+    match Config::load(platform, Some(("o.hcl", text))) {
+        Err(ConfigError::Operator(all)) => all.iter().map(ToString::to_string).collect(),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn whole_example_becomes_settings() {
+    let config = Config::load(None, Some(("o.hcl", WHOLE))).expect("it can be used");
+    let s = &config.settings;
+    assert_eq!((config.name.as_str(), s.seed, s.gateways), ("gateway-1", 0x5f2c_9a1e_77d0_4b36, 1));
+    assert_eq!((config.engines, config.known.len()), (EngineWire::ClickHouse, 2));
+    assert_eq!(s.kinds[0].memory_mb, 24_576.0);
+    assert_eq!(s.classes[2].repeat, Repeat::Keyed { scope: Scope::All, window: 12_000.0 });
+    assert!(s.classes[2].is_load && s.classes[0].waits_for_loads && !s.classes[1].is_load);
+    assert_eq!((s.classes[1].threads, s.max_retry_after, s.send_cap), (3.0, 1_000.0, 3));
+    assert_eq!(s.ration.map(|r| (r.free, r.per_request, r.span)), Some((2.0, 0.2, 10_000.0)));
+    assert!(config.clickhouse.is_some() && config.knowledge.is_none());
+}
+
+#[rstest]
+#[case("gateways      = 1", "gateways = 0", "o.hcl:11: gateways: must be a whole number from 1 to 1000000")]
+#[case(
+    "tick          = \"5ms\"",
+    "tick = 5",
+    "o.hcl:12: tick: must be text of a number and ms, s, m or h, from 0.1ms to 1s"
+)]
+#[case("\"6s\"", "\"6 sec\"", "class \"lookup\".give_up: must be text of a number and ms")]
+#[case("\"192MiB\"", "\"192MB\"", "machine.memory: must be text of a number and KiB, MiB or GiB")]
+#[case("send_cap        = 3", "send_capp = 3", "limits.send_capp: is not known here; send_cap is")]
+#[case("cancel          = true", "cancel = \"yes\"", "limits.cancel: must be true or false")]
+#[case(
+    "repeat      = \"keyed\"",
+    "repeat = \"once\"",
+    "class \"load\".repeat: must be one of safe, keyed, unsafe"
+)]
+#[case("window      = \"12s\"", "", "class \"load\".window: is missing")]
+#[case("class = \"load\"", "class = \"loads\"", "clickhouse.rule.class: \"loads\" is no class of this file")]
+#[case(
+    "kind    = \"std-12\"\n}\n\nengine",
+    "kind    = \"std\"\n}\n\nengine",
+    "engine \"ch-1\".kind: \"std\" is no kind of this file"
+)]
+#[case("engine \"ch-2\"", "engine \"ch-1\"", "engine \"ch-1\": stands already in line")]
+#[case("ratio_span        = \"10s\"", "", "rules.extra_free: needs ratio_span beside it")]
+#[case("aim             = \"1200ms\"", "aim = \"7s\"", "class \"lookup\".aim: lies past give_up")]
+#[case(
+    "listen        = \"127.0.0.1:9090\"",
+    "listen = \"localhost\"",
+    "o.hcl:7: listen: must be an IP address with a port"
+)]
+#[case("zones         = [", "zones         = [[", "is not HCL")]
+#[case("machine {", "machine = {", "machine: is a block: write machine { ... }")]
+#[case(
+    "  rule {\n    class = \"lookup\"\n  }\n",
+    "",
+    "clickhouse.rule: must end with a rule that holds for all statements"
+)]
+fn fault_is_told_with_its_line_and_key(#[case] from: &str, #[case] to: &str, #[case] told: &str) {
+    let text = WHOLE.replacen(from, to, 1);
+    assert_ne!(text, WHOLE, "{from} is in the example");
+    let all = problems(&text, None);
+    assert!(all.iter().any(|p| p.contains(told) && p.starts_with("o.hcl:")), "{all:#?}");
+}
+
+#[test]
+fn all_faults_are_told_at_once_in_the_order_of_lines() {
+    let text =
+        WHOLE.replace("gateways      = 1", "gateways = -1").replace("worth       = 5", "worth = \"5\"");
+    let all = problems(&text.replace("most_grant = 0.4", "most_grant = 40"), None);
+    assert_eq!(all.len(), 3, "{all:#?}");
+    let line = |p: &String| p.split(':').nth(1).and_then(|l| l.parse::<u32>().ok()).expect("a line");
+    assert!(all.windows(2).all(|w| line(&w[0]) < line(&w[1])), "{all:#?}");
+}
+
+const PLATFORM: &str = r#"{"listen":"127.0.0.1:0","settings":{"balancers":1,"skus":["s"],
+  "classes":[{"name":"a","on_time":5,"give_up":50,"idempotency":"idempotent"}],
+  "specifics":{"cpu_of_kind":[8],"memory_by_kind_mb":[8192],"width_by_class":[1]}}}"#;
+
+#[test]
+fn file_beside_the_platform_s_adds_its_own_keys_and_none_of_the_platform_s() {
+    let text = "knowledge {\n  folder = \"/tmp/k\"\n  every = \"2s\"\n}\nlog {\n  form = \"json\"\n}\n";
+    let config = Config::load(Some(PLATFORM), Some(("o.hcl", text))).expect("it can be used");
+    let knowledge = config.knowledge.expect("set up");
+    assert_eq!((knowledge.every, knowledge.keys, knowledge.required), (2_000.0, true, false));
+    assert!(config.log.json);
+    let all = problems("gateways = 3\nrules {\n  drain_grace = \"9s\"\n}\n", Some(PLATFORM));
+    assert_eq!(all.len(), 2, "{all:#?}");
+    assert!(all.iter().all(|p| p.ends_with("is the platform's to give; leave it out here")), "{all:#?}");
+}
+
+#[test]
+fn check_config_ends_with_1_and_a_line_for_each_fault() {
+    let file = std::env::temp_dir().join(format!("starlingplank-operator-{}.hcl", std::process::id()));
+    std::fs::write(
+        &file,
+        WHOLE.replace("cancel          = true", "cancel = 1").replace("zone          =", "zoen ="),
+    )
+    .expect("a file");
+    let run = Command::new(env!("CARGO_BIN_EXE_starlingplank"))
+        .args(["check-config", "--operator"])
+        .arg(&file)
+        .env_remove("PROXY_CONFIG")
+        .output()
+        .expect("it runs");
+    let _ = std::fs::remove_file(&file);
+    let said = String::from_utf8_lossy(&run.stderr);
+    assert_eq!(run.status.code(), Some(1));
+    assert!(said.contains("limits.cancel") && said.contains("zoen: is not known here; zone is"), "{said}");
+    assert_eq!(said.lines().count(), 2, "{said}");
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -64,7 +64,8 @@
         let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
         let mut address = || {
             let line = lines.next().expect("a line").expect("text");
-            line.split(' ').nth(3).and_then(|a| a.parse().ok()).expect("an address")
+            let at = line.split_once(" listens at ").and_then(|(_, rest)| rest.split(' ').next());
+            at.and_then(|a| a.parse().ok()).expect("an address")
         };
         let (thrift, http) = (address(), Some(address()));
         // Whatever else it says is read as it comes, so that it never waits for a reader.
@@ -92,7 +93,11 @@
         self.terminate();
         assert!(self.child.wait().expect("it ends").success());
         let said = self.said.take().expect("once").join().expect("read");
-        said.into_iter().filter(|l| l.contains(" taken, ")).collect()
+        said.iter()
+            .filter(|l| l.contains(" taken, "))
+            .filter_map(|l| l.split_once(" INFO "))
+            .map(|(_, l)| l.to_owned())
+            .collect()
     }
 
     pub fn client(&self) -> TcpStream {
