--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -6,6 +6,9 @@
 use crate::state::{Attempt, ClassState, Engine, Fleet, Key, Request, Stat, NEVER};
 use std::collections::{BTreeMap, VecDeque};
 
+#[path = "learned.rs"]
+pub mod learned;
+
 // ---- The design's figures ----
 /// Candidate bounds and bands of running threads, in threads a core.
 const LEVELS: [f64; 12] = [0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 1.75, 2.0, 2.25, 2.5, 2.75, 3.0];
@@ -187,11 +190,14 @@
             Event::Note { id, attempt, note } => self.learn_note(*id, *attempt, *note),
             Event::Probed { engine, ok, took, report } => {
                 self.learn_report(engine, report, ok.then_some(*took));
+                let heard = self.engines.get_mut(engine).filter(|_| *ok);
+                heard.into_iter().for_each(|e| e.confirmed = Some(self.now));
             }
             Event::Gone(id) => {
                 self.requests.get_mut(id).into_iter().for_each(|r| r.over = true);
                 self.forget(*id);
             }
+            Event::Recalled(learned) => self.recall(learned),
             Event::Timer(_) | Event::Peer(_) | Event::Streaming { .. } => {}
         }
     }
@@ -332,13 +338,14 @@
         }
         let failed = match how {
             Outcome::Ok => {
-                e.last_answer = now;
+                (e.last_answer, e.confirmed) = (now, Some(now));
                 if e.ejected.take().is_some() && sent > e.back {
                     e.back = now; // the trial went well: slow start from here
                 }
                 let unit = work.map_or(best, |w| w / width).max(1.0);
                 let slow = (took / unit).clamp(0.1, SLOW_MOST);
                 e.slow += SLOW_WEIGHT * (slow - e.slow);
+                e.show_warmth(slow, width, self.s.cold_from);
                 let weight = SPEED_WEIGHT * width * (took / SPEED_SPAN).min(1.0);
                 self.fleet.speed += weight * (1.0 / slow - self.fleet.speed);
                 Some(false)
@@ -406,7 +413,7 @@
         }
         // An engine that sends notes is not silent.
         let Some(e) = self.engines.get_mut(&a.engine) else { return };
-        e.last_answer = now;
+        (e.last_answer, e.confirmed) = (now, Some(now));
         if note == Note::WaitsForLoad {
             e.held_for.extend(r.asked.data.map(|d| (d, now + c.best * r.size)));
         }
@@ -414,6 +421,7 @@
 
     /// One latency, at the size of a usual query of its class, at that many threads a core.
     fn add_sample(&mut self, class: ClassId, level: f64, latency: Ms) {
+        self.classes[class.0].confirmed = Some(self.now);
         let stat = &mut self.classes[class.0].bands[band(level)];
         let cut = stat.mean + CLIP * stat.var.sqrt().max(stat.mean * 0.5);
         let most = if stat.n >= ENOUGH { cut } else { self.s.classes[class.0].give_up };
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -9,3 +9,5 @@
 pub mod decide;
 pub mod interface;
 mod state;
+
+pub use decide::learned;
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -45,6 +45,8 @@
     pub runtime: f64,
     /// Memory asked for over the estimate.
     pub grant: f64,
+    /// When an outcome last told of it.
+    pub confirmed: Option<Ms>,
     /// Of the two groups, the one with long runtimes.
     pub long: bool,
 }
@@ -114,6 +116,12 @@
     /// When that is drawn anew.
     pub redraw: Ms,
     pub started: Option<Ms>,
+    /// Its start was not told but is suspected: nobody knows that it is still the process that was warm.
+    pub suspect: bool,
+    /// Answers in a row that show it to be warm.
+    pub proofs: u32,
+    /// When it last answered anything, in this life of the gateway.
+    pub confirmed: Option<Ms>,
     pub probed: Ms,
     /// Data sets that another gateway's load is thought to hold here, until then.
     pub held_for: BTreeMap<DataSet, Ms>,
@@ -183,6 +191,9 @@
             chance: 1.0,
             redraw: now,
             started: None,
+            suspect: false,
+            proofs: 0,
+            confirmed: None,
             probed: NEVER,
             held_for: BTreeMap::new(),
             loading: BTreeMap::new(),
--- /dev/null
+++ b/crates/knowledge/src/lib.rs
@@ -0,0 +1,22 @@
+//! What a gateway has learned, and the idempotency keys it has sent, kept through restarts.
+//!
+//! In come the module's records ([`Learned`](starlingplank_decision::learned::Learned)) and keyed sends; out come
+//! records that are still worth something after so long ([`recall`]), and the word whether a keyed request may
+//! leave now ([`gate`]). The rule that is kept: **what may have been sent under a key is never forgotten while an
+//! engine would run it again**, whatever stops the program; and an engine that may have started anew unseen is cold.
+//!
+//! [`snapshot`], [`records`] and [`keylog`] hold the bytes, [`store`] their files on a [`disk`]; [`recall`] and
+//! [`gate`] are pure. The I/O is in [`folder`] and [`keeper`].
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod disk;
+pub mod folder;
+pub mod gate;
+pub mod keeper;
+pub mod keylog;
+pub mod recall;
+pub mod records;
+pub mod show;
+pub mod snapshot;
+pub mod store;
--- /dev/null
+++ b/crates/knowledge/tests/keeper.rs
@@ -0,0 +1,200 @@
+//! The threads that write: what hangs holds up nobody, what fails is told, what waits goes out together.
+
+mod common;
+
+use common::snapshot;
+use starlingplank_knowledge::disk::Disk;
+use starlingplank_knowledge::folder::{Files, Folder, FolderError};
+use starlingplank_knowledge::gate::{key, Rewrite, Sent};
+use starlingplank_knowledge::keeper::{KeyKeeper, KeyNews, Offset, SnapshotKeeper, SnapshotNews, Written};
+use starlingplank_knowledge::show;
+use starlingplank_knowledge::store::Store;
+use starlingplank_standins::disk::{Fault, FaultyDisk};
+use std::io;
+use std::os::unix::fs::PermissionsExt;
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Condvar, Mutex};
+
+const MOST: usize = 1 << 20;
+const OFFSET: Offset = Offset { by: 0.0, boot: [1; 16] };
+
+/// A disk whose syncs hang until it is let go.
+struct Hanging(FaultyDisk, Arc<(Mutex<bool>, Condvar)>);
+
+impl Disk for Hanging {
+    fn names(&self) -> io::Result<Vec<String>> {
+        self.0.names()
+    }
+    fn read(&self, name: &str, most: u64) -> io::Result<Option<Vec<u8>>> {
+        self.0.read(name, most)
+    }
+    fn create(&mut self, name: &str) -> io::Result<()> {
+        self.0.create(name)
+    }
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<usize> {
+        self.0.append(name, bytes)
+    }
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        let (open, changed) = &*self.1;
+        let mut open = open.lock().expect("lock");
+        while !*open {
+            open = changed.wait(open).expect("wait");
+        }
+        self.0.sync(name)
+    }
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.0.rename(from, to)
+    }
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.0.remove(name)
+    }
+    fn sync_names(&mut self) -> io::Result<()> {
+        self.0.sync_names()
+    }
+}
+
+fn hanging() -> (Hanging, impl Fn()) {
+    let gate = Arc::new((Mutex::new(false), Condvar::new()));
+    let opener = gate.clone();
+    let open = move || {
+        *opener.0.lock().expect("lock") = true;
+        opener.1.notify_all();
+    };
+    (Hanging(FaultyDisk::new(1), gate), open)
+}
+
+fn keys(disk: Box<dyn Disk>) -> (KeyKeeper, Receiver<(KeyNews, Written)>) {
+    let (tell, news) = channel();
+    let keeper = KeyKeeper::start(disk, OFFSET, move |n, w| drop(tell.send((n, w)))).expect("it starts");
+    (keeper, news)
+}
+
+fn begin() -> Rewrite {
+    Rewrite { keys: Vec::new(), mark: Some((1.0, 0.0)) }
+}
+
+#[test]
+fn snapshot_that_hangs_holds_up_no_caller_and_the_ones_behind_it_are_left_out() {
+    let (disk, open) = hanging();
+    let (tell, news) = channel();
+    let (store, _) = Store::open(Box::new(disk), MOST).expect("empty");
+    let mut keeper = SnapshotKeeper::start(store, move |n| drop(tell.send(n))).expect("it starts");
+    let taken = (0..50).filter(|n| keeper.save(snapshot(f64::from(*n), 1))).count();
+    // One is being written and one waits, or the first was not picked up yet.
+    assert!((1..=2).contains(&taken), "{taken}");
+    assert!(!keeper.finished() && news.try_recv().is_err());
+    open();
+    assert!(matches!(news.recv(), Ok(SnapshotNews::Saved(_))));
+    while !keeper.finished() {
+        std::thread::yield_now();
+    }
+}
+
+#[test]
+fn records_that_wait_together_are_durable_by_one_sync_and_each_is_told_of() {
+    let (disk, open) = hanging();
+    let (keeper, news) = keys(Box::new(disk));
+    assert!(keeper.rewrite(begin()));
+    let sent = Sent { at: 5.0, window: 12_000.0 };
+    assert!((0..100).all(|n| keeper.record(n, key(&n.to_string()), sent)));
+    assert!(news.try_recv().is_err(), "none is durable yet");
+    open();
+    let mut told = Vec::new();
+    while told.len() < 100 {
+        match news.recv().expect("news") {
+            (KeyNews::Recorded(tickets), _) => told.extend(tickets),
+            (KeyNews::Rewritten(_), _) => {}
+            (news, _) => panic!("{news:?}"),
+        }
+    }
+    assert_eq!(told, (0..100).collect::<Vec<_>>());
+}
+
+#[test]
+fn log_that_failed_takes_nothing_until_it_is_begun_anew() {
+    let disk = FaultyDisk::new(1);
+    let (keeper, news) = keys(Box::new(disk.clone()));
+    assert!(keeper.rewrite(begin()));
+    assert!(matches!(news.recv(), Ok((KeyNews::Rewritten(_), _))));
+    let sent = Sent { at: 5.0, window: 12_000.0 };
+    disk.fault(0, Fault::Full);
+    for ticket in 0..2 {
+        assert!(keeper.record(ticket, key("a"), sent));
+        assert!(matches!(news.recv(), Ok((KeyNews::Failed(t, _), _)) if t == [ticket]));
+    }
+    disk.restart();
+    assert!(keeper.record(2, key("a"), sent));
+    assert!(
+        matches!(news.recv(), Ok((KeyNews::Failed(..), _))),
+        "there is space, but how the file ends is unknown"
+    );
+    assert!(keeper.rewrite(begin()) && keeper.record(3, key("a"), sent));
+    assert!(matches!(news.recv(), Ok((KeyNews::Rewritten(_), _))));
+    assert!(matches!(news.recv(), Ok((KeyNews::Recorded(t), _)) if t == [3]));
+}
+
+#[test]
+fn more_than_may_wait_are_turned_away_at_once() {
+    let (disk, open) = hanging();
+    let (keeper, _news) = keys(Box::new(disk));
+    keeper.rewrite(begin());
+    let sent = Sent { at: 5.0, window: 12_000.0 };
+    let taken = (0..10_000).filter(|n| keeper.record(*n, key("a"), sent)).count();
+    assert!(taken < 5_000, "{taken}");
+    open();
+}
+
+#[test]
+fn folder_is_the_owner_s_alone_and_one_process_s() {
+    let parent = tempfile::tempdir().expect("a folder");
+    let path = parent.path().join("a/b");
+    let folder = Folder::open(&path).expect("it is made");
+    let mode = |p: &std::path::Path| std::fs::metadata(p).expect("there").permissions().mode() & 0o777;
+    assert_eq!((mode(&path), mode(&path.join("lock"))), (0o700, 0o600));
+    assert!(matches!(Folder::open(&path), Err(FolderError::Held(_))));
+    let (mut store, _) = Store::open(Box::new(folder.disk()), MOST).expect("empty");
+    store.save(&snapshot(1.0, 1)).expect("saved");
+    assert_eq!(mode(&path.join("snapshot-0000000000000001.spk")), 0o600);
+    drop(folder);
+    std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o755)).expect("set");
+    let refused = Folder::open(&path).expect_err("others may read it").to_string();
+    assert!(refused.contains("chmod 700"), "{refused}");
+    let file = parent.path().join("file");
+    std::fs::write(&file, "x").expect("a file");
+    assert!(matches!(Folder::open(&file), Err(FolderError::Io(..))));
+    assert!(matches!(Folder::open(&file.join("under")), Err(FolderError::Io(..))));
+}
+
+#[test]
+fn verify_tells_whole_from_faulty_from_nothing() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let code = || show::verify(folder.path()).expect("read");
+    assert_eq!(code().code(), 2);
+    assert_eq!(show::verify(&folder.path().join("none")).expect("read").code(), 2);
+    let (mut store, _) = Store::open(Box::new(Files::new(folder.path())), MOST).expect("empty");
+    store.save(&snapshot(1.0, 1)).expect("saved");
+    let (keeper, news) = keys(Box::new(Files::new(folder.path())));
+    keeper.rewrite(begin());
+    assert!(matches!(news.recv(), Ok((KeyNews::Rewritten(_), _))));
+    assert_eq!(code().code(), 0);
+    let log = folder.path().join("keys-0000000000000001.spl");
+    let mut bytes = std::fs::read(&log).expect("there");
+    bytes.extend([1, 2, 3]);
+    std::fs::write(&log, &bytes).expect("written");
+    assert_eq!((code().code(), code().torn), (0, 3), "a torn end is no fault");
+    bytes[3] ^= 1;
+    std::fs::write(&log, &bytes).expect("written");
+    let verdict = code();
+    assert_eq!((verdict.code(), verdict.faults[0].offset), (1, Some(3)));
+    assert!(verdict.faults[0].to_string().starts_with("keys-0000000000000001.spl: at byte 3"), "{verdict:?}");
+    let shown = show::show(folder.path(), 61.0, &RULES).expect("read").expect("a snapshot");
+    let text = show::text(&shown);
+    assert!(text.contains("engines[s-0].slowness = 1\n") && text.contains("age_ms = 60\n"), "{text}");
+}
+
+const RULES: starlingplank_knowledge::recall::Rules = starlingplank_knowledge::recall::Rules {
+    restart_within: 3_000.0,
+    keep_for: 3_600_000.0,
+    list_wait: 60_000.0,
+    tip_after: 2_000.0,
+};
--- /dev/null
+++ b/crates/knowledge/tests/twice.rs
@@ -0,0 +1,219 @@
+//! Nothing keyed runs twice. Lives of a gateway in virtual time, one after the other, on a disk that fails, each ended
+//! at any moment; clients that repeat their loads; engines that drop repeats of a key for a window and no longer.
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use starlingplank_knowledge::gate::{key, Admission, Gate, Key, Leave, Log, Sends, Sent};
+use starlingplank_knowledge::keylog::{self, KeyLog, Mark, Record};
+use starlingplank_standins::disk::{Fault, FaultyDisk};
+use std::collections::HashMap;
+
+const WINDOW: f64 = 12_000.0;
+const MARGIN: f64 = 20.0;
+const KEYS: u64 = 12;
+
+/// All engines as one: repeats are dropped by any of them.
+#[derive(Default)]
+struct Engines {
+    first: HashMap<Key, f64>,
+    /// When each run of a key began, and when its request had come.
+    runs: HashMap<Key, Vec<(f64, f64)>>,
+}
+
+impl Engines {
+    fn take(&mut self, key: Key, came: f64, now: f64) {
+        if self.first.get(&key).is_some_and(|at| now < at + WINDOW) {
+            return;
+        }
+        self.first.insert(key, now);
+        self.runs.entry(key).or_default().push((now, came));
+    }
+
+    /// Runs of a request that had come within the window of an earlier run, or before it.
+    fn twice(&self) -> usize {
+        let again = |runs: &Vec<(f64, f64)>| runs.windows(2).filter(|w| w[1].1 < w[0].0 + WINDOW).count();
+        self.runs.values().map(again).sum()
+    }
+
+    fn all(&self) -> usize {
+        self.runs.values().map(Vec::len).sum()
+    }
+}
+
+struct Life {
+    gate: Gate,
+    log: Option<KeyLog>,
+    /// Between clocks: the machine's is this much ahead.
+    offset: f64,
+    boot: [u8; 16],
+}
+
+impl Life {
+    fn start(disk: &FaultyDisk, mode: Log, now: f64, offset: f64, boot: [u8; 16]) -> Self {
+        let mut gate = Gate::new(mode, WINDOW, 1_000, now);
+        let log = matches!(mode, Log::Open { .. }).then(|| {
+            let found = keylog::recover(disk, now + offset, Some(boot), WINDOW);
+            if let Some((sends, shut)) = found.trusted {
+                let here =
+                    |(k, s): (Key, Sends)| (k, Sends { first: s.first - offset, last: s.last - offset, ..s });
+                let shut = if shut > 0.0 { shut - offset } else { 0.0 };
+                gate.trust(sends.into_iter().map(here), shut, now);
+            }
+            KeyLog::open(Box::new(disk.clone()))
+        });
+        let mut life = Self { gate, log: log.and_then(Result::ok), offset, boot };
+        life.tend(now);
+        life
+    }
+
+    fn mark(&self, (at, shut): (f64, f64)) -> Mark {
+        let shut_until = if shut > 0.0 { shut + self.offset } else { 0.0 };
+        Mark { at: at + self.offset, shut_until, boot: self.boot }
+    }
+
+    /// Once a second.
+    fn tend(&mut self, now: f64) {
+        if let Some(rewrite) = self.gate.rewrite(now) {
+            let keys: Vec<_> = rewrite
+                .keys
+                .iter()
+                .map(|(k, s)| (*k, Sends { first: s.first + self.offset, last: s.last + self.offset, ..*s }))
+                .collect();
+            let mark = rewrite.mark.map(|m| self.mark(m));
+            match self.log.as_mut().map(|log| log.rewrite(&keys, mark)) {
+                Some(Ok(_)) => drop(self.gate.rewritten(&rewrite.keys)),
+                _ => drop(self.gate.failed()),
+            }
+        }
+        if let Some(mark) = self.gate.mark(now) {
+            let mark = self.mark(mark);
+            let wrote = self.log.as_mut().map(|log| log.append(&[Record::Mark(mark)]));
+            if !matches!(wrote, Some(Ok(_))) {
+                self.gate.failed();
+            }
+        }
+    }
+
+    fn leave(&mut self, key: Key, now: f64) -> bool {
+        match self.gate.leave(&key, WINDOW, now) {
+            Leave::No => false,
+            Leave::Now => true,
+            Leave::AfterRecord(sent) => {
+                let there = Sent { at: sent.at + self.offset, ..sent };
+                match self.log.as_mut().map(|log| log.append(&[Record::Sent(key, there)])) {
+                    Some(Ok(_)) => self.gate.recorded(&key, sent, now),
+                    _ => {
+                        self.gate.failed();
+                        false
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// What the disk may do.
+#[derive(Clone, Copy, PartialEq)]
+enum Disk {
+    /// Nothing but stop with the program.
+    Good,
+    /// Fail, run full, and be gone for whole lives.
+    Bad,
+}
+
+/// Ten minutes of lives, and what the engines saw.
+fn play(seed: u64, required: bool, disk_is: Disk, log: bool) -> (Engines, u32) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let disk = FaultyDisk::new(seed);
+    let mut engines = Engines::default();
+    let mut now = 1_000_000.0;
+    let (mut machine, mut boot) = (5_000.0, [1; 16]);
+    let mut lives = 0;
+    while now < 1_600_000.0 {
+        lives += 1;
+        let gone = disk_is == Disk::Bad && !required && rng.random_bool(0.15);
+        let mode = match (log, gone) {
+            (false, _) => Log::Off,
+            (true, true) => Log::Missing,
+            (true, false) => Log::Open { required },
+        };
+        let mut life = Life::start(&disk, mode, now, machine - now, boot);
+        let born = now;
+        let most = if rng.random_bool(0.3) { 60_000.0 } else { 9_000.0 };
+        let end = now + rng.random_range(50.0..most);
+        let mut waiting: Vec<(f64, Key, f64, f64)> = Vec::new();
+        let mut second = now;
+        if rng.random_bool(0.3) {
+            disk.fault(
+                rng.random_range(0..30),
+                if rng.random() { Fault::StopBefore } else { Fault::StopAfter },
+            );
+        }
+        while now < end && !disk.stopped() {
+            now += rng.random_range(1.0..120.0);
+            if now >= second + 1_000.0 {
+                second = now;
+                life.tend(now);
+                if disk_is == Disk::Bad && rng.random_bool(0.05) {
+                    let all = [Fault::Fail, Fault::FailAfter, Fault::Full];
+                    disk.fault(rng.random_range(0..4), all[rng.random_range(0..3)]);
+                }
+            }
+            if rng.random_bool(0.5) {
+                let key = key(&rng.random_range(0..KEYS).to_string());
+                if let Admission::Until(by) = life.gate.admit(&key, WINDOW, now, MARGIN) {
+                    // Some wait long: it is what makes repeats dangerous.
+                    let wait = if rng.random_bool(0.2) { 25_000.0 } else { 700.0 };
+                    waiting.push((now + rng.random_range(0.0..wait), key, by, now));
+                }
+            }
+            let due: Vec<_> = waiting.extract_if(.., |w| w.0 <= now).collect();
+            for (_, key, by, came) in due {
+                if now < by && life.leave(key, now) {
+                    engines.take(key, came, now + rng.random_range(0.0..MARGIN / 2.0));
+                }
+            }
+        }
+        disk.restart();
+        let down = if rng.random_bool(0.7) {
+            rng.random_range(5.0..3_000.0)
+        } else {
+            rng.random_range(0.0..40_000.0)
+        };
+        machine += now - born + down;
+        now += down;
+        if rng.random_bool(0.1) {
+            (machine, boot) = (rng.random_range(0.0..20_000.0), [rng.random(); 16]);
+        }
+    }
+    (engines, lives)
+}
+
+#[test]
+fn nothing_keyed_runs_twice_through_stops_at_any_point() {
+    let (mut runs, mut lives) = (0, 0);
+    for seed in 0..300 {
+        let (engines, n) = play(seed, seed % 2 == 0, Disk::Good, true);
+        assert_eq!(engines.twice(), 0, "seed {seed}");
+        (runs, lives) = (runs + engines.all(), lives + n);
+    }
+    assert!(runs > 10_000 && lives > 5_000, "loads do run: {runs} in {lives} lives");
+}
+
+#[test]
+fn nothing_keyed_runs_twice_on_a_disk_that_fails_or_is_gone() {
+    let mut runs = 0;
+    for seed in 1_000..1_300 {
+        let (engines, _) = play(seed, seed % 2 == 0, Disk::Bad, true);
+        assert_eq!(engines.twice(), 0, "seed {seed}");
+        runs += engines.all();
+    }
+    assert!(runs > 5_000, "loads do run: {runs}");
+}
+
+/// The same lives without a log: the test sees what it is for.
+#[test]
+fn without_a_log_loads_do_run_twice() {
+    let twice: usize = (0..40).map(|seed| play(seed, false, Disk::Good, false).0.twice()).sum();
+    assert!(twice > 20, "{twice}");
+}
--- a/src/config/schema.rs
+++ b/src/config/schema.rs
@@ -264,7 +264,7 @@
             may("keep_for", "keep_for", Form::Duration(1_000.0, 30.0 * DAY)),
             may("list_wait", "list_wait", Form::Duration(0.0, HOUR)),
             may("keys", "keys", Form::Flag),
-            may("key_wait", "key_wait", Form::Duration(1.0, 10_000.0)),
+            may("key_wait", "key_wait", Form::Duration(1.0, 250.0)),
             may("most_keys", "most_keys", Form::Count(1, 10_000_000)),
         ],
         blocks: &[],
