Knowledge survives a restart: the reducer and the runtime keep it, show it and verify it

Need: as crates/knowledge has it; it was not in the program yet. Change: a keyed attempt leaves once its record is durable (an effect and its news), and is answered at once where the log can't take it; the list gives engines back what an earlier life knew; two threads write, none of them the reducer's. knowledge { } in the operator's file sets it up; a folder that can't be used is a line in the log, or the end of a start where required. New commands: knowledge show, knowledge verify.

--- a/crates/knowledge/src/recall.rs
+++ b/crates/knowledge/src/recall.rs
@@ -35,6 +35,10 @@
     pub tip_after: Ms,
 }
 
+/// What holds where an operator says nothing.
+pub const DEFAULT: Rules =
+    Rules { restart_within: 3_000.0, keep_for: 3_600_000.0, list_wait: 60_000.0, tip_after: 2_000.0 };
+
 /// An engine as the list names it now.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Named {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -11,6 +11,7 @@
 use crate::net::front::rules::ClassRules;
 use crate::wire::{self, Fields, WireError};
 use miniserde::json::{self, Number, Value};
+use starlingplank_knowledge::recall;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use thiserror::Error;
@@ -57,8 +58,6 @@
     pub most_bytes: usize,
     /// Whether idempotency keys are logged.
     pub keys: bool,
-    /// A record that is not on disk by then has failed.
-    pub key_wait: Ms,
     /// Keys held at most.
     pub most_keys: usize,
     /// An engine cannot stop and be back within less: one unheard of for longer is treated as perhaps cold.
@@ -225,11 +224,10 @@
             every: f.number_or("knowledge.every", 1_000.0)?,
             most_bytes: (f.number_or("knowledge.most_mb", 16.0)? * 1024.0 * 1024.0) as usize,
             keys: f.opt("knowledge.keys") != Some("false"),
-            key_wait: f.number_or("knowledge.key_wait", 250.0)?,
             most_keys: f.number_or("knowledge.most_keys", 100_000.0)? as usize,
-            restart_within: f.number_or("knowledge.restart_within", 3_000.0)?,
-            keep_for: f.number_or("knowledge.keep_for", 3_600_000.0)?,
-            list_wait: f.number_or("knowledge.list_wait", 60_000.0)?,
+            restart_within: f.number_or("knowledge.restart_within", recall::DEFAULT.restart_within)?,
+            keep_for: f.number_or("knowledge.keep_for", recall::DEFAULT.keep_for)?,
+            list_wait: f.number_or("knowledge.list_wait", recall::DEFAULT.list_wait)?,
         }))
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,9 @@
 use crate::decide::Gateway;
 use crate::interface::*;
 use crate::limits::Limits;
+use starlingplank_decision::learned::Learned;
+use starlingplank_knowledge::gate::{self, Admission, Gate, Key, Leave, Rewrite, Sends, Sent};
+use starlingplank_knowledge::recall::{Named, Recall};
 use std::collections::{BTreeMap, BinaryHeap};
 use std::fmt::Debug;
 use std::future::Future;
@@ -147,6 +150,14 @@
     Turn,
     /// The end was asked for.
     Terminate,
+    /// Records of keyed sends are durable.
+    Recorded(Vec<u64>),
+    /// They may not be, and the log takes no more.
+    RecordsFailed(Vec<u64>),
+    /// The log was begun anew, with those keys.
+    LogBegun(Vec<(Key, Sends)>),
+    /// Time to look after the log of keys; once a second.
+    Tend,
 }
 
 /// What an attempt carries.
@@ -187,6 +198,12 @@
     Part(RequestId, Vec<u8>),
     /// Give the final answer.
     Answer(RequestId, Answer),
+    /// Write a record of a keyed send, and tell of it under its number.
+    Record(u64, Key, Sent),
+    /// Write that the log is whole: the time, and until when nothing keyed may leave.
+    Mark(Ms, Ms),
+    /// Begin the log anew.
+    Rewrite(Rewrite),
     /// All is answered: leave.
     Exit,
 }
@@ -195,11 +212,14 @@
     engine: EngineId,
     sent: Ms,
     out: bool,
+    /// It leaves once this record of it is durable, and is answered by then.
+    record: Option<(u64, Sent, Ms)>,
 }
 
 struct Request {
     statement: Rc<Statement>,
     class: ClassId,
+    key: Option<(Key, Ms)>,
     deadline: Ms,
     /// A keyed statement may not leave later than this: an engine that saw its key before forgets it then.
     send_by: Ms,
@@ -220,6 +240,7 @@
     Leave,
     Turn,
     AnswerAll,
+    Record(u64),
 }
 
 /// Timers order by time alone, earliest first.
@@ -263,8 +284,12 @@
     serial: Option<u64>,
     engines: BTreeMap<EngineId, Listed>,
     requests: BTreeMap<RequestId, Request>,
-    /// First sends by idempotency key.
-    keys: BTreeMap<String, Ms>,
+    /// Sends by idempotency key.
+    gate: Gate,
+    /// Records that are being written.
+    records: BTreeMap<u64, AttemptId>,
+    /// What an earlier life knew, until the list has named its engines.
+    recall: Option<Recall>,
     probes: BTreeMap<u64, (EngineId, Ms)>,
     timers: BinaryHeap<Timer>,
     numbers: u64,
@@ -291,7 +316,9 @@
             serial: None,
             engines: BTreeMap::new(),
             requests: BTreeMap::new(),
-            keys: BTreeMap::new(),
+            gate: Gate::off(),
+            records: BTreeMap::new(),
+            recall: None,
             probes: BTreeMap::new(),
             timers: BinaryHeap::new(),
             numbers: 0,
@@ -303,6 +330,26 @@
         })
     }
 
+    /// Keeps keys by that gate, and gives the module back what an earlier life knew. Before the first event.
+    pub fn resume(&mut self, gate: Gate, recall: Option<Recall>) {
+        (self.gate, self.recall) = (gate, recall);
+    }
+
+    /// What was learned so far.
+    pub fn learned(&self, now: Ms) -> Learned {
+        Learned { at: now, ..self.module.learned() }
+    }
+
+    /// Where the engines of the list are, by their ids.
+    pub fn addresses(&self) -> BTreeMap<String, String> {
+        self.engines.iter().map(|(id, l)| (id.0.to_string(), l.address.to_string())).collect()
+    }
+
+    /// How keys are kept.
+    pub fn gate(&self) -> &Gate {
+        &self.gate
+    }
+
     /// Attempts and outcomes by class, in the order of the settings.
     pub fn counts(&self) -> &[Counts] {
         &self.counts
@@ -334,6 +381,19 @@
             Event::Probed(tag, ok, report) => self.probed(now, tag, ok, report),
             Event::Clock => self.clock(now, effects),
             Event::Turn => self.turn(now, effects),
+            Event::Recorded(numbers) => {
+                numbers.into_iter().for_each(|n| self.recorded(now, n, true, effects))
+            }
+            Event::RecordsFailed(numbers) => {
+                self.gate.failed();
+                numbers.into_iter().for_each(|n| self.recorded(now, n, false, effects));
+            }
+            Event::LogBegun(keys) => {
+                if self.gate.rewritten(&keys) {
+                    self.mark(now, effects);
+                }
+            }
+            Event::Tend => self.tend(now, effects),
             Event::Terminate => {
                 if self.terminating.is_none() {
                     self.terminating = Some(now);
@@ -372,8 +432,17 @@
             effects.push(Effect::Shut(engine.clone()));
             self.timer(now + self.limits.gone_grace, Due::Gone(engine));
         }
+        let named = |l: &Listed| Named {
+            id: l.member.engine.0.to_string(),
+            address: l.address.to_string(),
+            started: l.member.started,
+        };
+        let back =
+            self.recall.as_mut().and_then(|r| r.list(&list.iter().map(named).collect::<Vec<_>>(), now));
         let members = list.into_iter().map(|l| l.member).collect();
         self.pending.push(crate::interface::Event::Members { whole: true, members });
+        self.pending.extend(back.map(|b| crate::interface::Event::Recalled(Box::new(b))));
+        self.recall.take_if(|r| r.over(now));
     }
 
     fn take(&mut self, now: Ms, ask: Ask, effects: &mut Vec<Effect>) {
@@ -385,19 +454,25 @@
             effects.push(Effect::Answer(id, Answer::Refused(self.settings.max_retry_after)));
             return;
         }
+        // A repeat that came while the engines remember its key must not leave after it: it would run twice.
+        let key =
+            ask.statement.key.as_ref().zip(self.window(class)).map(|(k, window)| (gate::key(k), window));
+        let admitted = key.map(|(k, window)| self.gate.admit(&k, window, now, self.limits.answer_margin));
+        let send_by = match admitted {
+            None => f64::INFINITY,
+            Some(Admission::Until(by)) => by,
+            Some(Admission::Later(wait)) => {
+                self.counts[class.0].answers[1] += 1;
+                let wait = wait.min(self.settings.max_retry_after);
+                return effects.push(Effect::Answer(id, Answer::Refused(wait)));
+            }
+        };
         self.open += 1;
         self.held += ask.statement.bytes();
-        // The engines drop a repeat only for so long after the key's first send. A repeat that came within
-        // that time must not leave after it: it would run twice.
-        let window = self.window(class);
-        let first = ask.statement.key.as_ref().and_then(|k| self.keys.get(k));
-        let send_by = match (window, first) {
-            (Some(window), Some(first)) if now < first + window => first + window - self.limits.answer_margin,
-            _ => f64::INFINITY,
-        };
         let request = Request {
             statement: ask.statement,
             class,
+            key,
             deadline,
             send_by,
             attempts: Vec::new(),
@@ -540,7 +615,12 @@
                     }
                 }
                 Due::AnswerAll => self.answer_all(now, effects),
-                Due::Attempt(_) | Due::Gone(_) | Due::Leave | Due::Turn => {}
+                // The disk hangs: what waits for it ends, and the log is not relied on until it is begun anew.
+                Due::Record(number) if self.records.contains_key(&number) => {
+                    self.gate.failed();
+                    self.recorded(now, number, false, effects);
+                }
+                Due::Attempt(_) | Due::Gone(_) | Due::Leave | Due::Turn | Due::Record(_) => {}
             }
         }
     }
@@ -643,28 +723,81 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let number = r.attempts.len() as u32;
         let lone = r.attempts.iter().all(|a| !a.out) || self.settings.may_copy;
-        r.attempts.push(Attempt { engine: engine.clone(), sent: now, out: true });
+        r.attempts.push(Attempt { engine: engine.clone(), sent: now, out: true, record: None });
         let ends = r.deadline - self.limits.answer_margin;
         let ends = if timeout > 0.0 { ends.min(now + timeout) } else { ends };
-        let (Some(address), true) = (address, lone && !r.over && now < r.send_by && now < ends) else {
-            return self.end(now, (id, number), End::plain(Outcome::Moot), effects);
+        let may = address.is_some() && lone && !r.over && now < r.send_by && now < ends;
+        let leave = match r.key.filter(|_| may) {
+            Some((key, window)) => self.gate.leave(&key, window, now),
+            None if may => Leave::Now,
+            None => Leave::No,
+        };
+        match leave {
+            Leave::No => self.end(now, (id, number), End::plain(Outcome::Moot), effects),
+            Leave::Now => self.go(now, (id, number), ends, effects),
+            Leave::AfterRecord(sent) => {
+                let Some((key, _)) = r.key else { return };
+                self.numbers += 1;
+                let record = self.numbers;
+                if let Some(a) = r.attempts.last_mut() {
+                    a.record = Some((record, sent, ends));
+                }
+                self.records.insert(record, (id, number));
+                self.timer(now + self.limits.record, Due::Record(record));
+                effects.push(Effect::Record(record, key, sent));
+            }
+        }
+    }
+
+    /// An attempt leaves, if its engine still takes work.
+    fn go(&mut self, now: Ms, id: AttemptId, ends: Ms, effects: &mut Vec<Effect>) {
+        let Some(r) = self.requests.get(&id.0) else { return };
+        let Some(engine) = r.attempts.get(id.1 as usize).map(|a| a.engine.clone()) else { return };
+        let listed = self.engines.get(&engine).filter(|l| l.member.availability == Availability::Live);
+        let Some(address) = listed.map(|l| l.address).filter(|_| now < ends) else {
+            return self.end(now, id, End::plain(Outcome::Moot), effects);
         };
         self.counts[r.class.0].attempts += 1;
-        let (statement, (memory_mb, priority)) = (r.statement.clone(), r.terms);
-        let class = r.class;
+        let (memory_mb, priority) = r.terms;
         effects.push(Effect::Send(Send {
-            id: (id, number),
+            id,
             engine,
             address,
-            statement: statement.clone(),
+            statement: r.statement.clone(),
             budget: ends - now,
             memory_mb,
             priority,
         }));
-        self.timer(ends, Due::Attempt((id, number)));
-        if let (Some(window), Some(key)) = (self.window(class), &statement.key) {
-            self.keys.retain(|_, at| now < *at + window);
-            self.keys.entry(key.clone()).or_insert(now);
+        self.timer(ends, Due::Attempt(id));
+    }
+
+    /// A record is durable, or never will be. Late words on one whose attempt was given up change nothing.
+    fn recorded(&mut self, now: Ms, number: u64, durable: bool, effects: &mut Vec<Effect>) {
+        let Some(id) = self.records.remove(&number) else { return };
+        let Some(r) = self.requests.get_mut(&id.0) else { return };
+        let (Some((key, _)), over, by) = (r.key, r.over, r.send_by) else { return };
+        let Some(a) = r.attempts.get_mut(id.1 as usize) else { return };
+        let Some((_, sent, ends)) = a.record.take() else { return };
+        let in_time = durable && self.gate.recorded(&key, sent, now);
+        if !a.out {
+            return;
         }
+        if in_time && !over && now < by {
+            self.go(now, id, ends, effects);
+        } else {
+            self.end(now, id, End::plain(Outcome::Moot), effects);
+        }
+    }
+
+    /// Looks after the log: a mark, or a new file where the old one failed or has grown long.
+    fn tend(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+        match self.gate.rewrite(now) {
+            Some(rewrite) => effects.push(Effect::Rewrite(rewrite)),
+            None => self.mark(now, effects),
+        }
+    }
+
+    fn mark(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+        effects.extend(self.gate.mark(now).map(|(at, shut_until)| Effect::Mark(at, shut_until)));
     }
 }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -76,6 +76,12 @@
     pub term_answer: Ms,
     /// Time for the last answers to leave.
     pub term_flush: Duration,
+    /// A record of a keyed send that is not durable by then has failed.
+    pub record: Ms,
+    /// Time between two looks after the log of keys.
+    pub tend: Duration,
+    /// Time for the last snapshot to be written.
+    pub term_snapshot: Duration,
 }
 
 impl Limits {
@@ -122,6 +128,9 @@
             term_window: 800.0,
             term_answer: 3_300.0,
             term_flush: ms(200.0),
+            record: f.number_or("knowledge.key_wait", 250.0)?.clamp(1.0, 250.0),
+            tend: ms(1_000.0),
+            term_snapshot: ms(500.0),
         })
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,9 @@
 
 use clap::{Parser, Subcommand};
 use starlingplank::config::{Config, ConfigError};
-use starlingplank::net::{log, runtime};
+use starlingplank::net::front::Clock;
+use starlingplank::net::{keep, log, runtime};
+use starlingplank_knowledge::{recall, show};
 use std::error::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -21,10 +23,34 @@
     Serve(Files),
     /// Read the configuration, say whether it can be used, and end
     CheckConfig(Files),
+    /// What is kept through restarts
+    #[command(subcommand)]
+    Knowledge(Knowledge),
     /// Say which version this is
     Version,
 }
 
+#[derive(Subcommand)]
+enum Knowledge {
+    /// Every figure of the last snapshot, with its age and what it would be worth now
+    Show {
+        /// The folder
+        folder: PathBuf,
+        /// As JSON
+        #[arg(long)]
+        json: bool,
+        /// The operator's file, for the times by which it is judged
+        #[arg(long)]
+        operator: Option<PathBuf>,
+    },
+    /// Whether the last snapshot and the log of keys are whole: ends with 0, with 1 and a line for each fault, or
+    /// with 2 where there is nothing
+    Verify {
+        /// The folder
+        folder: PathBuf,
+    },
+}
+
 #[derive(clap::Args, Default)]
 struct Files {
     /// The platform's configuration, JSON
@@ -43,7 +69,7 @@
         Command::Serve(Files { config: file("PROXY_CONFIG"), operator: file("STARLINGPLANK_OPERATOR") })
     });
     match run(command) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(e) => {
             eprintln!("starlingplank: {e}");
             ExitCode::FAILURE
@@ -51,7 +77,7 @@
     }
 }
 
-fn run(command: Command) -> Result<(), Box<dyn Error>> {
+fn run(command: Command) -> Result<ExitCode, Box<dyn Error>> {
     match command {
         Command::Version => println!("starlingplank {}", env!("CARGO_PKG_VERSION")),
         Command::CheckConfig(files) => {
@@ -70,8 +96,41 @@
             tokio::task::LocalSet::new()
                 .block_on(&threads, runtime::serve(config, || read(&files).map_err(|e| e.to_string())))?;
         }
+        Command::Knowledge(Knowledge::Show { folder, json, operator }) => {
+            let rules = match operator {
+                Some(_) => {
+                    let config = read(&Files { config: None, operator })?;
+                    config.knowledge.map(|k| keep::rules(&k, config.settings.tip_after))
+                }
+                None => None,
+            };
+            let now = Clock::start().now();
+            let shown = show::show(&folder, now, &rules.unwrap_or(recall::DEFAULT))
+                .map_err(|e| format!("{}: {e}", folder.display()))?;
+            let Some(shown) = shown else {
+                eprintln!("{}: there is no whole snapshot", folder.display());
+                return Ok(ExitCode::from(2));
+            };
+            print!("{}", if json { format!("{shown:#}\n") } else { show::text(&shown) });
+        }
+        Command::Knowledge(Knowledge::Verify { folder }) => {
+            let verdict = show::verify(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+            for fault in &verdict.faults {
+                println!("{}/{fault}", folder.display());
+            }
+            match verdict.code() {
+                0 => println!(
+                    "{}: whole; {} bytes at the log's end never came to be",
+                    folder.display(),
+                    verdict.torn
+                ),
+                2 => println!("{}: there is nothing", folder.display()),
+                _ => {}
+            }
+            return Ok(ExitCode::from(verdict.code()));
+        }
     }
-    Ok(())
+    Ok(ExitCode::SUCCESS)
 }
 
 fn read(files: &Files) -> Result<Config, Box<dyn Error>> {
--- /dev/null
+++ b/src/net/keep.rs
@@ -0,0 +1,268 @@
+//! The edge of what is kept through restarts: opens the folder, reads it, and hands what is to be written to the
+//! threads that write. Off unless the operator's file sets it up.
+
+use crate::config::{Config, KnowledgeSettings};
+use crate::core::{Core, Event};
+use crate::interface::{Ms, Repeat};
+use starlingplank_knowledge::folder::{Boot, Folder, FolderError};
+use starlingplank_knowledge::gate::{Gate, Key, Log, Rewrite, Sent};
+use starlingplank_knowledge::keeper::{KeyKeeper, KeyNews, Offset, SnapshotKeeper, SnapshotNews, Written};
+use starlingplank_knowledge::keylog;
+use starlingplank_knowledge::recall::{Recall, Rules};
+use starlingplank_knowledge::records::Snapshot;
+use starlingplank_knowledge::store::Store;
+use std::cell::Cell;
+use std::io;
+use std::sync::{Arc, Mutex};
+use tokio::sync::mpsc::{unbounded_channel, Sender};
+use tracing::{error, info, warn};
+
+/// Snapshots left out in a row after which the disk is said to hang.
+const HANGS: u32 = 3;
+
+/// What has been written, and whether it goes well: told by the threads that write.
+#[derive(Debug, Default)]
+struct State {
+    snapshots: Written,
+    keys: Written,
+    snapshots_failing: bool,
+    keys_failing: bool,
+}
+
+/// Keeps what the gateway knows.
+pub struct Keep {
+    gateway: String,
+    snapshots: Option<SnapshotKeeper>,
+    keys: Option<KeyKeeper>,
+    left_out: Cell<u32>,
+    state: Arc<Mutex<State>>,
+    _folder: Option<Folder>,
+}
+
+fn locked(state: &Mutex<State>) -> std::sync::MutexGuard<'_, State> {
+    // It holds figures alone: whatever a thread that panicked left there can be used.
+    state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// The rules by which old knowledge is judged.
+pub fn rules(settings: &KnowledgeSettings, tip_after: Ms) -> Rules {
+    Rules {
+        restart_within: settings.restart_within,
+        keep_for: settings.keep_for,
+        list_wait: settings.list_wait,
+        tip_after,
+    }
+}
+
+impl Keep {
+    /// Nothing is kept.
+    pub fn off() -> Self {
+        let state = Arc::default();
+        Self {
+            gateway: String::new(),
+            snapshots: None,
+            keys: None,
+            left_out: Cell::new(0),
+            state,
+            _folder: None,
+        }
+    }
+
+    /// Opens the folder, and has the reducer resume from what is in it. A folder that can't be used is said once,
+    /// and the gateway serves without it.
+    ///
+    /// # Errors
+    /// It can't be used, and is required.
+    pub fn open(config: &Config, core: &mut Core, now: Ms, events: &Sender<Event>) -> io::Result<Self> {
+        let Some(settings) = &config.knowledge else { return Ok(Self::off()) };
+        let window = |c: &crate::interface::Class| match c.repeat {
+            Repeat::Keyed { window, .. } => Some(window),
+            _ => None,
+        };
+        let window = config.settings.classes.iter().filter_map(window).fold(0.0, f64::max);
+        let keyed = settings.keys && window > 0.0;
+        let gate = |log| Gate::new(log, window, settings.most_keys, now);
+        let opened = Folder::open(&settings.folder).and_then(|folder| {
+            let read = Store::open(Box::new(folder.disk()), settings.most_bytes);
+            let read = read.map_err(|e| FolderError::Io(settings.folder.clone(), e));
+            read.map(|(store, loaded)| (folder, store, loaded))
+        });
+        let (folder, store, loaded) = match opened {
+            Ok(opened) => opened,
+            Err(e) if settings.required => {
+                return Err(io::Error::other(format!("knowledge is required: {e}")))
+            }
+            Err(e) => {
+                let held = matches!(e, FolderError::Held(_));
+                match (keyed, held) {
+                    (false, _) => error!("serving without knowledge: {e}"),
+                    (true, true) => error!("serving without knowledge, and refusing all keyed requests: {e}"),
+                    (true, false) => {
+                        error!(
+                            "serving without knowledge, and refusing keyed requests for {window:.0} ms: {e}"
+                        )
+                    }
+                }
+                let log = match (keyed, held) {
+                    (false, _) => Log::Off,
+                    (true, true) => Log::Held,
+                    (true, false) => Log::Missing,
+                };
+                core.resume(gate(log), None);
+                return Ok(Self::off());
+            }
+        };
+        for fault in &loaded.faults {
+            warn!("{}/{fault}", settings.folder.display());
+        }
+        let recall = loaded.snapshot.and_then(|(generation, snapshot)| {
+            let recall = Recall::new(&snapshot, now, rules(settings, config.settings.tip_after));
+            match &recall {
+                Ok(_) => info!(
+                    "knowledge of generation {generation} is whole: {} engines, {:.1} s old",
+                    snapshot.engines.len(),
+                    (now - snapshot.taken) / 1000.0
+                ),
+                Err(why) => warn!("knowledge of generation {generation} counts as nothing: {why}"),
+            }
+            recall.ok()
+        });
+        if recall.is_none() {
+            info!("starting with no knowledge of an earlier life");
+        }
+        let state: Arc<Mutex<State>> = Arc::default();
+        let (gate, keys) = if keyed {
+            let mut gate = gate(Log::Open { required: settings.required });
+            let boot = Boot::read();
+            let offset = Offset { by: boot.now - now, boot: boot.id.unwrap_or_default() };
+            let found = keylog::recover(&folder.disk(), boot.now, boot.id, window);
+            match found.trusted {
+                Some((sends, shut)) => {
+                    info!("the log of keys is whole: {} keys", sends.len());
+                    let shut = if shut > 0.0 { shut - offset.by } else { 0.0 };
+                    gate.trust(sends.into_iter().map(|(k, s)| (k, offset.back(s))), shut, now);
+                }
+                None => {
+                    let why = found.why.unwrap_or_default();
+                    info!("keyed requests are refused for {window:.0} ms, as others may still run: {why}");
+                }
+            }
+            // The thread that writes and the reducer's thread share this channel alone. What is in it was asked for,
+            // so it is bounded by what may wait.
+            let (tell, mut told) = unbounded_channel();
+            let (events, shared) = (events.clone(), state.clone());
+            tokio::task::spawn_local(async move {
+                while let Some((news, written)) = told.recv().await {
+                    if events.send(key_news(news, written, &shared)).await.is_err() {
+                        return;
+                    }
+                }
+            });
+            let tell = move |news: KeyNews, written: Written| drop(tell.send((news, written)));
+            (gate, Some(KeyKeeper::start(Box::new(folder.disk()), offset, tell)?))
+        } else {
+            (Gate::off(), None)
+        };
+        core.resume(gate, recall);
+        let told = state.clone();
+        let snapshots = SnapshotKeeper::start(store, move |news| tell_snapshots(&news, &told))?;
+        Ok(Self {
+            gateway: config.name.clone(),
+            snapshots: Some(snapshots),
+            keys,
+            left_out: Cell::new(0),
+            state,
+            _folder: Some(folder),
+        })
+    }
+
+    /// Has a snapshot written, unless two wait already.
+    pub fn snapshot(&self, core: &Core, now: Ms) {
+        let Some(keeper) = &self.snapshots else { return };
+        let snapshot = Snapshot::new(&self.gateway, &core.learned(now), &core.addresses());
+        if keeper.save(snapshot) {
+            self.left_out.set(0);
+            return;
+        }
+        self.left_out.set(self.left_out.get().saturating_add(1));
+        if self.left_out.get() == HANGS {
+            warn!(
+                "the disk hangs: {HANGS} snapshots in a row were left out, and more will be until it goes on"
+            );
+        }
+    }
+
+    /// Has a record written; what cannot be is told of at once.
+    pub fn record(&self, number: u64, key: Key, sent: Sent) -> bool {
+        self.keys.as_ref().is_some_and(|keys| keys.record(number, key, sent))
+    }
+
+    /// Has a mark written.
+    pub fn mark(&self, mark: (Ms, Ms)) -> bool {
+        self.keys.as_ref().is_some_and(|keys| keys.mark(mark))
+    }
+
+    /// Has the log begun anew.
+    pub fn rewrite(&self, rewrite: Rewrite) -> bool {
+        self.keys.as_ref().is_some_and(|keys| keys.rewrite(rewrite))
+    }
+
+    /// Whether this keeps anything.
+    pub fn is_on(&self) -> bool {
+        self.snapshots.is_some()
+    }
+
+    /// Waits until the last snapshot is written.
+    pub async fn finish(&mut self) {
+        while self.snapshots.as_mut().is_some_and(|s| !s.finished()) {
+            tokio::time::sleep(std::time::Duration::from_millis(2)).await;
+        }
+    }
+
+    /// What was written, for the last lines.
+    pub fn say(&self, refused: u64) {
+        let state = locked(&self.state);
+        info!(
+            "knowledge: {} snapshots of {} bytes in all, {} syncs of {} bytes of keys, {refused} keyed requests refused",
+            state.snapshots.writes, state.snapshots.bytes, state.keys.writes, state.keys.bytes
+        );
+    }
+}
+
+/// News of the log, for the reducer. How the log does is said when it changes, not each time.
+fn key_news(news: KeyNews, written: Written, state: &Mutex<State>) -> Event {
+    let mut state = locked(state);
+    state.keys = written;
+    match news {
+        KeyNews::Recorded(numbers) => Event::Recorded(numbers),
+        KeyNews::Rewritten(keys) => {
+            if std::mem::replace(&mut state.keys_failing, false) {
+                info!("the log of keys works again");
+            }
+            Event::LogBegun(keys)
+        }
+        KeyNews::Failed(numbers, why) => {
+            if !std::mem::replace(&mut state.keys_failing, true) {
+                error!("the log of keys failed, and keyed requests are refused for a while: {why}");
+            }
+            Event::RecordsFailed(numbers)
+        }
+    }
+}
+
+fn tell_snapshots(news: &SnapshotNews, state: &Mutex<State>) {
+    let mut state = locked(state);
+    match news {
+        SnapshotNews::Saved(written) => {
+            state.snapshots = *written;
+            if std::mem::replace(&mut state.snapshots_failing, false) {
+                info!("snapshots are written again");
+            }
+        }
+        SnapshotNews::Failed(why) => {
+            if !std::mem::replace(&mut state.snapshots_failing, true) {
+                warn!("what was learned is not kept: {why}");
+            }
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod front;
 pub mod http;
+pub mod keep;
 pub mod log;
 pub mod names;
 pub mod runtime;
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -6,11 +6,13 @@
 use crate::net::engine::clickhouse::HttpEngines;
 use crate::net::engine::pool::{Engines, RespEngines};
 use crate::net::front::{clickhouse, thrift, Desk, Seat};
+use crate::net::keep::Keep;
 use crate::net::log;
 use crate::net::names;
 use std::future::Future;
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
@@ -29,14 +31,15 @@
     let (sender, mut receiver) = mpsc::channel(limits.queue);
     let desk = Desk::new(settings.clone(), limits.clone(), sender.clone());
     let core = Core::new(config.settings.clone(), config.limits.clone(), desk.clock.now());
-    let core = core.map_err(io::Error::other)?;
+    let mut core = core.map_err(io::Error::other)?;
+    let mut keep = Keep::open(&config, &mut core, desk.clock.now(), &sender)?;
     let (total, events) = (desk.total.clone(), sender.clone());
     let engines: Box<dyn Engines> = match config.engines {
         EngineWire::Resp => Box::new(RespEngines::new(limits.clone(), total, events)),
         EngineWire::ClickHouse => Box::new(HttpEngines::new(limits.clone(), total, events)),
     };
     let mut gateway = Runtime { core, engines, desk: desk.clone(), exit: false };
-    gateway.handle([Event::List(config.serial, config.known.clone())]);
+    gateway.handle([Event::List(config.serial, config.known.clone()), Event::Tend], &keep);
 
     let listener = TcpListener::bind(config.listen).await?;
     tracing::info!("{} listens at {}", config.name, listener.local_addr()?);
@@ -62,6 +65,11 @@
     }
     let mut sweep = tokio::time::interval(limits.sweep);
     sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut tend = tokio::time::interval(limits.tend);
+    tend.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let every = config.knowledge.as_ref().map_or(limits.tend, |k| Duration::from_secs_f64(k.every / 1000.0));
+    let mut snapshots = tokio::time::interval_at(Instant::now() + every, every);
+    snapshots.set_missed_tick_behavior(MissedTickBehavior::Delay);
     while !gateway.exit {
         let due_at = gateway.core.next_due();
         let due = due_at.map_or_else(|| Instant::now() + limits.sweep, |at| desk.clock.instant(at).into());
@@ -70,10 +78,12 @@
             event = receiver.recv() => events.extend(event),
             () = sleep_until(due) => {}
             _ = sweep.tick() => gateway.engines.sweep(&mut events),
+            _ = tend.tick(), if keep.is_on() => events.push(Event::Tend),
+            _ = snapshots.tick(), if keep.is_on() => keep.snapshot(&gateway.core, desk.clock.now()),
             _ = hangup.recv() => match reload() {
                 Ok(new) => {
                     tracing::info!("SIGHUP: the name service is at {:?}", new.names);
-                    if (new.listen, &new.limits) != (config.listen, &config.limits)
+                    if (new.listen, &new.limits, &new.knowledge) != (config.listen, &config.limits, &config.knowledge)
                         || (Settings { seed: config.settings.seed, ..new.settings }) != config.settings
                     {
                         tracing::warn!("SIGHUP: what else is new in the configuration waits for the next start");
@@ -85,6 +95,7 @@
             _ = term.recv() => {
                 tracing::info!("SIGTERM: answering what was taken");
                 desk.terminating.set(true);
+                keep.snapshot(&gateway.core, desk.clock.now());
                 events.push(Event::Terminate);
             }
         }
@@ -99,8 +110,10 @@
         if late > limits.stall {
             tracing::warn!("stood still for {late:.0} ms");
         }
-        gateway.handle(events);
+        gateway.handle(events, &keep);
     }
+    // What the last answers taught is in the last snapshot, if the disk takes it in time.
+    keep.snapshot(&gateway.core, desk.clock.now());
     for (class, c) in settings.classes.iter().zip(gateway.core.counts()) {
         tracing::info!(
             "{}: {} taken, {} attempts, ended {:?}, answered {:?}",
@@ -111,6 +124,10 @@
             c.answers
         );
     }
+    if keep.is_on() {
+        let _ = timeout(limits.term_snapshot, keep.finish()).await;
+        keep.say(gateway.core.gate().refused());
+    }
     // The last answers leave before the program does.
     let flushed = async {
         while desk.writing() {
@@ -130,7 +147,7 @@
 
 impl Runtime {
     /// Hands events to the reducer, lets it decide, and performs what it asks for, until that brings no news.
-    fn handle(&mut self, events: impl IntoIterator<Item = Event>) {
+    fn handle(&mut self, events: impl IntoIterator<Item = Event>, keep: &Keep) {
         let mut effects = Vec::new();
         let mut news: Vec<Event> = events.into_iter().collect();
         loop {
@@ -139,7 +156,7 @@
                 self.core.handle(now, event, &mut effects);
             }
             for effect in effects.drain(..) {
-                self.perform(effect, &mut news);
+                self.perform(effect, keep, &mut news);
             }
             if news.is_empty() {
                 return;
@@ -147,7 +164,7 @@
         }
     }
 
-    fn perform(&mut self, effect: Effect, news: &mut Vec<Event>) {
+    fn perform(&mut self, effect: Effect, keep: &Keep, news: &mut Vec<Event>) {
         match effect {
             Effect::Send(send) => self.engines.send(send, news),
             Effect::GiveUp(id, _) => self.engines.give_up(id),
@@ -157,6 +174,18 @@
             Effect::Begin(id, rows) => self.desk.begin(id, rows),
             Effect::Part(id, bytes) => self.desk.part(id, bytes),
             Effect::Answer(id, answer) => self.desk.answer(id, answer),
+            Effect::Record(number, key, sent) => {
+                if !keep.record(number, key, sent) {
+                    news.push(Event::RecordsFailed(vec![number]));
+                }
+            }
+            // One that does not fit is not there: the log then is trusted for less long.
+            Effect::Mark(at, shut_until) => drop(keep.mark((at, shut_until))),
+            Effect::Rewrite(rewrite) => {
+                if !keep.rewrite(rewrite) {
+                    news.push(Event::RecordsFailed(Vec::new()));
+                }
+            }
             Effect::Exit => self.exit = true,
         }
     }
--- /dev/null
+++ b/tests/knowledge.rs
@@ -0,0 +1,160 @@
+//! The program, its folder, and what is left of both after it was killed.
+
+mod stand;
+
+use stand::*;
+use std::io::Write;
+use std::path::Path;
+use std::process::{Command, Output};
+
+fn operator(folder: &Path, more: &str) -> tempfile::NamedTempFile {
+    let mut file = tempfile::NamedTempFile::new().expect("a file");
+    write!(file, "knowledge {{\n  folder = {:?}\n  every = \"100ms\"\n{more}\n}}\n", folder)
+        .expect("written");
+    file
+}
+
+fn answers(parts: &[String]) -> Option<String> {
+    Some(match parts[0].as_str() {
+        "want" => reply(&[&parts[1], "served", "pages=1,cost=5,need=8", "a\tb\tc\n"]),
+        "busy" => reply(&[&parts[1], "green", "use=util:0.1", ""]),
+        _ => String::new(),
+    })
+}
+
+fn load(client: &mut std::net::TcpStream, seq: i32, txn: &str, key: &str) -> &'static str {
+    let fields = [("verb", "load"), ("txn", txn), ("limit", "4000"), ("unique", key)];
+    client.write_all(&call(seq, &fields, "insert into s_1.t values (1)")).expect("sent");
+    answer(client).1
+}
+
+fn run(args: &[&std::ffi::OsStr]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_starlingplank")).args(args).output().expect("it runs")
+}
+
+fn verify(folder: &Path) -> (Option<i32>, String) {
+    let out = run(&["knowledge".as_ref(), "verify".as_ref(), folder.as_ref()]);
+    (out.status.code(), String::from_utf8_lossy(&out.stdout).into_owned())
+}
+
+fn show(folder: &Path) -> String {
+    let out = run(&["knowledge".as_ref(), "show".as_ref(), folder.as_ref(), "--json".as_ref()]);
+    String::from_utf8_lossy(&out.stdout).into_owned()
+}
+
+/// Until the program has written what holds there.
+fn until_shown(folder: &Path, found: impl Fn(&str) -> bool) {
+    for _ in 0..2_000 {
+        if found(&show(folder)) {
+            return;
+        }
+    }
+    panic!("never came: {}", show(folder));
+}
+
+fn wants(log: &Log) -> usize {
+    log.lock().expect("log").iter().filter(|p| p[0] == "want").count()
+}
+
+#[test]
+fn life_after_a_kill_knows_the_engines_and_the_keys_of_the_one_before() {
+    let parent = tempfile::tempdir().expect("a folder");
+    let folder = parent.path().join("kept");
+    let operator = operator(&folder, "");
+    let (at, log) = resp_engine(answers);
+    let config = config(&[at], "resp", 5000);
+    let first = Gateway::start_with(&config, Some(operator.path()));
+    let mut client = first.client();
+    // A first start trusts nobody's log: it has none. Its mark carries the time until when it may not send.
+    assert_eq!(load(&mut client, 1, "00000000000000a1", "k1"), "overloaded");
+    assert_eq!(wants(&log), 0);
+    let lookup = [("verb", "lookup"), ("txn", "00000000000000a2"), ("limit", "4000")];
+    client.write_all(&call(2, &lookup, "select 1")).expect("sent");
+    assert_eq!(answer(&mut client).1, "served");
+    until_shown(&folder, |s| s.contains("\"id\": \"s-0\"") && !s.contains("\"age_ms\": null"));
+    first.signal("-KILL");
+    drop(first);
+    assert_eq!(verify(&folder).0, Some(0));
+
+    let second = Gateway::start_with(&config, Some(operator.path()));
+    let mut client = second.client();
+    assert_eq!(
+        load(&mut client, 1, "00000000000000a3", "k1"),
+        "overloaded",
+        "the wait goes on through a restart"
+    );
+    assert_eq!(wants(&log), 1);
+    let said = second.counts();
+    assert!(said[1].starts_with("load: 1 taken, 0 attempts"), "{said:?}");
+}
+
+#[test]
+fn second_process_in_one_folder_serves_without_it_and_sends_nothing_keyed() {
+    let parent = tempfile::tempdir().expect("a folder");
+    let folder = parent.path().join("kept");
+    let operator = operator(&folder, "");
+    let (at, log) = resp_engine(answers);
+    let config = config(&[at], "resp", 5000);
+    let _first = Gateway::start_with(&config, Some(operator.path()));
+    let second = Gateway::start_with(&config, Some(operator.path()));
+    let mut client = second.client();
+    assert_eq!(load(&mut client, 1, "00000000000000a1", "k1"), "overloaded");
+    let lookup = [("verb", "lookup"), ("txn", "00000000000000a2"), ("limit", "4000")];
+    client.write_all(&call(2, &lookup, "select 1")).expect("sent");
+    assert_eq!(answer(&mut client).1, "served");
+    assert_eq!(wants(&log), 1);
+}
+
+#[test]
+fn folder_that_cannot_be_used_is_said_and_ends_a_start_only_where_it_is_required() {
+    let parent = tempfile::tempdir().expect("a folder");
+    let file = parent.path().join("file");
+    std::fs::write(&file, "x").expect("a file");
+    let (at, _log) = resp_engine(answers);
+    let config = config(&[at], "resp", 5000);
+    let may = operator(&file, "");
+    let gateway = Gateway::start_with(&config, Some(may.path()));
+    let lookup = [("verb", "lookup"), ("txn", "00000000000000a2"), ("limit", "4000")];
+    let mut client = gateway.client();
+    client.write_all(&call(2, &lookup, "select 1")).expect("sent");
+    assert_eq!(answer(&mut client).1, "served");
+
+    let must = operator(&file, "  required = true\n");
+    let platform = parent.path().join("config.json");
+    std::fs::write(&platform, &config).expect("a file");
+    let out = run(&[
+        "serve".as_ref(),
+        "--config".as_ref(),
+        platform.as_ref(),
+        "--operator".as_ref(),
+        must.path().as_ref(),
+    ]);
+    let said = String::from_utf8_lossy(&out.stderr);
+    assert!(out.status.code() == Some(1) && said.contains("knowledge is required"), "{said}");
+}
+
+#[test]
+fn end_and_reload_leave_a_whole_folder() {
+    let parent = tempfile::tempdir().expect("a folder");
+    let folder = parent.path().join("kept");
+    let operator = operator(&folder, "  keys = false\n");
+    let (at, log) = resp_engine(answers);
+    let config = config(&[at], "resp", 5000);
+    let gateway = Gateway::start_with(&config, Some(operator.path()));
+    gateway.reload(&config);
+    let mut client = gateway.client();
+    assert_eq!(load(&mut client, 1, "00000000000000a1", "k1"), "served", "without the log keys go at once");
+    assert_eq!(wants(&log), 1);
+    gateway.counts();
+    assert_eq!(verify(&folder).0, Some(0));
+    assert!(show(&folder).contains("\"name\": \"load\""));
+    // One byte of the last generation: told with file and offset, and the one before is read.
+    let names = std::fs::read_dir(&folder).expect("read").map(|e| e.expect("an entry").path());
+    let last = names.filter(|p| p.extension().is_some_and(|e| e == "spk")).max().expect("a snapshot");
+    let mut bytes = std::fs::read(&last).expect("read");
+    bytes[40] ^= 1;
+    std::fs::write(&last, bytes).expect("written");
+    let (code, said) = verify(&folder);
+    assert!(code == Some(1) && said.contains("at byte 16: the checksum does not fit"), "{said}");
+    assert!(show(&folder).contains("\"name\": \"load\""));
+}
