--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -345,7 +345,7 @@
                 let unit = work.map_or(best, |w| w / width).max(1.0);
                 let slow = (took / unit).clamp(0.1, SLOW_MOST);
                 e.slow += SLOW_WEIGHT * (slow - e.slow);
-                e.show_warmth(slow, width, self.s.cold_from);
+                e.show_warmth(slow, width, now, self.s.cold_from, self.s.warm_within);
                 let weight = SPEED_WEIGHT * width * (took / SPEED_SPAN).min(1.0);
                 self.fleet.speed += weight * (1.0 / slow - self.fleet.speed);
                 Some(false)
--- a/crates/decision/src/learned.rs
+++ b/crates/decision/src/learned.rs
@@ -6,12 +6,8 @@
 use crate::interface::{ClassId, EngineId, Ms, ZoneId};
 use crate::state::{Engine, Stat, NEVER};
 
-/// Answers on a busy engine that show it to be warm.
+/// Answers in a row that show how warm an engine is.
 const PROOFS: u32 = 8;
-/// Of its usual latency, what such an answer may take.
-const PROOF_SLOW: f64 = 1.3;
-/// Over the load that a cold engine can bear, the load at which such an answer counts.
-const PROOF_LOAD: f64 = 2.0;
 /// More than any budget.
 const SPENT: f64 = 1e12;
 
@@ -275,15 +271,21 @@
 }
 
 impl Engine {
-    /// An engine that was only suspected of being cold is warm once it has answered as fast as ever under a load
-    /// that a cold one could not bear. Light loads show nothing: a cold engine serves a few as fast as a warm one.
-    pub(super) fn show_warmth(&mut self, slow: f64, width: f64, cold_from: f64) {
-        let load = (self.threads + width) / self.cores.max(0.1);
-        if self.suspect && load >= PROOF_LOAD * cold_from {
-            self.proofs = if slow <= PROOF_SLOW { self.proofs + 1 } else { 0 };
-            if self.proofs >= PROOFS {
-                (self.suspect, self.started) = (false, None);
-            }
+    /// An engine that was only suspected of being cold is as warm as it shows: one that answers at its usual pace while
+    /// so many threads run there has at least their share of its cores. Light loads show little, as a cold engine
+    /// serves a few as fast as a warm one; and what a load shows holds for that load alone, not for a full one.
+    pub(super) fn show_warmth(&mut self, slow: f64, width: f64, now: Ms, cold_from: f64, warm_within: Ms) {
+        let Some(started) = self.started.filter(|_| self.suspect) else { return };
+        let proven = ((self.threads + width) / self.cores.max(0.1)).min(1.0) / slow.max(1.0);
+        let rises = (1.0 - cold_from).max(0.01) / warm_within.max(1.0);
+        if proven <= cold_from + rises * (now - started) {
+            (self.proofs, self.proven) = (0, 1.0);
+            return;
+        }
+        (self.proofs, self.proven) = (self.proofs + 1, self.proven.min(proven));
+        if self.proofs >= PROOFS {
+            self.started = Some(started.min(now - (self.proven - cold_from) / rises));
+            (self.proofs, self.proven) = (0, 1.0);
         }
     }
 }
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -118,8 +118,10 @@
     pub started: Option<Ms>,
     /// Its start was not told but is suspected: nobody knows that it is still the process that was warm.
     pub suspect: bool,
-    /// Answers in a row that show it to be warm.
+    /// Answers in a row that show it to be warmer than it is taken for.
     pub proofs: u32,
+    /// The least that they show, as a share of its capacity.
+    pub proven: f64,
     /// When it last answered anything, in this life of the gateway.
     pub confirmed: Option<Ms>,
     pub probed: Ms,
@@ -193,6 +195,7 @@
             started: None,
             suspect: false,
             proofs: 0,
+            proven: 1.0,
             confirmed: None,
             probed: NEVER,
             held_for: BTreeMap::new(),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,4 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod client;
 pub mod disk;
+pub mod engine;
+pub mod model;
--- /dev/null
+++ b/crates/standins/src/model.rs
@@ -0,0 +1,181 @@
+//! How a stand-in engine's capacity is modelled. Pure: queries and times go in, ends come out.
+//!
+//! An engine runs all that it is sent at once. Its cores are shared evenly among threads; past two threads a core it
+//! gets less done in total. It starts with a share of its capacity and is warm after a while; sent more work than a
+//! multiple of what it can do over a span, while cold, it falls over and stays down. Not modelled: disks, memory and
+//! data sets.
+
+use std::collections::VecDeque;
+
+/// What an engine is like. Times in milliseconds.
+#[derive(Debug, Clone)]
+pub struct Spec {
+    /// Cores.
+    pub cores: f64,
+    /// Share of its capacity at its start.
+    pub cold_from: f64,
+    /// Time from its start until it is warm.
+    pub warm_within: f64,
+    /// Falls over beyond this multiple of what it can do ...
+    pub fall_multiple: f64,
+    /// ... sent over this span.
+    pub tip_after: f64,
+    /// Every query takes so many times longer.
+    pub slow: f64,
+    /// Share of queries that end in an error, at once.
+    pub errors: f64,
+    /// Threads that others run here.
+    pub others: f64,
+    /// Its answers tell of its load.
+    pub tells: bool,
+}
+
+impl Default for Spec {
+    fn default() -> Self {
+        Self {
+            cores: 12.0,
+            cold_from: 0.31,
+            warm_within: 15_000.0,
+            fall_multiple: 3.0,
+            tip_after: 2_000.0,
+            slow: 1.0,
+            errors: 0.0,
+            others: 0.0,
+            tells: true,
+        }
+    }
+}
+
+/// Threads a core past which an engine gets less done in total.
+const PEAK: f64 = 2.0;
+
+#[derive(Debug)]
+struct Query {
+    id: u64,
+    left: f64,
+    threads: f64,
+}
+
+/// One engine.
+#[derive(Debug)]
+pub struct Model {
+    /// What it is like.
+    pub spec: Spec,
+    /// When it started; far in the past: warm.
+    pub started: f64,
+    /// It has fallen over: when.
+    pub fallen: Option<f64>,
+    queries: Vec<Query>,
+    now: f64,
+    /// Work that arrived: when, and how much.
+    arrived: VecDeque<(f64, f64)>,
+    /// Core-milliseconds used of those there were, of late.
+    busy: f64,
+}
+
+impl Model {
+    /// An engine that started then.
+    pub fn new(spec: Spec, started: f64, now: f64) -> Self {
+        let (queries, arrived) = (Vec::new(), VecDeque::new());
+        Self { spec, started, fallen: None, queries, now, arrived, busy: 0.0 }
+    }
+
+    /// Cores' worth of work that it does at that time.
+    pub fn capacity(&self, at: f64) -> f64 {
+        let age = ((at - self.started) / self.spec.warm_within.max(1.0)).clamp(0.0, 1.0);
+        self.spec.cores * (self.spec.cold_from + (1.0 - self.spec.cold_from) * age)
+    }
+
+    /// What it may be sent over a span from then without falling over, in core-milliseconds.
+    pub fn budget(&self, from: f64, span: f64) -> f64 {
+        // Capacity grows in a straight line while it is cold: the middle of the span is its mean.
+        self.spec.fall_multiple * self.capacity(from + span / 2.0) * span
+    }
+
+    /// Work that arrived from then on, over a span.
+    pub fn arrived(&self, from: f64, span: f64) -> f64 {
+        self.arrived.iter().filter(|(at, _)| *at >= from && *at < from + span).map(|(_, w)| w).sum()
+    }
+
+    /// A query of so much work, in milliseconds on one core, on so many threads; `usual` is the work by which the
+    /// budget counts it. False: the engine has fallen.
+    pub fn start(&mut self, id: u64, work: f64, usual: f64, threads: f64, now: f64) -> bool {
+        self.arrived.push_back((now, usual));
+        while self.arrived.front().is_some_and(|(at, _)| *at < now - 60_000.0) {
+            self.arrived.pop_front();
+        }
+        let cold = now - self.started < self.spec.warm_within;
+        let from = now - self.spec.tip_after;
+        // What it stood through before its start does not count.
+        if cold
+            && self.arrived(from.max(self.started), self.spec.tip_after + 1.0)
+                > self.budget(from, self.spec.tip_after)
+        {
+            self.fallen = self.fallen.or(Some(now));
+            self.queries.clear();
+        }
+        if self.fallen.is_none() {
+            self.queries.push(Query { id, left: work * self.spec.slow, threads });
+        }
+        self.fallen.is_none()
+    }
+
+    /// Drops a query that was given up.
+    pub fn cancel(&mut self, id: u64) {
+        self.queries.retain(|q| q.id != id);
+    }
+
+    /// Drops all.
+    pub fn clear(&mut self) {
+        self.queries.clear();
+    }
+
+    /// Runs until then; the queries that ended.
+    pub fn advance(&mut self, now: f64) -> Vec<u64> {
+        let span = (now - self.now).max(0.0);
+        self.now = now;
+        let threads = self.queries.iter().map(|q| q.threads).sum::<f64>() + self.spec.others;
+        let capacity = self.capacity(now);
+        let level = threads / capacity.max(0.01);
+        let less = if level > PEAK { 1.0 / (1.0 + 0.3 * (level - PEAK)) } else { 1.0 };
+        let each = if threads > 0.0 { (capacity * less / threads).min(1.0) } else { 0.0 };
+        let weight = (span / 500.0).min(1.0);
+        self.busy += weight * ((threads * each / capacity.max(0.01)).min(1.0) - self.busy);
+        for q in &mut self.queries {
+            q.left -= span * each * q.threads;
+        }
+        self.queries.extract_if(.., |q| q.left <= 0.0).map(|q| q.id).collect()
+    }
+
+    /// Share of its cores in use of late.
+    pub fn util(&self) -> f64 {
+        self.busy
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn query_alone_takes_its_work_over_its_threads_and_a_full_engine_shares() {
+        let mut m = Model::new(Spec::default(), -1e9, 0.0);
+        assert!(m.start(1, 100.0, 100.0, 2.0, 0.0));
+        assert!(m.advance(49.0).is_empty());
+        assert_eq!(m.advance(50.0), [1]);
+        (0..24).for_each(|n| assert!(m.start(n, 10.0, 10.0, 1.0, 50.0)));
+        assert!(m.advance(69.0).is_empty(), "two threads a core: half the speed");
+        assert_eq!(m.advance(70.0).len(), 24);
+    }
+
+    #[test]
+    fn cold_engine_falls_over_beyond_its_budget_and_a_warm_one_does_not() {
+        let mut cold = Model::new(Spec::default(), 0.0, 0.0);
+        let budget = cold.budget(0.0, 2_000.0);
+        assert!((20_000.0..30_000.0).contains(&budget), "{budget}");
+        assert!((0..20).all(|n| cold.start(n, 1_000.0, 1_000.0, 1.0, 1_000.0)));
+        assert!(!(0..10).all(|n| cold.start(n, 1_000.0, 1_000.0, 1.0, 1_100.0)) && cold.fallen.is_some());
+        let mut warm = Model::new(Spec::default(), -1e9, 0.0);
+        assert!((0..200).all(|n| warm.start(n, 1_000.0, 1_000.0, 1.0, 1_000.0)));
+    }
+}
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -70,6 +70,7 @@
     let every = config.knowledge.as_ref().map_or(limits.tend, |k| Duration::from_secs_f64(k.every / 1000.0));
     let mut snapshots = tokio::time::interval_at(Instant::now() + every, every);
     snapshots.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let (mut longest, mut latest) = (Duration::ZERO, 0.0_f64);
     while !gateway.exit {
         let due_at = gateway.core.next_due();
         let due = due_at.map_or_else(|| Instant::now() + limits.sweep, |at| desk.clock.instant(at).into());
@@ -79,7 +80,11 @@
             () = sleep_until(due) => {}
             _ = sweep.tick() => gateway.engines.sweep(&mut events),
             _ = tend.tick(), if keep.is_on() => events.push(Event::Tend),
-            _ = snapshots.tick(), if keep.is_on() => keep.snapshot(&gateway.core, desk.clock.now()),
+            _ = snapshots.tick(), if keep.is_on() => {
+                let begun = Instant::now();
+                keep.snapshot(&gateway.core, desk.clock.now());
+                longest = longest.max(begun.elapsed());
+            }
             _ = hangup.recv() => match reload() {
                 Ok(new) => {
                     tracing::info!("SIGHUP: the name service is at {:?}", new.names);
@@ -110,8 +115,12 @@
         if late > limits.stall {
             tracing::warn!("stood still for {late:.0} ms");
         }
+        let turn = Instant::now();
         gateway.handle(events, &keep);
+        longest = longest.max(turn.elapsed());
+        latest = latest.max(late);
     }
+    tracing::info!("loop: longest turn {:.3} ms, latest {latest:.3} ms", longest.as_secs_f64() * 1000.0);
     // What the last answers taught is in the last snapshot, if the disk takes it in time.
     keep.snapshot(&gateway.core, desk.clock.now());
     for (class, c) in settings.classes.iter().zip(gateway.core.counts()) {
--- /dev/null
+++ b/tests/recall.rs
@@ -0,0 +1,125 @@
+//! What the module does with records of an earlier life.
+
+mod common;
+
+use common::{engine, fleet, incoming, outcome, sends, settings};
+use starlingplank::decide::learned::{ClassLearned, EngineLearned, Learned};
+use starlingplank::decide::Gateway;
+use starlingplank::interface::*;
+
+fn turn(gateway: &mut Gateway, now: Ms, events: &[Event]) -> Vec<Action> {
+    let mut actions = Vec::new();
+    gateway.turn(now, events, &mut actions);
+    actions
+}
+
+/// One engine of eight cores, `short` queries known to take 400 ms on one thread; a life that begins at 0.
+fn recalled(from: EngineLearned) -> Gateway {
+    let s = Settings { gateways: 1, ..settings() };
+    let mut gateway = Gateway::new(s, 0.0).expect("sound");
+    let short =
+        ClassLearned { name: "short".into(), threads: 1.0, best: 400.0, steps: 50.0, ..Default::default() };
+    let learned = Learned {
+        bound: 1.5,
+        classes: vec![short],
+        engines: vec![EngineLearned { id: engine(0).0.to_string(), slow: 1.0, ..from }],
+        ..Learned::default()
+    };
+    turn(&mut gateway, 0.0, &[fleet(1), Event::Recalled(Box::new(learned))]);
+    gateway
+}
+
+/// Queries sent within two seconds while 100 a second come and none is answered.
+fn sent(gateway: &mut Gateway) -> usize {
+    let mut count = 0;
+    for n in 0..200_u64 {
+        let now = n as f64 * 10.0;
+        let asked = Incoming { deadline: now + 2_900.0, ..incoming(n, 0, 0.0) };
+        count += sends(&turn(gateway, now, &[Event::Request(asked), Event::Timer(0)])).len();
+    }
+    count
+}
+
+#[test]
+fn perhaps_cold_engine_gets_no_more_than_a_cold_one_s_budget() {
+    let cold = sent(&mut recalled(EngineLearned { perhaps_cold: true, ..Default::default() }));
+    // 0.8 of three times 0.3 of eight cores for two seconds, in queries of 400 ms; a little more as it warms.
+    let budget = 0.8 * 3.0 * 0.3 * 8.0 * 2_000.0 / 400.0;
+    let most = budget * (0.3 + 0.7 * 2.0 / 15.0) / 0.3 + 1.0;
+    assert!(cold >= 3 && (cold as f64) <= most, "{cold} of {most}");
+    let warm = sent(&mut recalled(EngineLearned::default()));
+    assert!(warm > 2 * cold, "{warm} against {cold}");
+}
+
+#[test]
+fn engine_whose_budget_was_spent_gets_nothing_until_the_span_is_over() {
+    let mut gateway = recalled(EngineLearned { perhaps_cold: true, spent: true, ..Default::default() });
+    assert_eq!(sent(&mut gateway), 0);
+    let asked = Incoming { deadline: 5_000.0, ..incoming(900, 0, 0.0) };
+    let later: usize = (0..20)
+        .map(|n| {
+            let now = 2_100.0 + f64::from(n) * 50.0;
+            let events = if n == 0 { vec![Event::Request(asked.clone())] } else { vec![Event::Timer(0)] };
+            sends(&turn(&mut gateway, now, &events)).len()
+        })
+        .sum();
+    assert!(later >= 1, "and then it is an engine like others");
+}
+
+/// Queries out at once under a steady crowd whose answers take `took`, after two seconds of such answers.
+fn crowd(took: Ms) -> usize {
+    let mut gateway = recalled(EngineLearned { perhaps_cold: true, ..Default::default() });
+    let mut out: Vec<(f64, u64)> = Vec::new();
+    let mut most = 0;
+    for n in 0..300_u64 {
+        let now = n as f64 * 10.0;
+        let mut events = vec![Event::Request(Incoming { deadline: now + 2_900.0, ..incoming(n, 0, 0.0) })];
+        for (_, id) in out.extract_if(.., |(at, _)| *at + took <= now) {
+            let Event::Outcome { id, attempt, engine, outcome, took, over, report, .. } =
+                outcome(id, 0, &engine(0), Outcome::Ok, took)
+            else {
+                unreachable!("an outcome")
+            };
+            events.push(Event::Outcome {
+                id,
+                attempt,
+                engine,
+                outcome,
+                took,
+                over,
+                work: Some(100.0),
+                report,
+            });
+        }
+        for (id, _) in sends(&turn(&mut gateway, now, &events)) {
+            out.push((now, id));
+        }
+        if now > 2_000.0 {
+            most = most.max(out.len());
+        }
+    }
+    most
+}
+
+#[test]
+fn answers_show_an_engine_to_be_warm_as_far_as_their_load_goes_and_slow_ones_show_nothing() {
+    let (usual, slow) = (crowd(100.0), crowd(900.0));
+    assert!(usual >= slow + 2, "{usual} against {slow}");
+}
+
+#[test]
+fn figures_that_are_none_or_past_all_sense_are_left_out() {
+    let absurd = EngineLearned {
+        slow: f64::NAN,
+        errors: -3.0,
+        others: 1e300,
+        ejected: Some(f64::INFINITY),
+        back: Some(1e18),
+        ejections: u32::MAX,
+        ..Default::default()
+    };
+    let gateway = recalled(absurd);
+    let back = &gateway.learned().engines[0];
+    assert!((back.slow, back.errors, back.others) == (1.0, 0.0, 0.0), "{back:?}");
+    assert!(back.ejected.is_none() && back.back.is_none() && back.ejections <= 6, "{back:?}");
+}
