--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -158,3 +158,30 @@
     assert!(code == Some(1) && said.contains("at byte 16: the checksum does not fit"), "{said}");
     assert!(show(&folder).contains("\"name\": \"load\""));
 }
+
+/// Queries go on; what was not kept is the folder's loss alone, and the next start begins with nothing.
+#[test]
+fn folder_that_goes_away_while_serving_costs_no_query() {
+    let parent = tempfile::tempdir().expect("a folder");
+    let folder = parent.path().join("kept");
+    let operator = operator(&folder, "");
+    let (at, _log) = resp_engine(answers);
+    let config = config(&[at], "resp", 5000);
+    let gateway = Gateway::start_with(&config, Some(operator.path()));
+    until_shown(&folder, |s| s.contains("lookup"));
+    // A snapshot may be written just then.
+    while std::fs::remove_dir_all(&folder).is_err() {}
+    let mut client = gateway.client();
+    for seq in 1..50 {
+        let txn = format!("{seq:016x}");
+        let lookup = [("verb", "lookup"), ("txn", txn.as_str()), ("limit", "4000")];
+        client.write_all(&call(seq, &lookup, "select 1")).expect("sent");
+        assert_eq!(answer(&mut client).1, "served");
+    }
+    gateway.counts();
+    assert_eq!(verify(&folder).0, Some(2));
+    let second = Gateway::start_with(&config, Some(operator.path()));
+    until_shown(&folder, |s| s.contains("lookup"));
+    second.counts();
+    assert_eq!(verify(&folder).0, Some(0));
+}
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -94,6 +94,11 @@
     let knowledge = config.knowledge.expect("set up");
     assert_eq!((knowledge.every, knowledge.keys, knowledge.required), (2_000.0, true, false));
     assert!(config.log.json);
+    let example = include_str!("../deploy/knowledge.hcl");
+    assert!(Config::load(Some(PLATFORM), Some(("o.hcl", example)))
+        .expect("it can be used")
+        .knowledge
+        .is_some());
     let all = problems("gateways = 3\nrules {\n  drain_grace = \"9s\"\n}\n", Some(PLATFORM));
     assert_eq!(all.len(), 2, "{all:#?}");
     assert!(all.iter().all(|p| p.ends_with("is the platform's to give; leave it out here")), "{all:#?}");
