Decide at once where somebody waits; refusals and waits carry their reasons

Causes: an arrival waited for the module's next turn, up to 5 ms after the last. And by the reasons that refusals now carry, every refusal was 'crowded' or 'part': where answers tell no load, a probe that takes 0.3 ms in place of 0.1 was read as eight threads a core, as its work there is thought to be 0.05 ms. Change: a request just taken or an attempt that failed has its turn at once, while turns take under a fifth of the time; a turn's timer is set when there is something to decide. Where a probe's work is under 0.2 ms its delays count no further than answers feel them. Why (an enum out of the module) is counted by class, told at the end, and in the log at debug.

--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -70,6 +70,7 @@
 const NEAR: f64 = 0.02; // the same for an engine in our zone
 const PROBE_WORK: f64 = 0.5; // share of the shortest probe that is work at the engine, not the way there
 const PROBE_NOISE: f64 = 0.35; // of the shortest to its zone, within which a probe shows no delay
+const FAINT: Ms = 0.2; // work that a delay of this gateway's own making would pass for
 const UNDELAYED: f64 = 0.5; // threads a core where a probe shows none: the middle of what that can be
 const SCATTER: f64 = 1.0; // threads a core that an engine's load is unsure by once it is stale
 const MANY: usize = 64; // past so many, going through all of them each turn costs too much CPU ...
@@ -100,6 +101,7 @@
     next_tend: Ms,
     next_place: Ms,
     watch_at: Ms,
+    waits: Vec<[u64; Why::COUNT]>,
 }
 
 impl Gateway {
@@ -114,6 +116,7 @@
         });
         Ok(Self {
             classes: classes.collect(),
+            waits: vec![[0; Why::COUNT]; settings.classes.len()],
             quotas: vec![0.0; settings.tenants.len()],
             rng: fastrand::Rng::with_seed(settings.seed),
             fleet: Fleet::new(1.0 / settings.gateways as f64),
@@ -169,6 +172,11 @@
         self.engines.len()
     }
 
+    /// Requests by class that could not be sent in the turn that took them or their last end, and why.
+    pub fn waits(&self) -> &[[u64; Why::COUNT]] {
+        &self.waits
+    }
+
     /// The bound last chosen, in threads a core over all gateways.
     pub fn bound(&self) -> f64 {
         LEVELS[self.bound]
@@ -282,8 +290,12 @@
                 let (excess, noise) = (took - *floor * (1.0 + PROBE_NOISE), *floor * PROBE_NOISE);
                 let unit = PROBE_WORK * f.floors.values().copied().fold(f64::INFINITY, f64::min);
                 // Over a long way a short delay is lost in the noise: no more than the mean is known then.
+                // And where a probe's work is less than this gateway's own scatter, delays look like crowds: none
+                // is believed that answers do not feel.
+                let felt = (1.0 / f.speed.clamp(1.0 / SLOW_MOST, 1.0)).max(e.slow).max(1.0);
+                let most = if unit < FAINT { CROWDED * felt } else { f64::INFINITY };
                 match excess > 0.0 && unit > 0.0 {
-                    true => 1.0 + excess / unit,
+                    true => (1.0 + excess / unit).min(most),
                     false if noise < unit => UNDELAYED,
                     false => own + f.usual_load,
                 }
@@ -617,15 +629,20 @@
 
     /// The bound binds only under pressure: own part of it on this engine, where one query always fits, and
     /// all gateways' threads as reported.
-    fn room(&self, e: &Engine, r: &Request) -> bool {
+    fn room(&self, e: &Engine, r: &Request) -> Result<(), Why> {
         let width = self.s.classes[r.asked.class.0].threads;
         let cores = self.cores(e);
         let all = LEVELS[self.bound] * cores;
         let crowded = (e.threads + e.others) / cores.max(0.1) > CROWDED;
-        let pressed = e.busy || crowded || e.slow > FAR_ABOVE_BEST;
-        !pressed
-            || e.threads + width <= (all * self.fleet.share).max(width)
-                && e.threads + e.others + width * (r.size.min(3.0) - 0.5) <= all.max(width)
+        let why = match (e.busy, crowded, e.slow > FAR_ABOVE_BEST) {
+            (true, ..) => Why::Busy,
+            (_, true, _) => Why::Crowded,
+            (.., true) => Why::Slow,
+            _ => return Ok(()),
+        };
+        let fits = e.threads + width <= (all * self.fleet.share).max(width)
+            && e.threads + e.others + width * (r.size.min(3.0) - 0.5) <= all.max(width);
+        fits.then_some(()).ok_or(why)
     }
 
     /// Whether own part over the fleet has room, rounded by chance, up for who is ahead.
@@ -723,9 +740,9 @@
     }
 
     /// Routing: of the engines that the gate, health and the bound allow, the one with most free room.
-    fn route(&self, r: &Request) -> Option<EngineId> {
+    fn route(&self, r: &Request) -> Result<EngineId, Why> {
         if !self.fleet_room(r) {
-            return None;
+            return Err(Why::Part);
         }
         let width = self.s.classes[r.asked.class.0].threads;
         // More than half ejected means a shared cause: using them beats having none.
@@ -737,8 +754,9 @@
         let asked = |e: &Engine| self.now - e.probed < NEWS_WAIT && e.heard.is_none_or(|t| t < e.probed);
         let news_due = self.now - r.held < NEWS_WAIT && self.engines.values().any(asked);
         if heard_of < CHOICES.min(self.engines.len()) && news_due {
-            return None;
+            return Err(Why::News);
         }
+        let mut why = Why::NoEngine;
         let mut top: Option<(bool, f64, &EngineId)> = None;
         for (id, e) in &self.engines {
             let again = r.attempts.iter().any(|a| a.engine == *id && (a.out || !a.unseen));
@@ -746,7 +764,13 @@
             let trial = |t: Ms| self.now >= t && e.count == 0.0 && !self.classes[r.asked.class.0].long;
             let shut = e.ejected.is_some_and(|until| (!shared || e.lost.is_some()) && !trial(until));
             let shut = shut || self.now - e.full_at < FULL_REST || again && self.engines.len() > 1;
-            if shut || !self.gate(r, e) || !self.room(e, r) {
+            let may = match () {
+                () if shut => Err(Why::Away),
+                () if !self.gate(r, e) => Err(if self.cold_budget(r, e) { Why::Rules } else { Why::Cold }),
+                () => self.room(e, r),
+            };
+            if let Err(not) = may {
+                why = why.max(not);
                 continue;
             }
             let free = LEVELS[self.bound] - (e.threads + e.others + width) / self.cores(e).max(0.1);
@@ -767,7 +791,8 @@
                 top = Some((known, score, id));
             }
         }
-        top.filter(|(known, ..)| *known || !news_due).map(|(.., id)| id.clone())
+        let known = top.filter(|(known, ..)| *known || !news_due).map(|(.., id)| id.clone());
+        known.ok_or(if top.is_some() { Why::News } else { why })
     }
 
     fn decide(&mut self, actions: &mut Vec<Action>) {
@@ -814,10 +839,14 @@
         line.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         for (_, _, id) in line {
             let Some(r) = self.requests.get(&id) else { continue };
-            if let Some(engine) = self.route(r) {
-                self.send(id, &engine, actions);
-                continue;
-            }
+            let why = match self.route(r) {
+                Ok(engine) => {
+                    self.send(id, &engine, actions);
+                    continue;
+                }
+                Err(why) => why,
+            };
+            self.waits[r.asked.class.0][why as usize] += u64::from(r.held == self.now);
             let expected = self.latency_at(r.asked.class, LEVELS[self.bound]).0 * r.size;
             let aim = self.s.classes[r.asked.class.0].aim;
             let cap = WAIT_LEAST.max(WAIT_SHARE * expected).max(WAIT_AIM * aim);
@@ -829,7 +858,7 @@
             let before = key.map_or(0, |k| k.line.iter().take_while(|x| **x != id).count());
             let ends = self.now + 3.0 * self.s.tick + self.stall + before as f64 * expected;
             if ends >= r.asked.deadline || hopeless || turn && self.now - r.held >= cap {
-                self.answer(id, expected, actions);
+                self.answer(id, expected, why, actions);
             } else if let Some(r) = self.requests.get_mut(&id).filter(|_| !turn) {
                 r.held = self.now;
             }
@@ -848,7 +877,7 @@
             let past = |r: &Request| self.now >= r.asked.deadline + self.s.answer_slack / 2.0;
             match self.requests.get(&id) {
                 Some(r) if r.over => self.stop_abandoned(id, actions),
-                Some(r) if past(r) => self.answer(id, 0.0, actions),
+                Some(r) if past(r) => self.answer(id, 0.0, Why::Deadline, actions),
                 Some(r) => {
                     let priority = self.priority(r);
                     self.set_terms(id, r.grant, priority, actions);
@@ -907,7 +936,7 @@
         if !(in_time && (ill || overdue) || runaway && ends) {
             return;
         }
-        let copy = if self.s.may_copy { self.route(r) } else { None };
+        let copy = if self.s.may_copy { self.route(r).ok() } else { None };
         let drop_first = self.s.may_cancel && runaway;
         if drop_first {
             actions.push(Action::Cancel { id, attempt: no as u32 });
@@ -975,7 +1004,7 @@
     }
 
     /// The one place that gives final answers: a refusal where a retry is harmless, else a failure.
-    fn answer(&mut self, id: RequestId, come_back: Ms, actions: &mut Vec<Action>) {
+    fn answer(&mut self, id: RequestId, come_back: Ms, why: Why, actions: &mut Vec<Action>) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
         let harmless = match self.s.classes[r.asked.class.0].repeat {
             Repeat::Safe | Repeat::Keyed { scope: Scope::All, .. } => true,
@@ -984,7 +1013,7 @@
         r.over = true;
         if harmless {
             let retry_after = come_back.max(WAIT_LEAST).min(self.s.max_retry_after.max(0.0));
-            actions.push(Action::Refuse { id, retry_after });
+            actions.push(Action::Refuse { id, retry_after, why });
         } else {
             actions.push(Action::Fail { id });
         }
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -425,6 +425,67 @@
     Recalled(Box<crate::learned::Learned>),
 }
 
+/// What keeps a request from being sent now: of all engines, the guard that the furthest of them came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Why {
+    /// No engine is in the list.
+    NoEngine,
+    /// All are ejected, or have just said that they are full.
+    Away,
+    /// The rules: placement, repeats, one attempt at a time, the cap on sends, the deadline, the ration, the order of
+    /// a key.
+    Rules,
+    /// A cold engine's budget.
+    Cold,
+    /// An engine says that it is busy, and the bound is reached.
+    Busy,
+    /// The estimate of an engine's load says that it is crowded, and the bound is reached.
+    Crowded,
+    /// An engine is slow, and the bound is reached.
+    Slow,
+    /// This gateway's part of the fleet's bound.
+    Part,
+    /// News of the engines' load, which is due.
+    News,
+    /// The client's time, which is over.
+    Deadline,
+}
+
+impl Why {
+    /// How many there are.
+    pub const COUNT: usize = Why::Deadline as usize + 1;
+
+    /// All, in their order.
+    pub const ALL: [Why; Why::COUNT] = [
+        Why::NoEngine,
+        Why::Away,
+        Why::Rules,
+        Why::Cold,
+        Why::Busy,
+        Why::Crowded,
+        Why::Slow,
+        Why::Part,
+        Why::News,
+        Why::Deadline,
+    ];
+
+    /// Its name in counts and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Why::NoEngine => "no engine",
+            Why::Away => "away",
+            Why::Rules => "rules",
+            Why::Cold => "cold",
+            Why::Busy => "busy",
+            Why::Crowded => "crowded",
+            Why::Slow => "slow",
+            Why::Part => "part",
+            Why::News => "news",
+            Why::Deadline => "deadline",
+        }
+    }
+}
+
 /// What the gateway does.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -443,6 +504,8 @@
         id: RequestId,
         /// When to come back; 0: no advice.
         retry_after: Ms,
+        /// What kept it from being sent.
+        why: Why,
     },
     /// Fails a request, with no promise.
     Fail {
--- a/crates/lab/src/bed.rs
+++ b/crates/lab/src/bed.rs
@@ -26,6 +26,7 @@
     pub program: PathBuf,
     pub seed: u64,
     pub kills: u32,
+    pub queries: usize,
     pub dir: tempfile::TempDir,
 }
 
@@ -37,6 +38,10 @@
 
 impl Engines {
     pub fn start(specs: Vec<Spec>, seed: u64) -> Result<Self, Failure> {
+        Self::start_speaking(Wire::Resp, specs, seed)
+    }
+
+    pub fn start_speaking(wire: Wire, specs: Vec<Spec>, seed: u64) -> Result<Self, Failure> {
         let fleet = Fleet::new(12_000.0);
         let (tell, told) = std::sync::mpsc::channel();
         let shared = fleet.clone();
@@ -47,7 +52,7 @@
             tokio::task::LocalSet::new().block_on(&runtime, async move {
                 let mut all = Vec::new();
                 for (n, spec) in specs.into_iter().enumerate() {
-                    match Engine::start(Wire::Resp, spec, shared.clone(), seed ^ n as u64).await {
+                    match Engine::start(wire, spec, shared.clone(), seed ^ n as u64).await {
                         Ok(engine) => all.push(engine),
                         Err(e) => return drop(tell.send(Err(e))),
                     }
@@ -173,6 +178,34 @@
         rest[..end].parse().ok()
     }
 
+    /// The address of its second front, once it listens there.
+    pub async fn second(&self) -> Result<SocketAddr, Failure> {
+        for _ in 0..1_000 {
+            let line = self.tail(" listens at ");
+            if let Some(at) = line.and_then(|l| l.strip_suffix(" for ClickHouse HTTP")?.parse().ok()) {
+                return Ok(at);
+            }
+            sleep(Duration::from_millis(2)).await;
+        }
+        Err("there is no second front".into())
+    }
+
+    /// What follows those words in the last line that has them.
+    pub fn tail(&self, words: &str) -> Option<String> {
+        let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.iter().rev().find_map(|l| l.split_once(words).map(|(_, r)| r.to_owned()))
+    }
+
+    /// CPU time that it has used, in ms.
+    pub fn cpu_ms(&self) -> Result<f64, Failure> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
+        let fields: Vec<&str> =
+            stat.rsplit_once(')').map_or("", |(_, rest)| rest).split_whitespace().collect();
+        // Fields 14 and 15 of proc(5), in hundredths of a second.
+        let ticks = |n: usize| fields.get(n).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+        Ok((ticks(11) + ticks(12)) * 10.0)
+    }
+
     pub fn said(&self, words: &str) -> bool {
         self.lines.lock().unwrap_or_else(PoisonError::into_inner).iter().any(|l| l.contains(words))
     }
--- a/crates/lab/src/experiments.rs
+++ b/crates/lab/src/experiments.rs
@@ -12,11 +12,13 @@
 use starlingplank_knowledge::recall::{self, Named, Recall};
 use starlingplank_knowledge::records::{Class, Engine as Known, Snapshot};
 use starlingplank_knowledge::{snapshot, store};
-use starlingplank_standins::client::Answer;
+use starlingplank_standins::client::{Answer, Caller, Speaks};
+use starlingplank_standins::engine::Wire;
 use starlingplank_standins::model::Spec;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,7 +29,10 @@
 pub type Experiment = (&'static str, &'static str, for<'a> fn(&'a Lab) -> Ran<'a>);
 
 /// All of them.
-pub const ALL: [Experiment; 4] = [
+pub const ALL: [Experiment; 5] = [
+    ("idle", "closed loops on idle engines: refusals and what the gateway adds to the time", |lab| {
+        Box::pin(idle(lab))
+    }),
     (
         "restart",
         "the program killed at random moments under load: torn files, loads run twice, lost answers",
@@ -75,9 +80,21 @@
 }
 
 async fn restart(lab: &Lab) -> Result<Figures, Failure> {
+    let (kept, off) = tokio::join!(restarts(lab, "restart", true), restarts(lab, "restart-off", false));
+    let (mut json, off) = (kept?, off?);
+    json["baseline_without_log"] = json!({
+        "kills": off["kills"],
+        "loads_run": off["loads_run"],
+        "loads_run_twice": off["loads_run_twice"],
+    });
+    Ok(Figures { json, chart: None })
+}
+
+async fn restarts(lab: &Lab, name: &str, keys: bool) -> Result<serde_json::Value, Failure> {
     let engines = Engines::start(vec![Spec::default(); 4], lab.seed)?;
-    let kept = folder(lab, "kept");
-    let text = config(&engines, lab.seed, Some(&knowledge(&kept, "  every = \"200ms\"")));
+    let kept = folder(lab, name);
+    let text =
+        config(&engines, lab.seed, Some(&knowledge(&kept, &format!("  every = \"200ms\"\n  keys = {keys}"))));
     let mut rng = Pcg64Mcg::seed_from_u64(lab.seed);
     let door = Door::new(lab.seed);
     let begun = Instant::now();
@@ -85,7 +102,7 @@
     let kills: Rc<RefCell<Vec<Instant>>> = Rc::default();
 
     // More loads than usual: they are what this is about.
-    let mut jobs = arrivals(lab.seed, 14.0, lab.kills as f64 * 4_000.0 + 60_000.0, 3);
+    let mut jobs = arrivals(lab.seed, 44.0, lab.kills as f64 * 4_000.0 + 60_000.0, 3);
     for (n, job) in jobs.iter_mut().enumerate().filter(|(n, _)| n % 4 == 0) {
         job.class = 2;
         job.key = Some(format!("{:032x}", (u128::from(lab.seed) << 64) + n as u128));
@@ -111,7 +128,7 @@
     for life in 0..=lab.kills {
         // What is there before the start, read without the program.
         let before = store::load(&Files::new(&kept), 1 << 24).ok().and_then(|l| l.snapshot);
-        let mut gateway = Gateway::start(lab, "restart", &text).await?;
+        let mut gateway = Gateway::start(lab, name, &text).await?;
         open(&door, gateway.address);
         match (gateway.said("is whole:"), &before) {
             // Whole: it names the generation that is whole on disk, and that one knows the engines and no others.
@@ -162,8 +179,7 @@
     let count = |what: fn(&Answer) -> bool| {
         tries.iter().filter(taken).filter(|d| d.answer.as_ref().is_some_and(what)).count()
     };
-    Ok(Figures {
-        json: json!({
+    Ok(json!({
             "kills": kills.len(),
             "starts_whole": whole,
             "starts_empty": empty,
@@ -181,9 +197,7 @@
             "lost_by_kills": count(|a| *a == Answer::Lost),
             "lost_answers_beyond_kill": lost,
             "seconds": begun.elapsed().as_secs_f64(),
-        }),
-        chart: None,
-    })
+    }))
 }
 
 // ---- cold-return --------------------------------------------------------------------------------
@@ -456,3 +470,116 @@
         chart: None,
     })
 }
+
+// ---- idle ---------------------------------------------------------------------------------------
+
+/// Queries of one closed loop: a connection, one query after the other.
+struct Loop {
+    latencies: hdrhistogram::Histogram<u64>,
+    refused: u64,
+    failed: u64,
+}
+
+/// Clients on one connection each, spread over those addresses, together so many queries.
+async fn closed_loop(
+    all_at: &[SocketAddr],
+    speaks: Speaks,
+    clients: usize,
+    queries: usize,
+    work: f64,
+) -> Result<Loop, Failure> {
+    let mut tasks = tokio::task::JoinSet::new();
+    for n in 0..clients {
+        let at = all_at[n % all_at.len()];
+        tasks.spawn_local(async move {
+            let mut caller = Caller::connect(at, speaks).await?;
+            let mut latencies = hdrhistogram::Histogram::<u64>::new_with_bounds(1, 120_000_000_000, 4)
+                .map_err(std::io::Error::other)?;
+            let (mut refused, mut failed) = (0, 0);
+            for q in 0..queries / clients {
+                let begun = std::time::Instant::now();
+                let answer = caller.query(&format!("{:016x}", (n << 32) + q), work).await?;
+                let _ = latencies.record(begun.elapsed().as_nanos() as u64);
+                refused += u64::from(matches!(answer, Answer::Refused(_)));
+                failed += u64::from(matches!(answer, Answer::Failed | Answer::Lost));
+            }
+            Ok::<_, std::io::Error>(Loop { latencies, refused, failed })
+        });
+    }
+    let mut all: Option<Loop> = None;
+    while let Some(one) = tasks.join_next().await {
+        let one = one??;
+        match &mut all {
+            None => all = Some(one),
+            Some(all) => {
+                all.latencies.add(&one.latencies)?;
+                (all.refused, all.failed) = (all.refused + one.refused, all.failed + one.failed);
+            }
+        }
+    }
+    all.ok_or_else(|| "no client ran".into())
+}
+
+async fn idle(lab: &Lab) -> Result<Figures, Failure> {
+    let mut rows = Vec::new();
+    let (mut refused, mut failed, mut worst50, mut worst99) = (0, 0, 0.0_f64, 0.0_f64);
+    for wire in [Wire::Resp, Wire::ClickHouse] {
+        for engines_n in [2, 8] {
+            for (speed, work, queries) in [("fast", 0.1, lab.queries), ("slow", 300.0, lab.queries / 200)] {
+                for clients in [1, 4, 16] {
+                    // One client on slow engines would take hours: as many queries as its share of the others'.
+                    let queries =
+                        if speed == "slow" { (queries / 16 * clients).max(clients) } else { queries };
+                    let silent =
+                        Spec { at_once: speed == "fast", tells: wire == Wire::Resp, ..Spec::default() };
+                    let engines = Engines::start_speaking(wire, vec![silent; engines_n], lab.seed)?;
+                    let mut text = config(&engines, lab.seed, None);
+                    if wire == Wire::ClickHouse {
+                        text = text.replace("reports = \"answers\"", "reports = \"none\"");
+                        text.push_str("engines_speak = \"clickhouse\"\nclickhouse {\n  listen = \"127.0.0.1:0\"\n  rule {\n    class = \"lookup\"\n  }\n}\n");
+                    }
+                    let mut gateway = Gateway::start(lab, "idle", &text).await?;
+                    let (front, speaks, direct) = match wire {
+                        Wire::Resp => (gateway.address, Speaks::Thrift, Speaks::Resp),
+                        Wire::ClickHouse => (gateway.second().await?, Speaks::Http, Speaks::Http),
+                    };
+                    let all_at: Vec<_> = engines.all.iter().map(|e| e.address).collect();
+                    let alone = closed_loop(&all_at, direct, clients, queries, work).await?;
+                    let before = gateway.cpu_ms()?;
+                    let through = closed_loop(&[front], speaks, clients, queries, work).await?;
+                    let cpu = gateway.cpu_ms()? - before;
+                    let us = |l: &Loop, q: f64| l.latencies.value_at_quantile(q) as f64 / 1000.0;
+                    let added = |q: f64| us(&through, q) - us(&alone, q);
+                    gateway.end().await?;
+                    (refused, failed) = (refused + through.refused, failed + through.failed);
+                    (worst50, worst99) = (worst50.max(added(0.5)), worst99.max(added(0.99)));
+                    rows.push(json!({
+                        "front": if wire == Wire::Resp { "thrift" } else { "clickhouse" },
+                        "engines": engines_n,
+                        "speed": speed,
+                        "clients": clients,
+                        "queries": queries,
+                        "refused": through.refused,
+                        "failed": through.failed,
+                        "direct_p50_us": us(&alone, 0.5),
+                        "direct_p99_us": us(&alone, 0.99),
+                        "added_p50_us": added(0.5),
+                        "added_p99_us": added(0.99),
+                        "cpu_us_per_query": cpu * 1000.0 / queries as f64,
+                        "why": gateway.tail("refused for "),
+                    }));
+                }
+            }
+        }
+    }
+    Ok(Figures {
+        json: json!({
+            "refused": refused,
+            "failed": failed,
+            "added_p50_us": worst50,
+            "added_p99_us": worst99,
+            "rows": rows,
+        }),
+        chart: None,
+    })
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -37,6 +37,9 @@
     /// Kills, in `restart`
     #[arg(long, default_value_t = 50)]
     kills: u32,
+    /// Queries of a closed loop, in `idle`
+    #[arg(long, default_value_t = 20_000)]
+    queries: usize,
     /// Print the figures as JSON
     #[arg(long)]
     json: bool,
@@ -73,7 +76,13 @@
         Some(program) => program.clone(),
         None => std::env::current_exe()?.with_file_name("starlingplank"),
     };
-    let lab = bed::Lab { program, seed: run.seed, kills: run.kills, dir: tempfile::tempdir()? };
+    let lab = bed::Lab {
+        program,
+        seed: run.seed,
+        kills: run.kills,
+        queries: run.queries,
+        dir: tempfile::tempdir()?,
+    };
     let figures = tokio::task::LocalSet::new().block_on(&runtime, experiment(&lab))?;
     report::keep(&run.out, name, run.seed, &figures)?;
     if run.json {
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -141,3 +141,108 @@
         let _ = tell.send(Answer::Lost);
     }
 }
+
+/// What a [`Caller`] speaks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Speaks {
+    /// The platform's protocol, to a gateway.
+    Thrift,
+    /// The platform's commands, to an engine.
+    Resp,
+    /// The ClickHouse HTTP interface, to either.
+    Http,
+}
+
+/// A client in a closed loop: one connection, one query after the other.
+pub struct Caller {
+    stream: TcpStream,
+    speaks: Speaks,
+    seq: i32,
+    bytes: Vec<u8>,
+}
+
+impl Caller {
+    /// Connects.
+    ///
+    /// # Errors
+    /// Nobody listens.
+    pub async fn connect(at: SocketAddr, speaks: Speaks) -> std::io::Result<Self> {
+        let stream = TcpStream::connect(at).await?;
+        stream.set_nodelay(true)?;
+        Ok(Self { stream, speaks, seq: 0, bytes: Vec::new() })
+    }
+
+    /// Asks under that name and waits for the answer.
+    ///
+    /// # Errors
+    /// The connection ends.
+    pub async fn query(&mut self, name: &str, work: f64) -> std::io::Result<Answer> {
+        self.seq += 1;
+        let body = format!("select 1 /* work={work} usual={work} threads=1 */");
+        let asked = match self.speaks {
+            Speaks::Thrift => call(self.seq, &[("verb", "lookup"), ("txn", name), ("limit", "6000")], &body),
+            Speaks::Resp => {
+                let parts = ["want", name, "queue=lookup,budget=6000", &body];
+                let bulk = |p: &&str| format!("${}\r\n{p}\r\n", p.len());
+                format!("*4\r\n{}", parts.iter().map(bulk).collect::<String>()).into_bytes()
+            }
+            Speaks::Http => format!(
+                "POST /?query_id={name} HTTP/1.1\r\nHost: l\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            )
+            .into_bytes(),
+        };
+        self.stream.write_all(&asked).await?;
+        loop {
+            if let Some((answer, used)) = self.answered() {
+                self.bytes.drain(..used);
+                return Ok(answer);
+            }
+            if self.stream.read_buf(&mut self.bytes).await? == 0 || self.bytes.len() > MOST {
+                return Err(std::io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
+    /// A whole answer, if one is there.
+    fn answered(&self) -> Option<(Answer, usize)> {
+        match self.speaks {
+            Speaks::Thrift => {
+                let len = u32::from_be_bytes(self.bytes.get(..4)?.try_into().ok()?) as usize;
+                let frame = self.bytes.get(4..4 + len)?;
+                Some((read(frame).map_or(Answer::Failed, |(_, answer)| answer), 4 + len))
+            }
+            Speaks::Resp => {
+                // Answers of the stand-in are four parts, the second the word.
+                let text = std::str::from_utf8(&self.bytes).ok()?;
+                let mut at = text.find("\r\n")? + 2;
+                let mut word = "";
+                for n in 0..4 {
+                    let rest = text.get(at..)?;
+                    let end = rest.find("\r\n")?;
+                    let len: usize = rest.get(1..end)?.parse().ok()?;
+                    let part = rest.get(end + 2..end + 2 + len)?;
+                    word = if n == 1 { part } else { word };
+                    at += end + 4 + len;
+                }
+                (self.bytes.len() >= at)
+                    .then_some((if word == "served" { Answer::Served } else { Answer::Failed }, at))
+            }
+            Speaks::Http => {
+                let head = self.bytes.windows(4).position(|w| w == b"\r\n\r\n")?;
+                let text = std::str::from_utf8(&self.bytes[..head]).ok()?;
+                let length = text.lines().find_map(|l| {
+                    let (name, value) = l.split_once(':')?;
+                    name.eq_ignore_ascii_case("content-length").then(|| value.trim().parse::<usize>().ok())?
+                });
+                let end = head + 4 + length?;
+                let answer = match text.split(' ').nth(1) {
+                    Some("200") => Answer::Served,
+                    Some("503") => Answer::Refused(0.0),
+                    _ => Answer::Failed,
+                };
+                (self.bytes.len() >= end).then_some((answer, end))
+            }
+        }
+    }
+}
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -288,9 +288,10 @@
                     known
                 });
                 let errors = s.model.spec.errors;
-                if dropped || s.rng.random_bool(errors) {
+                let errs = s.rng.random_bool(errors);
+                if dropped || errs || s.model.spec.at_once {
                     end(&mut seen, name);
-                    return Some(match (dropped, self.wire) {
+                    return Some(match (dropped || !errs, self.wire) {
                         (true, _) => self.served(name, 1.0, &told),
                         (false, Wire::Resp) => resp(&[name, "crashed", &format!("cost=0{told}"), ""]),
                         (false, Wire::ClickHouse) => http("500 Internal Server Error", "Code: 1000.\n"),
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -28,6 +28,8 @@
     pub others: f64,
     /// Its answers tell of its load.
     pub tells: bool,
+    /// It answers at once, whatever the work.
+    pub at_once: bool,
 }
 
 impl Default for Spec {
@@ -42,6 +44,7 @@
             errors: 0.0,
             others: 0.0,
             tells: true,
+            at_once: false,
         }
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -198,6 +198,8 @@
     Part(RequestId, Vec<u8>),
     /// Give the final answer.
     Answer(RequestId, Answer),
+    /// Say, to who looks closely, what kept a request from being sent, and for how long.
+    Refused(RequestId, ClassId, &'static str, Ms),
     /// Write a record of a keyed send, and tell of it under its number.
     Record(u64, Key, Sent),
     /// Write that the log is whole: the time, and until when nothing keyed may leave.
@@ -219,6 +221,7 @@
 struct Request {
     statement: Rc<Statement>,
     class: ClassId,
+    taken: Ms,
     key: Option<(Key, Ms)>,
     deadline: Ms,
     /// A keyed statement may not leave later than this: an engine that saw its key before forgets it then.
@@ -274,6 +277,8 @@
     pub outcomes: [u64; 8],
     /// Requests served, refused, failed, and left by their clients.
     pub answers: [u64; 4],
+    /// Of the refused, what kept them from being sent.
+    pub refusals: BTreeMap<&'static str, u64>,
 }
 
 /// The state of one gateway.
@@ -297,8 +302,15 @@
     open: usize,
     counts: Vec<Counts>,
     pending: Vec<crate::interface::Event>,
-    /// The module decides no sooner: a turn costs much the same for one event as for many.
+    /// The module decides no later once something is pending: a turn costs much the same for one event as for many.
     next_turn: Ms,
+    /// A timer for that is set.
+    turn_set: bool,
+    /// Somebody waits for what the next turn decides.
+    urgent: bool,
+    /// Time for turns before the next is due, in ms: earned as time passes, spent as turns take it.
+    credit: Ms,
+    earned: Ms,
     terminating: Option<Ms>,
 }
 
@@ -326,6 +338,10 @@
             open: 0,
             pending: Vec::new(),
             next_turn: now,
+            turn_set: false,
+            urgent: false,
+            credit: 0.0,
+            earned: now,
             terminating: None,
         })
     }
@@ -450,9 +466,7 @@
         self.counts[class.0].taken += 1;
         // Guards the memory: past these limits a request is turned away before the module hears of it.
         if self.open >= self.limits.max_open || self.held + ask.statement.bytes() > self.limits.held_bytes {
-            self.counts[class.0].answers[1] += 1;
-            effects.push(Effect::Answer(id, Answer::Refused(self.settings.max_retry_after)));
-            return;
+            return self.turn_away(id, class, self.settings.max_retry_after, "limits", effects);
         }
         // A repeat that came while the engines remember its key must not leave after it: it would run twice.
         let key =
@@ -462,9 +476,7 @@
             None => f64::INFINITY,
             Some(Admission::Until(by)) => by,
             Some(Admission::Later(wait)) => {
-                self.counts[class.0].answers[1] += 1;
-                let wait = wait.min(self.settings.max_retry_after);
-                return effects.push(Effect::Answer(id, Answer::Refused(wait)));
+                return self.turn_away(id, class, wait.min(self.settings.max_retry_after), "keys", effects);
             }
         };
         self.open += 1;
@@ -472,6 +484,7 @@
         let request = Request {
             statement: ask.statement,
             class,
+            taken: now,
             key,
             deadline,
             send_by,
@@ -486,9 +499,37 @@
         // The module plans by the time that there is: attempts end before the deadline, so that the answer can
         // leave. With the client's own deadline it sent again in the time between, which went against its ration.
         let deadline = deadline - self.limits.answer_margin;
+        self.urgent = true;
         self.pending.push(crate::interface::Event::Request(Incoming { deadline, ..ask.asked }));
     }
 
+    /// Refuses what was not taken.
+    fn turn_away(
+        &mut self,
+        id: RequestId,
+        class: ClassId,
+        wait: Ms,
+        why: &'static str,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.counts[class.0].answers[1] += 1;
+        *self.counts[class.0].refusals.entry(why).or_default() += 1;
+        effects.push(Effect::Refused(id, class, why, 0.0));
+        effects.push(Effect::Answer(id, Answer::Refused(wait)));
+    }
+
+    /// Refuses what was taken.
+    fn refuse(&mut self, now: Ms, id: RequestId, wait: Ms, why: &'static str, effects: &mut Vec<Effect>) {
+        let Some(r) = self.requests.get(&id).filter(|r| !r.over) else { return };
+        let (class, waited, begun) = (r.class, now - r.taken, r.begun);
+        self.stop(now, id, Outcome::Cancelled, effects);
+        if !begun && self.requests.get(&id).is_some_and(|r| !r.over) {
+            *self.counts[class.0].refusals.entry(why).or_default() += 1;
+            effects.push(Effect::Refused(id, class, why, waited));
+        }
+        self.answer(id, Answer::Refused(wait), effects);
+    }
+
     fn window(&self, class: ClassId) -> Option<Ms> {
         match self.settings.classes[class.0].repeat {
             Repeat::Keyed { window, .. } => Some(window),
@@ -564,6 +605,7 @@
             r.error = end.error;
         }
         let over = self.requests.get(&id.0).is_none_or(|r| r.over);
+        self.urgent |= !over;
         self.pending.push(crate::interface::Event::Outcome {
             id: id.0,
             attempt: id.1,
@@ -620,7 +662,8 @@
                     self.gate.failed();
                     self.recorded(now, number, false, effects);
                 }
-                Due::Attempt(_) | Due::Gone(_) | Due::Leave | Due::Turn | Due::Record(_) => {}
+                Due::Turn => self.turn_set = false,
+                Due::Attempt(_) | Due::Gone(_) | Due::Leave | Due::Record(_) => {}
             }
         }
     }
@@ -647,10 +690,12 @@
                 Repeat::Safe | Repeat::Keyed { scope: Scope::All, .. } => true,
                 _ => r.attempts.is_empty(),
             };
-            self.stop(now, id, Outcome::Cancelled, effects);
-            let answer =
-                if harmless { Answer::Refused(self.settings.max_retry_after) } else { Answer::Failed(None) };
-            self.answer(id, answer, effects);
+            if harmless {
+                self.refuse(now, id, self.settings.max_retry_after, "ending", effects);
+            } else {
+                self.stop(now, id, Outcome::Cancelled, effects);
+                self.answer(id, Answer::Failed(None), effects);
+            }
             self.pending.push(crate::interface::Event::Gone(id));
         }
     }
@@ -662,13 +707,22 @@
         }
     }
 
-    /// Lets the module decide, and again while its own actions give it news.
+    /// Lets the module decide, and again while its own actions give it news. At once where somebody waits for it and
+    /// turns have taken little time of late; else once in a while, with all that has come in.
     fn turn(&mut self, now: Ms, effects: &mut Vec<Effect>) {
-        if self.pending.is_empty() || now < self.next_turn {
+        if self.pending.is_empty() {
+            return;
+        }
+        self.credit += (now - self.earned).max(0.0) * self.limits.turn_share;
+        (self.credit, self.earned) = (self.credit.min(self.limits.turn_credit), now);
+        if now < self.next_turn && !(self.urgent && self.credit > 0.0) {
+            if !std::mem::replace(&mut self.turn_set, true) {
+                self.timer(self.next_turn, Due::Turn);
+            }
             return;
         }
         self.next_turn = now + self.limits.turn_gap;
-        self.timer(self.next_turn, Due::Turn);
+        self.urgent = false;
         let mut actions = Vec::new();
         for _ in 0..=self.settings.send_cap {
             if self.pending.is_empty() {
@@ -682,13 +736,20 @@
         }
     }
 
+    /// So much time was spent on turns.
+    pub fn spent(&mut self, time: Ms) {
+        self.credit -= time;
+    }
+
+    /// Requests by class that could not be sent at once, and why.
+    pub fn waits(&self) -> &[[u64; Why::COUNT]] {
+        self.module.waits()
+    }
+
     fn act(&mut self, now: Ms, action: Action, effects: &mut Vec<Effect>) {
         match action {
             Action::Send { id, engine, timeout } => self.send(now, id, engine, timeout, effects),
-            Action::Refuse { id, retry_after } => {
-                self.stop(now, id, Outcome::Cancelled, effects);
-                self.answer(id, Answer::Refused(retry_after), effects);
-            }
+            Action::Refuse { id, retry_after, why } => self.refuse(now, id, retry_after, why.name(), effects),
             Action::Fail { id } => {
                 let error = self.requests.get_mut(&id).and_then(|r| r.error.take());
                 self.stop(now, id, Outcome::Cancelled, effects);
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -58,8 +58,12 @@
     pub stall: Ms,
     /// A probe unanswered by then has failed.
     pub probe: Ms,
-    /// Time between two turns of the module.
+    /// Time between two turns of the module where nobody waits for the second, or turns take much time.
     pub turn_gap: Ms,
+    /// Share of the time that turns in between may take ...
+    pub turn_share: f64,
+    /// ... and how much of it may be saved up.
+    pub turn_credit: Ms,
     /// Time kept before a deadline for the answer to leave.
     pub answer_margin: Ms,
     /// Time after which attempts on an engine that the name service dropped are given up.
@@ -120,6 +124,8 @@
             stall: 50.0,
             probe: 300.0,
             turn_gap: f.number_or("tick", 1.0)?.clamp(2.0, 5.0),
+            turn_share: 0.2,
+            turn_credit: 5.0,
             answer_margin: 20.0,
             gone_grace: 200.0,
             names_poll: ms(200.0),
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -2,13 +2,14 @@
 
 use crate::config::{Config, EngineWire};
 use crate::core::{Core, Effect, Event};
-use crate::interface::Settings;
+use crate::interface::{Settings, Why};
 use crate::net::engine::clickhouse::HttpEngines;
 use crate::net::engine::pool::{Engines, RespEngines};
 use crate::net::front::{clickhouse, thrift, Desk, Seat};
 use crate::net::keep::Keep;
 use crate::net::log;
 use crate::net::names;
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
 use std::rc::Rc;
@@ -123,7 +124,7 @@
     tracing::info!("loop: longest turn {:.3} ms, latest {latest:.3} ms", longest.as_secs_f64() * 1000.0);
     // What the last answers taught is in the last snapshot, if the disk takes it in time.
     keep.snapshot(&gateway.core, desk.clock.now());
-    for (class, c) in settings.classes.iter().zip(gateway.core.counts()) {
+    for ((class, c), waits) in settings.classes.iter().zip(gateway.core.counts()).zip(gateway.core.waits()) {
         tracing::info!(
             "{}: {} taken, {} attempts, ended {:?}, answered {:?}",
             class.name,
@@ -132,6 +133,9 @@
             c.outcomes,
             c.answers
         );
+        let waits = Why::ALL.iter().map(|w| (w.name(), waits[*w as usize])).filter(|(_, n)| *n > 0);
+        let waits: BTreeMap<_, _> = waits.collect();
+        tracing::info!("{}: refused for {:?}, waited for {waits:?}", class.name, c.refusals);
     }
     if keep.is_on() {
         let _ = timeout(limits.term_snapshot, keep.finish()).await;
@@ -164,6 +168,7 @@
             for event in news.drain(..).chain([Event::Clock, Event::Turn]) {
                 self.core.handle(now, event, &mut effects);
             }
+            self.core.spent(self.desk.clock.now() - now);
             for effect in effects.drain(..) {
                 self.perform(effect, keep, &mut news);
             }
@@ -183,6 +188,11 @@
             Effect::Begin(id, rows) => self.desk.begin(id, rows),
             Effect::Part(id, bytes) => self.desk.part(id, bytes),
             Effect::Answer(id, answer) => self.desk.answer(id, answer),
+            Effect::Refused(id, class, why, waited) => tracing::debug!(
+                "request {} of {} was refused after {waited:.1} ms: {why}",
+                id.0,
+                self.desk.settings.classes[class.0].name
+            ),
             Effect::Record(number, key, sent) => {
                 if !keep.record(number, key, sent) {
                     news.push(Event::RecordsFailed(vec![number]));
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -495,7 +495,7 @@
             "ASSIGN\tfront_id={front}\tticket={}\ttry_for={timeout:.3}\tengine={}",
             id.0, engine.0
         ),
-        Action::Refuse { id, retry_after } => {
+        Action::Refuse { id, retry_after, .. } => {
             writeln!(out, "OVERLOAD_REPLY\tfront_id={front}\tticket={}\tretry_in={retry_after:.3}", id.0)
         }
         Action::Fail { id } => writeln!(out, "ABORT\tfront_id={front}\tticket={}", id.0),
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -121,9 +121,9 @@
     assert!(bed.turn(&[Event::Timer(0)]).iter().all(|a| !matches!(a, Action::Refuse { .. })));
     bed.now += 10.0;
     let actions = bed.turn(&[Event::Timer(0)]);
-    let refused = actions
-        .iter()
-        .any(|a| matches!(a, Action::Refuse { id: r, retry_after } if r.0 == id && *retry_after >= 100.0));
+    let refused = actions.iter().any(
+        |a| matches!(a, Action::Refuse { id: r, retry_after, .. } if r.0 == id && *retry_after >= 100.0),
+    );
     assert!(refused, "{actions:?}");
     assert_eq!(bed.gateway.open_requests(), 0);
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -46,7 +46,7 @@
     fn action(&mut self, now: Ms, action: &Action) {
         match action {
             Action::Send { id, engine, timeout } => self.send(now, id.0, Self::index(engine), *timeout),
-            Action::Refuse { id, retry_after } => {
+            Action::Refuse { id, retry_after, .. } => {
                 assert!(*retry_after <= self.s.max_retry_after, "advice that is not allowed");
                 let r = self.requests.get_mut(&id.0).expect("a request of ours");
                 assert!(r.answered.is_none(), "rule 1: two answers");
