--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -290,8 +290,8 @@
                 let (excess, noise) = (took - *floor * (1.0 + PROBE_NOISE), *floor * PROBE_NOISE);
                 let unit = PROBE_WORK * f.floors.values().copied().fold(f64::INFINITY, f64::min);
                 // Over a long way a short delay is lost in the noise: no more than the mean is known then.
-                // And where a probe's work is less than this gateway's own scatter, delays look like crowds: none
-                // is believed that answers do not feel.
+                // And where a probe's work is less than this gateway's own scatter, delays look like crowds:
+                // none is believed that answers do not feel.
                 let felt = (1.0 / f.speed.clamp(1.0 / SLOW_MOST, 1.0)).max(e.slow).max(1.0);
                 let most = if unit < FAINT { CROWDED * felt } else { f64::INFINITY };
                 match excess > 0.0 && unit > 0.0 {
