A trace of what crosses the sockets, at the log level trace

Change: one line each, at the level trace, where the runtime hands events in and performs effects, where a connection to an engine comes up or fails, and where the list is asked for. Off by default: then a test of one flag.

--- a/src/net/engine/pool.rs
+++ b/src/net/engine/pool.rs
@@ -227,10 +227,18 @@
 async fn run(conn: Rc<Conn>, limits: Rc<Limits>, events: Sender<Event>) {
     let stream = match timeout(limits.connect, TcpStream::connect(conn.address)).await {
         Ok(Ok(stream)) => Some(stream),
-        Ok(Err(_)) | Err(_) => None,
+        Ok(Err(e)) => {
+            tracing::trace!("connection to {} failed: {e}", conn.address);
+            None
+        }
+        Err(_) => {
+            tracing::trace!("connection to {} failed: not up in time", conn.address);
+            None
+        }
     };
     if let Some(stream) = &stream {
         conn.up.set(true);
+        tracing::trace!("connection to {} is up", conn.address);
         let _ = stream.set_nodelay(true);
         tokio::select! {
             ended = conn.out.write_all(stream, &limits) => drop(ended),
--- a/src/net/names.rs
+++ b/src/net/names.rs
@@ -200,6 +200,7 @@
                     open.pop_front();
                 }
                 // A lost question is followed by the next one.
+                tracing::trace!("list asked for");
                 let _ = socket.send(&question(id)).await;
             }
             got = socket.recv(&mut buffer) => {
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -1,7 +1,7 @@
 //! The loop that feeds the reducer and performs its effects: one thread, as the machine has one core.
 
 use crate::config::{Config, EngineWire};
-use crate::core::{Core, Effect, Event};
+use crate::core::{Answer, Core, Effect, Event};
 use crate::interface::{Settings, Why};
 use crate::net::engine::clickhouse::HttpEngines;
 use crate::net::engine::pool::{Engines, RespEngines};
@@ -166,6 +166,7 @@
         loop {
             let now = self.desk.clock.now();
             for event in news.drain(..).chain([Event::Clock, Event::Turn]) {
+                trace(&event);
                 self.core.handle(now, event, &mut effects);
             }
             self.core.spent(self.desk.clock.now() - now);
@@ -179,6 +180,7 @@
     }
 
     fn perform(&mut self, effect: Effect, keep: &Keep, news: &mut Vec<Event>) {
+        trace_effect(&effect);
         match effect {
             Effect::Send(send) => self.engines.send(send, news),
             Effect::GiveUp(id, _) => self.engines.give_up(id),
@@ -237,3 +239,41 @@
         }
     }
 }
+
+/// What comes in, a line each, at the level `trace`; where that is off, a test of one flag.
+fn trace(event: &Event) {
+    match event {
+        Event::Ended((id, n), end) => {
+            tracing::trace!("end {}.{n} {:?} work {:?} {:?}", id.0, end.outcome, end.work, end.report);
+        }
+        Event::Probed(tag, ok, report) => tracing::trace!("probed {tag} {ok} {report:?}"),
+        Event::List(serial, list) => tracing::trace!("list {serial} of {}", list.len()),
+        Event::Taken(ask) => {
+            tracing::trace!("taken {} class {} work {:?}", ask.asked.id.0, ask.asked.class.0, ask.asked.work);
+        }
+        Event::Left(id) => tracing::trace!("left {}", id.0),
+        _ => {}
+    }
+}
+
+/// What is asked for, a line each, at the level `trace`.
+fn trace_effect(effect: &Effect) {
+    match effect {
+        Effect::Send(s) => {
+            tracing::trace!("send {}.{} to {} for {:.0} ms", s.id.0 .0, s.id.1, s.engine.0, s.budget)
+        }
+        Effect::GiveUp((id, n), engine) => tracing::trace!("give up {}.{n} on {}", id.0, engine.0),
+        Effect::Probe(tag, engine, _) => tracing::trace!("probe {tag} to {}", engine.0),
+        Effect::Shut(engine) => tracing::trace!("shut {}", engine.0),
+        Effect::Answer(id, answer) => {
+            let kind = match answer {
+                Answer::Served(_) | Answer::Finished => "served",
+                Answer::Refused(_) => "refused",
+                Answer::Cut | Answer::Failed(_) => "failed",
+                Answer::Expired => "expired",
+            };
+            tracing::trace!("answer {} {kind}", id.0);
+        }
+        _ => {}
+    }
+}
