Hundreds of gateways: draw engines by room, learn from what is out, give up what is late

(2) Engines past some 30 threads answer next to nothing, and report util 0.1 to 0.3, as cores idle while all wait for disks and memory; so they drew still more, until all sessions were taken (12,000 'full'). (3) What was out there stayed for the deadline, 5 to 17 s, so the jam never ended; by 25 s no engine of 30 answered anything. Ruled out: refused connections (0 to 5), the list (20,000 questions, no failure beyond the cut), CPU (0.02 s in the worst second). At fault: route() took the largest free room, with a scatter of one thread a core; learn_report() took util times the slowness of answers, and none came; take_overdue() wanted three silent attempts at one engine, where a gateway has one; in_vain() did not exist; PROBES paid one for each request whatever it costs. Nobody waits for news of engines any more.

--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -3,7 +3,7 @@
 //! All sends pass `gate` and `send`; all final answers pass `answer`. Times are milliseconds.
 
 use crate::interface::*;
-use crate::state::{Attempt, ClassState, Engine, Fleet, Key, Request, Stat, NEVER};
+use crate::state::{Attempt, ClassState, Engine, Fleet, Key, Request, Stat, Times, NEVER};
 use std::collections::{BTreeMap, VecDeque};
 
 #[path = "learned.rs"]
@@ -43,12 +43,9 @@
 const PART_GAIN: i32 = 2; // how fast own part over the fleet falls as the fleet passes the bound
 const FULL_REST: Ms = 250.0; // nothing is sent so long after a `full`
 const PATIENCE: f64 = 2.0; // deviations past the mean at which an attempt is overdue
-const SILENCE: f64 = 2.5; // patiences without any answer after which overdue attempts speak of a hang
-const OVERDUE: u32 = 3; // silent attempts that eject an engine
 const PATIENCE_LEAST: Ms = 200.0;
-const SLOW_WEIGHT: f64 = 0.1; // of one outcome in an engine's slowness
-const SPEED_WEIGHT: f64 = 0.02; // of a thread's outcome or note in the fleet's speed ...
-const SPEED_SPAN: Ms = 500.0; // ... if it ran so long: shorter ones were out for less of the time
+const SLOW_SPAN: Ms = 5000.0; // over which slowness is learned ...
+const SLOW_PRIOR: Ms = 500.0; // ... with so much time of a thread taken to be as usual
 const CRAWL: f64 = 4.0; // times slower, past which idle cores mean that all wait for disks
 const SLOW_MOST: f64 = 10.0;
 const ERROR_WEIGHT: f64 = 0.2; // of one outcome in it
@@ -62,17 +59,15 @@
 const SETTLE: Ms = 1000.0; // time over which reports are smoothed
 const USUAL: f64 = 0.1; // weight of one report in the fleet's mean load
 const STALE: Ms = 2000.0; // a report older than this gives way to the fleet's mean
-const FRESH: Ms = 800.0; // routing prefers engines heard of within this
-const CHOICES: usize = 2; // a query waits for news until so many engines are fresh ...
-const NEWS_WAIT: Ms = 25.0; // ... or this has passed
 const PROBE_EVERY: Ms = 400.0; // an engine heard of within this is not probed
-const PROBES_SAVED: f64 = 16.0; // each request taken pays for one probe; so many may be saved up
-const NEAR: f64 = 0.02; // the same for an engine in our zone
+const PROBES_SAVED: f64 = 16.0; // each request taken pays for one probe, at most; so many may be saved up
+const PROBE_COST: f64 = 0.01; // of a request's worth that may go into probes
+const NEAR: f64 = 0.1; // so much more of the draw for an engine in our zone
 const PROBE_WORK: f64 = 0.5; // share of the shortest probe that is work at the engine, not the way there
 const PROBE_NOISE: f64 = 0.35; // of the shortest to its zone, within which a probe shows no delay
 const FAINT: Ms = 0.2; // work that a delay of this gateway's own making would pass for
 const UNDELAYED: f64 = 0.5; // threads a core where a probe shows none: the middle of what that can be
-const SCATTER: f64 = 1.0; // threads a core that an engine's load is unsure by once it is stale
+const REPORT_LAG: Ms = 200.0; // age of what a report tells when it comes
 const MANY: usize = 64; // past so many, going through all of them each turn costs too much CPU ...
 const TEND: Ms = 20.0; // ... and what is out is looked at so often
 const PLACE: Ms = 4.0; // ... and what is held so often
@@ -121,14 +116,14 @@
             rng: fastrand::Rng::with_seed(settings.seed),
             fleet: Fleet::new(1.0 / settings.gateways as f64),
             watch_at: if settings.ask_for_list { now } else { f64::INFINITY },
-            s: settings,
             now,
             engines: BTreeMap::new(),
             requests: BTreeMap::new(),
             keys: BTreeMap::new(),
             stood: 0.0,
             stall: 0.0,
-            probes_paid: PROBES_SAVED,
+            probes_paid: PROBES_SAVED * probe_part(&settings),
+            s: settings,
             extras: VecDeque::new(),
             taken: VecDeque::new(),
             bound: START_LEVEL,
@@ -157,7 +152,6 @@
         self.stood = if gap > STOOD { gap } else { 0.0 };
         self.stall = self.stood.max(self.stall * (-gap.max(0.0) / STALL_FADES).exp());
         if self.stood > 0.0 {
-            self.engines.values_mut().for_each(|e| e.last_answer += gap);
             self.requests.values_mut().flat_map(|r| &mut r.attempts).for_each(|a| a.patience += gap);
         }
     }
@@ -249,7 +243,7 @@
             self.keys.entry(key).or_default().line.push_back(asked.id);
         }
         self.taken.push_back(self.now);
-        self.probes_paid = (self.probes_paid + 1.0).min(PROBES_SAVED.max(self.probes_paid));
+        self.probes_paid = (self.probes_paid + probe_part(&self.s)).min(PROBES_SAVED.max(self.probes_paid));
         // What came while this gateway stood still is as old as its time left tells.
         let c = &mut self.classes[asked.class.0];
         let left = asked.deadline - self.now;
@@ -270,18 +264,16 @@
             let waits = sane(report.queue).is_some_and(|q| q >= 1.0);
             e.busy = waits || high(report.util) || high(report.memory) || high(report.disks);
         }
-        // One estimate with one meaning, threads a core of all gateways, from the best evidence there is:
-        // queries in hand; else cores in use times how much longer queries take than their work, as
-        // cores idle
-        // while all wait for disks (a sum of the two would call idle engines crowded by what was slow
-        // before); else how much longer a probe takes than the shortest to that zone.
+        // One estimate with one meaning, threads a core of all gateways, from the best evidence: queries in
+        // hand; else cores in use times how much longer than alone queries take, as cores idle while all wait
+        // for disks; else how much longer a probe takes than the shortest to that zone.
         let f = &mut self.fleet;
         let own = e.usual_count * f.width / e.cores;
         let report = report.unwrap_or_default();
         let all = match (sane(report.inflight), sane(report.util), sane(probe)) {
             (Some(n), ..) => own + (n - e.usual_count).max(0.0) * f.width / e.cores,
             (_, Some(util), _) => {
-                let (util, slow) = (util.min(1.0), 1.0 / f.speed.clamp(1.0 / SLOW_MOST, 1.0));
+                let (util, slow) = (util.min(1.0), f.slow.max(e.slow).clamp(1.0, SLOW_MOST));
                 util * slow + (1.0 - util) * (slow - CRAWL).max(0.0)
             }
             (.., Some(took)) if self.stood == 0.0 => {
@@ -289,10 +281,10 @@
                 *floor = took.min(*floor);
                 let (excess, noise) = (took - *floor * (1.0 + PROBE_NOISE), *floor * PROBE_NOISE);
                 let unit = PROBE_WORK * f.floors.values().copied().fold(f64::INFINITY, f64::min);
-                // Over a long way a short delay is lost in the noise: no more than the mean is known then.
-                // And where a probe's work is less than this gateway's own scatter, delays look like crowds:
-                // none is believed that answers do not feel.
-                let felt = (1.0 / f.speed.clamp(1.0 / SLOW_MOST, 1.0)).max(e.slow).max(1.0);
+                // Over a long way a short delay is lost in the noise: no more than the mean is known. Where a
+                // probe's work is less than this gateway's scatter, none is believed that answers do not
+                // feel.
+                let felt = f.slow.max(e.slow).clamp(1.0, SLOW_MOST);
                 let most = if unit < FAINT { CROWDED * felt } else { f64::INFINITY };
                 match excess > 0.0 && unit > 0.0 {
                     true => (1.0 + excess / unit).min(most),
@@ -320,7 +312,7 @@
         let Some(a) = r.attempts.get_mut(no as usize).filter(|a| a.out) else { return };
         a.out = false;
         a.unseen = matches!(how, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
-        let (level, sent, counted) = (a.level, a.sent, a.counted);
+        let (level, sent, counted, unseen) = (a.level, a.sent, a.counted, a.unseen);
         let engine = a.engine.clone();
         if r.out() == 0 {
             r.held = now;
@@ -348,18 +340,19 @@
             *n -= 1;
             e.loading.retain(|_, n| *n > 0);
         }
+        if !unseen && self.stood == 0.0 {
+            let alone =
+                work.map_or(best, |w| w / width).min(if how == Outcome::Ok { f64::INFINITY } else { took });
+            e.time.add(took * width, alone * width);
+        }
         let failed = match how {
             Outcome::Ok => {
                 (e.last_answer, e.confirmed) = (now, Some(now));
                 if e.ejected.take().is_some() && sent > e.back {
                     e.back = now; // the trial went well: slow start from here
                 }
-                let unit = work.map_or(best, |w| w / width).max(1.0);
-                let slow = (took / unit).clamp(0.1, SLOW_MOST);
-                e.slow += SLOW_WEIGHT * (slow - e.slow);
+                let slow = (took / work.map_or(best, |w| w / width).max(1.0)).clamp(0.1, SLOW_MOST);
                 e.show_warmth(slow, width, now, self.s.cold_from, self.s.warm_within);
-                let weight = SPEED_WEIGHT * width * (took / SPEED_SPAN).min(1.0);
-                self.fleet.speed += weight * (1.0 / slow - self.fleet.speed);
                 Some(false)
             }
             // One connection that breaks is one failure, however many attempts it carried.
@@ -380,13 +373,9 @@
                 e.others = e.others.max(LEVELS[LEVELS.len() - 1] * e.cores - e.threads);
                 None
             }
-            Outcome::Timeout => {
-                e.slow += SLOW_WEIGHT * ((took / best.max(1.0)).clamp(1.0, SLOW_MOST) - e.slow);
-                None
-            }
             _ => None,
         };
-        let ejected = e.ejected.is_some();
+        let (ejected, ill) = (e.ejected.is_some(), ill(e));
         if let Some(failed) = failed {
             e.errors += ERROR_WEIGHT * (f64::from(failed) - e.errors);
             // Guards against engines that fail fast and so look free, and against dead ones. Also
@@ -396,8 +385,7 @@
             }
         }
         // Time-outs count as latency of at least that long, except where the engine itself is ill.
-        let sample =
-            self.stood == 0.0 && (how == Outcome::Ok || how == Outcome::Timeout && !counted && !ejected);
+        let sample = self.stood == 0.0 && (how == Outcome::Ok || how == Outcome::Timeout && !counted && !ill);
         if sample && took.is_finite() && took >= 0.0 {
             self.add_sample(class, level, took / size);
         }
@@ -410,16 +398,6 @@
         let c = &mut self.classes[r.asked.class.0];
         let Some(a) = r.attempts.get_mut(no as usize).filter(|a| a.out) else { return };
         match note {
-            Note::Progress(done) if done > 0.0 && done <= 1.0 => {
-                a.pace = Some((now - a.sent) / done);
-                let since = std::mem::replace(&mut a.noted, (now, done));
-                let gained = (done - since.1) / (now - since.0).max(1.0);
-                // Speeds since the last note are averaged, not times: long queries are out more often, and by
-                // as much slower; and what stood still for long may go on by now.
-                let speed = (c.usual * r.size * gained).clamp(-SLOW_MOST, SLOW_MOST);
-                let weight = SPEED_WEIGHT * self.s.classes[r.asked.class.0].threads;
-                self.fleet.speed += weight * (speed - self.fleet.speed);
-            }
             Note::Spill(missing) if missing > 0.0 => c.grant = (c.grant * 1.03).min(2.0 * GRANT),
             _ => {}
         }
@@ -463,6 +441,10 @@
         (c.aim + c.aim_stretch * self.classes[class.0].best * size).min(c.give_up)
     }
 
+    fn late(&self, r: &Request) -> bool {
+        self.now - r.taken > self.aim(r.asked.class, r.size)
+    }
+
     fn step(&mut self) {
         let now = self.now;
         for c in &mut self.classes {
@@ -474,19 +456,22 @@
             let rate = self.s.tenants[t].quota_per_s * self.fleet.share;
             *level = (*level + rate * STEP / 1000.0).min((rate * 2.0).max(2.0));
         }
-        let (mut threads, mut count, mut others, mut cores) = (0.0, 0.0, 0.0, 0.0);
+        let (mut threads, mut count, mut others, mut cores, mut ages, mut live) =
+            (0.0, 0.0, 0.0, 0.0, 0.0, 1.0);
         for e in self.engines.values().filter(|e| e.member.availability == Availability::Live) {
             threads += e.threads;
             count += e.count;
             others += e.others;
             cores += self.cores(e);
+            ages += e.heard.map_or(STALE, |t| (now - t).min(STALE));
+            live += 1.0;
         }
         for e in self.engines.values_mut() {
             if now >= e.redraw {
                 (e.chance, e.redraw) = (self.rng.f64(), now + self.s.tip_after * (0.5 + self.rng.f64()));
             }
             e.usual_count += 0.3 * (e.count - e.usual_count);
-            e.slow += 0.01 * (self.fleet.usual_slow - e.slow);
+            e.time.fade((-STEP / SLOW_SPAN).exp());
             e.errors *= FADE;
             e.cold_sent.retain(|(t, _)| *t >= now - self.s.tip_after);
             e.held_for.retain(|_, t| now < *t);
@@ -499,7 +484,6 @@
         // What sends nothing hears nothing, and must not stay shut out by what it last heard of the fleet.
         if threads == 0.0 && self.engines.values().all(|e| e.heard.is_none_or(|t| now - t > STALE)) {
             let f = &mut self.fleet;
-            f.speed += (1.0 - FADE) * (1.0 - f.speed);
             (f.jammed, f.usual_load) = (f.jammed * FADE, f.usual_load * FADE);
         }
         (self.fleet.own, self.fleet.cores) = (threads, cores.max(1.0));
@@ -508,7 +492,13 @@
         let even = 1.0 / self.s.gateways as f64; // counts as a thread, so that idle gateways keep theirs
         self.fleet.share =
             ((self.fleet.own_seen + even) / (self.fleet.all_seen + 1.0)).clamp(even / 4.0, 1.0);
+        self.fleet.age = ages / live;
+        let of = self.classes.iter().zip(&self.s.classes);
+        let of = of.map(|(c, of)| ((c.arrivals + 0.1) * of.threads, c.best));
+        let (work, all) = of.fold((0.0, 0.0), |(work, all), (n, best)| (work + n * best, all + n));
+        self.fleet.residence = work / all;
         self.fleet.width += 0.02 * ((threads + 1.0) / (count + 1.0) - self.fleet.width);
+        self.take_slowness();
         // When all are slow the cause is shared: none is then slow against its fellows.
         let mut slows: Vec<f64> = self.engines.values().map(|e| e.slow).collect();
         slows.sort_by(f64::total_cmp);
@@ -532,28 +522,45 @@
         self.choose_groups();
     }
 
-    /// Attempts out past their patience count as latency already, and an engine from which nothing came
-    /// back meanwhile is ejected: it may hang. Harms a slow engine with few of our attempts for a moment.
+    /// How many times longer than alone queries take, by engine and in all: time out over work done, with
+    /// what is out. Guards against engines that have collapsed: they answer nothing, and cores that idle
+    /// while all wait for disks or memory report room. Also finds slow ones.
+    fn take_slowness(&mut self) {
+        let mut times: BTreeMap<&EngineId, Times> = BTreeMap::new();
+        for r in self.requests.values() {
+            let c = &self.classes[r.asked.class.0];
+            let alone = if c.usual > 0.0 { c.usual } else { c.best } * r.size;
+            let width = self.s.classes[r.asked.class.0].threads;
+            for a in r.attempts.iter().filter(|a| a.out) {
+                let out = self.now - a.sent;
+                times.entry(&a.engine).or_default().add(out * width, out.min(alone) * width);
+            }
+        }
+        let (mut all, mut jammed) = (Times::default(), 0.0);
+        for (id, e) in &mut self.engines {
+            let mut time = e.time;
+            times.get(id).into_iter().for_each(|t| time.add(t.out, t.alone));
+            e.slow = time.ratio(SLOW_PRIOR).clamp(0.1, SLOW_MOST);
+            match ill(e) {
+                true => jammed += time.alone,
+                false => all.add(time.out, time.alone),
+            }
+        }
+        // Who sends little has seen little, and goes by what engines report.
+        self.fleet.slow = (all.out + SLOW_PRIOR * self.fleet.usual_load.min(1.0)) / (all.alone + SLOW_PRIOR);
+        self.fleet.stuck = jammed / (jammed + all.alone + SLOW_PRIOR);
+    }
+
+    /// Attempts out past their patience count as latency already, but for those on an engine that is ill.
     fn take_overdue(&mut self) {
-        let now = self.now;
-        let mut overdue: BTreeMap<EngineId, u32> = BTreeMap::new();
         let mut samples = Vec::new();
         for r in self.requests.values_mut() {
-            let (class, size) = (r.asked.class, r.size);
-            for a in r.attempts.iter_mut().filter(|a| a.out && !a.cancelled && now - a.sent > a.patience) {
-                let Some(e) = self.engines.get(&a.engine) else { continue };
-                if now - e.last_answer > SILENCE * a.patience {
-                    *overdue.entry(a.engine.clone()).or_default() += 1;
-                } else if !a.counted && e.ejected.is_none() {
-                    a.counted = true;
-                    samples.push((class, a.level, (now - a.sent) / size));
-                }
+            for a in r.attempts.iter_mut().filter(|a| a.out && !a.counted && self.now - a.sent > a.patience) {
+                a.counted = !self.engines.get(&a.engine).is_none_or(ill);
+                samples.extend(a.counted.then(|| (r.asked.class, a.level, (self.now - a.sent) / r.size)));
             }
         }
         samples.into_iter().for_each(|(class, level, latency)| self.add_sample(class, level, latency));
-        for (engine, _) in overdue.iter().filter(|(_, n)| **n >= OVERDUE) {
-            self.eject(engine);
-        }
     }
 
     fn eject(&mut self, engine: &EngineId) {
@@ -658,8 +665,8 @@
     /// old report shows room; also catches bursts and retries. Could refuse where a share has just risen.
     fn part(&self) -> f64 {
         let (f, bound) = (&self.fleet, LEVELS[self.bound]);
-        let load = (f.usual_load + f.own / f.cores).max(LEVELS[0]);
-        f.share * bound * f.cores * (1.0 - f.jammed) * (bound / load).powi(PART_GAIN)
+        let load = (f.usual_load + f.own / f.cores).max(f.slow).max(LEVELS[0]);
+        f.share * bound * f.cores * (1.0 - f.jammed.max(f.stuck)) * (bound / load).powi(PART_GAIN)
     }
 
     /// The one gate: whether the rules allow this send now.
@@ -744,20 +751,12 @@
         if !self.fleet_room(r) {
             return Err(Why::Part);
         }
-        let width = self.s.classes[r.asked.class.0].threads;
         // More than half ejected means a shared cause: using them beats having none.
         let live = self.engines.values().filter(|e| e.member.availability == Availability::Live);
         let shared =
             live.clone().filter(|e| e.ejected.is_some() && e.lost.is_none()).count() * 2 > live.count();
-        let fresh = |e: &&Engine| e.heard.is_some_and(|t| self.now - t <= FRESH);
-        let heard_of = self.engines.values().filter(fresh).count();
-        let asked = |e: &Engine| self.now - e.probed < NEWS_WAIT && e.heard.is_none_or(|t| t < e.probed);
-        let news_due = self.now - r.held < NEWS_WAIT && self.engines.values().any(asked);
-        if heard_of < CHOICES.min(self.engines.len()) && news_due {
-            return Err(Why::News);
-        }
         let mut why = Why::NoEngine;
-        let mut top: Option<(bool, f64, &EngineId)> = None;
+        let mut top: Option<(f64, &EngineId)> = None;
         for (id, e) in &self.engines {
             let again = r.attempts.iter().any(|a| a.engine == *id && (a.out || !a.unseen));
             // After an ejection one short query goes as a trial.
@@ -773,26 +772,39 @@
                 why = why.max(not);
                 continue;
             }
-            let free = LEVELS[self.bound] - (e.threads + e.others + width) / self.cores(e).max(0.1);
-            let near = e.member.zone == self.s.zone;
-            // What is not known for sure is spread by chance: many gateways with one view would herd.
-            let age = e.heard.map_or(1.0, |t| ((self.now - t) / STALE).min(1.0));
-            let unsure = SCATTER * age * (e.jitter + r.chance * 100.0).fract();
             // Loads of one set stand still behind each other, and so does what waits for them: not there.
             let of = &self.s.classes[r.asked.class.0];
             let held = r.asked.data.is_some_and(|d| {
                 e.loading.contains_key(&d) || e.held_for.get(&d).is_some_and(|t| self.now < *t)
             });
-            let free =
-                free - LEVELS[LEVELS.len() - 1] * f64::from(held && (of.is_load || of.waits_for_loads));
-            let score = free + NEAR * f64::from(near) + 0.05 * e.jitter + unsure;
-            let known = heard_of == 0 || fresh(&e) || !self.s.may_probe;
-            if top.is_none_or(|(k, best, _)| (known, score) > (k, best)) {
-                top = Some((known, score, id));
+            let held = f64::from(held && (of.is_load || of.waits_for_loads));
+            let room = self.free_room(e) - LEVELS[LEVELS.len() - 1] * held;
+            let near = 1.0 + NEAR * f64::from(e.member.zone == self.s.zone);
+            // The largest of ln(u)/w is each engine's by chance in proportion to w.
+            let u = fastrand::Rng::with_seed(r.chance.to_bits() ^ e.jitter.to_bits().rotate_left(32)).f64();
+            let score = match room > 0.0 {
+                true => u.max(f64::MIN_POSITIVE).ln() / (room * self.cores(e).max(0.1) * near),
+                false => room - FULL_REST * 1e6,
+            };
+            if top.is_none_or(|(best, _)| score > best) {
+                top = Some((score, id));
             }
         }
-        let known = top.filter(|(known, ..)| *known || !news_due).map(|(.., id)| id.clone());
-        known.ok_or(if top.is_some() { Why::News } else { why })
+        top.map(|(_, id)| id.clone()).ok_or(why)
+    }
+
+    /// Until news of an engine is renewed its load drifts to the mean, and the fleet fills all engines up to
+    /// one level: room is what is missing to it (load interpretation, Dahlin 1999). Guards against hundreds
+    /// of gateways that all send to the one engine whose old report showed most room.
+    fn free_room(&self, e: &Engine) -> f64 {
+        let f = &self.fleet;
+        let mean = (f.usual_load + f.own / f.cores).max(LEVELS[0]);
+        let turnover = |age: Ms| (REPORT_LAG + age) / f.residence.max(1.0);
+        let own = e.threads / self.cores(e).max(0.1);
+        let others = e.others / self.cores(e).max(0.1);
+        let age = e.heard.map_or(STALE, |t| (self.now - t).min(STALE));
+        let load = own + f.usual_load + (others - f.usual_load) * (-turnover(age)).exp();
+        (mean * (1.0 + (1.0 - f.share) * turnover(f.age))).min(LEVELS[self.bound]) - load
     }
 
     fn decide(&mut self, actions: &mut Vec<Action>) {
@@ -831,8 +843,7 @@
         let held = self.requests.values().filter(|r| !r.over && r.out() == 0);
         let order = |r: &Request| {
             let behind = self.behind == Some(self.classes[r.asked.class.0].long);
-            let late = self.now - r.taken > self.aim(r.asked.class, r.size);
-            (r.over_quota || late, behind, (r.size * 4.0).round() as u64)
+            (r.over_quota || self.late(r), behind, (r.size * 4.0).round() as u64)
         };
         let mut line: Vec<_> = held.map(|r| (order(r), r.taken, r.asked.id)).collect();
         self.next_place = self.now + if line.len() > MANY { PLACE } else { 0.0 };
@@ -878,6 +889,7 @@
             match self.requests.get(&id) {
                 Some(r) if r.over => self.stop_abandoned(id, actions),
                 Some(r) if past(r) => self.answer(id, 0.0, Why::Deadline, actions),
+                Some(r) if self.in_vain(r) => self.answer(id, WAIT_LEAST, Why::Late, actions),
                 Some(r) => {
                     let priority = self.priority(r);
                     self.set_terms(id, r.grant, priority, actions);
@@ -888,6 +900,15 @@
         }
     }
 
+    /// Late, and nothing is earned any more or its engine crawls. Guards against engines that are full of
+    /// what nobody wants any more, and so never come to what is wanted.
+    fn in_vain(&self, r: &Request) -> bool {
+        let alone = (self.classes[r.asked.class.0].best * r.size).max(WAIT_LEAST);
+        let crawls = |a: &Attempt| a.out && self.now - a.sent > CRAWL * alone;
+        let nothing = self.s.classes[r.asked.class.0].late_worth <= 0.0;
+        self.s.may_cancel && self.late(r) && (nothing || r.attempts.iter().any(crawls))
+    }
+
     /// What still runs for a request that is over serves nobody: the losing copy, or the work of a client
     /// that left and asked again. Guards against clients that leave early; harms nothing.
     fn stop_abandoned(&mut self, id: RequestId, actions: &mut Vec<Action>) {
@@ -901,8 +922,7 @@
     /// Short queries first; long ones lose rank as they age past what was expected, so that few runaways
     /// do not hold up the many; what is late already comes last.
     fn priority(&self, r: &Request) -> u8 {
-        let late = self.now - r.taken > self.aim(r.asked.class, r.size);
-        match (late, self.classes[r.asked.class.0].long) {
+        match (self.late(r), self.classes[r.asked.class.0].long) {
             _ if !self.s.priorities => 1,
             // All that reads its data set stands still there until it ends, and keeps its memory.
             _ if self.s.classes[r.asked.class.0].is_load => 3,
@@ -911,41 +931,28 @@
         }
     }
 
-    /// A second copy, or a fresh try in place of the first: for short queries that are overdue while one can
-    /// still make the aim, for any on an ejected engine, and for a runaway plan told by its notes.
+    /// A fresh try for what is overdue and can still make the aim: a copy, or in its place if the engine is
+    /// ill.
     fn second_try(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
         let Some((no, a)) = r.attempts.iter().enumerate().find(|(_, a)| a.out) else { return };
-        if r.out() > 1 || !(self.s.may_copy || self.s.may_cancel) || a.cancelled {
-            return;
-        }
         let class = r.asked.class;
-        let age = self.now - r.taken;
-        let (mean, deviation) = self.latency_at(class, 1.0);
-        let (fresh, deviation) = (mean * r.size, deviation * r.size);
-        let in_time = age + fresh < self.aim(class, r.size) * HEDGE_WITHIN;
-        let ill = self.engines.get(&a.engine).is_none_or(|e| e.ejected.is_some());
-        let overdue = !self.classes[class.0].long && self.now - a.sent > a.patience;
-        let ran = self.now - a.sent;
-        // Only what may go out again is worth withdrawing: the rules and the cap on sends decide that first.
-        let again = self.s.classes[class.0].repeat != Repeat::Unsafe
-            && r.attempts.len() < self.s.send_cap as usize
-            && self.ration_left();
-        let runaway = again && a.pace.is_some_and(|p| p > 3.0 * (fresh + deviation) && p - ran > 1.5 * fresh);
-        let ends = age + fresh < self.s.classes[class.0].give_up;
-        if !(in_time && (ill || overdue) || runaway && ends) {
+        let again = self.s.classes[class.0].repeat == Repeat::Safe || self.s.may_copy;
+        if r.out() > 1 || a.cancelled || !again || r.attempts.len() >= self.s.send_cap as usize {
             return;
         }
-        let copy = if self.s.may_copy { self.route(r).ok() } else { None };
-        let drop_first = self.s.may_cancel && runaway;
-        if drop_first {
+        let fresh = self.latency_at(class, 1.0).0 * r.size;
+        let in_time = self.now - r.taken + fresh < self.aim(class, r.size) * HEDGE_WITHIN;
+        let ill = self.engines.get(&a.engine).is_none_or(ill);
+        let overdue = self.now - a.sent > a.patience;
+        if !(in_time && self.ration_left()) {
+        } else if self.s.may_copy && (ill || overdue && !self.classes[class.0].long) {
+            self.route(r).into_iter().for_each(|engine| self.send(id, &engine, actions));
+        } else if self.s.may_cancel && ill && overdue {
             actions.push(Action::Cancel { id, attempt: no as u32 });
             let first = self.requests.get_mut(&id).and_then(|r| r.attempts.get_mut(no));
             first.into_iter().for_each(|a| a.cancelled = true);
         }
-        if let Some(engine) = copy {
-            self.send(id, &engine, actions);
-        }
     }
 
     fn set_terms(&mut self, id: RequestId, memory_mb: f64, priority: u8, actions: &mut Vec<Action>) {
@@ -968,15 +975,13 @@
         let level = (e.threads + e.others + width) / e.cores;
         let (mean, deviation) = self.latency_at(class, level);
         let patience = (mean + PATIENCE * deviation).max(PATIENCE_LEAST) * r.size.max(0.5);
-        let first = r.attempts.is_empty();
-        let timeout = r.asked.deadline - now;
+        let (first, timeout) = (r.attempts.is_empty(), r.asked.deadline - now);
         let attempt = Attempt::new(engine.clone(), (e.member.zone, e.member.cell), now, level, patience);
         let priority = self.priority(r);
         let most = self.s.most_grant * e.memory_mb;
         let estimate = r.asked.memory_mb.filter(|m| self.s.grants && m.is_finite());
         let grant = estimate.map_or(0.0, |m| (m * self.classes[class.0].grant).min(most));
-        let work = self.work(class);
-        let asked_data = r.asked.data;
+        let (work, asked_data) = (self.work(class), r.asked.data);
         self.set_terms(id, grant, priority, actions);
         if let Some(r) = self.requests.get_mut(&id) {
             r.attempts.push(attempt);
@@ -985,9 +990,6 @@
         self.classes[class.0].grant = (self.classes[class.0].grant * 0.999).max(GRANT);
 
         if let Some(e) = self.engines.get_mut(engine) {
-            if e.ejected.is_some() || e.count == 0.0 {
-                e.last_answer = e.last_answer.max(now); // silence is counted from here
-            }
             e.threads += width;
             self.fleet.own += width;
             e.count += 1.0;
@@ -1047,6 +1049,20 @@
     }
 }
 
+/// It fails, or what was sent there does not come back.
+fn ill(e: &Engine) -> bool {
+    e.ejected.is_some() || e.slow > LEVELS[LEVELS.len() - 1]
+}
+
+/// Probes that a request pays for.
+fn probe_part(s: &Settings) -> f64 {
+    if s.probe_price > PROBE_COST {
+        PROBE_COST / s.probe_price
+    } else {
+        1.0
+    }
+}
+
 fn band(level: f64) -> usize {
     let last = LEVELS.len() as f64;
     (level / LEVELS[0]).round().min(last).max(1.0) as usize - 1
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -164,6 +164,8 @@
     pub may_copy: bool,
     /// Engines may be probed.
     pub may_probe: bool,
+    /// What a probe costs, as a share of a request's worth.
+    pub probe_price: f64,
     /// Clients hear advice on when to come back, and heed it up to this.
     pub max_retry_after: Ms,
     /// Attempts for one request at most.
@@ -449,11 +451,13 @@
     News,
     /// The client's time, which is over.
     Deadline,
+    /// Its aim is past while it runs, and nothing or too little is earned any more.
+    Late,
 }
 
 impl Why {
     /// How many there are.
-    pub const COUNT: usize = Why::Deadline as usize + 1;
+    pub const COUNT: usize = Why::Late as usize + 1;
 
     /// All, in their order.
     pub const ALL: [Why; Why::COUNT] = [
@@ -467,6 +471,7 @@
         Why::Part,
         Why::News,
         Why::Deadline,
+        Why::Late,
     ];
 
     /// Its name in counts and logs.
@@ -482,6 +487,7 @@
             Why::Part => "part",
             Why::News => "news",
             Why::Deadline => "deadline",
+            Why::Late => "late",
         }
     }
 }
--- a/crates/decision/src/learned.rs
+++ b/crates/decision/src/learned.rs
@@ -4,7 +4,7 @@
 
 use super::{band, Gateway, LEVELS};
 use crate::interface::{ClassId, EngineId, Ms, ZoneId};
-use crate::state::{Engine, Stat, NEVER};
+use crate::state::{Engine, Stat, Times, NEVER};
 
 /// Answers in a row that show how warm an engine is.
 const PROOFS: u32 = 8;
@@ -178,7 +178,7 @@
                 usual_load: f.usual_load,
                 jammed: f.jammed,
                 usual_slow: f.usual_slow,
-                speed: f.speed,
+                speed: 1.0 / f.slow.clamp(1.0, super::SLOW_MOST),
                 floors: f.floors.iter().map(|(z, t)| (zone(z), *t)).collect(),
             },
             classes: classes.collect(),
@@ -234,7 +234,6 @@
         take(&mut f.usual_load, from.usual_load, 0.0, super::ABSURD);
         take(&mut f.jammed, from.jammed, 0.0, 1.0);
         take(&mut f.usual_slow, from.usual_slow, 1.0, super::SLOW_MOST);
-        take(&mut f.speed, from.speed, 1.0 / super::SLOW_MOST, super::SLOW_MOST);
         for (zone, floor) in &from.floors {
             let at = self.s.zones.iter().position(|z| z == zone).map(ZoneId);
             let known = at.is_some() || zone.is_empty();
@@ -252,7 +251,11 @@
             return;
         }
         let past = |t: Option<Ms>| t.filter(|t| t.is_finite() && *t <= now);
-        e.slow = sane(from.slow, 0.1, super::SLOW_MOST).unwrap_or(e.slow);
+        // So slow, over twice the prior: what is out from now on soon says more.
+        let slow = sane(from.slow, 0.1, super::SLOW_MOST).unwrap_or(1.0);
+        let seen = 2.0 * super::SLOW_PRIOR;
+        e.time = Times { out: (slow * (seen + super::SLOW_PRIOR) - super::SLOW_PRIOR).max(0.0), alone: seen };
+        e.slow = slow;
         e.errors = sane(from.errors, 0.0, 1.0).unwrap_or(e.errors);
         e.others = sane(from.others, 0.0, super::ABSURD * e.cores).unwrap_or(e.others);
         e.heard = past(from.heard);
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -25,6 +25,32 @@
     }
 }
 
+/// Time that threads were out, and that they would have been alone; both fade.
+#[derive(Clone, Copy, Default)]
+pub struct Times {
+    pub out: Ms,
+    pub alone: Ms,
+}
+
+impl Times {
+    /// Takes one figure of each.
+    pub fn add(&mut self, out: Ms, alone: Ms) {
+        self.out += out;
+        self.alone += alone;
+    }
+
+    /// Forgets a part.
+    pub fn fade(&mut self, by: f64) {
+        self.out *= by;
+        self.alone *= by;
+    }
+
+    /// How many times longer than alone; the less was seen against the prior, the nearer to one.
+    pub fn ratio(&self, prior: Ms) -> f64 {
+        (self.out + prior) / (self.alone + prior)
+    }
+}
+
 /// What was learned of a class.
 #[derive(Default)]
 pub struct ClassState {
@@ -71,8 +97,14 @@
     pub jammed: f64,
     /// The middle engine's slowness.
     pub usual_slow: f64,
-    /// What queries would take alone over what they take, by the latest answers and notes.
-    pub speed: f64,
+    /// Time over time alone, on engines that are not stuck.
+    pub slow: f64,
+    /// Share of our work that is on engines from which it does not come back.
+    pub stuck: f64,
+    /// Age of the latest news of an engine.
+    pub age: Ms,
+    /// How long a thread of a usual query stays.
+    pub residence: Ms,
     /// The shortest probe to each zone.
     pub floors: BTreeMap<Option<ZoneId>, Ms>,
 }
@@ -94,8 +126,10 @@
     pub others: f64,
     pub heard: Option<Ms>,
     pub busy: bool,
-    /// Latency here over the best.
+    /// Time here over time alone, with what is out.
     pub slow: f64,
+    /// Of attempts that ended of late.
+    pub time: Times,
     pub errors: f64,
     pub last_answer: Ms,
     pub full_at: Ms,
@@ -138,10 +172,6 @@
     pub sent: Ms,
     pub level: f64,
     pub patience: Ms,
-    /// Whole run by its progress notes.
-    pub pace: Option<Ms>,
-    /// Its last such note: when, and the share done.
-    pub noted: (Ms, f64),
     pub out: bool,
     /// Taken as censored latency already.
     pub counted: bool,
@@ -180,6 +210,7 @@
             heard: None,
             busy: false,
             slow: 1.0,
+            time: Times::default(),
             errors: 0.0,
             last_answer: now,
             full_at: NEVER,
@@ -252,9 +283,24 @@
     /// Nothing seen yet, and that share.
     pub fn new(share: f64) -> Self {
         let (own, own_seen, all_seen, usual_load) = (0.0, 0.0, 0.0, 0.0);
-        let (cores, width, jammed, usual_slow, speed) = (1.0, 1.0, 0.0, 1.0, 1.0);
-        let floors = BTreeMap::new();
-        Self { share, own, cores, own_seen, all_seen, width, usual_load, jammed, usual_slow, speed, floors }
+        let (cores, width, jammed, usual_slow) = (1.0, 1.0, 0.0, 1.0);
+        let (age, residence, floors) = (0.0, 1000.0, BTreeMap::new());
+        Self {
+            share,
+            own,
+            cores,
+            own_seen,
+            all_seen,
+            width,
+            usual_load,
+            jammed,
+            usual_slow,
+            slow: 1.0,
+            stuck: 0.0,
+            age,
+            residence,
+            floors,
+        }
     }
 }
 
@@ -262,18 +308,6 @@
     /// An attempt just sent.
     pub fn new(engine: EngineId, place: (Option<ZoneId>, u64), sent: Ms, level: f64, patience: Ms) -> Self {
         let (out, unseen, counted, cancelled) = (true, false, false, false);
-        Self {
-            engine,
-            place,
-            sent,
-            level,
-            patience,
-            pace: None,
-            noted: (sent, 0.0),
-            out,
-            unseen,
-            counted,
-            cancelled,
-        }
+        Self { engine, place, sent, level, patience, out, unseen, counted, cancelled }
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -463,6 +463,7 @@
         may_cancel: f.flag("limits.cancelling")?,
         may_copy: f.flag("limits.may_duplicate")?,
         may_probe: f.flag("limits.probes")?,
+        probe_price: f.number_or("charges.probe", 0.0)?,
         max_retry_after: if advice { f.number_or("limits.max_retry_after", 0.0)? } else { 0.0 },
         send_cap: f.maybe("limits.send_cap")?.unwrap_or(1),
         reporting: match f.opt("reporting.how") {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -37,6 +37,7 @@
         may_cancel: false,
         may_copy: false,
         may_probe: false,
+        probe_price: 0.0,
         max_retry_after: 1_000.0,
         send_cap: 3,
         reporting: Reporting::Answers,
