A gateway begins with the even share: the parts of all added up to 24 fleets

Summed over the fleet: share 23.84 at 1 s, 11.22 at 2 s, 5.19 at 4 s, where it should be 1; part 57,847 threads at 1 s before 432 cores. At fault: step(), fleet.share = (own_seen + even) / (all_seen + 1): both are means over ten seconds that start at nothing, so with one query out and reports that still say util 0 a gateway takes itself for most of the traffic. Change: the means start at the even part of a thread a core, and fade to what is seen. The test holds a hundred gateways that start together; with the fix taken out it says 'after 1 s the shares of all add up to 100.00'.

--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -397,9 +397,8 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let c = &mut self.classes[r.asked.class.0];
         let Some(a) = r.attempts.get_mut(no as usize).filter(|a| a.out) else { return };
-        match note {
-            Note::Spill(missing) if missing > 0.0 => c.grant = (c.grant * 1.03).min(2.0 * GRANT),
-            _ => {}
+        if matches!(note, Note::Spill(missing) if missing > 0.0) {
+            c.grant = (c.grant * 1.03).min(2.0 * GRANT);
         }
         // An engine that sends notes is not silent.
         let Some(e) = self.engines.get_mut(&a.engine) else { return };
@@ -456,8 +455,7 @@
             let rate = self.s.tenants[t].quota_per_s * self.fleet.share;
             *level = (*level + rate * STEP / 1000.0).min((rate * 2.0).max(2.0));
         }
-        let (mut threads, mut count, mut others, mut cores, mut ages, mut live) =
-            (0.0, 0.0, 0.0, 0.0, 0.0, 1.0);
+        let [mut threads, mut count, mut others, mut cores, mut ages, mut live] = [0.0; 6];
         for e in self.engines.values().filter(|e| e.member.availability == Availability::Live) {
             threads += e.threads;
             count += e.count;
@@ -487,12 +485,16 @@
             (f.jammed, f.usual_load) = (f.jammed * FADE, f.usual_load * FADE);
         }
         (self.fleet.own, self.fleet.cores) = (threads, cores.max(1.0));
+        // Even parts of a thread a core till more was seen: hundreds that start at once all see little.
+        let even = 1.0 / self.s.gateways as f64;
+        if self.fleet.all_seen <= 0.0 {
+            (self.fleet.own_seen, self.fleet.all_seen) = (even * cores, cores);
+        }
         self.fleet.own_seen += (1.0 - RECENT) * (threads - self.fleet.own_seen);
         self.fleet.all_seen += (1.0 - RECENT) * (threads + others - self.fleet.all_seen);
-        let even = 1.0 / self.s.gateways as f64; // counts as a thread, so that idle gateways keep theirs
         self.fleet.share =
             ((self.fleet.own_seen + even) / (self.fleet.all_seen + 1.0)).clamp(even / 4.0, 1.0);
-        self.fleet.age = ages / live;
+        self.fleet.age = ages / (live + 1.0);
         let of = self.classes.iter().zip(&self.s.classes);
         let of = of.map(|(c, of)| ((c.arrivals + 0.1) * of.threads, c.best));
         let (work, all) = of.fold((0.0, 0.0), |(work, all), (n, best)| (work + n * best, all + n));
@@ -1056,14 +1058,9 @@
 
 /// Probes that a request pays for.
 fn probe_part(s: &Settings) -> f64 {
-    if s.probe_price > PROBE_COST {
-        PROBE_COST / s.probe_price
-    } else {
-        1.0
-    }
+    (PROBE_COST / s.probe_price.max(0.0)).min(1.0)
 }
 
 fn band(level: f64) -> usize {
-    let last = LEVELS.len() as f64;
-    (level / LEVELS[0]).round().min(last).max(1.0) as usize - 1
+    ((level / LEVELS[0]).round().clamp(1.0, LEVELS.len() as f64) as usize).saturating_sub(1)
 }
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -892,3 +892,25 @@
         assert_eq!(actions.iter().any(|(_, a)| refused(a)), given_up, "late worth {late_worth}");
     }
 }
+
+/// A hundred gateways that start at once, each with a query or two out, before engines whose reports still say that
+/// nothing runs: each then took itself for most of the traffic, and the parts of all added up to a jam.
+#[test]
+fn the_shares_of_gateways_that_start_together_add_up_to_one_fleet() {
+    let mut beds: Vec<_> =
+        (0..100).map(|seed| Bed::new(Settings { gateways: 100, seed, ..settings() }, 10)).collect();
+    for second in 1..=5 {
+        let mut sum = 0.0;
+        for bed in &mut beds {
+            let (id, to) = bed.ask(0);
+            bed.pass(1_000.0);
+            to.into_iter().for_each(|to| drop(bed.turn(&[outcome(id, 0, &to, Outcome::Ok, 1_000.0)])));
+            let report = Some(Report { util: Some(0.15 * f64::from(second)), ..Report::default() });
+            let heard = |n| Event::Probed { engine: engine(n), ok: true, took: 1.0, report };
+            bed.turn(&(0..10).map(heard).collect::<Vec<_>>());
+            let fleet = bed.gateway.learned().fleet;
+            sum += fleet.own_seen / fleet.all_seen;
+        }
+        assert!((0.3..2.0).contains(&sum), "after {second} s the shares of all add up to {sum:.2}");
+    }
+}
