What is stuck for three times its time alone moves elsewhere, within the ration

At fault: second_try() asked for an engine that is ill by this gateway's own evidence, and patience for mean and deviation over good engines and collapsed ones alike; one gateway of hundreds has one attempt there each five seconds, and knows of no illness in time. Change: what has been out for three times its time alone, by the work that answers tell, is withdrawn and tried elsewhere, where it can still make its aim and the ration has room. Not in the turn after a stand-still. The time alone is no longer mixed with the best latency, and serves in_vain() as well. The test was seen to fail without ('as many as the ration has: []').

--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -47,6 +47,7 @@
 const SLOW_SPAN: Ms = 5000.0; // over which slowness is learned ...
 const SLOW_PRIOR: Ms = 500.0; // ... with so much time of a thread taken to be as usual
 const CRAWL: f64 = 4.0; // times slower, past which idle cores mean that all wait for disks
+const STUCK: f64 = 3.0; // times its time alone past which one attempt in three still ends in time
 const SLOW_MOST: f64 = 10.0;
 const ERROR_WEIGHT: f64 = 0.2; // of one outcome in it
 const ERRORS: f64 = 0.3; // recent share of failures that ejects an engine
@@ -328,9 +329,9 @@
         let c = &mut self.classes[class.0];
         c.runtime += took.clamp(0.0, self.s.classes[class.0].give_up);
         let best = c.best * size;
-        // What a usual query takes alone: by the work that answers tell, else the best latency.
-        let told = work.filter(|w| how == Outcome::Ok && *w > 0.0).map_or(c.best, |w| w / width / size);
-        c.usual += if c.usual > 0.0 { MEMORY * (told - c.usual) } else { told };
+        // What a usual query takes alone, by the work that answers tell.
+        let told = work.filter(|w| how == Outcome::Ok && *w > 0.0).map(|w| w / width / size);
+        c.usual += told.map_or(0.0, |t| if c.usual > 0.0 { MEMORY * (t - c.usual) } else { t });
         let Some(e) = self.engines.get_mut(&engine) else { return self.forget(id) };
         e.threads = (e.threads - width).max(0.0);
         self.fleet.own = (self.fleet.own - width).max(0.0);
@@ -440,6 +441,12 @@
         (c.aim + c.aim_stretch * self.classes[class.0].best * size).min(c.give_up)
     }
 
+    /// How long a request takes alone: by the work that answers tell, else the best latency.
+    fn alone(&self, r: &Request) -> Ms {
+        let c = &self.classes[r.asked.class.0];
+        r.size * if c.usual > 0.0 { c.usual } else { c.best }
+    }
+
     fn late(&self, r: &Request) -> bool {
         self.now - r.taken > self.aim(r.asked.class, r.size)
     }
@@ -530,9 +537,7 @@
     fn take_slowness(&mut self) {
         let mut times: BTreeMap<&EngineId, Times> = BTreeMap::new();
         for r in self.requests.values() {
-            let c = &self.classes[r.asked.class.0];
-            let alone = if c.usual > 0.0 { c.usual } else { c.best } * r.size;
-            let width = self.s.classes[r.asked.class.0].threads;
+            let (alone, width) = (self.alone(r), self.s.classes[r.asked.class.0].threads);
             for a in r.attempts.iter().filter(|a| a.out) {
                 let out = self.now - a.sent;
                 times.entry(&a.engine).or_default().add(out * width, out.min(alone) * width);
@@ -905,8 +910,7 @@
     /// Late, and nothing is earned any more or its engine crawls. Guards against engines that are full of
     /// what nobody wants any more, and so never come to what is wanted.
     fn in_vain(&self, r: &Request) -> bool {
-        let alone = (self.classes[r.asked.class.0].best * r.size).max(WAIT_LEAST);
-        let crawls = |a: &Attempt| a.out && self.now - a.sent > CRAWL * alone;
+        let crawls = |a: &Attempt| a.out && self.now - a.sent > CRAWL * self.alone(r).max(WAIT_LEAST);
         let nothing = self.s.classes[r.asked.class.0].late_worth <= 0.0;
         self.s.may_cancel && self.late(r) && (nothing || r.attempts.iter().any(crawls))
     }
@@ -933,8 +937,8 @@
         }
     }
 
-    /// A fresh try for what is overdue and can still make the aim: a copy, or in its place if the engine is
-    /// ill.
+    /// A fresh try for what can still make the aim: a copy if it is overdue, or in its place if it is stuck.
+    /// Each gateway sends an engine that has collapsed a query every few seconds, and must not wait with it.
     fn second_try(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
         let Some((no, a)) = r.attempts.iter().enumerate().find(|(_, a)| a.out) else { return };
@@ -943,14 +947,14 @@
         if r.out() > 1 || a.cancelled || !again || r.attempts.len() >= self.s.send_cap as usize {
             return;
         }
-        let fresh = self.latency_at(class, 1.0).0 * r.size;
-        let in_time = self.now - r.taken + fresh < self.aim(class, r.size) * HEDGE_WITHIN;
+        let in_time = self.now - r.taken + self.alone(r) < self.aim(class, r.size) * HEDGE_WITHIN;
         let ill = self.engines.get(&a.engine).is_none_or(ill);
         let overdue = self.now - a.sent > a.patience;
+        let stuck = self.stood == 0.0 && self.now - a.sent > (STUCK * self.alone(r)).max(PATIENCE_LEAST);
         if !(in_time && self.ration_left()) {
         } else if self.s.may_copy && (ill || overdue && !self.classes[class.0].long) {
             self.route(r).into_iter().for_each(|engine| self.send(id, &engine, actions));
-        } else if self.s.may_cancel && ill && overdue {
+        } else if self.s.may_cancel && (ill && overdue || stuck) {
             actions.push(Action::Cancel { id, attempt: no as u32 });
             let first = self.requests.get_mut(&id).and_then(|r| r.attempts.get_mut(no));
             first.into_iter().for_each(|a| a.cancelled = true);
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -598,6 +598,36 @@
     assert!(!runs(Repeat::Safe, 3, 0.0), "no ration left");
 }
 
+/// One query a few seconds is all that one of hundreds of gateways learns of an engine: where it has collapsed each
+/// waited with its own until that was late. It moves after three times its time alone, and not sooner.
+#[test]
+fn what_is_stuck_on_an_engine_of_which_nothing_bad_is_known_moves_in_time() {
+    let mut s = settings();
+    s.may_cancel = true;
+    s.ration = Some(Ration { free: 2.0, per_request: 0.0, span: 10_000.0 });
+    let mut bed = Bed::new(s, 6);
+    bed.serve(200, 0, 50.0);
+    let mut moved = Vec::new();
+    for _ in 0..4 {
+        let (id, to) = bed.ask(0);
+        let sent = bed.now;
+        let cancelled = (0..40).find_map(|_| {
+            bed.now += 10.0;
+            let cancel = |a: &Action| matches!(a, Action::Cancel { id: i, .. } if i.0 == id);
+            bed.turn(&[Event::Timer(0)]).iter().any(cancel).then_some(bed.now)
+        });
+        if let Some(at) = cancelled {
+            assert!((200.0..300.0).contains(&(at - sent)), "given up after {} ms", at - sent);
+            bed.turn(&[outcome(id, 0, to.as_ref().expect("sent"), Outcome::Cancelled, at - sent)]);
+            let again: Vec<_> = bed.pass(100.0).into_iter().filter(|(i, _)| *i == id).collect();
+            moved.push(again.first().map(|(_, e)| e.clone()));
+            assert!(moved.iter().flatten().all(|e| Some(e) != to.as_ref()), "back to where it was stuck");
+        }
+        bed.turn(&[Event::Gone(RequestId(id))]);
+    }
+    assert_eq!(moved.len(), 2, "as many as the ration has: {moved:?}");
+}
+
 /// Requests of one key: what is too far back to end in time is answered at once, the rest has its turn, and
 /// the capped wait of one begins with its turn.
 #[test]
