Each gateway meets ten engines of a large fleet, in shares that add up evenly

At fault: route() and probe() went over all engines of the list, on every gateway. Change: crates/decision/src/aperture.rs, the deterministic aperture: engines and gateways lie evenly on a ring, by hash and by number (settings' rank), and each gateway meets what its arc covers, wider with more of the traffic. It settles the pool; which engine of it, and whether to go beyond it where none has room, decide.rs does. A cold engine's budget is divided among those that meet it, by the same shares, so its parts add up to one as before.

--- /dev/null
+++ b/crates/decision/src/aperture.rs
@@ -0,0 +1,155 @@
+//! Which part of a large fleet each gateway meets. In: the engines that take work, this gateway's number, how many
+//! gateways there are, and its share of the traffic. Out: for each engine the share, from 0 to 1, in which this gateway
+//! meets it, and its part of that engine's budget while cold. Rule: at their base width the shares of all gateways add
+//! up to the same for every engine, and so do the parts, to one.
+//!
+//! Engines lie evenly on a ring, in an order that every gateway finds by itself; gateways do so too, by number, and
+//! each meets what its arc covers, the engines at its ends in part (deterministic aperture, as Finagle describes it).
+//! Hundreds of gateways that each meet every engine meet each seldom: news is old, a cold engine's budget falls into
+//! parts smaller than a query, and connections add up to their product.
+
+use crate::interface::{Availability, EngineId};
+use crate::state::Engine;
+use std::collections::BTreeMap;
+
+/// Engines that a gateway meets, where there are more.
+pub const MET: f64 = 10.0;
+/// Gateways that meet an engine, at least: with few gateways each meets more engines.
+pub const MEETING: f64 = 4.0;
+/// Times the even share of the traffic past which a gateway meets more engines, in proportion.
+const WIDEN: f64 = 3.0;
+
+/// A gateway's place on the ring.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Aperture {
+    /// Where its arc begins, from 0 to 1.
+    at: f64,
+    /// Gateways in all.
+    gateways: f64,
+    /// How many times its base width the arc has now.
+    widened: f64,
+}
+
+impl Aperture {
+    /// By its number, or by chance where it has none.
+    pub fn new(rank: Option<u64>, gateways: usize, seed: u64) -> Self {
+        let all = gateways.max(1) as f64;
+        let chance = || fastrand::Rng::with_seed(seed).f64();
+        Self { at: rank.map_or_else(chance, |r| (r as f64 / all).fract()), gateways: all, widened: 1.0 }
+    }
+
+    /// The share of the ring that each gateway covers before so many engines.
+    pub fn width(&self, engines: usize) -> f64 {
+        (MET / engines.max(1) as f64).max(MEETING / self.gateways).min(1.0)
+    }
+
+    /// Meets engines anew after their list has changed, or where this gateway's share of the traffic has become far
+    /// more or less than its arc was made for.
+    pub fn focus(&mut self, engines: &mut BTreeMap<EngineId, Engine>, share: f64, changed: bool) {
+        let wanted = (share * self.gateways / WIDEN).max(1.0);
+        if !changed && (self.widened / 2.0..=self.widened * 1.5).contains(&wanted) {
+            return;
+        }
+        self.widened = wanted;
+        let live = |e: &&mut Engine| e.member.availability == Availability::Live;
+        let mut met: Vec<&mut Engine> = engines.values_mut().filter(live).collect();
+        let width = self.width(met.len());
+        let ids: Vec<&EngineId> = met.iter().map(|e| &e.member.engine).collect();
+        let wide = self.shares(&ids, (width * self.widened).min(1.0));
+        let base = self.shares(&ids, width);
+        for (e, (wide, base)) in met.iter_mut().zip(wide.into_iter().zip(base)) {
+            (e.met, e.cold_part) = (wide, base / (self.gateways * width));
+        }
+    }
+
+    /// Of each engine, in the order given, the share that an arc of that width covers.
+    fn shares(&self, engines: &[&EngineId], width: f64) -> Vec<f64> {
+        let n = engines.len() as f64;
+        let mut ring: Vec<(u64, usize)> = engines.iter().enumerate().map(|(i, id)| (spread(id), i)).collect();
+        ring.sort_unstable_by(|a, b| a.0.cmp(&b.0).then_with(|| engines[a.1].cmp(engines[b.1])));
+        let mut shares = vec![0.0; engines.len()];
+        for (place, (_, i)) in ring.iter().enumerate() {
+            let (from, to) = (place as f64 / n, (place + 1) as f64 / n);
+            // The arc may pass the ring's end once.
+            let covered = |arc: f64| (to.min(arc + width) - from.max(arc)).max(0.0);
+            let share = (covered(self.at) + covered(self.at - 1.0)) * n;
+            // What is left of rounding is no share.
+            shares[*i] = if share > 1e-9 { share.min(1.0) } else { 0.0 };
+        }
+        shares
+    }
+}
+
+/// The same number for the same id on every gateway.
+fn spread(id: &EngineId) -> u64 {
+    id.0.bytes().fold(0, |h: u64, b| fastrand::Rng::with_seed(h ^ u64::from(b)).u64(..))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ids(n: usize) -> Vec<EngineId> {
+        (0..n).map(|i| EngineId(format!("s-{i:05}").as_str().into())).collect()
+    }
+
+    fn sums(gateways: usize, engines: usize) -> (Vec<f64>, Vec<f64>) {
+        let ids = ids(engines);
+        let ids: Vec<&EngineId> = ids.iter().collect();
+        let (mut by_engine, mut by_gateway) = (vec![0.0; engines], Vec::new());
+        for rank in 0..gateways {
+            let a = Aperture::new(Some(rank as u64), gateways, 0);
+            let shares = a.shares(&ids, a.width(engines));
+            by_gateway.push(shares.iter().sum());
+            by_engine.iter_mut().zip(&shares).for_each(|(sum, s)| *sum += s);
+        }
+        (by_engine, by_gateway)
+    }
+
+    #[test]
+    fn every_engine_is_met_in_equal_share_and_every_gateway_meets_as_many() {
+        for (gateways, engines) in [(100, 30), (100, 60), (7, 60), (300, 11), (3, 1_000), (1, 40), (97, 10)] {
+            let (by_engine, by_gateway) = sums(gateways, engines);
+            let even = by_engine.iter().sum::<f64>() / engines as f64;
+            assert!(
+                by_engine.iter().all(|s| (s - even).abs() < 1.0 + 1e-6),
+                "{gateways}x{engines}: {by_engine:?}"
+            );
+            let met = by_gateway[0];
+            assert!(
+                by_gateway.iter().all(|s| (s - met).abs() < 1e-6),
+                "{gateways}x{engines}: {by_gateway:?}"
+            );
+            assert!(met + 1e-6 >= MET.min(engines as f64), "{gateways}x{engines}: {met}");
+        }
+    }
+
+    #[test]
+    fn a_small_fleet_is_met_whole() {
+        for engines in 1..=10 {
+            assert!(sums(100, engines).0.iter().all(|s| (s - 100.0).abs() < 1e-6));
+        }
+    }
+
+    #[test]
+    fn an_engine_that_leaves_moves_few_of_the_others() {
+        let ids = ids(60);
+        let all: Vec<&EngineId> = ids.iter().collect();
+        let less: Vec<&EngineId> = ids.iter().skip(1).collect();
+        let mut lost = 0;
+        for rank in 0..100 {
+            let a = Aperture::new(Some(rank), 100, 0);
+            let before = a.shares(&all, a.width(60));
+            let after = a.shares(&less, a.width(59));
+            lost += before[1..].iter().zip(&after).filter(|(b, a)| **b > 0.0 && **a == 0.0).count();
+        }
+        assert!(lost <= 100, "{lost} of some 1,000 engines met were dropped");
+    }
+
+    #[test]
+    fn without_a_number_the_place_is_drawn() {
+        let places: Vec<f64> = (0..50).map(|seed| Aperture::new(None, 50, seed).at).collect();
+        assert!(places.iter().all(|p| (0.0..1.0).contains(p)));
+        assert!(places.iter().filter(|p| **p < 0.5).count().abs_diff(25) < 15, "{places:?}");
+    }
+}
--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -2,6 +2,7 @@
 //! One turn learns from all events, then decides once: `turn` -> `learn` -> `decide`.
 //! All sends pass `gate` and `send`; all final answers pass `answer`. Times are milliseconds.
 
+use crate::aperture::Aperture;
 use crate::interface::*;
 use crate::state::{Attempt, ClassState, Engine, Fleet, Key, Request, Stat, Times, NEVER};
 use std::collections::{BTreeMap, VecDeque};
@@ -56,6 +57,7 @@
 const SLOW_START: Ms = 4000.0; // from the end of an ejection to full share
 const COLD_MARGIN: f64 = 0.8; // of a cold engine's budget
 const COLD_CHANCE: f64 = 3.0; // deviations that it leaves for what many gateways send by chance
+const NO_ROOM: f64 = 1e9; // under all that have some
 const ABSURD: f64 = 20.0; // threads a core past which no report is believed
 const SETTLE: Ms = 1000.0; // time over which reports are smoothed
 const USUAL: f64 = 0.1; // weight of one report in the fleet's mean load
@@ -91,6 +93,7 @@
     taken: VecDeque<Ms>,
     bound: usize,
     fleet: Fleet,
+    aperture: Aperture,
     behind: Option<bool>, // the group that waits: long or not
     next_step: Ms,
     next_timer: Ms,
@@ -115,6 +118,7 @@
             waits: vec![[0; Why::COUNT]; settings.classes.len()],
             quotas: vec![0.0; settings.tenants.len()],
             rng: fastrand::Rng::with_seed(settings.seed),
+            aperture: Aperture::new(settings.rank, settings.gateways, settings.seed),
             fleet: Fleet::new(1.0 / settings.gateways as f64),
             watch_at: if settings.ask_for_list { now } else { f64::INFINITY },
             now,
@@ -219,6 +223,7 @@
             e.member = m.clone();
             (e.cores, e.memory_mb) = (kind.cores, kind.memory_mb.max(1.0));
         }
+        self.aperture.focus(&mut self.engines, self.fleet.share, true);
     }
 
     fn learn_request(&mut self, asked: &Incoming) {
@@ -231,9 +236,7 @@
             c.size = if c.size > 0.0 { c.size + MEMORY * (w - c.size) } else { w };
         }
         // A retry storm must not make its group look starved: repeats that say so do not count.
-        if !asked.repeat {
-            c.arrivals += 1.0;
-        }
+        c.arrivals += f64::from(!asked.repeat);
         let size = work.map_or(1.0, |w| (w / c.size).clamp(0.1, 10.0));
         let mut over_quota = false;
         if let Some(t) = asked.tenant.filter(|t| t.0 < self.quotas.len()) {
@@ -315,9 +318,7 @@
         a.unseen = matches!(how, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
         let (level, sent, counted, unseen) = (a.level, a.sent, a.counted, a.unseen);
         let engine = a.engine.clone();
-        if r.out() == 0 {
-            r.held = now;
-        }
+        r.held = if r.out() == 0 { now } else { r.held };
         let (size, data) = (r.size, r.asked.data);
         if let Some(key) = r.asked.key.filter(|_| self.s.classes[class.0].ordered) {
             if matches!(how, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
@@ -468,8 +469,8 @@
             count += e.count;
             others += e.others;
             cores += self.cores(e);
-            ages += e.heard.map_or(STALE, |t| (now - t).min(STALE));
-            live += 1.0;
+            ages += e.met * e.heard.map_or(STALE, |t| (now - t).min(STALE));
+            live += e.met;
         }
         for e in self.engines.values_mut() {
             if now >= e.redraw {
@@ -501,6 +502,7 @@
         self.fleet.all_seen += (1.0 - RECENT) * (threads + others - self.fleet.all_seen);
         self.fleet.share =
             ((self.fleet.own_seen + even) / (self.fleet.all_seen + 1.0)).clamp(even / 4.0, 1.0);
+        self.aperture.focus(&mut self.engines, self.fleet.share, false);
         self.fleet.age = ages / (live + 1.0);
         let of = self.classes.iter().zip(&self.s.classes);
         let of = of.map(|(c, of)| ((c.arrivals + 0.1) * of.threads, c.best));
@@ -736,13 +738,12 @@
         }
         let all = COLD_MARGIN * self.s.fall_multiple * warmth * e.cores * self.s.tip_after;
         let work = self.work(r.asked.class);
-        let even = 1.0 / self.s.gateways as f64;
-        let part = if all * even >= work {
-            all * even
+        let part = if all * e.cold_part >= work {
+            all * e.cold_part
         } else {
             // The mean from which so many deviations lead up to the budget, in queries of this class.
             let (most, by) = (all / work, COLD_CHANCE * COLD_CHANCE);
-            (most + by / 2.0 - COLD_CHANCE * (most + by / 4.0).sqrt()) * work * even
+            (most + by / 2.0 - COLD_CHANCE * (most + by / 4.0).sqrt()) * work * e.cold_part
         };
         e.cold_sum + work * e.chance <= part
     }
@@ -759,7 +760,8 @@
             return Err(Why::Part);
         }
         // More than half ejected means a shared cause: using them beats having none.
-        let live = self.engines.values().filter(|e| e.member.availability == Availability::Live);
+        let live = |e: &&Engine| e.member.availability == Availability::Live && e.met > 0.0;
+        let live = self.engines.values().filter(live);
         let shared =
             live.clone().filter(|e| e.ejected.is_some() && e.lost.is_none()).count() * 2 > live.count();
         let mut why = Why::NoEngine;
@@ -787,11 +789,13 @@
             let held = f64::from(held && (of.is_load || of.waits_for_loads));
             let room = self.free_room(e) - LEVELS[LEVELS.len() - 1] * held;
             let near = 1.0 + NEAR * f64::from(e.member.zone == self.s.zone);
+            // Who is not met comes after all that are and have room.
+            let (met, away) = if e.met > 0.0 { (e.met, 0.0) } else { (1.0, NO_ROOM / 2.0) };
             // The largest of ln(u)/w is each engine's by chance in proportion to w.
             let u = fastrand::Rng::with_seed(r.chance.to_bits() ^ e.jitter.to_bits().rotate_left(32)).f64();
             let score = match room > 0.0 {
-                true => u.max(f64::MIN_POSITIVE).ln() / (room * self.cores(e).max(0.1) * near),
-                false => room - FULL_REST * 1e6,
+                true => u.max(f64::MIN_POSITIVE).ln() / (room * self.cores(e).max(0.1) * near * met) - away,
+                false => room - NO_ROOM,
             };
             if top.is_none_or(|(best, _)| score > best) {
                 top = Some((score, id));
@@ -956,8 +960,7 @@
             self.route(r).into_iter().for_each(|engine| self.send(id, &engine, actions));
         } else if self.s.may_cancel && (ill && overdue || stuck) {
             actions.push(Action::Cancel { id, attempt: no as u32 });
-            let first = self.requests.get_mut(&id).and_then(|r| r.attempts.get_mut(no));
-            first.into_iter().for_each(|a| a.cancelled = true);
+            self.requests.entry(id).and_modify(|r| r.attempts[no].cancelled = true);
         }
     }
 
@@ -989,9 +992,7 @@
         let grant = estimate.map_or(0.0, |m| (m * self.classes[class.0].grant).min(most));
         let (work, asked_data) = (self.work(class), r.asked.data);
         self.set_terms(id, grant, priority, actions);
-        if let Some(r) = self.requests.get_mut(&id) {
-            r.attempts.push(attempt);
-        }
+        self.requests.entry(id).and_modify(|r| r.attempts.push(attempt));
         // Back to the least, never under it: not every engine tells of spills.
         self.classes[class.0].grant = (self.classes[class.0].grant * 0.999).max(GRANT);
 
@@ -1001,10 +1002,8 @@
             e.count += 1.0;
             e.cold_sent.push_back((now, work));
             e.cold_sum += work;
-            if let Some(d) = asked_data {
-                if self.s.classes[class.0].is_load {
-                    *e.loading.entry(d).or_default() += 1;
-                }
+            if let Some(d) = asked_data.filter(|_| self.s.classes[class.0].is_load) {
+                *e.loading.entry(d).or_default() += 1;
             }
         }
         self.extras.extend((!first).then_some(now));
@@ -1043,7 +1042,7 @@
             return;
         }
         let asked = |e: &Engine| e.probed.max(e.heard.unwrap_or(NEVER));
-        let live = |e: &Engine| e.member.availability == Availability::Live;
+        let live = |e: &Engine| e.member.availability == Availability::Live && e.met > 0.0;
         let quiet = |(_, e): &(_, &mut Engine)| live(e) && self.now - asked(e) > PROBE_EVERY;
         let mut line: Vec<_> = self.engines.iter_mut().filter(quiet).collect();
         line.sort_by(|(_, a), (_, b)| asked(a).total_cmp(&asked(b)).then(a.jitter.total_cmp(&b.jitter)));
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -146,6 +146,8 @@
     pub seed: u64,
     /// Number of gateways before these engines.
     pub gateways: usize,
+    /// This gateway's own number among them, from 0; none: not told.
+    pub rank: Option<u64>,
     /// The zone this gateway is in.
     pub zone: Option<ZoneId>,
     /// Request classes.
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod aperture;
 pub mod decide;
 pub mod interface;
 mod state;
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -114,6 +114,10 @@
     pub member: Member,
     pub cores: f64,
     pub memory_mb: f64,
+    /// The share in which this gateway meets it, from 0 to 1.
+    pub met: f64,
+    /// This gateway's part of its budget while it is cold.
+    pub cold_part: f64,
     /// Parts engines that are otherwise alike, from 0 to 1.
     pub jitter: f64,
     /// Of this gateway's attempts.
@@ -202,6 +206,8 @@
             member,
             cores: kind.cores,
             memory_mb: kind.memory_mb.max(1.0),
+            met: 1.0,
+            cold_part: 0.0,
             jitter,
             threads: 0.0,
             count: 0.0,
@@ -240,7 +246,8 @@
         let fresh = Self::new(self.member.clone(), &kind, self.last_answer, self.jitter);
         let (threads, count) = (self.threads, self.count);
         let (cold_sent, cold_sum) = (std::mem::take(&mut self.cold_sent), self.cold_sum);
-        *self = Self { threads, count, cold_sent, cold_sum, started: Some(started), ..fresh };
+        let (met, cold_part) = (self.met, self.cold_part);
+        *self = Self { threads, count, cold_sent, cold_sum, met, cold_part, started: Some(started), ..fresh };
     }
 }
 
--- a/src/config/schema.rs
+++ b/src/config/schema.rs
@@ -80,6 +80,7 @@
     need("zones", "zones", Form::Words),
     may("zone", "locality", Form::Word),
     may("gateways", "balancers", Form::Count(1, 1_000_000)),
+    may("rank", "rank", Form::Count(0, 1_000_000)),
     may("tick", "tick", Form::Duration(0.1, 1_000.0)),
     may("engines_speak", "engines", Form::OneOf(&["resp", "clickhouse"])),
 ];
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -450,6 +450,7 @@
     Ok(Settings {
         seed: f.get("entropy")?,
         gateways: f.maybe("balancers")?.unwrap_or(0),
+        rank: f.maybe("rank")?,
         zone: f.opt("locality").and_then(|z| zone_of(&zones, z)),
         classes,
         kinds,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -25,6 +25,7 @@
     Settings {
         seed: 11,
         gateways: 2,
+        rank: None,
         zone: Some(ZoneId(0)),
         classes: vec![class("short", 500.0, 3_000.0, 1.0), class("long", 3_000.0, 20_000.0, 4.0)],
         kinds: vec![
