What is stuck moves only while the fleet as a whole does not take long

At fault: second_try(), which asked nothing of the fleet. Change: nothing moves while the fleet takes one and a half times as long as alone or more, the level of threads a core at which the bound begins.

--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -941,8 +941,7 @@
         }
     }
 
-    /// A fresh try for what can still make the aim: a copy if it is overdue, or in its place if it is stuck.
-    /// Each gateway sends an engine that has collapsed a query every few seconds, and must not wait with it.
+    /// A fresh try for what can still make the aim: a copy if it is overdue, in its place if it is stuck.
     fn second_try(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
         let Some((no, a)) = r.attempts.iter().enumerate().find(|(_, a)| a.out) else { return };
@@ -955,6 +954,8 @@
         let ill = self.engines.get(&a.engine).is_none_or(ill);
         let overdue = self.now - a.sent > a.patience;
         let stuck = self.stood == 0.0 && self.now - a.sent > (STUCK * self.alone(r)).max(PATIENCE_LEAST);
+        // Where all take long a move is more work for a full fleet, and moves add up to a storm.
+        let stuck = stuck && self.fleet.slow < LEVELS[START_LEVEL];
         if !(in_time && self.ration_left()) {
         } else if self.s.may_copy && (ill || overdue && !self.classes[class.0].long) {
             self.route(r).into_iter().for_each(|engine| self.send(id, &engine, actions));
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -632,13 +632,19 @@
 
 /// One query a few seconds is all that one of hundreds of gateways learns of an engine: where it has collapsed each
 /// waited with its own until that was late. It moves after three times its time alone, and not sooner.
-#[test]
-fn what_is_stuck_on_an_engine_of_which_nothing_bad_is_known_moves_in_time() {
+/// Returns where each of four went that were stuck for longer than that, after so many others came to nothing.
+fn moves_of_what_is_stuck(others: usize) -> Vec<Option<EngineId>> {
     let mut s = settings();
     s.may_cancel = true;
     s.ration = Some(Ration { free: 2.0, per_request: 0.0, span: 10_000.0 });
     let mut bed = Bed::new(s, 6);
     bed.serve(200, 0, 50.0);
+    for _ in 0..others {
+        let (id, to) = bed.ask(0);
+        bed.pass(400.0);
+        let to = to.expect("sent");
+        bed.turn(&[outcome(id, 0, &to, Outcome::Ok, 400.0), Event::Gone(RequestId(id))]);
+    }
     let mut moved = Vec::new();
     for _ in 0..4 {
         let (id, to) = bed.ask(0);
@@ -657,9 +663,21 @@
         }
         bed.turn(&[Event::Gone(RequestId(id))]);
     }
+    moved
+}
+
+#[test]
+fn what_is_stuck_on_an_engine_of_which_nothing_bad_is_known_moves_in_time() {
+    let moved = moves_of_what_is_stuck(0);
     assert_eq!(moved.len(), 2, "as many as the ration has: {moved:?}");
 }
 
+/// Moves in a fleet that is full as a whole were a storm: a burst on eight engines went from 0.75 to 0.35.
+#[test]
+fn nothing_moves_while_the_whole_fleet_takes_long() {
+    assert_eq!(moves_of_what_is_stuck(30), vec![]);
+}
+
 /// Requests of one key: what is too far back to end in time is answered at once, the rest has its turn, and
 /// the capped wait of one begins with its turn.
 #[test]
