A call whose number is out of turn is no client's, and ends its connection

Checked over all 300 gateways: calls on connections that begin at 1 count up by one without a gap (67,059 calls, 1,459 connections); the others (37,838 calls, 1,091 connections) begin anywhere. Change: a call must be number 1 or above the last one; else the connection is closed, as for a number used twice, and nothing of it is taken, sent or earned. A question for health in its turn counts. Three tests began elsewhere themselves. The new test was seen to fail without, all four cases.

--- a/src/net/front/thrift.rs
+++ b/src/net/front/thrift.rs
@@ -6,7 +6,7 @@
 use crate::net::conn::{Close, Frame, Inbox, Part};
 use crate::net::front::{Asked, Client, Desk, Seat};
 use crate::net::log;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -251,6 +251,8 @@
     seat: Rc<Seat>,
     limits: Rc<Limits>,
     open: RefCell<HashMap<i32, RequestId>>,
+    /// Number of the last call, or of a question for health in its turn; 0: none yet.
+    last: Cell<i32>,
 }
 
 struct Caller {
@@ -280,7 +282,12 @@
 /// Serves one client until its connection ends; then nobody waits for what is open on it.
 pub async fn serve(stream: TcpStream, seat: Rc<Seat>, desk: Rc<Desk>) {
     let limits = desk.limits.clone();
-    let session = Rc::new(Session { seat: seat.clone(), limits: limits.clone(), open: RefCell::default() });
+    let session = Rc::new(Session {
+        seat: seat.clone(),
+        limits: limits.clone(),
+        open: RefCell::default(),
+        last: Cell::new(0),
+    });
     let _ = stream.set_nodelay(true);
     tokio::select! {
         ended = seat.out.write_all(&stream, &limits) => drop(ended),
@@ -308,7 +315,7 @@
             if !take_message(message, session, desk).await {
                 return log::seldom(
                     limits,
-                    "a client used a number or name twice; the connection was closed",
+                    "a client used a number out of turn, or a name twice; the connection was closed",
                 );
             }
             inbox.used(len);
@@ -323,7 +330,11 @@
 async fn take_message(message: Message<'_>, session: &Rc<Session>, desk: &Rc<Desk>) -> bool {
     let say = |frame| session.seat.say(frame, &session.limits);
     match message {
-        Message::Health(seq) => say(answer("health", seq, Rows::default(), !desk.terminating.get())),
+        Message::Health(seq) => {
+            let last = &session.last;
+            last.set(if last.get().checked_add(1) == Some(seq) { seq } else { last.get() });
+            say(answer("health", seq, Rows::default(), !desk.terminating.get()));
+        }
         Message::Unknown(seq, name) => say(unknown(seq, name)),
         Message::Cancel(seq) => {
             let id = session.open.borrow_mut().remove(&seq);
@@ -333,9 +344,12 @@
             }
         }
         Message::Call { seq, fields, body } => {
-            if session.open.borrow().contains_key(&seq) {
+            // Numbers start at 1 and count up on each connection. Who begins elsewhere is no client in order: what it
+            // asks is nobody's request, earns no further attempts, and must not spend those of others.
+            if seq <= session.last.get() || session.last.get() == 0 && seq != 1 {
                 return false;
             }
+            session.last.set(seq);
             if session.open.borrow().len() >= session.limits.open_per_conn {
                 say(overloaded(seq, desk.settings.max_retry_after));
                 return true;
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -116,7 +116,7 @@
     let gateway = Gateway::start_with(&config, Some(may.path()));
     let lookup = [("verb", "lookup"), ("txn", "00000000000000a2"), ("limit", "4000")];
     let mut client = gateway.client();
-    client.write_all(&call(2, &lookup, "select 1")).expect("sent");
+    client.write_all(&call(1, &lookup, "select 1")).expect("sent");
     assert_eq!(answer(&mut client).1, "served");
 
     let must = operator(&file, "  required = true\n");
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -67,9 +67,9 @@
     let closed = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
     let gateway = Gateway::start(&config(&[closed], "resp", 5000));
     let mut client = gateway.client();
-    client.write_all(&call(7, &LOOKUP, "select 1")).expect("sent");
+    client.write_all(&call(1, &LOOKUP, "select 1")).expect("sent");
     let (seq, kind, body) = answer(&mut client);
-    assert_eq!((seq, kind), (7, "overloaded"));
+    assert_eq!((seq, kind), (1, "overloaded"));
     assert!(body.contains("later"));
 }
 
@@ -197,21 +197,21 @@
 fn full_house_closes_what_has_been_idle_longest_and_serves_what_is_new() {
     let (at, _) = resp_engine(served);
     let gateway = Gateway::start(&config(&[at], "resp", 5000).replace("\"sockets\":256", "\"sockets\":20"));
-    let ask = |client: &mut std::net::TcpStream, seq| {
-        let txn = format!("{seq:016x}");
+    let ask = |client: &mut std::net::TcpStream, seq, n| {
+        let txn = format!("{n:016x}");
         let fields = [("verb", "lookup"), ("txn", &*txn), ("limit", "5000")];
         client.write_all(&call(seq, &fields, "select 1")).expect("sent");
         answer(client).1
     };
     let mut stayed: Vec<_> = (1..=30)
-        .map(|seq| {
+        .map(|n| {
             let mut client = gateway.client();
-            assert_eq!(ask(&mut client, seq), "served", "client {seq}");
+            assert_eq!(ask(&mut client, 1, n), "served", "client {n}");
             client
         })
         .collect();
     assert!(closed(&mut stayed[0]), "the first has been idle longest");
-    assert_eq!(ask(&mut stayed[29], 31), "served");
+    assert_eq!(ask(&mut stayed[29], 2, 31), "served");
 }
 
 #[rstest]
@@ -265,6 +265,33 @@
     until(&log, |l| l.iter().any(|p| p[0] == "never_mind"));
 }
 
+/// Numbers start at 1 and count up on each connection. Copies of others' requests came on connections that began
+/// elsewhere, earned further attempts and spent them, and the ration was broken for the requests that there were.
+#[rstest]
+#[case::begins_elsewhere(&[475])]
+#[case::begins_at_none(&[0])]
+#[case::goes_back(&[1, 3, 2])]
+#[case::below_none(&[-1])]
+fn call_whose_number_is_out_of_turn_never_leaves_and_ends_its_connection(#[case] numbers: &[i32]) {
+    let (at, log) = resp_engine(served);
+    let gateway = Gateway::start(&config(&[at], "resp", 5000));
+    let mut client = gateway.client();
+    let (out, before) = numbers.split_last().expect("some");
+    for (n, seq) in before.iter().enumerate() {
+        let txn = format!("{n:016x}");
+        let fields = [("verb", "lookup"), ("txn", &*txn), ("limit", "5000")];
+        client.write_all(&call(*seq, &fields, "select 1")).expect("sent");
+        assert_eq!(answer(&mut client).1, "served");
+    }
+    client.write_all(&call(*out, &LOOKUP, "select 1")).expect("sent");
+    assert!(closed(&mut client));
+    let mut other = gateway.client();
+    other.write_all(&call(1, &LOOKUP, "select 1")).expect("sent");
+    assert_eq!(answer(&mut other).1, "served");
+    let wants = log.lock().expect("kept").iter().filter(|p| p[0] == "want").count();
+    assert_eq!(wants, before.len() + 1);
+}
+
 const ID: &str = "00000000000000a1";
 
 /// What is spoilt made its request fail alone, on a connection that was used on, or was served as it came.
