--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -47,6 +47,7 @@
 const SLOW_SPAN: Ms = 5000.0; // over which slowness is learned ...
 const SLOW_PRIOR: Ms = 500.0; // ... with so much time of a thread taken to be as usual
 const CRAWL: f64 = 4.0; // times slower, past which idle cores mean that all wait for disks
+const STUCK: f64 = 3.0; // times its time alone past which one attempt in three still ends in time
 const SLOW_MOST: f64 = 10.0;
 const ERROR_WEIGHT: f64 = 0.2; // of one outcome in it
 const ERRORS: f64 = 0.3; // recent share of failures that ejects an engine
@@ -328,9 +329,9 @@
         let c = &mut self.classes[class.0];
         c.runtime += took.clamp(0.0, self.s.classes[class.0].give_up);
         let best = c.best * size;
-        // What a usual query takes alone: by the work that answers tell, else the best latency.
-        let told = work.filter(|w| how == Outcome::Ok && *w > 0.0).map_or(c.best, |w| w / width / size);
-        c.usual += if c.usual > 0.0 { MEMORY * (told - c.usual) } else { told };
+        // What a usual query takes alone, by the work that answers tell.
+        let told = work.filter(|w| how == Outcome::Ok && *w > 0.0).map(|w| w / width / size);
+        c.usual += told.map_or(0.0, |t| if c.usual > 0.0 { MEMORY * (t - c.usual) } else { t });
         let Some(e) = self.engines.get_mut(&engine) else { return self.forget(id) };
         e.threads = (e.threads - width).max(0.0);
         self.fleet.own = (self.fleet.own - width).max(0.0);
@@ -397,9 +398,8 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let c = &mut self.classes[r.asked.class.0];
         let Some(a) = r.attempts.get_mut(no as usize).filter(|a| a.out) else { return };
-        match note {
-            Note::Spill(missing) if missing > 0.0 => c.grant = (c.grant * 1.03).min(2.0 * GRANT),
-            _ => {}
+        if matches!(note, Note::Spill(missing) if missing > 0.0) {
+            c.grant = (c.grant * 1.03).min(2.0 * GRANT);
         }
         // An engine that sends notes is not silent.
         let Some(e) = self.engines.get_mut(&a.engine) else { return };
@@ -441,6 +441,12 @@
         (c.aim + c.aim_stretch * self.classes[class.0].best * size).min(c.give_up)
     }
 
+    /// How long a request takes alone: by the work that answers tell, else the best latency.
+    fn alone(&self, r: &Request) -> Ms {
+        let c = &self.classes[r.asked.class.0];
+        r.size * if c.usual > 0.0 { c.usual } else { c.best }
+    }
+
     fn late(&self, r: &Request) -> bool {
         self.now - r.taken > self.aim(r.asked.class, r.size)
     }
@@ -456,8 +462,7 @@
             let rate = self.s.tenants[t].quota_per_s * self.fleet.share;
             *level = (*level + rate * STEP / 1000.0).min((rate * 2.0).max(2.0));
         }
-        let (mut threads, mut count, mut others, mut cores, mut ages, mut live) =
-            (0.0, 0.0, 0.0, 0.0, 0.0, 1.0);
+        let [mut threads, mut count, mut others, mut cores, mut ages, mut live] = [0.0; 6];
         for e in self.engines.values().filter(|e| e.member.availability == Availability::Live) {
             threads += e.threads;
             count += e.count;
@@ -487,12 +492,16 @@
             (f.jammed, f.usual_load) = (f.jammed * FADE, f.usual_load * FADE);
         }
         (self.fleet.own, self.fleet.cores) = (threads, cores.max(1.0));
+        // Even parts of a thread a core till more was seen: hundreds that start at once all see little.
+        let even = 1.0 / self.s.gateways as f64;
+        if self.fleet.all_seen <= 0.0 {
+            (self.fleet.own_seen, self.fleet.all_seen) = (even * cores, cores);
+        }
         self.fleet.own_seen += (1.0 - RECENT) * (threads - self.fleet.own_seen);
         self.fleet.all_seen += (1.0 - RECENT) * (threads + others - self.fleet.all_seen);
-        let even = 1.0 / self.s.gateways as f64; // counts as a thread, so that idle gateways keep theirs
         self.fleet.share =
             ((self.fleet.own_seen + even) / (self.fleet.all_seen + 1.0)).clamp(even / 4.0, 1.0);
-        self.fleet.age = ages / live;
+        self.fleet.age = ages / (live + 1.0);
         let of = self.classes.iter().zip(&self.s.classes);
         let of = of.map(|(c, of)| ((c.arrivals + 0.1) * of.threads, c.best));
         let (work, all) = of.fold((0.0, 0.0), |(work, all), (n, best)| (work + n * best, all + n));
@@ -528,9 +537,7 @@
     fn take_slowness(&mut self) {
         let mut times: BTreeMap<&EngineId, Times> = BTreeMap::new();
         for r in self.requests.values() {
-            let c = &self.classes[r.asked.class.0];
-            let alone = if c.usual > 0.0 { c.usual } else { c.best } * r.size;
-            let width = self.s.classes[r.asked.class.0].threads;
+            let (alone, width) = (self.alone(r), self.s.classes[r.asked.class.0].threads);
             for a in r.attempts.iter().filter(|a| a.out) {
                 let out = self.now - a.sent;
                 times.entry(&a.engine).or_default().add(out * width, out.min(alone) * width);
@@ -903,8 +910,7 @@
     /// Late, and nothing is earned any more or its engine crawls. Guards against engines that are full of
     /// what nobody wants any more, and so never come to what is wanted.
     fn in_vain(&self, r: &Request) -> bool {
-        let alone = (self.classes[r.asked.class.0].best * r.size).max(WAIT_LEAST);
-        let crawls = |a: &Attempt| a.out && self.now - a.sent > CRAWL * alone;
+        let crawls = |a: &Attempt| a.out && self.now - a.sent > CRAWL * self.alone(r).max(WAIT_LEAST);
         let nothing = self.s.classes[r.asked.class.0].late_worth <= 0.0;
         self.s.may_cancel && self.late(r) && (nothing || r.attempts.iter().any(crawls))
     }
@@ -931,8 +937,8 @@
         }
     }
 
-    /// A fresh try for what is overdue and can still make the aim: a copy, or in its place if the engine is
-    /// ill.
+    /// A fresh try for what can still make the aim: a copy if it is overdue, or in its place if it is stuck.
+    /// Each gateway sends an engine that has collapsed a query every few seconds, and must not wait with it.
     fn second_try(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
         let Some((no, a)) = r.attempts.iter().enumerate().find(|(_, a)| a.out) else { return };
@@ -941,14 +947,14 @@
         if r.out() > 1 || a.cancelled || !again || r.attempts.len() >= self.s.send_cap as usize {
             return;
         }
-        let fresh = self.latency_at(class, 1.0).0 * r.size;
-        let in_time = self.now - r.taken + fresh < self.aim(class, r.size) * HEDGE_WITHIN;
+        let in_time = self.now - r.taken + self.alone(r) < self.aim(class, r.size) * HEDGE_WITHIN;
         let ill = self.engines.get(&a.engine).is_none_or(ill);
         let overdue = self.now - a.sent > a.patience;
+        let stuck = self.stood == 0.0 && self.now - a.sent > (STUCK * self.alone(r)).max(PATIENCE_LEAST);
         if !(in_time && self.ration_left()) {
         } else if self.s.may_copy && (ill || overdue && !self.classes[class.0].long) {
             self.route(r).into_iter().for_each(|engine| self.send(id, &engine, actions));
-        } else if self.s.may_cancel && ill && overdue {
+        } else if self.s.may_cancel && (ill && overdue || stuck) {
             actions.push(Action::Cancel { id, attempt: no as u32 });
             let first = self.requests.get_mut(&id).and_then(|r| r.attempts.get_mut(no));
             first.into_iter().for_each(|a| a.cancelled = true);
@@ -1056,14 +1062,9 @@
 
 /// Probes that a request pays for.
 fn probe_part(s: &Settings) -> f64 {
-    if s.probe_price > PROBE_COST {
-        PROBE_COST / s.probe_price
-    } else {
-        1.0
-    }
+    (PROBE_COST / s.probe_price.max(0.0)).min(1.0)
 }
 
 fn band(level: f64) -> usize {
-    let last = LEVELS.len() as f64;
-    (level / LEVELS[0]).round().min(last).max(1.0) as usize - 1
+    ((level / LEVELS[0]).round().clamp(1.0, LEVELS.len() as f64) as usize).saturating_sub(1)
 }
