--- a/crates/lab/src/experiments.rs
+++ b/crates/lab/src/experiments.rs
@@ -29,7 +29,10 @@
 pub type Experiment = (&'static str, &'static str, for<'a> fn(&'a Lab) -> Ran<'a>);
 
 /// All of them.
-pub const ALL: [Experiment; 5] = [
+pub const ALL: [Experiment; 6] = [
+    ("turns", "time of one decision and one step at 8 to 1,000 engines, against 8", |lab| {
+        Box::pin(async { crate::turns::run(lab.seed) })
+    }),
     ("idle", "closed loops on idle engines: refusals and what the gateway adds to the time", |lab| {
         Box::pin(idle(lab))
     }),
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,7 @@
 mod bed;
 mod experiments;
 mod report;
+mod turns;
 
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
