--- a/crates/decision/src/aperture.rs
+++ b/crates/decision/src/aperture.rs
@@ -28,6 +28,8 @@
     gateways: f64,
     /// How many times its base width the arc has now.
     widened: f64,
+    /// Processes of this gateway that run now, and share its part of cold engines' budgets.
+    processes: f64,
 }
 
 impl Aperture {
@@ -35,7 +37,18 @@
     pub fn new(rank: Option<u64>, gateways: usize, seed: u64) -> Self {
         let all = gateways.max(1) as f64;
         let chance = || fastrand::Rng::with_seed(seed).f64();
-        Self { at: rank.map_or_else(chance, |r| (r as f64 / all).fract()), gateways: all, widened: 1.0 }
+        Self {
+            at: rank.map_or_else(chance, |r| (r as f64 / all).fract()),
+            gateways: all,
+            widened: 1.0,
+            processes: 1.0,
+        }
+    }
+
+    /// So many processes of this gateway run now: one that takes over and the one that it takes over from.
+    pub fn share(&mut self, processes: u32, engines: &mut BTreeMap<EngineId, Engine>, share: f64) {
+        self.processes = f64::from(processes.max(1));
+        self.focus(engines, share, true);
     }
 
     /// The share of the ring that each gateway covers before so many engines.
@@ -58,7 +71,7 @@
         let wide = self.shares(&ids, (width * self.widened).min(1.0));
         let base = self.shares(&ids, width);
         for (e, (wide, base)) in met.iter_mut().zip(wide.into_iter().zip(base)) {
-            (e.met, e.cold_part) = (wide, base / (self.gateways * width));
+            (e.met, e.cold_part) = (wide, base / (self.gateways * width * self.processes));
         }
     }
 
--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -205,6 +205,7 @@
                 self.forget(*id);
             }
             Event::Recalled(learned) => self.recall(learned),
+            Event::Processes(n) => self.aperture.share(*n, &mut self.engines, self.fleet.share),
             Event::Timer(_) | Event::Peer(_) | Event::Streaming { .. } => {}
         }
     }
@@ -359,13 +360,9 @@
             }
             // One connection that breaks is one failure, however many attempts it carried.
             Outcome::Reset if e.reset_at == now => None,
-            Outcome::Reset => {
-                e.reset_at = now;
-                Some(true)
-            }
-            Outcome::Error => Some(true),
-            Outcome::ConnectFailed => {
-                e.lost = Some(now);
+            Outcome::Reset | Outcome::Error | Outcome::ConnectFailed => {
+                e.reset_at = if how == Outcome::Reset { now } else { e.reset_at };
+                e.lost = if how == Outcome::ConnectFailed { Some(now) } else { e.lost };
                 Some(true)
             }
             // Guards against a full engine answering at once and so looking free. Also catches session
@@ -754,16 +751,19 @@
         of.threads * if c.learned > 0.0 { c.best } else { of.aim }
     }
 
+    /// More than half ejected means a shared cause: using them beats having none.
+    fn shared(&self) -> bool {
+        let live = |e: &&Engine| e.member.availability == Availability::Live && e.met > 0.0;
+        let live = self.engines.values().filter(live);
+        live.clone().filter(|e| e.ejected.is_some() && e.lost.is_none()).count() * 2 > live.count()
+    }
+
     /// Routing: of the engines that the gate, health and the bound allow, the one with most free room.
     fn route(&self, r: &Request) -> Result<EngineId, Why> {
         if !self.fleet_room(r) {
             return Err(Why::Part);
         }
-        // More than half ejected means a shared cause: using them beats having none.
-        let live = |e: &&Engine| e.member.availability == Availability::Live && e.met > 0.0;
-        let live = self.engines.values().filter(live);
-        let shared =
-            live.clone().filter(|e| e.ejected.is_some() && e.lost.is_none()).count() * 2 > live.count();
+        let shared = self.shared();
         let mut why = Why::NoEngine;
         let mut top: Option<(f64, &EngineId)> = None;
         for (id, e) in &self.engines {
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -425,6 +425,8 @@
     Gone(RequestId),
     /// Bytes from another gateway.
     Peer(Vec<u8>),
+    /// So many processes of this gateway run now.
+    Processes(u32),
     /// What an earlier life learned, as far as it still holds; engines in it are on the list already.
     Recalled(Box<crate::learned::Learned>),
 }
--- a/crates/decision/src/learned.rs
+++ b/crates/decision/src/learned.rs
@@ -2,7 +2,7 @@
 //! [`Event::Recalled`](crate::interface::Event::Recalled). What an old record is still worth is settled by who hands
 //! it in; here nothing is judged, but what does not fit the settings, or is no figure at all, is left out.
 
-use super::{band, Gateway, LEVELS};
+use super::{band, Gateway, FULL_REST, LEVELS};
 use crate::interface::{ClassId, EngineId, Ms, ZoneId};
 use crate::state::{Engine, Stat, Times, NEVER};
 
@@ -127,6 +127,13 @@
 }
 
 impl Gateway {
+    /// Whether routing leaves that engine out for now, for what it did: it was ejected, or has just said that it is full.
+    pub fn avoids(&self, engine: &EngineId) -> bool {
+        let Some(e) = self.engines.get(engine) else { return false };
+        let ejected = e.ejected.is_some() && (e.lost.is_some() || !self.shared());
+        ejected || self.now - e.full_at < FULL_REST
+    }
+
     /// What has been learned so far.
     pub fn learned(&self) -> Learned {
         let f = &self.fleet;
--- a/crates/knowledge/src/gate.rs
+++ b/crates/knowledge/src/gate.rs
@@ -196,6 +196,16 @@
         }
     }
 
+    /// Another process of this gateway sent that key, and has recorded it: a repeat here keeps to the window of both.
+    pub fn hear(&mut self, key: Key, sends: Sends, now: Ms) {
+        if now >= sends.end() {
+            return;
+        }
+        let (held, durable) = self.sends.get(&key).copied().unwrap_or((sends, true));
+        let (first, last) = (held.first.min(sends.first), held.last.max(sends.last));
+        self.put(key, Sends { first, last, window: held.window.max(sends.window) }, durable);
+    }
+
     fn put(&mut self, key: Key, sends: Sends, durable: bool) {
         if let Some((old, _)) = self.sends.insert(key, (sends, durable)) {
             self.ends.remove(&(order(old.end()), key));
--- a/crates/knowledge/src/keylog.rs
+++ b/crates/knowledge/src/keylog.rs
@@ -102,7 +102,8 @@
     hasher.finalize()
 }
 
-fn head() -> [u8; HEAD] {
+/// The head of every log.
+pub fn head() -> [u8; HEAD] {
     let mut out = [0; HEAD];
     out[..8].copy_from_slice(&MAGIC);
     out[8..12].copy_from_slice(&VERSION.to_le_bytes());
--- a/crates/knowledge/src/lib.rs
+++ b/crates/knowledge/src/lib.rs
@@ -10,8 +10,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod disk;
-pub mod folder;
+pub use starlingplank_records::{disk, folder};
+
 pub mod gate;
 pub mod keeper;
 pub mod keylog;
--- a/crates/knowledge/src/store.rs
+++ b/crates/knowledge/src/store.rs
@@ -120,11 +120,11 @@
                 let offset = match &e {
                     SnapshotError::Length { at, .. } => *at,
                     SnapshotError::Magic => 0,
-                    SnapshotError::Newer(_) | SnapshotError::Version(_) => 8,
+                    SnapshotError::Newer(..) | SnapshotError::Version(_) => 8,
                     SnapshotError::Checksum => 16,
                     SnapshotError::Records(_) | SnapshotError::TooLarge(..) => snapshot::HEAD,
                 };
-                let newer = matches!(e, SnapshotError::Newer(_));
+                let newer = matches!(e, SnapshotError::Newer(..));
                 loaded.faults.push(Fault { file, offset: Some(offset), why: e.to_string(), newer });
             }
         }
--- a/crates/knowledge/tests/snapshot.rs
+++ b/crates/knowledge/tests/snapshot.rs
@@ -5,7 +5,7 @@
 use common::snapshot;
 use proptest::prelude::*;
 use starlingplank_knowledge::records::v1;
-use starlingplank_knowledge::snapshot::{decode, encode, encode_v1, SnapshotError, HEAD, MAGIC};
+use starlingplank_knowledge::snapshot::{decode, encode, encode_v1, SnapshotError, FORM, HEAD};
 
 const MOST: usize = 1 << 20;
 /// As version 1 wrote it; made once and never again.
@@ -20,7 +20,7 @@
 #[test]
 fn head_is_as_the_page_has_it() {
     let bytes = encode(&snapshot(5.0, 1), MOST).expect("it fits");
-    assert_eq!((&bytes[..8], &bytes[8..12]), (&MAGIC[..], &[2, 0, 0, 0][..]));
+    assert_eq!((&bytes[..8], &bytes[8..12]), (&FORM.magic[..], &[2, 0, 0, 0][..]));
     assert_eq!(u32::from_le_bytes(bytes[12..16].try_into().expect("4")) as usize, bytes.len() - HEAD);
 }
 
@@ -67,7 +67,7 @@
 fn later_version_is_refused_by_its_number_alone() {
     let mut bytes = encode(&snapshot(5.0, 1), MOST).expect("it fits");
     bytes[8] = 3;
-    assert_eq!(decode(&bytes), Err(SnapshotError::Newer(3)));
+    assert_eq!(decode(&bytes), Err(SnapshotError::Newer(3, 2)));
     bytes[8] = 0;
     assert!(decode(&bytes).is_err());
 }
@@ -95,7 +95,7 @@
         records in proptest::collection::vec(any::<u8>(), 0..400),
         version in 1u32..3,
     ) {
-        let mut bytes = MAGIC.to_vec();
+        let mut bytes = FORM.magic.to_vec();
         bytes.extend(version.to_le_bytes());
         bytes.extend((records.len() as u32).to_le_bytes());
         let sum = crc32fast::hash(&[&bytes[..], &records].concat());
--- /dev/null
+++ b/crates/operation/src/lives.rs
@@ -0,0 +1,165 @@
+//! The processes of one gateway, one after the other. In comes what a process sees of the others in their folder; out
+//! comes what it may do. Rules: a successor listens only once it could serve as well as its predecessor; a process
+//! stops listening only once a later one listens; while two run, each takes its part of what one may use.
+
+use std::time::Duration;
+
+/// How another process stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// It has started and does not listen yet.
+    Starting,
+    /// It listens.
+    Listening,
+    /// It was told to end.
+    Leaving,
+}
+
+impl Stage {
+    /// As it stands in its file: all words have one length, so that one is written over another at once.
+    pub fn word(self) -> &'static str {
+        match self {
+            Stage::Starting => "starting \n",
+            Stage::Listening => "listening\n",
+            Stage::Leaving => "leaving  \n",
+        }
+    }
+
+    /// Reads the file; what cannot be read is one that has not come far enough to write it.
+    pub fn read(text: &str) -> Self {
+        match text.trim_end() {
+            "listening" => Stage::Listening,
+            "leaving" => Stage::Leaving,
+            _ => Stage::Starting,
+        }
+    }
+}
+
+/// Another process that lives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Other {
+    /// Its number: the later one of two has the higher.
+    pub life: u64,
+    /// How it stands.
+    pub stage: Stage,
+}
+
+/// Longest that a successor waits for the list before it listens without it.
+pub const LIST_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Whether a process may listen: one that is alone at once, as nobody else serves; a successor once it has heard the
+/// list, or has waited for it long enough.
+pub fn may_listen(own: u64, others: &[Other], heard_list: bool, waited: Duration) -> bool {
+    let before = others.iter().any(|o| o.life < own && o.stage != Stage::Leaving);
+    !before || heard_list || waited >= LIST_WAIT
+}
+
+/// Whether a process that was told to end stops listening.
+pub fn hands_over(own: u64, others: &[Other]) -> bool {
+    others.iter().any(|o| o.life > own && o.stage == Stage::Listening)
+}
+
+/// Whether one that was told to end should wait for a successor that has started and does not listen yet.
+pub fn awaited(own: u64, others: &[Other]) -> bool {
+    !hands_over(own, others) && others.iter().any(|o| o.life > own && o.stage == Stage::Starting)
+}
+
+/// By how many what one gateway may use is divided.
+pub fn processes(others: &[Other]) -> usize {
+    1 + others.len()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    const ZERO: Duration = Duration::ZERO;
+
+    fn others(list: &[(u64, Stage)]) -> Vec<Other> {
+        list.iter().map(|(life, stage)| Other { life: *life, stage: *stage }).collect()
+    }
+
+    #[test]
+    fn stage_is_read_as_it_was_written_over_another() {
+        for stage in [Stage::Starting, Stage::Listening, Stage::Leaving] {
+            assert_eq!(Stage::read(stage.word()), stage);
+            assert_eq!(stage.word().len(), Stage::Starting.word().len());
+        }
+        assert_eq!(Stage::read(""), Stage::Starting);
+        assert_eq!(Stage::read("listen"), Stage::Starting);
+    }
+
+    #[rstest]
+    #[case::alone(&[], false, ZERO, true)]
+    #[case::behind_one_that_serves(&[(1, Stage::Listening)], false, ZERO, false)]
+    #[case::behind_one_that_serves_with_the_list(&[(1, Stage::Listening)], true, ZERO, true)]
+    #[case::behind_one_that_serves_with_a_silent_list(&[(1, Stage::Listening)], false, LIST_WAIT, true)]
+    #[case::behind_one_that_leaves(&[(1, Stage::Leaving)], false, ZERO, true)]
+    #[case::before_one_that_starts(&[(3, Stage::Starting)], false, ZERO, true)]
+    fn a_successor_listens_once_it_could_serve_as_well(
+        #[case] list: &[(u64, Stage)],
+        #[case] heard: bool,
+        #[case] waited: Duration,
+        #[case] may: bool,
+    ) {
+        assert_eq!(may_listen(2, &others(list), heard, waited), may);
+    }
+
+    #[rstest]
+    #[case(&[], false, false)]
+    #[case(&[(1, Stage::Listening)], false, false)]
+    #[case(&[(3, Stage::Starting)], false, true)]
+    #[case(&[(3, Stage::Listening)], true, false)]
+    #[case(&[(3, Stage::Leaving)], false, false)]
+    #[case(&[(3, Stage::Leaving), (4, Stage::Starting)], false, true)]
+    #[case(&[(3, Stage::Starting), (4, Stage::Listening)], true, false)]
+    fn who_ends_stops_listening_only_once_a_later_one_listens(
+        #[case] list: &[(u64, Stage)],
+        #[case] hands: bool,
+        #[case] waits: bool,
+    ) {
+        assert_eq!((hands_over(2, &others(list)), awaited(2, &others(list))), (hands, waits));
+    }
+
+    /// However three processes start, hear the list and are told to end, one listens at all times once the first does.
+    #[test]
+    fn somebody_listens_at_all_times() {
+        for seed in 0..2_000_u64 {
+            let mut dice = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+            let mut roll = |n: u64| {
+                dice ^= dice << 13;
+                dice ^= dice >> 7;
+                dice ^= dice << 17;
+                dice % n
+            };
+            // Stage by life; told to end, and done.
+            let mut lives: Vec<(Stage, bool, bool)> = vec![(Stage::Listening, false, false)];
+            for _ in 0..200 {
+                let i = roll(3) as usize;
+                let seen = |of: usize, lives: &[(Stage, bool, bool)]| -> Vec<Other> {
+                    let other = |(j, l): (usize, &(Stage, bool, bool))| Other { life: j as u64, stage: l.0 };
+                    lives.iter().enumerate().filter(|(j, l)| *j != of && !l.2).map(other).collect()
+                };
+                match (lives.get(i).copied(), roll(4)) {
+                    (None, _) if lives.len() < 3 => lives.push((Stage::Starting, false, false)),
+                    (Some((Stage::Starting, _, false)), 0)
+                        if may_listen(i as u64, &seen(i, &lives), roll(2) == 0, ZERO) =>
+                    {
+                        lives[i].0 = Stage::Listening;
+                    }
+                    // Only the last is never told to end: there is nobody after it.
+                    (Some((Stage::Listening, told, false)), 1) if i + 1 < lives.len() => {
+                        lives[i].1 = true;
+                        if (told || roll(2) == 0) && hands_over(i as u64, &seen(i, &lives)) {
+                            lives[i] = (Stage::Leaving, true, roll(2) == 0);
+                        }
+                    }
+                    _ => {}
+                }
+                let listens = lives.iter().any(|(stage, _, done)| *stage == Stage::Listening && !done);
+                assert!(listens, "seed {seed}: {lives:?}");
+            }
+        }
+    }
+}
--- a/crates/knowledge/src/disk.rs
+++ b/crates/records/src/disk.rs
@@ -94,18 +94,21 @@
 }
 
 /// The number in the name of a file of a numbered kind: `PREFIX-0000000000000012.EXT`.
-pub(crate) fn number(name: &str, prefix: &str, extension: &str) -> Option<u64> {
+pub fn number(name: &str, prefix: &str, extension: &str) -> Option<u64> {
     let digits = name.strip_prefix(prefix)?.strip_prefix('-')?.strip_suffix(extension)?.strip_suffix('.')?;
     (digits.len() == 16).then(|| u64::from_str_radix(digits, 16).ok()).flatten()
 }
 
 /// The name of that number.
-pub(crate) fn numbered(prefix: &str, number: u64, extension: &str) -> String {
+pub fn numbered(prefix: &str, number: u64, extension: &str) -> String {
     format!("{prefix}-{number:016x}.{extension}")
 }
 
 /// All numbers of a kind that are there, the latest first.
-pub(crate) fn numbers(disk: &dyn Disk, prefix: &str, extension: &str) -> io::Result<Vec<u64>> {
+///
+/// # Errors
+/// The folder cannot be read.
+pub fn numbers(disk: &dyn Disk, prefix: &str, extension: &str) -> io::Result<Vec<u64>> {
     let names = disk.names()?;
     let mut all: Vec<u64> = names.iter().filter_map(|n| number(n, prefix, extension)).collect();
     all.sort_unstable_by(|a, b| b.cmp(a));
--- a/crates/knowledge/src/folder.rs
+++ b/crates/records/src/folder.rs
@@ -2,7 +2,6 @@
 
 use crate::disk::Disk;
 use rustix::time::{clock_gettime, ClockId};
-use starlingplank_decision::interface::Ms;
 use std::collections::HashMap;
 use std::fs::{DirBuilder, File, OpenOptions, TryLockError};
 use std::io::{self, Read, Write};
@@ -10,6 +9,9 @@
 use std::path::{Path, PathBuf};
 use thiserror::Error;
 
+/// Milliseconds.
+type Ms = f64;
+
 /// Why a folder cannot be used.
 #[derive(Debug, Error)]
 pub enum FolderError {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -132,6 +132,8 @@
     pub log: LogSettings,
     /// Where what was learned is kept; none: it ends with the program.
     pub knowledge: Option<KnowledgeSettings>,
+    /// Where staff call, if anywhere; then a new version may also take over in service.
+    pub operator: Option<SocketAddr>,
 }
 
 impl Config {
@@ -172,7 +174,8 @@
         let fields = Fields::new("settings", pairs);
         let settings = wire::settings(&fields)?;
         settings.check()?;
-        let limits = Limits::read(&fields)?;
+        let longest = settings.classes.iter().map(|c| c.give_up).fold(0.0, f64::max);
+        let limits = Limits::read(&fields)?.ending(longest);
         let address = |text: &str, key| {
             text.parse::<SocketAddr>().map_err(|_| ConfigError::Key(key, "must be an address with a port"))
         };
@@ -209,6 +212,7 @@
             known: listed.collect::<Result<_, _>>()?,
             log,
             knowledge: KnowledgeSettings::read(&fields)?,
+            operator: fields.opt("gateway.operator").map(|at| address(at, "operator")).transpose()?,
             settings,
             limits,
         })
@@ -257,7 +261,7 @@
         for (key, under) in [("limits", "machine"), ("clickhouse", "clickhouse"), ("engines", "engines")] {
             root.get(key).into_iter().for_each(|v| flatten(under, v, &mut pairs));
         }
-        for key in ["name", "listen", "names", "seed"] {
+        for key in ["name", "listen", "names", "seed", "operator"] {
             let text = text_of(&root, key).map(str::to_owned);
             pairs.extend(text.map(|text| (format!("gateway.{key}"), text)));
         }
--- a/src/config/schema.rs
+++ b/src/config/schema.rs
@@ -76,6 +76,7 @@
     may("name", "gateway.name", Form::Word),
     need("listen", "gateway.listen", Form::Address),
     may("names", "gateway.names", Form::Address),
+    may("operator", "gateway.operator", Form::Address),
     may("seed", "gateway.seed", Form::Hex),
     need("zones", "zones", Form::Words),
     may("zone", "locality", Form::Word),
@@ -86,7 +87,7 @@
 ];
 
 /// Of [`TOP`], what may stand beside the platform's configuration.
-pub const TOP_BESIDE: &[&str] = &["engines_speak"];
+pub const TOP_BESIDE: &[&str] = &["engines_speak", "operator"];
 
 /// All blocks.
 pub const BLOCKS: &[Block] = &[
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,6 +8,7 @@
 use starlingplank_decision::learned::Learned;
 use starlingplank_knowledge::gate::{self, Admission, Gate, Key, Leave, Rewrite, Sends, Sent};
 use starlingplank_knowledge::recall::{Named, Recall};
+use starlingplank_operation::hand::Hand;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::fmt::Debug;
 use std::future::Future;
@@ -158,6 +159,14 @@
     LogBegun(Vec<(Key, Sends)>),
     /// Time to look after the log of keys; once a second.
     Tend,
+    /// Another process takes over, and there is more time to answer what is open.
+    HandOver,
+    /// Which engines are out by hand.
+    Hand(Hand),
+    /// Another process of this gateway sent those keys.
+    Heard(Vec<(Key, Sends)>),
+    /// So many processes of this gateway run now.
+    Processes(usize),
 }
 
 /// What an attempt carries.
@@ -169,6 +178,8 @@
     pub engine: EngineId,
     /// Where it listens.
     pub address: SocketAddr,
+    /// The request's class.
+    pub class: ClassId,
     /// What is sent.
     pub statement: Rc<Statement>,
     /// How long its answer is waited for.
@@ -210,6 +221,18 @@
     Exit,
 }
 
+/// What an engine of the list is to the gateway.
+fn by_hand(listed: &Listed, hand: &Hand) -> Listed {
+    let mut listed = listed.clone();
+    let m = &mut listed.member;
+    let id = m.engine.clone();
+    m.started = hand.started(&id.0, m.started);
+    if hand.is_out(&id.0) && m.availability == Availability::Live {
+        m.availability = Availability::Draining;
+    }
+    listed
+}
+
 struct Attempt {
     engine: EngineId,
     sent: Ms,
@@ -271,12 +294,10 @@
 pub struct Counts {
     /// Requests taken.
     pub taken: u64,
-    /// Attempts sent.
-    pub attempts: u64,
     /// Ends of attempts, in the order of [`Outcome`].
     pub outcomes: [u64; 8],
-    /// Requests served, refused, failed, and left by their clients.
-    pub answers: [u64; 4],
+    /// Requests left by their clients.
+    pub left: u64,
     /// Of the refused, what kept them from being sent.
     pub refusals: BTreeMap<&'static str, u64>,
 }
@@ -287,6 +308,11 @@
     settings: Settings,
     limits: Limits,
     serial: Option<u64>,
+    /// The list as it was last told.
+    told: Vec<Listed>,
+    /// Engines that staff have taken out.
+    hand: Hand,
+    /// The two together: the one list that all goes by.
     engines: BTreeMap<EngineId, Listed>,
     requests: BTreeMap<RequestId, Request>,
     /// Sends by idempotency key.
@@ -312,6 +338,8 @@
     credit: Ms,
     earned: Ms,
     terminating: Option<Ms>,
+    /// Whatever is open then is answered.
+    answer_by: Ms,
 }
 
 impl Core {
@@ -326,6 +354,8 @@
             settings,
             limits,
             serial: None,
+            told: Vec::new(),
+            hand: Hand::default(),
             engines: BTreeMap::new(),
             requests: BTreeMap::new(),
             gate: Gate::off(),
@@ -343,6 +373,7 @@
             credit: 0.0,
             earned: now,
             terminating: None,
+            answer_by: f64::INFINITY,
         })
     }
 
@@ -361,6 +392,28 @@
         self.engines.iter().map(|(id, l)| (id.0.to_string(), l.address.to_string())).collect()
     }
 
+    /// Gives the module back what an earlier life knew, unless it has been given some.
+    pub fn remember(&mut self, recall: Recall) {
+        self.recall.get_or_insert(recall);
+    }
+
+    /// Engines in the list, and how many of them get nothing new: drained, out by hand, or avoided by choice.
+    pub fn engines(&self) -> (usize, usize) {
+        let live = |l: &&Listed| l.member.availability == Availability::Live;
+        let used = self.engines.values().filter(live).filter(|l| !self.module.avoids(&l.member.engine));
+        (self.engines.len(), self.engines.len() - used.count())
+    }
+
+    /// Whether the list names that engine.
+    pub fn lists(&self, id: &str) -> bool {
+        self.told.iter().any(|l| &*l.member.engine.0 == id)
+    }
+
+    /// Requests that are open.
+    pub fn open(&self) -> usize {
+        self.open
+    }
+
     /// How keys are kept.
     pub fn gate(&self) -> &Gate {
         &self.gate
@@ -410,11 +463,24 @@
                 }
             }
             Event::Tend => self.tend(now, effects),
+            Event::HandOver => {
+                if let Some(told) = self.terminating {
+                    self.answer_by = told + self.limits.leave_answer;
+                    self.timer(self.answer_by, Due::AnswerAll);
+                }
+            }
+            Event::Hand(hand) => {
+                self.hand = hand;
+                self.merge(now, effects);
+            }
+            Event::Heard(keys) => keys.into_iter().for_each(|(key, sends)| self.gate.hear(key, sends, now)),
+            Event::Processes(n) => self.pending.push(crate::interface::Event::Processes(n as u32)),
             Event::Terminate => {
                 if self.terminating.is_none() {
                     self.terminating = Some(now);
                     self.timer(now + self.limits.term_window, Due::Leave);
-                    self.timer(now + self.limits.term_answer, Due::AnswerAll);
+                    self.answer_by = now + self.limits.term_answer;
+                    self.timer(self.answer_by, Due::AnswerAll);
                 }
             }
         }
@@ -436,6 +502,15 @@
             return;
         }
         self.serial = Some(serial);
+        self.told = list;
+        self.merge(now, effects);
+    }
+
+    /// The list and the hand make one list: an engine that is out by hand is one that drains, so what guards drains
+    /// guards both; one that was called back has just started.
+    fn merge(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+        self.hand.forget(now, self.settings.warm_within);
+        let list: Vec<Listed> = self.told.iter().map(|l| by_hand(l, &self.hand)).collect();
         let mut before = std::mem::take(&mut self.engines);
         for listed in &list {
             before.remove(&listed.member.engine);
@@ -512,7 +587,6 @@
         why: &'static str,
         effects: &mut Vec<Effect>,
     ) {
-        self.counts[class.0].answers[1] += 1;
         *self.counts[class.0].refusals.entry(why).or_default() += 1;
         effects.push(Effect::Refused(id, class, why, 0.0));
         effects.push(Effect::Answer(id, Answer::Refused(wait)));
@@ -542,7 +616,7 @@
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
         r.over = true;
         self.open -= 1;
-        self.counts[r.class.0].answers[3] += 1;
+        self.counts[r.class.0].left += 1;
         self.pending.push(crate::interface::Event::Gone(id));
         self.stop(now, id, Outcome::Cancelled, effects);
         self.forget(id);
@@ -563,12 +637,6 @@
         r.over = true;
         self.open -= 1;
         let answer = if r.begun && !matches!(answer, Answer::Finished) { Answer::Cut } else { answer };
-        let kind = match &answer {
-            Answer::Served(_) | Answer::Finished => 0,
-            Answer::Refused(_) => 1,
-            Answer::Cut | Answer::Failed(_) | Answer::Expired => 2,
-        };
-        self.counts[r.class.0].answers[kind] += 1;
         effects.push(Effect::Answer(id, answer));
         self.forget(id);
     }
@@ -656,14 +724,14 @@
                         self.give_up(now, id, Outcome::Reset, effects);
                     }
                 }
-                Due::AnswerAll => self.answer_all(now, effects),
+                Due::AnswerAll if now >= self.answer_by => self.answer_all(now, effects),
                 // The disk hangs: what waits for it ends, and the log is not relied on until it is begun anew.
                 Due::Record(number) if self.records.contains_key(&number) => {
                     self.gate.failed();
                     self.recorded(now, number, false, effects);
                 }
                 Due::Turn => self.turn_set = false,
-                Due::Attempt(_) | Due::Gone(_) | Due::Leave | Due::Record(_) => {}
+                Due::Attempt(_) | Due::Gone(_) | Due::Leave | Due::Record(_) | Due::AnswerAll => {}
             }
         }
     }
@@ -818,12 +886,12 @@
         let Some(address) = listed.map(|l| l.address).filter(|_| now < ends) else {
             return self.end(now, id, End::plain(Outcome::Moot), effects);
         };
-        self.counts[r.class.0].attempts += 1;
         let (memory_mb, priority) = r.terms;
         effects.push(Effect::Send(Send {
             id,
             engine,
             address,
+            class: r.class,
             statement: r.statement.clone(),
             budget: ends - now,
             memory_mb,
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -86,9 +86,35 @@
     pub tend: Duration,
     /// Time for the last snapshot to be written.
     pub term_snapshot: Duration,
+    /// Once another process takes over, connections that are idle end so long after SIGTERM.
+    pub leave_idle: Duration,
+    /// After SIGTERM, whatever is open is answered by then where another process takes over.
+    pub leave_answer: Ms,
+    /// Callers of the second address at once; the one that has been unfinished longest gives way to the next.
+    pub callers: usize,
+    /// A call that is not whole by then is answered so.
+    pub call_whole: Duration,
+    /// Time for the rest of a call that was turned away to come in, so that its answer is read.
+    pub call_rest: Duration,
+    /// Time between two looks at what other processes of this gateway do.
+    pub look: Duration,
+    /// A successor waits no longer than this for what its predecessor learned.
+    pub learned_wait: Duration,
+    /// Bytes of what was learned, passed on to a successor, at most.
+    pub learned_bytes: usize,
 }
 
+/// Of the time between SIGTERM and SIGKILL past the longest deadline, what is left to the last answers.
+const TERM_SPARE: Ms = 400.0;
+
 impl Limits {
+    /// SIGKILL follows SIGTERM by the longest deadline, but no more than 3 s (5 s where another process takes over), and
+    /// 0.7 s: what is still open is answered before that.
+    pub fn ending(self, longest: Ms) -> Self {
+        let by = |most: Ms| longest.min(most) + 700.0 - TERM_SPARE;
+        Self { term_answer: by(3_000.0), leave_answer: by(5_000.0), ..self }
+    }
+
     /// Limits of the machine and of the settings, the rest at its defaults.
     ///
     /// # Errors
@@ -137,6 +163,14 @@
             record: f.number_or("knowledge.key_wait", 250.0)?.clamp(1.0, 250.0),
             tend: ms(1_000.0),
             term_snapshot: ms(500.0),
+            leave_idle: ms(1_000.0),
+            leave_answer: 5_300.0,
+            callers: (sockets / 20).clamp(4, 64),
+            call_whole: ms(8_000.0),
+            call_rest: ms(500.0),
+            look: ms(100.0),
+            learned_wait: ms(400.0),
+            learned_bytes: 1 << 20,
         })
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -144,9 +144,17 @@
     let (platform, operator) = (text(&files.config)?, text(&files.operator)?);
     let beside = operator.as_ref().map(|(name, text)| (name.as_str(), text.as_str()));
     let read = Config::load(platform.as_ref().map(|(_, text)| text.as_str()), beside);
-    Ok(read.map_err(|e| match (e, &platform) {
+    let mut config = read.map_err(|e| match (e, &platform) {
         // Its lines name the file already.
         (e @ ConfigError::Operator(_), _) | (e, None) => e.to_string(),
         (e, Some((name, _))) => format!("{name}: {e}"),
-    })?)
+    })?;
+    // What a file says goes before the environment.
+    if let (None, Some(at)) =
+        (config.operator, std::env::var("PROXY_OPERATOR").ok().filter(|at| !at.is_empty()))
+    {
+        let at = at.parse().map_err(|_| format!("PROXY_OPERATOR: {at:?} must be an address with a port"))?;
+        config.operator = Some(at);
+    }
+    Ok(config)
 }
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -3,6 +3,7 @@
 use crate::core::{AttemptId, Flow, Statement};
 use crate::limits::Limits;
 use crate::net::log;
+use starlingplank_operation::figures::{Figures, Tally};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::future::Future;
@@ -14,6 +15,29 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+/// What all connections have in common.
+#[derive(Debug)]
+pub struct Common {
+    /// Bytes read and not yet used, and bytes that wait to be written.
+    pub held: Cell<usize>,
+    /// What has been written to whom.
+    pub figures: Figures,
+    /// Processes of this gateway that run now: together they keep to what one may use.
+    pub processes: Cell<usize>,
+}
+
+impl Common {
+    /// Nothing is held, and this process is the only one.
+    pub fn new(classes: usize) -> Rc<Self> {
+        Rc::new(Self { held: Cell::new(0), figures: Figures::new(classes), processes: Cell::new(1) })
+    }
+
+    /// This process's part of what one may use.
+    pub fn part(&self, of: usize) -> usize {
+        of / self.processes.get().max(1)
+    }
+}
+
 /// A part of a frame: a head written for it, or a body shared with its owner.
 #[derive(Debug, Clone)]
 pub enum Part {
@@ -42,12 +66,19 @@
     pub attempt: Option<AttemptId>,
     /// Its bytes.
     pub parts: Vec<Part>,
+    /// What is counted once the last of them has left.
+    pub tally: Option<Tally>,
 }
 
 impl Frame {
     /// A message that sends no attempt.
     pub fn plain(bytes: Vec<u8>) -> Self {
-        Self { attempt: None, parts: vec![Part::Own(bytes)] }
+        Self { attempt: None, parts: vec![Part::Own(bytes)], tally: None }
+    }
+
+    /// Counts that, once it is written.
+    pub fn counted(self, tally: Tally) -> Self {
+        Self { tally: Some(tally), ..self }
     }
 
     fn len(&self) -> usize {
@@ -62,10 +93,12 @@
     /// Of the first frame, what has left.
     begun: Cell<usize>,
     bytes: Cell<usize>,
-    total: Rc<Cell<usize>>,
+    common: Rc<Common>,
     closing: Cell<Option<Close>>,
     wake: Notify,
     drained: Notify,
+    /// All that waited is written, or the connection should look again at whether it goes on.
+    nudge: Notify,
 }
 
 /// How a connection is to end.
@@ -79,22 +112,23 @@
 
 impl Outbox {
     /// Nothing waits.
-    pub fn new(total: Rc<Cell<usize>>) -> Self {
+    pub fn new(common: Rc<Common>) -> Self {
         let (frames, begun, bytes) = Default::default();
         Self {
             frames,
             begun,
             bytes,
-            total,
+            common,
             closing: Cell::new(None),
             wake: Notify::new(),
             drained: Notify::new(),
+            nudge: Notify::new(),
         }
     }
 
-    /// The sum over all connections.
-    pub fn total(&self) -> Rc<Cell<usize>> {
-        self.total.clone()
+    /// What all connections have in common.
+    pub fn common(&self) -> Rc<Common> {
+        self.common.clone()
     }
 
     /// Bytes that wait.
@@ -104,7 +138,7 @@
 
     fn count(&self, more: usize, less: usize) {
         self.bytes.set(self.bytes.get() + more - less);
-        self.total.set(self.total.get() + more - less);
+        self.common.held.set(self.common.held.get() + more - less);
     }
 
     /// Adds a message. A reader who lets too much pile up is cut off: it stalls nobody else.
@@ -113,7 +147,8 @@
             return;
         }
         let len = frame.len();
-        if self.bytes.get() + len > limits.outbox_bytes || self.total.get() + len > limits.held_bytes {
+        let most = self.common.part(limits.held_bytes);
+        if self.bytes.get() + len > limits.outbox_bytes || self.common.held.get() + len > most {
             log::seldom(limits, "a connection was closed: its reader is too slow");
             return self.close(Close::Now);
         }
@@ -131,6 +166,16 @@
         self.wake.notify_one();
     }
 
+    /// Has the reader of the connection look again at whether it goes on.
+    pub fn nudge(&self) {
+        self.nudge.notify_one();
+    }
+
+    /// Waits until all is written, or for a [`nudge`](Self::nudge).
+    pub async fn nudged(&self) {
+        self.nudge.notified().await;
+    }
+
     /// Whether the end was asked for.
     pub fn closing(&self) -> bool {
         self.closing.get().is_some()
@@ -160,7 +205,8 @@
         written += self.begun.get();
         while let Some(len) = frames.front().map(Frame::len).filter(|len| *len <= written) {
             written -= len;
-            frames.pop_front();
+            let tally = frames.pop_front().and_then(|f| f.tally);
+            tally.into_iter().for_each(|t| self.common.figures.add(t));
         }
         self.begun.set(written);
         drop(frames);
@@ -177,6 +223,7 @@
                 if self.closing.get().is_some() {
                     return Ok(());
                 }
+                self.nudge.notify_one();
                 self.wake.notified().await;
                 continue;
             }
@@ -222,7 +269,7 @@
 
 impl Drop for Outbox {
     fn drop(&mut self) {
-        self.total.set(self.total.get() - self.bytes.get());
+        self.common.held.set(self.common.held.get() - self.bytes.get());
     }
 }
 
@@ -233,15 +280,15 @@
     from: usize,
     /// What of it is counted in the sum over all connections.
     counted: usize,
-    total: Rc<Cell<usize>>,
+    common: Rc<Common>,
     /// When the first of the bytes not yet used came.
     since: Option<Instant>,
 }
 
 impl Inbox {
     /// Nothing was read.
-    pub fn new(total: Rc<Cell<usize>>) -> Self {
-        Self { bytes: Vec::new(), from: 0, counted: 0, total, since: None }
+    pub fn new(common: Rc<Common>) -> Self {
+        Self { bytes: Vec::new(), from: 0, counted: 0, common, since: None }
     }
 
     /// Since when a message has been incomplete.
@@ -277,7 +324,8 @@
                     self.count();
                     self.since = self.since.or_else(|| Some(Instant::now()));
                     // Many long messages at once must not take the memory of all: the long ones go first.
-                    if self.total.get() > limits.held_bytes && self.counted > 4 * limits.read_bytes {
+                    let most = self.common.part(limits.held_bytes);
+                    if self.common.held.get() > most && self.counted > 4 * limits.read_bytes {
                         return Err(io::ErrorKind::OutOfMemory.into());
                     }
                     return Ok(n > 0);
@@ -290,13 +338,13 @@
 
     fn count(&mut self) {
         let now = self.bytes.capacity();
-        self.total.set(self.total.get() + now - self.counted);
+        self.common.held.set(self.common.held.get() + now - self.counted);
         self.counted = now;
     }
 }
 
 impl Drop for Inbox {
     fn drop(&mut self) {
-        self.total.set(self.total.get() - self.counted);
+        self.common.held.set(self.common.held.get() - self.counted);
     }
 }
--- a/src/net/engine/clickhouse.rs
+++ b/src/net/engine/clickhouse.rs
@@ -4,9 +4,10 @@
 use crate::core::{AttemptId, End, EngineError, Event, Flow, Rows, Send};
 use crate::interface::{EngineId, Outcome};
 use crate::limits::Limits;
-use crate::net::conn::{Close, Frame, Inbox, Outbox, Part};
+use crate::net::conn::{Close, Common, Frame, Inbox, Outbox, Part};
 use crate::net::engine::pool::Engines;
 use crate::net::http::{self, Length, Read};
+use starlingplank_operation::figures::Count;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -50,14 +51,14 @@
 pub struct HttpEngines {
     pools: BTreeMap<EngineId, Vec<Rc<Conn>>>,
     limits: Rc<Limits>,
-    total: Rc<Cell<usize>>,
+    common: Rc<Common>,
     events: Sender<Event>,
 }
 
 impl HttpEngines {
     /// No connection yet.
-    pub fn new(limits: Rc<Limits>, total: Rc<Cell<usize>>, events: Sender<Event>) -> Self {
-        Self { pools: BTreeMap::new(), limits, total, events }
+    pub fn new(limits: Rc<Limits>, common: Rc<Common>, events: Sender<Event>) -> Self {
+        Self { pools: BTreeMap::new(), limits, common, events }
     }
 
     fn start(&mut self, engine: &EngineId, address: SocketAddr, job: Job, frame: Frame) -> bool {
@@ -65,13 +66,15 @@
         pool.iter().filter(|c| c.address != address).for_each(|c| c.retired.set(true));
         let free = pool.iter().filter(|c| c.free()).max_by_key(|c| c.used.get()).cloned();
         let open = |p: &Vec<Rc<Conn>>| p.iter().filter(|c| !c.dead.get()).count();
-        if free.is_none() && self.pools.values().map(open).sum::<usize>() >= self.limits.engine_conns {
+        if free.is_none()
+            && self.pools.values().map(open).sum::<usize>() >= self.common.part(self.limits.engine_conns)
+        {
             return false;
         }
         let conn = free.unwrap_or_else(|| {
             let conn = Rc::new(Conn {
                 address,
-                out: Outbox::new(self.total.clone()),
+                out: Outbox::new(self.common.clone()),
                 job: RefCell::default(),
                 wake: Notify::new(),
                 dead: Cell::new(false),
@@ -197,7 +200,8 @@
         "POST {target} HTTP/1.1\r\nHost: {}\r\n{headers}Content-Length: {length}\r\n\r\n",
         send.address
     );
-    Frame { attempt: Some(send.id), parts: vec![Part::Own(head.into_bytes()), body] }
+    let parts = vec![Part::Own(head.into_bytes()), body];
+    Frame { attempt: Some(send.id), parts, tally: Some((send.class.0, Count::Sends)) }
 }
 
 async fn run(conn: Rc<Conn>, limits: Rc<Limits>, events: Sender<Event>) {
@@ -230,7 +234,7 @@
 
 /// Reads answers until the connection is of no more use. None ends it.
 async fn read(conn: &Conn, stream: &TcpStream, limits: &Limits, events: &Sender<Event>) -> Option<()> {
-    let mut inbox = Inbox::new(conn.out.total());
+    let mut inbox = Inbox::new(conn.out.common());
     loop {
         while conn.job.borrow().is_none() {
             tokio::select! {
--- a/src/net/engine/pool.rs
+++ b/src/net/engine/pool.rs
@@ -4,7 +4,7 @@
 use crate::core::{AttemptId, End, Event, Rows, Send};
 use crate::interface::{EngineId, Outcome};
 use crate::limits::Limits;
-use crate::net::conn::{Close, Inbox, Outbox};
+use crate::net::conn::{Close, Common, Inbox, Outbox};
 use crate::net::engine::resp::{self, Read, Reply};
 use crate::net::log;
 use std::cell::{Cell, RefCell};
@@ -101,14 +101,14 @@
     pools: BTreeMap<EngineId, Vec<Rc<Conn>>>,
     at: HashMap<AttemptId, (Rc<Conn>, String)>,
     limits: Rc<Limits>,
-    total: Rc<Cell<usize>>,
+    common: Rc<Common>,
     events: Sender<Event>,
 }
 
 impl RespEngines {
     /// No connection yet.
-    pub fn new(limits: Rc<Limits>, total: Rc<Cell<usize>>, events: Sender<Event>) -> Self {
-        Self { pools: BTreeMap::new(), at: HashMap::new(), limits, total, events }
+    pub fn new(limits: Rc<Limits>, common: Rc<Common>, events: Sender<Event>) -> Self {
+        Self { pools: BTreeMap::new(), at: HashMap::new(), limits, common, events }
     }
 
     /// The connection with most room, one that is up before one that is not; else a new one.
@@ -118,7 +118,8 @@
         let free = pool.iter().filter(|c| c.takes(&self.limits, name));
         let free = free.min_by_key(|c| (!c.up.get(), c.flights.borrow().len())).cloned();
         let open = |p: &Vec<Rc<Conn>>| p.iter().filter(|c| !c.dead.get()).count();
-        let part = self.limits.engine_conns / self.pools.len().max(1);
+        let most = self.common.part(self.limits.engine_conns);
+        let part = most / self.pools.len().max(1);
         let more = |c: &Conn| {
             let busy = c.flights.borrow().len() >= self.limits.streams_wanted;
             busy && self.pools.get(engine).map_or(0, open) < part / 2
@@ -126,12 +127,12 @@
         if free.as_ref().is_some_and(|c| !more(c)) {
             return free;
         }
-        if self.pools.values().map(open).sum::<usize>() >= self.limits.engine_conns {
+        if self.pools.values().map(open).sum::<usize>() >= most {
             return free;
         }
         let conn = Rc::new(Conn {
             address,
-            out: Outbox::new(self.total.clone()),
+            out: Outbox::new(self.common.clone()),
             up: Cell::new(false),
             dead: Cell::new(false),
             retired: Cell::new(false),
@@ -264,7 +265,7 @@
 }
 
 async fn read(conn: &Conn, stream: &TcpStream, limits: &Limits, events: &Sender<Event>) {
-    let mut inbox = Inbox::new(conn.out.total());
+    let mut inbox = Inbox::new(conn.out.common());
     loop {
         loop {
             let (taken, used) = match resp::read(inbox.unread(), limits.result_bytes) {
--- a/src/net/engine/resp.rs
+++ b/src/net/engine/resp.rs
@@ -3,6 +3,7 @@
 use crate::core::Send;
 use crate::interface::Report;
 use crate::net::conn::{Frame, Part};
+use starlingplank_operation::figures::Count;
 use std::io::Write;
 use winnow::ascii::{crlf, dec_uint};
 use winnow::combinator::{delimited, preceded, terminated};
@@ -148,5 +149,5 @@
     let head = command(&[b"want", s.name.as_bytes(), fields.as_bytes()], Some(s.text.len() + s.data.len()));
     let parts =
         vec![Part::Own(head), Part::Text(s.clone()), Part::Data(s.clone()), Part::Own(b"\r\n".to_vec())];
-    Frame { attempt: Some(send.id), parts }
+    Frame { attempt: Some(send.id), parts, tally: Some((send.class.0, Count::Sends)) }
 }
--- a/src/net/front/clickhouse.rs
+++ b/src/net/front/clickhouse.rs
@@ -2,14 +2,15 @@
 //! platform's protocol, in that interface's words.
 
 use crate::core::{Answer, EngineError, Flow, Rows, Statement};
-use crate::interface::{Repeat, RequestId};
+use crate::interface::{ClassId, Repeat, RequestId};
 use crate::limits::Limits;
 use crate::net::conn::{Close, Frame, Inbox, Part};
 use crate::net::front::rules::ClassRules;
-use crate::net::front::{Asked, Client, Desk, Seat};
+use crate::net::front::{count_of, Asked, Client, Desk, Seat};
 use crate::net::http::{self, Head, Length, Read};
 use crate::net::log;
 use sha2::{Digest, Sha256};
+use starlingplank_operation::figures::Tally;
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -31,11 +32,14 @@
     answered: Notify,
     /// Cleared by an answer that can not be followed by another.
     keep: Cell<bool>,
+    /// What the next answer is counted as.
+    tally: Cell<Option<Tally>>,
 }
 
 struct Caller {
     session: Rc<Session>,
     name: String,
+    class: ClassId,
 }
 
 fn reason(status: u16) -> &'static str {
@@ -63,6 +67,10 @@
             Some(length) => format!("Content-Length: {length}\r\n"),
             None => "Transfer-Encoding: chunked\r\n".to_owned(),
         };
+        // The next request is for the process that takes over.
+        if self.seat.leaving() {
+            self.keep.set(false);
+        }
         out += if self.keep.get() { "Connection: Keep-Alive\r\n\r\n" } else { "Connection: Close\r\n\r\n" };
         out.into_bytes()
     }
@@ -70,7 +78,7 @@
     fn say(&self, status: u16, headers: &[(&str, &str)], body: Vec<Vec<u8>>) {
         let head = self.head(status, headers, Some(body.iter().map(Vec::len).sum()));
         let parts = std::iter::once(head).chain(body).map(Part::Own).collect();
-        self.seat.say(Frame { attempt: None, parts }, &self.limits);
+        self.seat.say(Frame { attempt: None, parts, tally: self.tally.take() }, &self.limits);
     }
 
     fn fail(&self, (status, code, name): (u16, u32, &str), what: &str, more: &[(&str, &str)]) {
@@ -103,19 +111,25 @@
     fn part(&self, bytes: Vec<u8>) {
         if !bytes.is_empty() {
             let parts = [format!("{:x}\r\n", bytes.len()).into_bytes(), bytes, b"\r\n".to_vec()];
-            let frame = Frame { attempt: None, parts: parts.into_iter().map(Part::Own).collect() };
+            let parts = parts.into_iter().map(Part::Own).collect();
+            let frame = Frame { attempt: None, parts, tally: None };
             self.session.seat.say(frame, &self.session.limits);
         }
     }
 
     fn answer(self: Box<Self>, answer: Answer) {
         let s = &self.session;
+        let tally = (self.class.0, count_of(&answer));
+        s.tally.set(Some(tally));
         let id = ("X-ClickHouse-Query-Id", &*self.name);
         match answer {
             Answer::Served(rows) => s.say(200, &self.headers(&rows), rows.parts.clone()),
-            Answer::Finished => s.seat.say(Frame::plain(b"0\r\n\r\n".to_vec()), &s.limits),
+            Answer::Finished => s.seat.say(Frame::plain(b"0\r\n\r\n".to_vec()).counted(tally), &s.limits),
             // No last chunk: the client sees that the result is not whole.
-            Answer::Cut => s.keep.set(false),
+            Answer::Cut => {
+                s.keep.set(false);
+                s.seat.out.common().figures.add(tally);
+            }
             Answer::Refused(later) => {
                 let seconds = (later / 1000.0).ceil().max(1.0).to_string();
                 s.fail(TOO_MANY, "Too many simultaneous queries", &[("Retry-After", &seconds), id]);
@@ -128,6 +142,7 @@
                 s.say(status, &[kind, ("X-ClickHouse-Exception-Code", &code), id], vec![text]);
             }
         }
+        s.tally.set(None);
         s.seat.ended();
         s.answered.notify_one();
     }
@@ -142,6 +157,7 @@
         limits: limits.clone(),
         answered: Notify::new(),
         keep: Cell::new(true),
+        tally: Cell::new(None),
     });
     let open = Cell::new(None);
     tokio::select! {
@@ -161,7 +177,7 @@
     rules: &ClassRules,
     open: &Cell<Option<RequestId>>,
 ) {
-    let mut inbox = Inbox::new(desk.total.clone());
+    let mut inbox = Inbox::new(desk.common.clone());
     while session.keep.get() {
         let Some(id) = read_request(stream, &mut inbox, session, desk, rules).await else { continue };
         open.set(Some(id));
@@ -327,7 +343,7 @@
     match (request.method.as_str(), request.path.as_str()) {
         // Load balancers ask here; one that asks a gateway about to end goes elsewhere.
         ("HEAD", "/ping" | "/") => ok(200, ""),
-        ("GET", "/ping") if desk.terminating.get() => ok(503, "Ending.\n"),
+        ("GET", "/ping") if desk.turns_away() => ok(503, "Ending.\n"),
         ("GET", "/ping") => ok(200, "Ok.\n"),
         ("GET", "/") if query.is_none() && body.is_empty() => ok(200, "Ok.\n"),
         ("GET" | "POST", "/") if query.is_some() || !body.is_empty() => {
@@ -389,7 +405,7 @@
     };
     let asked = Asked { class, arrived, limit, work: None, memory_mb: None, statement };
     session.seat.asked();
-    desk.take(id, Box::new(Caller { session: session.clone(), name }), asked).await;
+    desk.take(id, Box::new(Caller { session: session.clone(), name, class }), asked).await;
     Some(id)
 }
 
--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -7,15 +7,16 @@
 use crate::core::{Answer, Ask, Event, Rows, Statement};
 use crate::interface::{ClassId, DataSet, Incoming, Ms, RequestId, Settings};
 use crate::limits::Limits;
-use crate::net::conn::{Close, Frame, Inbox, Outbox};
+use crate::net::conn::{Close, Common, Frame, Inbox, Outbox};
 use crate::net::sql;
+use starlingplank_operation::figures::Count;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Sender;
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 use tokio::time::{timeout_at, Instant};
 
 /// The system's Unix clock at the start, carried on by a clock that never jumps.
@@ -63,10 +64,12 @@
     pub clock: Clock,
     /// To the reducer.
     pub events: Sender<Event>,
-    /// Bytes waiting to be written, over all connections.
-    pub total: Rc<Cell<usize>>,
-    /// The end was asked for.
-    pub terminating: Cell<bool>,
+    /// What all connections have in common.
+    pub common: Rc<Common>,
+    /// How far this process is on its way out.
+    end: Rc<Cell<Leaving>>,
+    /// Told when it stops listening.
+    pub closing: watch::Sender<bool>,
     waiting: RefCell<HashMap<RequestId, Waiting>>,
     /// Requests that are open, by their clients' names for them, over all connections.
     names: RefCell<HashMap<String, RequestId>>,
@@ -75,10 +78,27 @@
     next: Cell<u64>,
 }
 
+/// How far a process is on its way out.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Leaving {
+    /// It serves.
+    #[default]
+    Not,
+    /// It was told to end, and nobody takes over: it serves on until its window is over.
+    Alone,
+    /// Another process takes over: a connection ends after its next answer.
+    AfterAnswer,
+    /// Connections that are idle end as well.
+    Idle,
+}
+
 /// A client's connection.
 pub struct Seat {
     /// What waits to be written.
     pub out: Rc<Outbox>,
+    end: Rc<Cell<Leaving>>,
+    /// It was answered since this process began to leave.
+    done: Cell<bool>,
     opened: Instant,
     open: Cell<usize>,
     answered: Cell<bool>,
@@ -102,6 +122,7 @@
     /// Says something to the client.
     pub fn say(&self, frame: Frame, limits: &Limits) {
         self.answered.set(true);
+        self.done.set(self.leaving());
         self.active.set(Instant::now());
         self.out.push(frame, limits);
     }
@@ -110,6 +131,9 @@
     /// inside a message, or ask for nothing that has an answer: they are told so by a close, and soon.
     pub async fn read(&self, inbox: &mut Inbox, stream: &TcpStream, limits: &Limits) -> bool {
         loop {
+            if self.is_over(inbox, stream) {
+                return false;
+            }
             let unanswered = Some(self.opened).filter(|_| !self.answered.get());
             let silent = unanswered.into_iter().chain(inbox.since()).min().map(|at| at + limits.front_silent);
             let until = silent.unwrap_or(self.active.get() + limits.front_idle);
@@ -119,12 +143,35 @@
                 0 => until,
                 _ => Instant::now() + limits.front_silent,
             };
-            if let Ok(filled) = timeout_at(until, inbox.fill(stream, limits)).await {
-                return matches!(filled, Ok(true));
+            tokio::select! {
+                filled = timeout_at(until, inbox.fill(stream, limits)) => {
+                    if let Ok(filled) = filled {
+                        return matches!(filled, Ok(true));
+                    }
+                }
+                () = self.out.nudged() => {}
             }
         }
     }
 
+    /// Whether another process takes over what this client asks next.
+    pub fn leaving(&self) -> bool {
+        matches!(self.end.get(), Leaving::AfterAnswer | Leaving::Idle)
+    }
+
+    /// Whether it ends now, as another process has taken over. What has just arrived is answered first: a request that
+    /// meets a closed connection has to be sent again.
+    fn is_over(&self, inbox: &Inbox, stream: &TcpStream) -> bool {
+        let due = match self.end.get() {
+            Leaving::Not | Leaving::Alone => false,
+            Leaving::AfterAnswer => self.done.get(),
+            Leaving::Idle => true,
+        };
+        due && self.idle().is_some()
+            && inbox.unread().is_empty()
+            && rustix::io::ioctl_fionread(stream).is_ok_and(|waiting| waiting == 0)
+    }
+
     /// Since when nothing has been open and nothing has waited to be written.
     fn idle(&self) -> Option<Instant> {
         let idle = self.open.get() == 0 && self.out.waiting() == 0 && !self.out.closing();
@@ -136,12 +183,13 @@
     /// Nobody waits yet.
     pub fn new(settings: Rc<Settings>, limits: Rc<Limits>, events: Sender<Event>) -> Rc<Self> {
         Rc::new(Self {
+            common: Common::new(settings.classes.len()),
             settings,
             limits,
             clock: Clock::start(),
             events,
-            total: Rc::default(),
-            terminating: Cell::new(false),
+            end: Rc::default(),
+            closing: watch::Sender::new(false),
             waiting: RefCell::default(),
             names: RefCell::default(),
             seats: RefCell::default(),
@@ -155,7 +203,7 @@
     /// something open, for as long as the client can be left waiting.
     pub async fn connect(&self) -> Option<Rc<Seat>> {
         let until = Instant::now() + self.limits.front_wait;
-        while self.seats.borrow().len() >= self.limits.front_conns {
+        while self.seats.borrow().len() >= self.common.part(self.limits.front_conns) {
             let longest = self
                 .seats
                 .borrow()
@@ -174,9 +222,10 @@
                 return None;
             }
         }
-        let out = Rc::new(Outbox::new(self.total.clone()));
+        let out = Rc::new(Outbox::new(self.common.clone()));
         let (open, answered, opened) = (Cell::new(0), Cell::new(false), Instant::now());
-        let seat = Rc::new(Seat { out, opened, open, answered, active: Cell::new(opened) });
+        let (end, done, active) = (self.end.clone(), Cell::new(false), Cell::new(opened));
+        let seat = Rc::new(Seat { out, end, done, opened, open, answered, active });
         self.seats.borrow_mut().push(seat.clone());
         Some(seat)
     }
@@ -187,6 +236,36 @@
         self.freed.notify_one();
     }
 
+    /// This process goes one step further on its way out.
+    pub fn leave_by(&self, how: Leaving) {
+        self.end.set(how);
+        if matches!(how, Leaving::AfterAnswer | Leaving::Idle) {
+            self.closing.send_replace(true);
+        }
+        self.seats.borrow().iter().for_each(|s| s.out.nudge());
+    }
+
+    /// How far it is.
+    pub fn leaving(&self) -> Leaving {
+        self.end.get()
+    }
+
+    /// Whether those who ask how this gateway does should go elsewhere. While another process takes over they need not:
+    /// it listens at the same address.
+    pub fn turns_away(&self) -> bool {
+        self.end.get() == Leaving::Alone
+    }
+
+    /// Whether no client is connected.
+    pub fn empty(&self) -> bool {
+        self.seats.borrow().is_empty()
+    }
+
+    /// Requests taken and not yet ended.
+    pub fn current(&self) -> usize {
+        self.waiting.borrow().len()
+    }
+
     /// Whether anything still waits to be written to clients.
     pub fn writing(&self) -> bool {
         self.seats.borrow().iter().any(|s| s.out.waiting() > 0 && !s.out.closing())
@@ -256,6 +335,15 @@
     }
 }
 
+/// Under which figure an answer is counted.
+pub fn count_of(answer: &Answer) -> Count {
+    match answer {
+        Answer::Served(_) | Answer::Finished => Count::Answered,
+        Answer::Refused(_) => Count::Deferred,
+        Answer::Cut | Answer::Failed(_) | Answer::Expired => Count::Errored,
+    }
+}
+
 /// What a front read from a client.
 pub struct Asked {
     /// Its class.
--- a/src/net/front/thrift.rs
+++ b/src/net/front/thrift.rs
@@ -4,8 +4,9 @@
 use crate::interface::{ClassId, Repeat, RequestId};
 use crate::limits::Limits;
 use crate::net::conn::{Close, Frame, Inbox, Part};
-use crate::net::front::{Asked, Client, Desk, Seat};
+use crate::net::front::{count_of, Asked, Client, Desk, Seat};
 use crate::net::log;
+use starlingplank_operation::figures::Count;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -197,7 +198,7 @@
     let mut parts = parts;
     let len: usize = parts.iter().map(Vec::len).sum::<usize>() - 4;
     parts[0][..4].copy_from_slice(&(len as u32).to_be_bytes());
-    Frame { attempt: None, parts: parts.into_iter().map(Part::Own).collect() }
+    Frame { attempt: None, parts: parts.into_iter().map(Part::Own).collect(), tally: None }
 }
 
 /// An `Answer`: the result's parts go out as they came.
@@ -258,6 +259,7 @@
 struct Caller {
     session: Rc<Session>,
     seq: i32,
+    class: ClassId,
 }
 
 impl Client for Caller {
@@ -269,13 +271,14 @@
         if self.session.open.borrow_mut().remove(&self.seq).is_some() {
             self.session.seat.ended();
         }
+        let count = count_of(&answer);
         let frame = match answer {
             Answer::Served(rows) => self::answer("call", self.seq, rows, true),
             Answer::Refused(later) => overloaded(self.seq, later),
             Answer::Failed(_) | Answer::Cut | Answer::Finished => internal(self.seq, "failed"),
             Answer::Expired => internal(self.seq, "out of time"),
         };
-        self.session.seat.say(frame, &self.session.limits);
+        self.session.seat.say(frame.counted((self.class.0, count)), &self.session.limits);
     }
 }
 
@@ -302,7 +305,7 @@
 
 async fn read(stream: &TcpStream, session: &Rc<Session>, desk: &Rc<Desk>) {
     let limits = &session.limits;
-    let mut inbox = Inbox::new(desk.total.clone());
+    let mut inbox = Inbox::new(desk.common.clone());
     loop {
         while let Some(len) = frame_len(inbox.unread()) {
             if len > limits.message_bytes {
@@ -333,7 +336,7 @@
         Message::Health(seq) => {
             let last = &session.last;
             last.set(if last.get().checked_add(1) == Some(seq) { seq } else { last.get() });
-            say(answer("health", seq, Rows::default(), !desk.terminating.get()));
+            say(answer("health", seq, Rows::default(), !desk.turns_away()));
         }
         Message::Unknown(seq, name) => say(unknown(seq, name)),
         Message::Cancel(seq) => {
@@ -351,7 +354,8 @@
             }
             session.last.set(seq);
             if session.open.borrow().len() >= session.limits.open_per_conn {
-                say(overloaded(seq, desk.settings.max_retry_after));
+                let frame = overloaded(seq, desk.settings.max_retry_after);
+                say(counted(frame, class_of(&fields, desk), Count::Deferred));
                 return true;
             }
             let named = fields.get("txn").and_then(|txn| desk.named(txn));
@@ -359,20 +363,37 @@
                 return false;
             }
             match asked(&fields, body, desk) {
-                Ok(_) if named.is_some() => say(internal(seq, "txn is that of another open request")),
+                Ok(asked) if named.is_some() => {
+                    let frame = internal(seq, "txn is that of another open request");
+                    say(counted(frame, Some(asked.class), Count::Errored));
+                }
                 Ok(asked) => {
                     let id = desk.number();
                     session.open.borrow_mut().insert(seq, id);
                     session.seat.asked();
-                    desk.take(id, Box::new(Caller { session: session.clone(), seq }), asked).await;
+                    let class = asked.class;
+                    desk.take(id, Box::new(Caller { session: session.clone(), seq, class }), asked).await;
                 }
-                Err(why) => say(internal(seq, why)),
+                Err(why) => say(counted(internal(seq, why), class_of(&fields, desk), Count::Errored)),
             }
         }
     }
     true
 }
 
+/// A refusal or a failure that this front words itself, counted where its class can be told.
+fn counted(frame: Frame, class: Option<ClassId>, count: Count) -> Frame {
+    match class {
+        Some(class) => frame.counted((class.0, count)),
+        None => frame,
+    }
+}
+
+fn class_of(fields: &BTreeMap<&str, &str>, desk: &Desk) -> Option<ClassId> {
+    let verb = fields.get("verb")?;
+    desk.settings.classes.iter().position(|c| c.name == *verb).map(ClassId)
+}
+
 fn asked(fields: &BTreeMap<&str, &str>, body: &[u8], desk: &Desk) -> Result<Asked, &'static str> {
     let arrived = desk.clock.now();
     // A figure that is none, or past all sense, makes the request unfit: what it would do is not what was asked.
@@ -382,7 +403,7 @@
         Some(_) => Err("a figure cannot be used"),
     };
     let verb = *fields.get("verb").ok_or("verb is missing")?;
-    let class = desk.settings.classes.iter().position(|c| c.name == verb).ok_or("verb is no class")?;
+    let class = class_of(fields, desk).ok_or("verb is no class")?.0;
     let txn = *fields.get("txn").ok_or("txn is missing")?;
     // What goes on into an engine's field must not end that field.
     let plain =
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,9 +3,11 @@
 pub mod conn;
 pub mod engine;
 pub mod front;
+pub mod handover;
 pub mod http;
 pub mod keep;
 pub mod log;
 pub mod names;
+pub mod operate;
 pub mod runtime;
 pub mod sql;
--- /dev/null
+++ b/src/net/operate.rs
@@ -0,0 +1,125 @@
+//! The second address: where staff call. One call on each connection, answered beside the queue that requests wait in.
+
+use crate::limits::Limits;
+use crate::net::conn::{Common, Inbox};
+use crate::net::http::{self, Length, Read};
+use starlingplank_operation::calls::{self, Call, Reply};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
+use tokio::time::{timeout, timeout_at, Instant};
+
+/// A call, and where its answer goes.
+pub type Asked = (Call, oneshot::Sender<Reply>);
+
+/// Takes calls. Callers are few at a time: where there are more, the one that has been unfinished longest gives way,
+/// so that callers who say nothing keep out nobody.
+pub async fn listen(
+    listener: TcpListener,
+    limits: Rc<Limits>,
+    common: Rc<Common>,
+    calls: mpsc::Sender<Asked>,
+) {
+    let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            // Out of descriptors: who holds one longest gives it up.
+            Err(e) => {
+                tracing::warn!("the second address: accept: {e}");
+                callers.pop_front().into_iter().for_each(|c| c.abort());
+                tokio::time::sleep(limits.look).await;
+                continue;
+            }
+        };
+        callers.retain(|c| !c.is_finished());
+        while callers.len() >= limits.callers {
+            callers.pop_front().into_iter().for_each(|c| c.abort());
+        }
+        let (limits, common, calls) = (limits.clone(), common.clone(), calls.clone());
+        callers.push_back(tokio::task::spawn_local(serve(stream, limits, common, calls)));
+    }
+}
+
+async fn serve(mut stream: TcpStream, limits: Rc<Limits>, common: Rc<Common>, calls: mpsc::Sender<Asked>) {
+    let mut inbox = Inbox::new(common);
+    let until = Instant::now() + limits.call_whole;
+    let read = match timeout_at(until, read(&stream, &mut inbox, &limits)).await {
+        Ok(None) => return,
+        Ok(Some(read)) => read,
+        Err(_) => Err(Reply::line(408, "the call did not come whole in time")),
+    };
+    let whole = read.is_ok();
+    let reply = match read {
+        Err(reply) => reply,
+        Ok(call) => {
+            let (to, answer) = oneshot::channel();
+            let asked = calls.send((call, to)).await.is_ok();
+            match (asked, answer.await) {
+                (true, Ok(reply)) => reply,
+                _ => Reply::line(503, "this process is ending"),
+            }
+        }
+    };
+    let head = format!(
+        "HTTP/1.1 {} {}\r\nContent-Type: text/plain; charset=UTF-8\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+        reply.status,
+        reply.reason(),
+        reply.text.len()
+    );
+    let said = stream.write_all([head.as_bytes(), reply.text.as_bytes()].concat().as_slice()).await;
+    if said.is_err() || stream.shutdown().await.is_err() || whole {
+        return;
+    }
+    // What still comes of a call that was turned away is read and dropped: closed with bytes unread, the connection
+    // would be reset, and the answer perhaps never read.
+    let rest = async {
+        inbox.used(inbox.unread().len());
+        while matches!(inbox.fill(&stream, &limits).await, Ok(true)) {
+            inbox.used(inbox.unread().len());
+        }
+    };
+    let _ = timeout(limits.call_rest, rest).await;
+}
+
+/// Reads one call. None: the caller has gone.
+async fn read(stream: &TcpStream, inbox: &mut Inbox, limits: &Limits) -> Option<Result<Call, Reply>> {
+    let bad = |status, text: &str| Some(Err(Reply::line(status, text)));
+    loop {
+        match http::read_head(inbox.unread()) {
+            Read::Done(head, used) => {
+                if !matches!(head.third, "HTTP/1.1" | "HTTP/1.0") {
+                    return bad(400, "the version must be HTTP/1.1");
+                }
+                let (path, _) = http::target(head.second);
+                let length = match head.body(Length::Bytes(0)) {
+                    Some(Length::Bytes(length)) => length,
+                    Some(_) => return bad(411, "the body must have a Content-Length; chunks are not taken"),
+                    None => return bad(400, "the length of the body is not clear"),
+                };
+                // A wrong path or method is told at once, whatever body follows.
+                let call = |body: &[u8]| calls::read(head.first, &path, body);
+                if length > calls::BODY {
+                    let wrong = call(b"-").err();
+                    return Some(Err(
+                        wrong.unwrap_or_else(|| Reply::line(413, "the body is longer than any id"))
+                    ));
+                }
+                if let Some(body) = inbox.unread().get(used..used + length) {
+                    return Some(call(body));
+                }
+            }
+            Read::Bad => return bad(400, "the call cannot be read as HTTP/1.1"),
+            Read::More if inbox.unread().len() > limits.head_bytes => {
+                return bad(431, "the head of the call is too long");
+            }
+            Read::More => {}
+        }
+        if !matches!(inbox.fill(stream, limits).await, Ok(true)) {
+            return None;
+        }
+    }
+}
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -1,20 +1,29 @@
 //! The loop that feeds the reducer and performs its effects: one thread, as the machine has one core.
 
 use crate::config::{Config, EngineWire};
-use crate::core::{Answer, Core, Effect, Event};
-use crate::interface::{Settings, Why};
+use crate::core::{Answer, Core, Effect, End, Event, Send};
+use crate::interface::{Outcome, Repeat, Settings, Why};
 use crate::net::engine::clickhouse::HttpEngines;
 use crate::net::engine::pool::{Engines, RespEngines};
-use crate::net::front::{clickhouse, thrift, Desk, Seat};
+use crate::net::front::{clickhouse, thrift, Desk, Leaving, Seat};
+use crate::net::handover::{self, Handover, Refused};
 use crate::net::keep::Keep;
 use crate::net::log;
 use crate::net::names;
+use crate::net::operate;
+use starlingplank_knowledge::gate::{self, Sent};
+use starlingplank_knowledge::recall;
+use starlingplank_operation::calls::{Call, Reply};
+use starlingplank_operation::figures::{Count, Now};
+use starlingplank_operation::hand::{Hand, No};
+use starlingplank_operation::lives::{self, Stage};
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, timeout, Instant, MissedTickBehavior};
@@ -34,31 +43,53 @@
     let core = Core::new(config.settings.clone(), config.limits.clone(), desk.clock.now());
     let mut core = core.map_err(io::Error::other)?;
     let mut keep = Keep::open(&config, &mut core, desk.clock.now(), &sender)?;
-    let (total, events) = (desk.total.clone(), sender.clone());
+    let (common, events) = (desk.common.clone(), sender.clone());
     let engines: Box<dyn Engines> = match config.engines {
-        EngineWire::Resp => Box::new(RespEngines::new(limits.clone(), total, events)),
-        EngineWire::ClickHouse => Box::new(HttpEngines::new(limits.clone(), total, events)),
+        EngineWire::Resp => Box::new(RespEngines::new(limits.clone(), common, events)),
+        EngineWire::ClickHouse => Box::new(HttpEngines::new(limits.clone(), common, events)),
     };
-    let mut gateway = Runtime { core, engines, desk: desk.clone(), exit: false };
-    gateway.handle([Event::List(config.serial, config.known.clone()), Event::Tend], &keep);
-
-    let listener = TcpListener::bind(config.listen).await?;
-    tracing::info!("{} listens at {}", config.name, listener.local_addr()?);
-    let serve_thrift = {
-        let desk = desk.clone();
-        move |stream, seat| thrift::serve(stream, seat, desk.clone())
-    };
-    tokio::task::spawn_local(accept(listener, desk.clone(), serve_thrift));
-    if let Some((at, rules)) = config.clickhouse {
+    let mut handover = None;
+    let (call, mut calls) = mpsc::channel(limits.callers);
+    if let Some(at) = config.operator {
+        let folder = handover::folder(&std::env::temp_dir(), &config.name, config.listen);
         let listener = TcpListener::bind(at).await?;
-        tracing::info!("{} listens at {} for ClickHouse HTTP", config.name, listener.local_addr()?);
-        let (desk, rules) = (desk.clone(), Rc::new(rules));
-        let serve_http = {
-            let desk = desk.clone();
-            move |stream, seat| clickhouse::serve(stream, seat, desk.clone(), rules.clone())
-        };
-        tokio::task::spawn_local(accept(listener, desk, serve_http));
+        tracing::info!("{} listens at {} for its operators", config.name, listener.local_addr()?);
+        let (limits, common) = (limits.clone(), desk.common.clone());
+        tokio::task::spawn_local(operate::listen(listener, limits, common, call.clone()));
+        match Handover::open(&folder, desk.clock.now()) {
+            Ok(opened) => {
+                tracing::info!("{}", opened.describe());
+                handover = Some(opened);
+            }
+            Err(e) => tracing::error!("nothing is shared with other versions: {}: {e}", folder.display()),
+        }
+    }
+    let mut taken_over = Vec::new();
+    if let Some(h) = &mut handover {
+        taken_over.push(Event::Heard(h.look(desk.clock.now()).keys));
+        taken_over.push(Event::Hand(h.hand().clone()));
+        let rules = recall::Rules { tip_after: config.settings.tip_after, ..recall::DEFAULT };
+        if let Some(recall) = h.learned(desk.clock.now(), rules, &limits).await {
+            core.remember(recall);
+        }
     }
+    let started = Instant::now();
+    let mut gateway = Runtime {
+        name: config.name.clone(),
+        core,
+        engines,
+        desk: desk.clone(),
+        handover,
+        exit: false,
+        heard_list: false,
+        told_to_end: false,
+    };
+    let look = gateway.look();
+    let first = [Event::List(config.serial, config.known.clone()), Event::Tend];
+    gateway.handle(taken_over.into_iter().chain(first).chain(look), &keep);
+    gateway.heard_list = false;
+
+    let mut listening = false;
     let (names, asked) = watch::channel(config.names);
     {
         let (settings, limits, sender) = (settings.clone(), limits.clone(), sender.clone());
@@ -71,8 +102,19 @@
     let every = config.knowledge.as_ref().map_or(limits.tend, |k| Duration::from_secs_f64(k.every / 1000.0));
     let mut snapshots = tokio::time::interval_at(Instant::now() + every, every);
     snapshots.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut look = tokio::time::interval(limits.look);
+    look.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let (mut longest, mut latest) = (Duration::ZERO, 0.0_f64);
-    while !gateway.exit {
+    let mut terminated = None;
+    loop {
+        if !listening && gateway.may_listen(started.elapsed()) {
+            listen_to_clients(&config, &desk).await?;
+            listening = true;
+            gateway.say(Stage::Listening);
+        }
+        if terminated.is_some_and(|at| gateway.has_left(at)) {
+            break;
+        }
         let due_at = gateway.core.next_due();
         let due = due_at.map_or_else(|| Instant::now() + limits.sweep, |at| desk.clock.instant(at).into());
         let mut events = Vec::new();
@@ -80,6 +122,8 @@
             event = receiver.recv() => events.extend(event),
             () = sleep_until(due) => {}
             _ = sweep.tick() => gateway.engines.sweep(&mut events),
+            _ = look.tick(), if gateway.handover.is_some() => events.extend(gateway.look()),
+            Some((call, to)) = calls.recv() => drop(to.send(gateway.call(call, listening, &mut events))),
             _ = tend.tick(), if keep.is_on() => events.push(Event::Tend),
             _ = snapshots.tick(), if keep.is_on() => {
                 let begun = Instant::now();
@@ -89,7 +133,8 @@
             _ = hangup.recv() => match reload() {
                 Ok(new) => {
                     tracing::info!("SIGHUP: the name service is at {:?}", new.names);
-                    if (new.listen, &new.limits, &new.knowledge) != (config.listen, &config.limits, &config.knowledge)
+                    if (new.listen, new.operator, &new.limits, &new.knowledge)
+                        != (config.listen, config.operator, &config.limits, &config.knowledge)
                         || (Settings { seed: config.settings.seed, ..new.settings }) != config.settings
                     {
                         tracing::warn!("SIGHUP: what else is new in the configuration waits for the next start");
@@ -100,7 +145,10 @@
             },
             _ = term.recv() => {
                 tracing::info!("SIGTERM: answering what was taken");
-                desk.terminating.set(true);
+                terminated = Some(Instant::now());
+                gateway.told_to_end = true;
+                desk.leave_by(Leaving::Alone);
+                events.extend(gateway.look());
                 keep.snapshot(&gateway.core, desk.clock.now());
                 events.push(Event::Terminate);
             }
@@ -116,22 +164,35 @@
         if late > limits.stall {
             tracing::warn!("stood still for {late:.0} ms");
         }
+        while let Ok((call, to)) = calls.try_recv() {
+            drop(to.send(gateway.call(call, listening, &mut events)));
+        }
         let turn = Instant::now();
+        gateway.exit = false;
         gateway.handle(events, &keep);
         longest = longest.max(turn.elapsed());
         latest = latest.max(late);
     }
     tracing::info!("loop: longest turn {:.3} ms, latest {latest:.3} ms", longest.as_secs_f64() * 1000.0);
+    // The last answers leave before the program does.
+    let flushed = async {
+        while desk.writing() {
+            tokio::task::yield_now().await;
+        }
+    };
+    let _ = timeout(limits.term_flush, flushed).await;
     // What the last answers taught is in the last snapshot, if the disk takes it in time.
     keep.snapshot(&gateway.core, desk.clock.now());
-    for ((class, c), waits) in settings.classes.iter().zip(gateway.core.counts()).zip(gateway.core.waits()) {
+    let by_class = settings.classes.iter().zip(gateway.core.counts()).zip(gateway.core.waits());
+    for (i, ((class, c), waits)) in by_class.enumerate() {
+        let figure = |count| desk.common.figures.get(i, count);
         tracing::info!(
             "{}: {} taken, {} attempts, ended {:?}, answered {:?}",
             class.name,
             c.taken,
-            c.attempts,
+            figure(Count::Sends),
             c.outcomes,
-            c.answers
+            [figure(Count::Answered), figure(Count::Deferred), figure(Count::Errored), c.left]
         );
         let waits = Why::ALL.iter().map(|w| (w.name(), waits[*w as usize])).filter(|(_, n)| *n > 0);
         let waits: BTreeMap<_, _> = waits.collect();
@@ -141,24 +202,175 @@
         let _ = timeout(limits.term_snapshot, keep.finish()).await;
         keep.say(gateway.core.gate().refused());
     }
-    // The last answers leave before the program does.
-    let flushed = async {
-        while desk.writing() {
-            tokio::task::yield_now().await;
-        }
+    Ok(())
+}
+
+/// Listens for clients. Where a new version may take over, both listen at the same address.
+async fn listen_to_clients(config: &Config, desk: &Rc<Desk>) -> io::Result<()> {
+    let shared = config.operator.is_some();
+    let listener = bind(config.listen, shared).await?;
+    tracing::info!("{} listens at {}", config.name, listener.local_addr()?);
+    let serve_thrift = {
+        let desk = desk.clone();
+        move |stream, seat| thrift::serve(stream, seat, desk.clone())
     };
-    let _ = timeout(limits.term_flush, flushed).await;
+    tokio::task::spawn_local(accept(listener, desk.clone(), serve_thrift));
+    if let Some((at, rules)) = &config.clickhouse {
+        let listener = bind(*at, shared).await?;
+        tracing::info!("{} listens at {} for ClickHouse HTTP", config.name, listener.local_addr()?);
+        let (desk, rules) = (desk.clone(), Rc::new(rules.clone()));
+        let serve_http = {
+            let desk = desk.clone();
+            move |stream, seat| clickhouse::serve(stream, seat, desk.clone(), rules.clone())
+        };
+        tokio::task::spawn_local(accept(listener, desk, serve_http));
+    }
     Ok(())
 }
 
+/// Connections that may wait to be accepted: as many as the library's own listener takes.
+const BACKLOG: u32 = 1024;
+
+async fn bind(at: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    if !shared {
+        return TcpListener::bind(at).await;
+    }
+    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
+    socket.bind(at)?;
+    socket.listen(BACKLOG)
+}
+
 struct Runtime {
+    name: String,
     core: Core,
     engines: Box<dyn Engines>,
     desk: Rc<Desk>,
+    /// What is shared with other processes of this gateway, if anything.
+    handover: Option<Handover>,
+    /// All that was taken is answered, and the window is over.
     exit: bool,
+    /// The name service has answered.
+    heard_list: bool,
+    told_to_end: bool,
 }
 
 impl Runtime {
+    /// Whether clients may come.
+    fn may_listen(&self, waited: Duration) -> bool {
+        let Some(h) = &self.handover else { return true };
+        lives::may_listen(h.own(), &h.others(), self.heard_list, waited)
+    }
+
+    fn say(&self, stage: Stage) {
+        if let Some(Err(e)) = self.handover.as_ref().map(|h| h.say(stage)) {
+            tracing::error!("other versions cannot see how far this one is: {e}");
+        }
+    }
+
+    /// Looks at what other processes of this gateway do, and goes by it.
+    fn look(&mut self) -> Vec<Event> {
+        let now = self.desk.clock.now();
+        let Some(h) = &mut self.handover else { return Vec::new() };
+        let seen = h.look(now);
+        for to in seen.newcomers {
+            h.pass_on(to, &self.name, &self.core, now, &self.desk.limits);
+        }
+        let (own, others) = (h.own(), h.others());
+        let mut events = Vec::new();
+        events.extend(seen.hand.map(Event::Hand));
+        if !seen.keys.is_empty() {
+            events.push(Event::Heard(seen.keys));
+        }
+        let processes = lives::processes(&others);
+        if self.desk.common.processes.replace(processes) != processes {
+            events.push(Event::Processes(processes));
+        }
+        if self.desk.leaving() == Leaving::Alone && lives::hands_over(own, &others) {
+            tracing::info!("a new version listens: what is open is answered, and the rest is for it");
+            self.desk.leave_by(Leaving::AfterAnswer);
+            self.say(Stage::Leaving);
+            events.push(Event::HandOver);
+        }
+        events
+    }
+
+    /// Whether one that was told to end then has nothing more to do.
+    fn has_left(&self, told: Instant) -> bool {
+        let limits = &self.desk.limits;
+        let handed = matches!(self.desk.leaving(), Leaving::AfterAnswer | Leaving::Idle);
+        let last = if handed { limits.leave_answer } else { limits.term_answer };
+        let last = told.elapsed() >= Duration::from_secs_f64(last / 1000.0);
+        if handed && self.desk.leaving() == Leaving::AfterAnswer && told.elapsed() >= limits.leave_idle {
+            self.desk.leave_by(Leaving::Idle);
+        }
+        let awaited = self.handover.as_ref().is_some_and(|h| lives::awaited(h.own(), &h.others()));
+        let waits = if handed { !self.desk.empty() } else { awaited };
+        self.exit && (!waits || last)
+    }
+
+    /// Answers a call of staff. What it changes is news for the reducer.
+    fn call(&mut self, call: Call, listening: bool, events: &mut Vec<Event>) -> Reply {
+        match call {
+            Call::Ready if self.told_to_end => Reply::line(503, "ending"),
+            Call::Ready if !listening => Reply::line(503, "starting: the list of engines is awaited"),
+            Call::Ready => Reply::line(200, "ready"),
+            Call::Telemetry => {
+                let names: Vec<_> = self.desk.settings.classes.iter().map(|c| c.name.as_str()).collect();
+                let (cluster_size, cluster_unhealthy) = self.core.engines();
+                let now = Now { current: self.desk.current(), cluster_size, cluster_unhealthy };
+                Reply { status: 200, text: self.desk.common.figures.text(&names, now) }
+            }
+            Call::Exclude(id) => {
+                let listed = self.core.lists(&id);
+                self.change(&id, "out", events, |hand| hand.exclude(&id, listed))
+            }
+            Call::Include(id) => {
+                let (listed, now) = (self.core.lists(&id), self.desk.clock.now());
+                self.change(&id, "in use", events, |hand| hand.include(&id, listed, now))
+            }
+        }
+    }
+
+    fn change(
+        &mut self,
+        id: &str,
+        what: &str,
+        events: &mut Vec<Event>,
+        change: impl FnOnce(&mut Hand) -> Result<bool, No>,
+    ) -> Reply {
+        let Some(h) = &mut self.handover else {
+            return Reply::line(503, "the call cannot be kept for the next version: no folder is open");
+        };
+        match h.change(change) {
+            Ok(changed) => {
+                tracing::info!("by hand: {id} is {what}{}", if changed.is_some() { "" } else { " already" });
+                events.extend(changed.map(Event::Hand));
+                Reply::line(200, format_args!("{id} is {what}"))
+            }
+            Err(Refused::No(why @ No::Unknown)) => Reply::line(404, format_args!("{id}: {why}")),
+            Err(Refused::No(why)) => Reply::line(503, format_args!("{id}: {why}")),
+            Err(Refused::Disk(why)) => {
+                tracing::error!("by hand: {id} is not {what}: {why}");
+                Reply::line(503, format_args!("{id}: the call cannot be kept for the next version: {why}"))
+            }
+        }
+    }
+
+    /// Records a keyed send for other processes of this gateway; false: it is not recorded, and must not leave.
+    fn record(&mut self, send: &Send) -> bool {
+        let (Some(h), Some(key)) = (&mut self.handover, &send.statement.key) else { return true };
+        let Repeat::Keyed { window, .. } = self.desk.settings.classes[send.class.0].repeat else {
+            return true;
+        };
+        let recorded = h.record(gate::key(key), Sent { at: self.desk.clock.now(), window });
+        if let Err(e) = &recorded {
+            tracing::error!("a keyed request was not sent, as other versions would not hear of it: {e}");
+        }
+        recorded.is_ok()
+    }
+
     /// Hands events to the reducer, lets it decide, and performs what it asks for, until that brings no news.
     fn handle(&mut self, events: impl IntoIterator<Item = Event>, keep: &Keep) {
         let mut effects = Vec::new();
@@ -167,6 +379,17 @@
             let now = self.desk.clock.now();
             for event in news.drain(..).chain([Event::Clock, Event::Turn]) {
                 trace(&event);
+                match &event {
+                    Event::List(..) => self.heard_list = true,
+                    // What another process has just sent under this key counts.
+                    Event::Taken(ask) if ask.statement.key.is_some() => {
+                        let heard = self.handover.as_mut().map(|h| h.peer_keys(now)).unwrap_or_default();
+                        if !heard.is_empty() {
+                            self.core.handle(now, Event::Heard(heard), &mut effects);
+                        }
+                    }
+                    _ => {}
+                }
                 self.core.handle(now, event, &mut effects);
             }
             self.core.spent(self.desk.clock.now() - now);
@@ -182,7 +405,8 @@
     fn perform(&mut self, effect: Effect, keep: &Keep, news: &mut Vec<Event>) {
         trace_effect(&effect);
         match effect {
-            Effect::Send(send) => self.engines.send(send, news),
+            Effect::Send(send) if self.record(&send) => self.engines.send(send, news),
+            Effect::Send(send) => news.push(Event::Ended(send.id, End::plain(Outcome::Moot))),
             Effect::GiveUp(id, _) => self.engines.give_up(id),
             Effect::Hurry(id, _, priority) => self.engines.hurry(id, priority),
             Effect::Probe(tag, engine, address) => self.engines.probe(tag, &engine, address, news),
@@ -212,25 +436,21 @@
     }
 }
 
-/// Accepts connections, each served on its own.
+/// Accepts connections, each served on its own, until another process takes over.
 async fn accept<S, F>(listener: TcpListener, desk: Rc<Desk>, serve: S)
 where
     S: Fn(TcpStream, Rc<Seat>) -> F,
     F: Future<Output = ()> + 'static,
 {
+    let mut closing = desk.closing.subscribe();
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let Some(seat) = desk.connect().await else {
-                    log::seldom(&desk.limits, "a connection was closed: all others have requests open");
-                    continue;
-                };
-                let (desk, served) = (desk.clone(), serve(stream, seat.clone()));
-                tokio::task::spawn_local(async move {
-                    served.await;
-                    desk.disconnect(&seat);
-                });
-            }
+        let accepted = tokio::select! {
+            biased;
+            _ = closing.wait_for(|c| *c) => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => seat(stream, &desk, &serve).await,
             // Out of descriptors, or the client left again: others may still be served.
             Err(e) => {
                 tracing::error!("accept: {e}");
@@ -238,6 +458,36 @@
             }
         }
     }
+    // What lies in the queue as it is closed would be reset. It is emptied first, and closed in the call after the one
+    // that found it empty.
+    let until = Instant::now() + desk.limits.front_wait;
+    let Ok(queue) = listener.into_std() else { return };
+    while let Ok((stream, _)) = queue.accept() {
+        if stream.set_nonblocking(true).is_ok() {
+            if let Ok(stream) = TcpStream::from_std(stream) {
+                seat(stream, &desk, &serve).await;
+            }
+        }
+        if Instant::now() > until {
+            tracing::warn!("more connections came than could be taken before this process stopped listening");
+            break;
+        }
+    }
+}
+
+async fn seat<S, F>(stream: TcpStream, desk: &Rc<Desk>, serve: &S)
+where
+    S: Fn(TcpStream, Rc<Seat>) -> F,
+    F: Future<Output = ()> + 'static,
+{
+    let Some(seat) = desk.connect().await else {
+        return log::seldom(&desk.limits, "a connection was closed: all others have requests open");
+    };
+    let (desk, served) = (desk.clone(), serve(stream, seat.clone()));
+    tokio::task::spawn_local(async move {
+        served.await;
+        desk.disconnect(&seat);
+    });
 }
 
 /// What comes in, a line each, at the level `trace`; where that is off, a test of one flag.
--- /dev/null
+++ b/tests/operation.rs
@@ -0,0 +1,275 @@
+//! What staff do with the real program: calls, figures, engines out by hand, and a new version under load.
+
+mod stand;
+
+use rstest::rstest;
+use stand::*;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+use tokio::net::TcpSocket;
+
+/// A port that several processes may listen at: bound here, and never listened at, so that nobody else is given it.
+fn shared_port() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_reuseport(true).expect("set");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let at = socket.local_addr().expect("bound");
+    (socket, at)
+}
+
+/// One process of a gateway.
+struct Process {
+    child: Child,
+    staff: SocketAddr,
+    clients: SocketAddr,
+    said: Option<std::thread::JoinHandle<Vec<String>>>,
+}
+
+/// A gateway's configuration, its folder, and its address.
+struct Site {
+    config: String,
+    tmp: tempfile::TempDir,
+    at: SocketAddr,
+    _port: TcpSocket,
+}
+
+impl Site {
+    fn new(engines: &[SocketAddr]) -> Self {
+        let (port, at) = shared_port();
+        let config = config(engines, "resp", 20_000)
+            .replacen(
+                "\"listen\":\"127.0.0.1:0\"",
+                &format!("\"listen\":\"{at}\",\"operator\":\"127.0.0.1:0\""),
+                1,
+            )
+            .replacen("\"clickhouse\":{\"listen\":\"127.0.0.1:0\",", "\"web\":{", 1);
+        Self { config, tmp: tempfile::tempdir().expect("a folder"), at, _port: port }
+    }
+
+    /// Starts a process and waits until it listens to clients.
+    fn start(&self) -> Process {
+        let file = self.tmp.path().join("config.json");
+        std::fs::write(&file, &self.config).expect("a file");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_starlingplank"));
+        command.env("PROXY_CONFIG", &file).env("TMPDIR", self.tmp.path()).arg("serve").stdout(Stdio::piped());
+        let mut child = command.spawn().expect("the program starts");
+        let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
+        let mut next = |what: &str| -> SocketAddr {
+            let line = lines
+                .by_ref()
+                .map_while(Result::ok)
+                .find(|l| l.contains(" listens at ") && l.ends_with(what));
+            let line = line.expect("it listens");
+            let (_, rest) = line.split_once(" listens at ").expect("found");
+            rest.split(' ').next().and_then(|a| a.parse().ok()).expect("an address")
+        };
+        let staff = next(" for its operators");
+        let clients = next("");
+        assert_eq!(clients, self.at);
+        let said = Some(std::thread::spawn(move || lines.map_while(Result::ok).collect()));
+        Process { child, staff, clients, said }
+    }
+}
+
+impl Process {
+    fn say(&self, request: &str) -> (u16, String) {
+        let mut stream = TcpStream::connect(self.staff).expect("it listens");
+        stream.set_read_timeout(Some(Duration::from_secs(30))).expect("set");
+        // An answer may come, and the connection end, before all was said.
+        let _ = stream.write_all(request.as_bytes());
+        let (head, body) = web_message(&mut BufReader::new(stream)).expect("an answer");
+        (head[0].split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status"), body)
+    }
+
+    fn put(&self, path: &str, id: &str) -> u16 {
+        self.say(&format!("PUT {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{id}", id.len())).0
+    }
+
+    fn figure(&self, name: &str) -> u64 {
+        let (status, body) = self.say("GET /api/telemetry HTTP/1.1\r\nHost: x\r\n\r\n");
+        assert_eq!(status, 200);
+        let line = body.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix('='));
+        line.and_then(|v| v.parse().ok()).unwrap_or_else(|| panic!("{name} is not in {body}"))
+    }
+
+    fn client(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.clients).expect("it listens");
+        stream.set_read_timeout(Some(Duration::from_secs(30))).expect("set");
+        stream
+    }
+
+    fn signal(&self, which: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([which, &id]).status().expect("kill runs").success());
+    }
+
+    /// Waits for its end; what it said.
+    fn ended(mut self) -> Vec<String> {
+        assert!(self.child.wait().expect("it ends").success());
+        self.said.take().expect("once").join().expect("read")
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn served(parts: &[String]) -> Option<String> {
+    Some(match parts[0].as_str() {
+        "want" => reply(&[&parts[1], "served", "pages=1,cost=5,need=8", "a\tb\tc\n"]),
+        "busy" => reply(&[&parts[1], "green", "use=util:0.1", ""]),
+        _ => String::new(),
+    })
+}
+
+fn wants(log: &Log) -> usize {
+    log.lock().expect("log").iter().filter(|p| p[0] == "want").count()
+}
+
+fn lookup(n: u32) -> Vec<u8> {
+    let txn = format!("{n:016x}");
+    call(1, &[("verb", "lookup"), ("txn", &txn), ("limit", "15000")], "select 1")
+}
+
+/// Asks so many times, each on a connection of its own; how many were served.
+fn ask_often(process: &Process, from: u32, times: u32) -> usize {
+    (from..from + times)
+        .filter(|n| {
+            let mut client = process.client();
+            client.write_all(&lookup(*n)).expect("sent");
+            answer(&mut client).1 == "served"
+        })
+        .count()
+}
+
+/// The successor read which engines were out, and did not go by it.
+#[test]
+fn engine_out_by_hand_gets_nothing_also_after_an_upgrade_and_is_used_again_once_called_back() {
+    let (first, _) = resp_engine(served);
+    let (second, log) = resp_engine(served);
+    let site = Site::new(&[first, second]);
+    let old = site.start();
+    assert!(ask_often(&old, 0, 40) == 40 && wants(&log) > 0, "both are in use");
+    assert_eq!((old.put("/api/exclude", "s-1"), old.put("/api/exclude", "s-1")), (200, 200));
+    assert_eq!((old.put("/api/exclude", "s-9"), old.put("/api/include", "s-9")), (404, 404));
+    assert_eq!((old.figure("gateway.cluster_size"), old.figure("gateway.cluster_unhealthy")), (2, 1));
+    let before = wants(&log);
+    assert_eq!(ask_often(&old, 100, 40), 40);
+    let new = site.start();
+    old.signal("-TERM");
+    old.ended();
+    assert_eq!(new.figure("gateway.cluster_unhealthy"), 1);
+    assert_eq!(ask_often(&new, 200, 40), 40);
+    assert_eq!(wants(&log), before, "nothing more went to the engine that is out");
+    assert_eq!(new.put("/api/include", "s-1"), 200);
+    assert_eq!(new.figure("gateway.cluster_unhealthy"), 0);
+    assert_eq!(ask_often(&new, 300, 40), 40);
+    assert!(wants(&log) > before, "it is in use again");
+}
+
+/// Two processes are one gateway: what one was told the other goes by.
+#[test]
+fn call_to_either_of_two_processes_binds_both() {
+    let (first, _) = resp_engine(served);
+    let (second, _) = resp_engine(served);
+    let site = Site::new(&[first, second]);
+    let (old, new) = (site.start(), site.start());
+    assert_eq!(old.put("/api/exclude", "s-1"), 200);
+    for _ in 0..10_000 {
+        if new.figure("gateway.cluster_unhealthy") == 1 {
+            assert_eq!(new.put("/api/include", "s-1"), 200);
+            break;
+        }
+    }
+    let back = (0..10_000).any(|_| old.figure("gateway.cluster_unhealthy") == 0);
+    assert!(back, "the call back reached the other process");
+}
+
+#[test]
+fn figures_are_what_clients_and_engines_saw() {
+    let (at, log) = resp_engine(|parts| match (parts[0].as_str(), parts.get(3).map(String::as_str)) {
+        ("want", Some("fail")) => Some(reply(&[&parts[1], "crashed", "-", ""])),
+        _ => served(parts),
+    });
+    let site = Site::new(&[at]);
+    let process = site.start();
+    let mut seen = [0_u64; 3];
+    for n in 0..60 {
+        let mut client = process.client();
+        let (body, verb) = if n % 10 == 9 { ("fail", "lookup") } else { ("select 1", "lookup") };
+        let txn = format!("{n:016x}");
+        // An unfit figure is turned away by the front itself.
+        let limit = if n % 20 == 5 { "none" } else { "15000" };
+        client.write_all(&call(1, &[("verb", verb), ("txn", &txn), ("limit", limit)], body)).expect("sent");
+        match answer(&mut client).1 {
+            "served" => seen[0] += 1,
+            "overloaded" => seen[1] += 1,
+            _ => seen[2] += 1,
+        }
+    }
+    let told = ["answered", "deferred", "errored"].map(|f| process.figure(&format!("gateway.{f}.lookup")));
+    assert_eq!(told, seen);
+    assert!(seen.iter().sum::<u64>() == 60 && seen[0] > 0 && seen[2] >= 3, "{seen:?}");
+    assert_eq!(process.figure("gateway.sends"), wants(&log) as u64);
+    assert_eq!((process.figure("gateway.current"), process.figure("gateway.cluster_size")), (0, 1));
+    process.signal("-TERM");
+    let said = process.ended();
+    let line = said.iter().find(|l| l.contains("lookup: 57 taken")).unwrap_or_else(|| panic!("{said:?}"));
+    let last = format!("answered [{}, {}, {}, 0]", seen[0], seen[1], seen[2]);
+    assert!(line.ends_with(&last) && line.contains(&format!(" {} attempts", wants(&log))), "{line}");
+}
+
+#[rstest]
+#[case::path("GET /api/readiness HTTP/1.1\r\n\r\n", 404)]
+#[case::method("POST /api/exclude HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-0", 405)]
+#[case::no_body("PUT /api/exclude HTTP/1.1\r\n\r\n", 400)]
+#[case::long_body("PUT /api/exclude HTTP/1.1\r\nContent-Length: 99999999\r\n\r\ns-0", 413)]
+#[case::bad_length("PUT /api/exclude HTTP/1.1\r\nContent-Length: -1\r\n\r\ns-0", 400)]
+#[case::two_lengths("PUT /api/exclude HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\ns-0", 400)]
+#[case::chunks("PUT /api/exclude HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ns-0\r\n0\r\n\r\n", 411)]
+#[case::no_http("hello there\r\n\r\n", 400)]
+#[case::old("GET /api/ready HTTP/0.9\r\n\r\n", 400)]
+fn bad_call_is_answered_with_a_line_that_says_what_is_wrong(#[case] request: &str, #[case] status: u16) {
+    let (at, _) = resp_engine(served);
+    let site = Site::new(&[at]);
+    let process = site.start();
+    let (got, body) = process.say(request);
+    assert_eq!(got, status, "{body}");
+    assert!(body.ends_with('\n') && body.len() > 10, "{body:?}");
+    assert_eq!(process.say("GET /api/ready HTTP/1.1\r\n\r\n"), (200, "ready\n".into()));
+}
+
+#[test]
+fn head_of_a_megabyte_is_turned_away() {
+    let (at, _) = resp_engine(served);
+    let site = Site::new(&[at]);
+    let process = site.start();
+    let (status, _) = process.say(&format!("GET /api/ready HTTP/1.1\r\nX: {}\r\n\r\n", "a".repeat(1 << 20)));
+    assert_eq!(status, 431);
+}
+
+/// Callers that hold half a call keep out nobody: the one that is unfinished longest gives way.
+#[test]
+fn callers_that_stop_half_way_keep_out_nobody() {
+    let (at, _) = resp_engine(served);
+    let site = Site::new(&[at]);
+    let process = site.start();
+    let held: Vec<TcpStream> = (0..100)
+        .map(|_| {
+            let mut stream = TcpStream::connect(process.staff).expect("it listens");
+            stream.write_all(b"PUT /api/exclude HTTP/1.1\r\nContent-Length: 30\r\n\r\ns-").expect("sent");
+            stream
+        })
+        .collect();
+    assert_eq!(process.say("GET /api/ready HTTP/1.1\r\n\r\n").0, 200);
+    // The first was closed to make room; the last is still waited for.
+    let mut byte = [0];
+    assert_eq!((&held[0]).read(&mut byte).unwrap_or(0), 0);
+    held[99].set_nonblocking(true).expect("set");
+    assert!((&held[99]).read(&mut byte).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock));
+}
