--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -323,8 +323,8 @@
                 Reply { status: 200, text: self.desk.common.figures.text(&names, now) }
             }
             Call::Exclude(id) => {
-                let listed = self.core.lists(&id);
-                self.change(&id, "out", events, |hand| hand.exclude(&id, listed))
+                let (listed, now) = (self.core.lists(&id), self.desk.clock.now());
+                self.change(&id, "out", events, |hand| hand.exclude(&id, listed, now))
             }
             Call::Include(id) => {
                 let (listed, now) = (self.core.lists(&id), self.desk.clock.now());
