--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -224,6 +224,16 @@
     assert!(line.ends_with(&last) && line.contains(&format!(" {} attempts", wants(&log))), "{line}");
 }
 
+/// The page for staff shows the table of figures as it is.
+#[test]
+fn page_for_staff_tells_every_figure_its_unit_and_its_meaning() {
+    let page = include_str!("../docs/operate/day-to-day.md");
+    for (name, unit, meaning) in starlingplank_operation::figures::TABLE {
+        let row = format!("| `{name}` | {unit} | {meaning} |");
+        assert!(page.contains(&row), "{row}");
+    }
+}
+
 #[rstest]
 #[case::path("GET /api/readiness HTTP/1.1\r\n\r\n", 404)]
 #[case::method("POST /api/exclude HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-0", 405)]
