Time on cold engines no longer passes for a crowd

Cause: upgrade+hand, with the module's view printed each half second: at 11 to 13 s, after a release, n0 had 'share 0.37 own 13.0 cores 71.2 usual 0.40 slow 1.70 ... part 9.1' and refused 162 requests a second for part, with its engines under one thread a core. part() takes the slowness for load, and take_slowness() adds time on engines that are a third warm as if they were crowded. Their time alone is now what a cold engine takes alone. The test fails without it: 2.6 times as long as alone.

--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -532,7 +532,7 @@
 
     /// How many times longer than alone queries take, by engine and in all: time out over work done, with
     /// what is out. Guards against engines that have collapsed: they answer nothing, and cores that idle
-    /// while all wait for disks or memory report room. Also finds slow ones.
+    /// while all wait for disks or memory report room. Also finds slow ones. Cold ones take longer by themselves.
     fn take_slowness(&mut self) {
         let mut times: BTreeMap<&EngineId, Times> = BTreeMap::new();
         for r in self.requests.values() {
@@ -543,13 +543,14 @@
             }
         }
         let (mut all, mut jammed) = (Times::default(), 0.0);
-        for (id, e) in &mut self.engines {
+        let warmths: Vec<f64> = self.engines.values().map(|e| self.warmth(e)).collect();
+        for ((id, e), warmth) in self.engines.iter_mut().zip(warmths) {
             let mut time = e.time;
             times.get(id).into_iter().for_each(|t| time.add(t.out, t.alone));
             e.slow = time.ratio(SLOW_PRIOR).clamp(0.1, SLOW_MOST);
             match ill(e) {
                 true => jammed += time.alone,
-                false => all.add(time.out, time.alone),
+                false => all.add(time.out, time.alone / warmth),
             }
         }
         // Who sends little has seen little, and goes by what engines report.
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -994,3 +994,27 @@
         assert!((0.3..2.0).contains(&sum), "after {second} s the shares of all add up to {sum:.2}");
     }
 }
+
+/// A gateway whose engines had all just started took them for crowded, and refused half of what they could have served.
+#[test]
+fn query_that_takes_long_as_its_engine_is_cold_does_not_tell_of_a_crowd() {
+    let mut s = settings();
+    s.gateways = 1;
+    s.warm_within = 1e9;
+    let mut bed = Bed::new(s, 0);
+    let started = |n| Member { started: Some(0.0), ..member(n) };
+    bed.turn(&[Event::Members { whole: true, members: (0..4).map(started).collect() }]);
+    for _ in 0..200 {
+        let (id, to) = bed.ask(0);
+        bed.pass(300.0);
+        let Some(to) = to else { continue };
+        // 100 ms of work takes 333 at three tenths of the speed.
+        let mut end = outcome(id, 0, &to, Outcome::Ok, 333.0);
+        if let Event::Outcome { work, .. } = &mut end {
+            *work = Some(100.0);
+        }
+        bed.turn(&[end]);
+    }
+    let speed = bed.gateway.learned().fleet.speed;
+    assert!(speed > 0.9, "queries seem to take {:.1} times as long as alone", 1.0 / speed);
+}
