A leaving process goes on with what it has until its successor's time is over

At SIGTERM the reducer heard HandOver before Terminate, and passed over it: runtime.rs pushed the two in that order. Ruled out: deadlines (reports had 12.5 s), the settings' longest deadline (5.3 s follow from it).

--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -149,9 +149,9 @@
                 terminated = Some(Instant::now());
                 gateway.told_to_end = true;
                 desk.leave_by(Leaving::Alone);
+                events.push(Event::Terminate);
                 events.extend(gateway.look());
                 keep.snapshot(&gateway.core, desk.clock.now());
-                events.push(Event::Terminate);
             }
         }
         while let Ok(event) = receiver.try_recv() {
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -284,6 +284,29 @@
     assert!((&held[99]).read(&mut byte).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock));
 }
 
+/// A leaving process answered all that was open after 3.3 s, as one does that nobody takes over from: the word that
+/// another listens came before the word that it was to end, and meant nothing then.
+#[test]
+fn process_that_is_taken_over_from_goes_on_with_what_it_has() {
+    let (at, log) = resp_engine(|parts| if parts[0] == "want" { Some(String::new()) } else { served(parts) });
+    let mut site = Site::new(&[at]);
+    // Nothing is late before its time is over.
+    site.config = site.config.replace("\"on_time\":500", "\"on_time\":4900");
+    let old = site.start();
+    let mut client = old.client();
+    let fields = [("verb", "lookup"), ("txn", "00000000000000a1"), ("limit", "4500")];
+    client.write_all(&call(1, &fields, "select 1")).expect("sent");
+    until(&log, |l| l.iter().any(|p| p[0] == "want"));
+    let _new = site.start();
+    old.signal("-TERM");
+    // Its own time ends after 4.5 s; SIGKILL comes after 5.7 s at the earliest.
+    answer(&mut client);
+    drop(client);
+    let said = old.ended();
+    let refused: Vec<_> = said.iter().filter(|l| l.contains("refused for")).collect();
+    assert!(!refused.is_empty() && !refused.iter().any(|l| l.contains("ending")), "{refused:?}");
+}
+
 /// What a client met that asks without a pause until it is told to stop.
 #[derive(Default)]
 struct Met {
