--- a/crates/lab/src/bed.rs
+++ b/crates/lab/src/bed.rs
@@ -27,6 +27,8 @@
     pub seed: u64,
     pub kills: u32,
     pub queries: usize,
+    pub gateways: usize,
+    pub baseline: Option<PathBuf>,
     pub dir: tempfile::TempDir,
 }
 
--- a/crates/lab/src/experiments.rs
+++ b/crates/lab/src/experiments.rs
@@ -29,7 +29,7 @@
 pub type Experiment = (&'static str, &'static str, for<'a> fn(&'a Lab) -> Ran<'a>);
 
 /// All of them.
-pub const ALL: [Experiment; 6] = [
+pub const ALL: [Experiment; 7] = [
     ("turns", "time of one decision and one step at 8 to 1,000 engines, against 8", |lab| {
         Box::pin(async { crate::turns::run(lab.seed) })
     }),
@@ -49,6 +49,11 @@
     ("warm-start", "share of requests in their aim after a start, with knowledge and without", |lab| {
         Box::pin(warm_start(lab))
     }),
+    (
+        "cold-start",
+        "many gateways that start together: what their list service is asked, and when all hold the list",
+        |lab| Box::pin(crate::cold::run(lab)),
+    ),
     ("cost", "what snapshots and the log of keys cost, on against off", |lab| Box::pin(cost(lab))),
 ];
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 
 mod bed;
+mod cold;
 mod experiments;
 mod report;
 mod turns;
@@ -47,6 +48,12 @@
     /// Where rows and charts are kept
     #[arg(long, default_value = "results")]
     out: PathBuf,
+    /// Gateways, in `cold-start`
+    #[arg(long, default_value_t = 300)]
+    gateways: usize,
+    /// An earlier version of the program, played in the same run
+    #[arg(long)]
+    baseline: Option<PathBuf>,
     /// The program; the one beside this by default
     #[arg(long)]
     program: Option<PathBuf>,
@@ -82,6 +89,8 @@
         seed: run.seed,
         kills: run.kills,
         queries: run.queries,
+        gateways: run.gateways.clamp(1, 1_000),
+        baseline: run.baseline.clone(),
         dir: tempfile::tempdir()?,
     };
     let figures = tokio::task::LocalSet::new().block_on(&runtime, experiment(&lab))?;
--- a/src/net/names.rs
+++ b/src/net/names.rs
@@ -4,12 +4,14 @@
 use crate::core::{Event, Listed};
 use crate::interface::{Availability, Settings};
 use crate::limits::Limits;
+use starlingplank_pacing::list::ListPace;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::watch;
-use tokio::time::MissedTickBehavior;
+use tokio::time::{sleep_until, Instant};
 use winnow::binary::{be_u16, be_u32, length_take, u8};
 use winnow::error::EmptyError;
 use winnow::prelude::*;
@@ -158,7 +160,7 @@
     Some(Answered { id, serial: records.serial?, list })
 }
 
-/// Asks every so often, with a fresh id each time; an answer is taken if it answers one of the last questions
+/// Asks at a pace that the whole fleet can keep, with a fresh id each time; an answer is taken if it answers one of the last questions
 /// and comes from the address asked. While nothing comes, the list held stays. A new address is asked at once:
 /// its socket is a new one, so that nothing the old address still says is heard.
 pub async fn poll(
@@ -189,16 +191,21 @@
             _ => tokio::time::sleep(limits.names_poll).await,
         }
     };
-    let mut tick = tokio::time::interval(limits.names_poll);
-    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    // Hundreds of gateways ask one service: the pace is one that their sum can keep.
+    let begun = Instant::now();
+    let now = || begun.elapsed().as_secs_f64() * 1000.0;
+    let mut pace = ListPace::new(settings.gateways, settings.rank, settings.seed, 0.0);
+    let mut newest = None;
     loop {
+        let due = begun + Duration::from_secs_f64(pace.due() / 1000.0);
         tokio::select! {
-            _ = tick.tick() => {
+            () = sleep_until(due) => {
                 let id = fastrand::u16(..);
                 open.push_back(id);
                 if open.len() > limits.names_open {
                     open.pop_front();
                 }
+                pace.asked(now());
                 // A lost question is followed by the next one.
                 tracing::trace!("list asked for");
                 let _ = socket.send(&question(id)).await;
@@ -208,8 +215,14 @@
                 let Ok(len) = got else { continue };
                 let Some(answered) = read(&buffer[..len], settings) else { continue };
                 let asked = open.iter().position(|id| *id == answered.id);
-                if asked.and_then(|at| open.remove(at)).is_some()
-                    && events.send(Event::List(answered.serial, answered.list)).await.is_err()
+                if asked.and_then(|at| open.remove(at)).is_none() {
+                    continue;
+                }
+                if newest.is_none_or(|n| answered.serial >= n) {
+                    newest = Some(answered.serial);
+                    pace.answered(now());
+                }
+                if events.send(Event::List(answered.serial, answered.list)).await.is_err()
                 {
                     return;
                 }
