--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -532,7 +532,7 @@
 
     /// How many times longer than alone queries take, by engine and in all: time out over work done, with
     /// what is out. Guards against engines that have collapsed: they answer nothing, and cores that idle
-    /// while all wait for disks or memory report room. Also finds slow ones. Cold ones take longer by themselves.
+    /// while all wait for disks or memory report room. Finds slow ones too; cold ones take long anyway.
     fn take_slowness(&mut self) {
         let mut times: BTreeMap<&EngineId, Times> = BTreeMap::new();
         for r in self.requests.values() {
