A successor keeps to the drains its predecessor heard while the list is silent

Cause: a process that takes over starts on `known` alone. Ruled out: the hand's file, which the successor reads, and the reducer's guard, which goes by its own list alone. At fault: what is passed on in the folder (net/handover.rs, pass_on) held what was learned and no word of the list.

It works one way: an engine that only the predecessor knew is not used for it. Not chosen: comparing the numbers of the lists, as they begin anew with each start of a gateway; taking the whole list over, as an engine that was removed meanwhile would come back.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,7 @@
 use starlingplank_knowledge::gate::{self, Admission, Gate, Key, Leave, Rewrite, Sends, Sent};
 use starlingplank_knowledge::recall::{Named, Recall};
 use starlingplank_operation::hand::Hand;
+use starlingplank_operation::heard::Heard;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::fmt::Debug;
 use std::future::Future;
@@ -163,6 +164,8 @@
     HandOver,
     /// Which engines are out by hand.
     Hand(Hand),
+    /// What an earlier process of this gateway heard of the list service.
+    Earlier(Heard),
     /// Another process of this gateway sent those keys.
     Heard(Vec<(Key, Sends)>),
     /// So many processes of this gateway run now.
@@ -222,12 +225,13 @@
 }
 
 /// What an engine of the list is to the gateway.
-fn by_hand(listed: &Listed, hand: &Hand) -> Listed {
+fn merged(listed: &Listed, hand: &Hand, earlier: Option<&Heard>, now: Ms) -> Listed {
     let mut listed = listed.clone();
     let m = &mut listed.member;
     let id = m.engine.clone();
     m.started = hand.started(&id.0, m.started);
-    if hand.is_out(&id.0) && m.availability == Availability::Live {
+    let kept_out = hand.is_out(&id.0) || earlier.is_some_and(|e| e.keeps_out(&id.0, now));
+    if kept_out && m.availability == Availability::Live {
         m.availability = Availability::Draining;
     }
     listed
@@ -267,6 +271,7 @@
     Turn,
     AnswerAll,
     Record(u64),
+    Earlier,
 }
 
 /// Timers order by time alone, earliest first.
@@ -310,6 +315,10 @@
     serial: Option<u64>,
     /// The list as it was last told.
     told: Vec<Listed>,
+    /// When the list service was last heard in this life.
+    service: Option<Ms>,
+    /// What an earlier process heard of it, until then.
+    earlier: Option<Heard>,
     /// Engines that staff have taken out.
     hand: Hand,
     /// The two together: the one list that all goes by.
@@ -355,6 +364,8 @@
             limits,
             serial: None,
             told: Vec::new(),
+            service: None,
+            earlier: None,
             hand: Hand::default(),
             engines: BTreeMap::new(),
             requests: BTreeMap::new(),
@@ -409,6 +420,13 @@
         self.told.iter().any(|l| &*l.member.engine.0 == id)
     }
 
+    /// What a successor is told of the list service: this process's own last word of it, or an earlier one's.
+    pub fn heard(&self) -> Option<Heard> {
+        let live = |l: &&Listed| l.member.availability == Availability::Live;
+        let told = || self.told.iter().filter(live).map(|l| l.member.engine.0.to_string());
+        self.service.map(|at| Heard::new(at, told())).or_else(|| self.earlier.clone())
+    }
+
     /// Requests that are open.
     pub fn open(&self) -> usize {
         self.open
@@ -473,6 +491,12 @@
                 self.hand = hand;
                 self.merge(now, effects);
             }
+            Event::Earlier(heard) if self.service.is_none() => {
+                self.timer(heard.until(), Due::Earlier);
+                self.earlier = Some(heard);
+                self.merge(now, effects);
+            }
+            Event::Earlier(_) => {}
             Event::Heard(keys) => keys.into_iter().for_each(|(key, sends)| self.gate.hear(key, sends, now)),
             Event::Processes(n) => self.pending.push(crate::interface::Event::Processes(n as u32)),
             Event::Terminate => {
@@ -498,19 +522,28 @@
 
     /// Lists come whole and numbered; one older than what is known came late and says nothing new.
     fn list(&mut self, now: Ms, serial: u64, list: Vec<Listed>, effects: &mut Vec<Effect>) {
-        if self.serial.is_some_and(|known| serial <= known) {
-            return;
+        if let Some(known) = self.serial {
+            if serial < known {
+                return;
+            }
+            self.service = Some(now);
+            // What an earlier process heard binds no longer: the service's own word does.
+            if self.earlier.take().is_none() && serial == known {
+                return;
+            }
         }
         self.serial = Some(serial);
         self.told = list;
         self.merge(now, effects);
     }
 
-    /// The list and the hand make one list: an engine that is out by hand is one that drains, so what guards drains
-    /// guards both; one that was called back has just started.
+    /// The list, the hand and what an earlier process heard make one list: an engine that is out by hand, or was drained
+    /// or gone there, is one that drains, so what guards drains guards all three; one that was called back has just
+    /// started.
     fn merge(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         self.hand.forget(now, self.settings.warm_within);
-        let list: Vec<Listed> = self.told.iter().map(|l| by_hand(l, &self.hand)).collect();
+        let list: Vec<Listed> =
+            self.told.iter().map(|l| merged(l, &self.hand, self.earlier.as_ref(), now)).collect();
         let mut before = std::mem::take(&mut self.engines);
         for listed in &list {
             before.remove(&listed.member.engine);
@@ -734,8 +767,16 @@
                     self.gate.failed();
                     self.recorded(now, number, false, effects);
                 }
+                Due::Earlier if self.earlier.take_if(|e| now >= e.until()).is_some() => {
+                    self.merge(now, effects)
+                }
                 Due::Turn => self.turn_set = false,
-                Due::Attempt(_) | Due::Gone(_) | Due::Leave | Due::Record(_) | Due::AnswerAll => {}
+                Due::Attempt(_)
+                | Due::Gone(_)
+                | Due::Leave
+                | Due::Record(_)
+                | Due::AnswerAll
+                | Due::Earlier => {}
             }
         }
     }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -12,6 +12,7 @@
 use starlingplank_knowledge::records::Snapshot;
 use starlingplank_knowledge::snapshot;
 use starlingplank_operation::hand::{self, Hand, No};
+use starlingplank_operation::heard::{self, Heard};
 use starlingplank_operation::lives::{Other, Stage};
 use starlingplank_records::disk::{self, Disk};
 use starlingplank_records::folder::{Boot, Files};
@@ -218,7 +219,7 @@
             return warn!("the keys of an earlier process stay in its own file: {e}");
         }
         // Those that it left half written as well.
-        let kinds = ["keys", "learned", "life"].map(|kind| named(kind, life));
+        let kinds = ["keys", "learned", "heard", "life"].map(|kind| named(kind, life));
         for name in Files::new(&self.path).names().unwrap_or_default() {
             if kinds.iter().any(|kind| name.starts_with(kind)) {
                 let _ = std::fs::remove_file(self.path.join(name));
@@ -365,6 +366,15 @@
 
     /// Writes what was learned for a later process.
     pub fn pass_on(&self, to: u64, name: &str, core: &Core, now: Ms, limits: &Limits) {
+        // Before what was learned, which is what the other waits for.
+        if let Some(heard) = core.heard() {
+            let file = format!("{}-for-{to:016x}", named("heard", self.own));
+            let written = heard.encode().map_err(io::Error::other);
+            let written = written.and_then(|bytes| disk::replace(&mut Files::new(&self.path), &file, &bytes));
+            if let Err(e) = written {
+                warn!("a new version has started; what the list service said is not passed on: {e}");
+            }
+        }
         let learned = Snapshot::new(name, &core.learned(now), &core.addresses());
         let bytes = snapshot::encode(&learned, limits.learned_bytes);
         let file = format!("{}-for-{to:016x}", named("learned", self.own));
@@ -410,6 +420,17 @@
         recall.ok()
     }
 
+    /// What the last of the earlier processes heard of the list service, if it has passed that on.
+    pub fn heard(&self) -> Option<Heard> {
+        let (from, _) = self.peers.range(..self.own).next_back()?;
+        let file = format!("{}-for-{:016x}", named("heard", *from), self.own);
+        let bytes = Files::new(&self.path).read(&file, heard::BYTES).map_err(|e| e.to_string());
+        let _ = std::fs::remove_file(self.path.join(&file));
+        let heard =
+            bytes.and_then(|bytes| bytes.map(|b| Heard::decode(&b)).transpose().map_err(|e| e.to_string()));
+        heard.inspect_err(|e| warn!("what the running version heard of the list cannot be used: {e}")).ok()?
+    }
+
     /// Which lives there have been, for the log.
     pub fn describe(&self) -> String {
         let others: BTreeSet<_> = self.peers.keys().collect();
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -72,6 +72,9 @@
         if let Some(recall) = h.learned(desk.clock.now(), rules, &limits).await {
             core.remember(recall);
         }
+        // Where there is no list service, the list at the start is the list.
+        let heard = h.heard().filter(|_| config.names.is_some());
+        taken_over.extend(heard.map(Event::Earlier));
     }
     let started = Instant::now();
     let mut gateway = Runtime {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::settings;
+use rstest::rstest;
 use starlingplank::core::{Answer, Ask, AttemptId, Core, Effect, End, Event, Listed, Statement};
 use starlingplank::interface::*;
 use starlingplank::limits::Limits;
@@ -11,6 +12,7 @@
 use starlingplank_knowledge::recall::{self, Recall};
 use starlingplank_knowledge::records::Snapshot;
 use starlingplank_operation::hand::Hand;
+use starlingplank_operation::heard::Heard;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -323,3 +325,30 @@
     assert!(effects.iter().any(|e| matches!(e, Effect::Answer(_, Answer::Refused(_)))), "{effects:?}");
     assert!(sent(&bed.take(2, Some("k2"))).is_some());
 }
+
+/// A successor starts on `known` alone while the list is silent: what its predecessor heard binds until the service
+/// speaks, though it says nothing new, and no longer than a minute.
+#[rstest]
+#[case::until_the_service_speaks(true)]
+#[case::no_longer_than_a_minute(false)]
+fn engine_that_an_earlier_process_heard_to_drain_gets_nothing(#[case] speaks: bool) {
+    let mut bed = Bed::new(settings());
+    let now = bed.now;
+    bed.step(Event::Earlier(Heard::new(now, ["a".to_owned()])));
+    bed.list(1, &["a", "b"]);
+    let live = |bed: &Bed| bed.core.engines();
+    assert_eq!(live(&bed), (2, 1));
+    // A stale answer frees nothing.
+    bed.list(0, &["a", "b"]);
+    assert_eq!(live(&bed), (2, 1));
+    // It is passed on to the next successor as it came.
+    assert_eq!(bed.core.heard(), Some(Heard::new(now, ["a".to_owned()])));
+    if speaks {
+        bed.list(1, &["a", "b"]);
+    } else {
+        bed.now += 60_000.0;
+        bed.step(Event::Clock);
+    }
+    assert_eq!(live(&bed), (2, 0));
+    assert_eq!(bed.core.heard().is_some(), speaks);
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -124,6 +124,12 @@
 
 /// A name service's answer to a question: a list of these engines, with that number.
 pub fn names_answer(question: &[u8], serial: u32, engines: &[(&str, SocketAddr)]) -> Vec<u8> {
+    let all: Vec<_> = engines.iter().map(|(id, at)| (*id, *at, false)).collect();
+    names_answer_of(question, serial, &all)
+}
+
+/// The same, of engines that drain or don't.
+pub fn names_answer_of(question: &[u8], serial: u32, engines: &[(&str, SocketAddr, bool)]) -> Vec<u8> {
     let record = |out: &mut Vec<u8>, owner: &[u8], kind: u8, data: &[u8]| {
         out.extend(owner);
         out.extend([0, kind, 0, 1, 0, 0, 0, 0]);
@@ -133,12 +139,12 @@
     let count = engines.len() as u8;
     let mut out = [&question[..2], &[0x84, 0, 0, 1, 0, count, 0, 1, 0, count], &question[12..]].concat();
     let target = |id: &str| [&[id.len() as u8], id.as_bytes(), b"\x01a\x05hosts\0"].concat();
-    for (id, at) in engines {
-        let data = [&[0, 0, 0, 40][..], &at.port().to_be_bytes(), &target(id)].concat();
+    for (id, at, drains) in engines {
+        let data = [&[0, u8::from(*drains), 0, 40][..], &at.port().to_be_bytes(), &target(id)].concat();
         record(&mut out, &[0xc0, 12], 33, &data);
     }
     record(&mut out, &[0], 6, &[&[0, 0][..], &serial.to_be_bytes(), &[0; 16]].concat());
-    for (id, at) in engines {
+    for (id, at, _) in engines {
         let SocketAddr::V4(at) = at else { panic!("IPv4") };
         record(&mut out, &target(id), 1, &at.ip().octets());
     }
