A gateway without a list says so, and tells clients to come back at different times

Need: with a list service named and no engine known a gateway said it was ready, held each request for a quarter of its aim and then refused it; all that were refused together were told the same time.

Change: until the list is heard `/api/ready`, `health` and `/ping` say no and requests are refused at once, to come back after once to twice as long as it has lasted, each another time (crates/pacing/src/come_back.rs). A list under the number that this began with counts, and a file that names no engine begins at none. It is not met on the platform, whose `known` names engines. Not chosen: not listening (clients would come back at their own pace), a queue (it ends as the herd that it lets in).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,7 @@
 use starlingplank_knowledge::recall::{Named, Recall};
 use starlingplank_operation::hand::Hand;
 use starlingplank_operation::heard::Heard;
+use starlingplank_pacing::come_back::ComeBack;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::fmt::Debug;
 use std::future::Future;
@@ -317,6 +318,8 @@
     told: Vec<Listed>,
     /// When the list service was last heard in this life.
     service: Option<Ms>,
+    /// No list is known yet: what comes is turned away.
+    unlisted: Option<ComeBack>,
     /// What an earlier process heard of it, until then.
     earlier: Option<Heard>,
     /// Engines that staff have taken out.
@@ -365,6 +368,7 @@
             serial: None,
             told: Vec::new(),
             service: None,
+            unlisted: None,
             earlier: None,
             hand: Hand::default(),
             engines: BTreeMap::new(),
@@ -415,6 +419,18 @@
         (self.engines.len(), self.engines.len() - used.count())
     }
 
+    /// There is a list service, and what this starts with names no engine: nothing can be served before it is heard.
+    pub fn await_list(&mut self, now: Ms) {
+        if self.told.is_empty() && self.service.is_none() {
+            self.unlisted = Some(ComeBack::new(self.settings.seed, now));
+        }
+    }
+
+    /// Whether nothing can be served as no list is known yet.
+    pub fn awaits_list(&self) -> bool {
+        self.unlisted.is_some()
+    }
+
     /// Whether the list names that engine.
     pub fn lists(&self, id: &str) -> bool {
         self.told.iter().any(|l| &*l.member.engine.0 == id)
@@ -528,12 +544,13 @@
             }
             self.service = Some(now);
             // What an earlier process heard binds no longer: the service's own word does.
-            if self.earlier.take().is_none() && serial == known {
+            if self.earlier.take().is_none() && self.unlisted.is_none() && serial == known {
                 return;
             }
         }
         self.serial = Some(serial);
         self.told = list;
+        self.unlisted = None;
         self.merge(now, effects);
     }
 
@@ -576,6 +593,11 @@
         if self.open >= self.limits.max_open || self.held + ask.statement.bytes() > self.limits.held_bytes {
             return self.turn_away(id, class, self.settings.max_retry_after, "limits", effects);
         }
+        // Waiting for the list in a queue would end as the herd that it lets in: clients wait, each for another time.
+        if let Some(line) = &mut self.unlisted {
+            let wait = line.wait(now, self.settings.max_retry_after);
+            return self.turn_away(id, class, wait, "no list", effects);
+        }
         // Nothing new is begun once whatever is open was answered.
         if now >= self.answer_by {
             return self.turn_away(id, class, self.settings.max_retry_after, "ending", effects);
--- a/src/net/front/clickhouse.rs
+++ b/src/net/front/clickhouse.rs
@@ -344,6 +344,7 @@
         // Load balancers ask here; one that asks a gateway about to end goes elsewhere.
         ("HEAD", "/ping" | "/") => ok(200, ""),
         ("GET", "/ping") if desk.turns_away() => ok(503, "Ending.\n"),
+        ("GET", "/ping") if desk.awaits_list.get() => ok(503, "Starting: the list of engines is awaited.\n"),
         ("GET", "/ping") => ok(200, "Ok.\n"),
         ("GET", "/") if query.is_none() && body.is_empty() => ok(200, "Ok.\n"),
         ("GET" | "POST", "/") if query.is_some() || !body.is_empty() => {
--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -68,6 +68,8 @@
     pub common: Rc<Common>,
     /// How far this process is on its way out.
     end: Rc<Cell<Leaving>>,
+    /// Nothing can be served before the list is heard.
+    pub awaits_list: Cell<bool>,
     /// Told when it stops listening.
     pub closing: watch::Sender<bool>,
     waiting: RefCell<HashMap<RequestId, Waiting>>,
@@ -189,6 +191,7 @@
             clock: Clock::start(),
             events,
             end: Rc::default(),
+            awaits_list: Cell::new(false),
             closing: watch::Sender::new(false),
             waiting: RefCell::default(),
             names: RefCell::default(),
--- a/src/net/front/thrift.rs
+++ b/src/net/front/thrift.rs
@@ -336,7 +336,8 @@
         Message::Health(seq) => {
             let last = &session.last;
             last.set(if last.get().checked_add(1) == Some(seq) { seq } else { last.get() });
-            say(answer("health", seq, Rows::default(), !desk.turns_away()));
+            let good = !desk.turns_away() && !desk.awaits_list.get();
+            say(answer("health", seq, Rows::default(), good));
         }
         Message::Unknown(seq, name) => say(unknown(seq, name)),
         Message::Cancel(seq) => {
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -90,6 +90,10 @@
     let look = gateway.look();
     let first = [Event::List(config.serial, config.known.clone()), Event::Tend];
     gateway.handle(taken_over.into_iter().chain(first).chain(look), &keep);
+    if config.names.is_some() {
+        gateway.core.await_list(desk.clock.now());
+        desk.awaits_list.set(gateway.core.awaits_list());
+    }
     // Without a name service the list at start is the list.
     gateway.heard_list = config.names.is_none();
 
@@ -320,7 +324,9 @@
     fn call(&mut self, call: Call, listening: bool, events: &mut Vec<Event>) -> Reply {
         match call {
             Call::Ready if self.told_to_end => Reply::line(503, "ending"),
-            Call::Ready if !listening => Reply::line(503, "starting: the list of engines is awaited"),
+            Call::Ready if !listening || self.core.awaits_list() => {
+                Reply::line(503, "starting: the list of engines is awaited")
+            }
             Call::Ready => Reply::line(200, "ready"),
             Call::Telemetry => {
                 let names: Vec<_> = self.desk.settings.classes.iter().map(|c| c.name.as_str()).collect();
@@ -399,6 +405,7 @@
                 self.core.handle(now, event, &mut effects);
             }
             self.core.spent(self.desk.clock.now() - now);
+            self.desk.awaits_list.set(self.core.awaits_list());
             for effect in effects.drain(..) {
                 self.perform(effect, keep, &mut news);
             }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -352,3 +352,24 @@
     assert_eq!(live(&bed), (2, 0));
     assert_eq!(bed.core.heard().is_some(), speaks);
 }
+
+/// Nothing is known and the list is awaited: what comes is turned away at once, each to come back at another time,
+/// until the service speaks, even under the number that this began with.
+#[test]
+fn what_comes_before_the_first_list_is_refused_at_once_and_spread() {
+    let mut bed = Bed::new(Settings { max_retry_after: 10_000.0, ..settings() });
+    bed.list(0, &[]);
+    bed.core.await_list(bed.now);
+    bed.now += 1_000.0;
+    let waits: Vec<f64> = (0..20)
+        .map(|id| match answers(&bed.take(id, None))[..] {
+            [Answer::Refused(ms)] => *ms,
+            ref other => panic!("{other:?}"),
+        })
+        .collect();
+    assert!(waits.iter().all(|ms| (1_000.0..2_600.0).contains(ms)), "{waits:?}");
+    let apart = |w: &[f64]| (w[0] - w[1]).abs() > 1.0;
+    assert!(waits.windows(2).filter(|w| apart(w)).count() > 15, "{waits:?}");
+    bed.list(0, &["a"]);
+    assert!(!bed.core.awaits_list() && sent(&bed.take(100, None)).is_some());
+}
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -666,3 +666,32 @@
         state % n
     }
 }
+
+/// A gateway that knows no engine answers at once, says that it is not ready, and serves once the list is heard.
+#[test]
+fn gateway_that_knows_no_engine_is_not_ready_before_the_list_is_heard() {
+    let (at, _) = resp_engine(served);
+    let (names, said) = list_service();
+    let mut site = Site::new(&[]);
+    site.config = site.config.replacen("\"known\"", &format!("\"names\":\"{names}\",\"known\""), 1);
+    let process = site.start();
+    let (status, why) = process.say("GET /api/ready HTTP/1.1\r\n\r\n");
+    assert_eq!((status, &*why), (503, "starting: the list of engines is awaited\n"));
+    // The whole answer to a question for health.
+    let health_of = |client: &mut TcpStream| {
+        client.write_all(&health(1)).expect("sent");
+        let mut len = [0; 4];
+        client.read_exact(&mut len).expect("an answer");
+        let mut frame = vec![0; u32::from_be_bytes(len) as usize];
+        client.read_exact(&mut frame).expect("all of it");
+        frame
+    };
+    let starting = health_of(&mut process.client());
+    let mut client = process.client();
+    client.write_all(&lookup(1)).expect("sent");
+    assert_eq!(answer(&mut client).1, "overloaded");
+    *said.lock().expect("said") = Some((2, vec![("s-0", at, false)]));
+    assert!((0..100_000).any(|_| process.say("GET /api/ready HTTP/1.1\r\n\r\n").0 == 200), "it is ready");
+    assert_ne!(health_of(&mut process.client()), starting, "it says so to the front as well");
+    assert_eq!(ask_often(&process, 10, 5), 5);
+}
