A bed of many processes: scenarios in HCL, links that break, ledgers and checkers

Need: what hundreds of gateways do together was seen of the list service alone, with no faults between them. Change: crates/lab plays scenarios (17 are kept) with the real program, stand-in engines, one list service with a bounded line, a relay on each gateway's way to the list that can be cut, cut one way, slowed or made lossy, processes that are stopped, killed and started in waves, engines that refuse or are mute, drain, vanish and come back cold. Rules are checked in what stand-ins and clients saw: one answer each, one attempt out, drains by when each gateway's way delivered the news, ration by gateway, cold budgets; each checker has a ledger in which its rule is broken. An attempt counts as overlapping once it is out for 50 ms beside another: the word that gives one up travels on another connection.

--- /dev/null
+++ b/crates/lab/scenarios/well.hcl
@@ -0,0 +1,2 @@
+about   = "all start at once before a list service that is well"
+seconds = 8
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod client;
 pub mod disk;
 pub mod engine;
+pub mod link;
 pub mod list;
 pub mod model;
