The last list of engines is kept in the knowledge folder for a life that starts without one

Need: a gateway that was killed and starts while the list service is away had its configuration alone: nothing at all where that names no engine, and else engines that its former life had heard to drain or to be gone (tests/knowledge.rs, which without this sends to the drained one).

`knowledge show` tells its age, `verify` its faults. Off without `knowledge`, and so in `run`.

Tests: two cases with processes (kill, silent list, spoilt file), every byte cut or changed, the form by hand, any bytes.

--- a/crates/knowledge/src/keeper.rs
+++ b/crates/knowledge/src/keeper.rs
@@ -4,6 +4,7 @@
 use crate::disk::Disk;
 use crate::gate::{Key, Rewrite, Sends, Sent};
 use crate::keylog::{KeyLog, Mark, Record};
+use crate::list::{self, KeptList};
 use crate::records::Snapshot;
 use crate::store::Store;
 use starlingplank_decision::interface::Ms;
@@ -164,6 +165,35 @@
     }
 }
 
+/// Writes the last list, on a thread of its own.
+pub struct ListKeeper {
+    jobs: SyncSender<KeptList>,
+}
+
+impl ListKeeper {
+    /// Starts its thread. What fails is told through `tell`, from that thread.
+    ///
+    /// # Errors
+    /// There is no thread to be had.
+    pub fn start(mut disk: Box<dyn Disk>, tell: impl Fn(String) + Send + 'static) -> std::io::Result<Self> {
+        let (jobs, waiting) = sync_channel::<KeptList>(1);
+        let write = move || {
+            while let Ok(kept) = waiting.recv() {
+                if let Err(e) = list::save(&mut *disk, &kept) {
+                    tell(e.to_string());
+                }
+            }
+        };
+        std::thread::Builder::new().name("list".into()).spawn(write)?;
+        Ok(Self { jobs })
+    }
+
+    /// Has one written. False: one waits already, and this must be said again.
+    pub fn save(&self, kept: KeptList) -> bool {
+        self.jobs.try_send(kept).is_ok()
+    }
+}
+
 /// What came of a snapshot.
 #[derive(Debug)]
 pub enum SnapshotNews {
--- a/crates/knowledge/src/lib.rs
+++ b/crates/knowledge/src/lib.rs
@@ -5,7 +5,7 @@
 //! leave now ([`gate`]). The rule that is kept: **what may have been sent under a key is never forgotten while an
 //! engine would run it again**, whatever stops the program; and an engine that may have started anew unseen is cold.
 //!
-//! [`snapshot`], [`records`] and [`keylog`] hold the bytes, [`store`] their files on a [`disk`]; [`recall`] and
+//! The last [`list`] of engines is kept beside them. [`snapshot`], [`records`] and [`keylog`] hold the bytes, [`store`] their files on a [`disk`]; [`recall`] and
 //! [`gate`] are pure. The I/O is in [`folder`] and [`keeper`].
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -15,6 +15,7 @@
 pub mod gate;
 pub mod keeper;
 pub mod keylog;
+pub mod list;
 pub mod recall;
 pub mod records;
 pub mod show;
--- /dev/null
+++ b/crates/knowledge/src/list.rs
@@ -0,0 +1,167 @@
+//! The last list of engines that was heard, kept for a life that starts while the list service is away.
+//!
+//! Two uses. Where the configuration names no engine it is what there is to start with: engines of an old list are
+//! perhaps gone, and, once they may have started anew unseen, perhaps cold. Where it names some, drains and stops that
+//! the former life heard still bind. Its bytes: a [head](starlingplank_records::framed) of 20 bytes, `SPKLIST\n` and
+//! version 1, then the records in postcard's form.
+
+use serde::{Deserialize, Serialize};
+use starlingplank_decision::interface::Ms;
+use starlingplank_records::disk::{self, Disk};
+use starlingplank_records::framed::{pack, unpack, Form, FrameError};
+use std::io;
+
+/// What the file begins with.
+pub const FORM: Form = Form { magic: *b"SPKLIST\n", version: 1 };
+/// Its name.
+pub const FILE: &str = "list.spk";
+/// Bytes of it at most: some 10,000 engines.
+pub const BYTES: usize = 2 << 20;
+
+/// An engine as the list named it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Engine {
+    /// Its id.
+    pub id: String,
+    /// Address and port.
+    pub address: String,
+    /// Zone; may be empty.
+    pub zone: String,
+    /// Kind; may be empty.
+    pub kind: String,
+    /// Cell.
+    pub cell: u64,
+    /// It took work.
+    pub live: bool,
+    /// Unix milliseconds of a late start, or 0.
+    pub started: Ms,
+}
+
+/// A list and when the service last stood by it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct KeptList {
+    /// Unix milliseconds.
+    pub heard: Ms,
+    /// All engines.
+    pub engines: Vec<Engine>,
+}
+
+impl KeptList {
+    /// The bytes of the file.
+    ///
+    /// # Errors
+    /// They would be too many.
+    pub fn encode(&self) -> Result<Vec<u8>, FrameError> {
+        let bytes = FORM.frame(&pack(self)?);
+        if bytes.len() > BYTES {
+            return Err(FrameError::TooLarge(bytes.len(), BYTES));
+        }
+        Ok(bytes)
+    }
+
+    /// Reads the file; never panics, whatever the bytes are.
+    ///
+    /// # Errors
+    /// Says where and why they are none.
+    pub fn decode(bytes: &[u8]) -> Result<Self, FrameError> {
+        let (_, records) = FORM.open(bytes)?;
+        let list: Self = unpack(records)?;
+        if list.heard.is_finite() && list.engines.iter().all(|e| e.started.is_finite()) {
+            Ok(list)
+        } else {
+            Err(FrameError::Records("a time is none".into()))
+        }
+    }
+
+    /// The list as it counts now: none once it is older than `keep_for` or from the future. Where engines may have
+    /// started anew since it was heard, they are taken to start now, and are cold.
+    pub fn now(self, now: Ms, restart_within: Ms, keep_for: Ms) -> Option<Self> {
+        let age = now - self.heard;
+        // Clocks differ by little over a restart; one that was put back makes all ages unknown.
+        if !(-1_000.0..=keep_for).contains(&age) {
+            return None;
+        }
+        let mut list = self;
+        if age > restart_within {
+            list.engines.iter_mut().for_each(|e| e.started = now);
+        }
+        Some(list)
+    }
+}
+
+/// Writes it, whole or not at all.
+///
+/// # Errors
+/// It was not written; what was there before is still there.
+pub fn save(disk: &mut dyn Disk, list: &KeptList) -> io::Result<()> {
+    disk::replace(disk, FILE, &list.encode().map_err(io::Error::other)?)
+}
+
+/// Reads it; none: there is none.
+///
+/// # Errors
+/// It cannot be read, or is no such file.
+pub fn load(disk: &dyn Disk) -> Result<Option<KeptList>, String> {
+    let bytes = disk.read(FILE, BYTES as u64).map_err(|e| e.to_string())?;
+    bytes.map(|b| KeptList::decode(&b).map_err(|e| e.to_string())).transpose()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn list() -> KeptList {
+        let engine = |id: &str, live| Engine {
+            id: id.into(),
+            address: "10.0.0.1:9".into(),
+            zone: "a".into(),
+            kind: String::new(),
+            cell: 3,
+            live,
+            started: 5.0,
+        };
+        KeptList { heard: 1_000.0, engines: vec![engine("s-0", true), engine("s-1", false)] }
+    }
+
+    #[test]
+    fn file_is_read_as_it_was_written_and_every_cut_or_changed_byte_is_noticed() {
+        let bytes = list().encode().expect("small");
+        assert_eq!(KeptList::decode(&bytes), Ok(list()));
+        for at in 0..bytes.len() {
+            assert!(KeptList::decode(&bytes[..at]).is_err(), "cut at {at}");
+            let mut changed = bytes.clone();
+            changed[at] ^= 4;
+            assert!(KeptList::decode(&changed).is_err(), "byte {at}");
+        }
+        let never = KeptList { heard: f64::NAN, ..list() };
+        assert!(KeptList::decode(&never.encode().expect("small")).is_err());
+    }
+
+    /// These bytes were written down by hand: the file's form is a promise.
+    #[test]
+    fn file_form_stays() {
+        let mut list = list();
+        list.engines.truncate(1);
+        let bytes = list.encode().expect("small");
+        assert_eq!(&bytes[..16], b"SPKLIST\n\x01\0\0\0\x25\0\0\0");
+        let records = b"\0\0\0\0\0\x40\x8f\x40\x01\x03s-0\x0a10.0.0.1:9\x01a\0\x03\x01\0\0\0\0\0\0\x14\x40";
+        assert_eq!(&bytes[20..], records);
+    }
+
+    #[test]
+    fn engines_of_an_old_list_are_cold_and_a_list_too_old_is_none() {
+        let at = |now: Ms| list().now(now, 2_000.0, 60_000.0);
+        assert_eq!(at(2_500.0), Some(list()));
+        assert!(at(4_000.0).is_some_and(|l| l.engines.iter().all(|e| e.started == 4_000.0)));
+        assert!(at(61_001.0).is_none() && at(-5_000.0).is_none());
+    }
+
+    proptest! {
+        #[test]
+        fn reader_never_panics(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+            let _ = KeptList::decode(&bytes);
+            let _ = KeptList::decode(&FORM.frame(&bytes));
+        }
+    }
+}
--- a/crates/knowledge/src/show.rs
+++ b/crates/knowledge/src/show.rs
@@ -3,6 +3,7 @@
 
 use crate::folder::{Boot, Files};
 use crate::keylog;
+use crate::list;
 use crate::recall::{self, worth, Doubt, Named, Rules};
 use crate::records::Snapshot;
 use crate::store::{self, Fault};
@@ -52,6 +53,9 @@
     let torn = log.map_or(0, |(_, read)| read.torn);
     let mut faults = loaded.faults;
     faults.extend(keylog::faults(&disk)?);
+    if let Err(why) = list::load(&disk) {
+        faults.push(Fault { file: list::FILE.into(), offset: None, newer: why.contains("is newer"), why });
+    }
     Ok(Verdict { faults, anything, torn })
 }
 
@@ -73,6 +77,7 @@
         None => (0, None),
     };
     let counts = recall::age(&snapshot, now, rules);
+    let kept = list::load(&disk).ok().flatten();
     Ok(Some(json!({
         "generation": generation,
         "gateway": snapshot.gateway,
@@ -84,6 +89,11 @@
         "fleet": fleet(&snapshot, now),
         "classes": snapshot.classes.iter().map(|c| class(c, &snapshot, now)).collect::<Vec<_>>(),
         "engines": snapshot.engines.iter().map(|e| engine(e, &snapshot, now, rules)).collect::<Vec<_>>(),
+        "list": kept.map(|l| json!({
+            "age_ms": now - l.heard,
+            "engines": l.engines.len(),
+            "live": l.engines.iter().filter(|e| e.live).count(),
+        })),
         "keys": { "held": keys, "mark_age_ms": marked },
     })))
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -436,6 +436,16 @@
         self.told.iter().any(|l| &*l.member.engine.0 == id)
     }
 
+    /// The number of the list that holds.
+    pub fn serial(&self) -> Option<u64> {
+        self.serial
+    }
+
+    /// The list as the service last told it, and when it last spoke; none before it did.
+    pub fn service_list(&self) -> Option<(Ms, &[Listed])> {
+        self.service.map(|at| (at, &*self.told))
+    }
+
     /// What a successor is told of the list service: this process's own last word of it, or an earlier one's.
     pub fn heard(&self) -> Option<Heard> {
         let live = |l: &&Listed| l.member.availability == Availability::Live;
--- a/src/net/keep.rs
+++ b/src/net/keep.rs
@@ -1,13 +1,16 @@
 //! The edge of what is kept through restarts: opens the folder, reads it, and hands what is to be written to the
 //! threads that write. Off unless the operator's file sets it up.
 
-use crate::config::{Config, KnowledgeSettings};
-use crate::core::{Core, Event};
-use crate::interface::{Ms, Repeat};
+use crate::config::{describe, Config, KnowledgeSettings};
+use crate::core::{Core, Event, Listed};
+use crate::interface::{Availability, Ms, Repeat, Settings};
 use starlingplank_knowledge::folder::{Boot, Folder, FolderError};
 use starlingplank_knowledge::gate::{Gate, Key, Log, Rewrite, Sent};
-use starlingplank_knowledge::keeper::{KeyKeeper, KeyNews, Offset, SnapshotKeeper, SnapshotNews, Written};
+use starlingplank_knowledge::keeper::{
+    KeyKeeper, KeyNews, ListKeeper, Offset, SnapshotKeeper, SnapshotNews, Written,
+};
 use starlingplank_knowledge::keylog;
+use starlingplank_knowledge::list::{self, KeptList};
 use starlingplank_knowledge::recall::{Recall, Rules};
 use starlingplank_knowledge::records::Snapshot;
 use starlingplank_knowledge::store::Store;
@@ -34,6 +37,9 @@
     gateway: String,
     snapshots: Option<SnapshotKeeper>,
     keys: Option<KeyKeeper>,
+    lists: Option<ListKeeper>,
+    /// The list of the former life, as it counts now.
+    found: Option<KeptList>,
     left_out: Cell<u32>,
     state: Arc<Mutex<State>>,
     _folder: Option<Folder>,
@@ -62,6 +68,8 @@
             gateway: String::new(),
             snapshots: None,
             keys: None,
+            lists: None,
+            found: None,
             left_out: Cell::new(0),
             state,
             _folder: None,
@@ -164,12 +172,23 @@
             (Gate::off(), None)
         };
         core.resume(gate, recall);
+        let found = match list::load(&folder.disk()) {
+            Ok(found) => found.and_then(|l| l.now(now, settings.restart_within, settings.keep_for)),
+            Err(why) => {
+                warn!("{}/{}: {why}", settings.folder.display(), list::FILE);
+                None
+            }
+        };
+        let tell = |why: String| warn!("the list of engines is not kept: {why}");
+        let lists = Some(ListKeeper::start(Box::new(folder.disk()), tell)?);
         let told = state.clone();
         let snapshots = SnapshotKeeper::start(store, move |news| tell_snapshots(&news, &told))?;
         Ok(Self {
             gateway: config.name.clone(),
             snapshots: Some(snapshots),
             keys,
+            lists,
+            found,
             left_out: Cell::new(0),
             state,
             _folder: Some(folder),
@@ -192,6 +211,31 @@
         }
     }
 
+    /// The list that the former life last heard, if it still counts.
+    pub fn found_list(&self) -> Option<&KeptList> {
+        self.found.as_ref()
+    }
+
+    /// Has the list kept as the service last told it. One that does not fit is said again with the next snapshot.
+    pub fn list(&self, core: &Core, settings: &Settings) {
+        let (Some(keeper), Some((heard, told))) = (&self.lists, core.service_list()) else { return };
+        let engine = |l: &Listed| list::Engine {
+            id: l.member.engine.0.to_string(),
+            address: l.address.to_string(),
+            zone: l.member.zone.and_then(|z| settings.zones.get(z.0)).cloned().unwrap_or_default(),
+            kind: l
+                .member
+                .kind
+                .and_then(|k| settings.kinds.get(k.0))
+                .map(|k| k.name.clone())
+                .unwrap_or_default(),
+            cell: l.member.cell,
+            live: l.member.availability == Availability::Live,
+            started: l.member.started.unwrap_or(0.0),
+        };
+        keeper.save(KeptList { heard, engines: told.iter().map(engine).collect() });
+    }
+
     /// Has a record written; what cannot be is told of at once.
     pub fn record(&self, number: u64, key: Key, sent: Sent) -> bool {
         self.keys.as_ref().is_some_and(|keys| keys.record(number, key, sent))
@@ -229,6 +273,16 @@
     }
 }
 
+/// Engines of a kept list, as a list names them. One whose address is none is left out.
+pub fn listed(kept: &KeptList, settings: &Settings) -> Vec<Listed> {
+    let engine = |e: &list::Engine| {
+        let state = if e.live { Availability::Live } else { Availability::Draining };
+        let member = describe(settings, &e.id, &e.zone, &e.kind, e.cell, state, e.started);
+        Some(Listed { member, address: e.address.parse().ok()? })
+    };
+    kept.engines.iter().filter_map(engine).collect()
+}
+
 /// News of the log, for the reducer. How the log does is said when it changes, not each time.
 fn key_news(news: KeyNews, written: Written, state: &Mutex<State>) -> Event {
     let mut state = locked(state);
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -7,7 +7,7 @@
 use crate::net::engine::pool::{Engines, RespEngines};
 use crate::net::front::{clickhouse, thrift, Desk, Leaving, Seat};
 use crate::net::handover::{self, Handover, Refused};
-use crate::net::keep::Keep;
+use crate::net::keep::{self, Keep};
 use crate::net::log;
 use crate::net::names;
 use crate::net::operate;
@@ -16,6 +16,7 @@
 use starlingplank_operation::calls::{Call, Reply};
 use starlingplank_operation::figures::{Count, Now};
 use starlingplank_operation::hand::{Hand, No};
+use starlingplank_operation::heard::Heard;
 use starlingplank_operation::lives::{self, Stage};
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -88,7 +89,20 @@
         told_to_end: false,
     };
     let look = gateway.look();
-    let first = [Event::List(config.serial, config.known.clone()), Event::Tend];
+    let mut known = config.known.clone();
+    // What the former life heard of the service: all that there is where the configuration names no engine; else its
+    // drains and stops bind until the service is heard.
+    if let Some(kept) = keep.found_list().filter(|_| config.names.is_some()) {
+        let age = (desk.clock.now() - kept.heard) / 1000.0;
+        if known.is_empty() {
+            known = keep::listed(kept, &config.settings);
+            tracing::info!("starting with the list of {age:.1} s ago: {} engines", known.len());
+        } else {
+            let live = kept.engines.iter().filter(|e| e.live).map(|e| e.id.clone());
+            taken_over.push(Event::Earlier(Heard::new(kept.heard, live)));
+        }
+    }
+    let first = [Event::List(config.serial, known), Event::Tend];
     gateway.handle(taken_over.into_iter().chain(first).chain(look), &keep);
     if config.names.is_some() {
         gateway.core.await_list(desk.clock.now());
@@ -137,6 +151,7 @@
             _ = snapshots.tick(), if keep.is_on() => {
                 let begun = Instant::now();
                 keep.snapshot(&gateway.core, desk.clock.now());
+                keep.list(&gateway.core, &settings);
                 longest = longest.max(begun.elapsed());
             }
             _ = hangup.recv() => match reload() {
@@ -386,6 +401,7 @@
     /// Hands events to the reducer, lets it decide, and performs what it asks for, until that brings no news.
     fn handle(&mut self, events: impl IntoIterator<Item = Event>, keep: &Keep) {
         let mut effects = Vec::new();
+        let serial = self.core.serial();
         let mut news: Vec<Event> = events.into_iter().collect();
         loop {
             let now = self.desk.clock.now();
@@ -410,9 +426,13 @@
                 self.perform(effect, keep, &mut news);
             }
             if news.is_empty() {
-                return;
+                break;
             }
         }
+        // A drain that was heard is heard by the next life as well.
+        if self.core.serial() != serial {
+            keep.list(&self.core, &self.desk.settings);
+        }
     }
 
     fn perform(&mut self, effect: Effect, keep: &Keep, news: &mut Vec<Event>) {
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -185,3 +185,72 @@
     second.counts();
     assert_eq!(verify(&folder).0, Some(0));
 }
+
+/// Until the list in the folder says that of an engine.
+fn until_kept(folder: &Path, id: &str, live: bool) {
+    let kept = || {
+        let bytes = std::fs::read(folder.join("list.spk")).ok()?;
+        let list = starlingplank_knowledge::list::KeptList::decode(&bytes).ok()?;
+        list.engines.iter().find(|e| e.id == id).map(|e| e.live)
+    };
+    for _ in 0..30_000 {
+        if kept() == Some(live) {
+            return;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(1));
+    }
+    panic!("it was never kept");
+}
+
+fn lookups(gateway: &Gateway, from: u32) -> Vec<&'static str> {
+    let ask = |n: u32| {
+        let mut client = gateway.client();
+        let txn = format!("{n:016x}");
+        let fields = [("verb", "lookup"), ("txn", txn.as_str()), ("limit", "4000")];
+        client.write_all(&call(1, &fields, "select 1")).expect("sent");
+        answer(&mut client).1
+    };
+    (from..from + 30).map(ask).collect()
+}
+
+/// Killed, and started anew while the list is silent: a gateway whose configuration names no engine serves from the list
+/// that it kept, and one that names an engine which drained meanwhile sends it nothing.
+#[rstest::rstest]
+#[case::no_engine_in_the_configuration(false)]
+#[case::engines_in_the_configuration(true)]
+fn life_after_a_kill_goes_by_the_list_that_the_one_before_heard(#[case] known: bool) {
+    let parent = tempfile::tempdir().expect("a folder");
+    let folder = parent.path().join("kept");
+    let operator = operator(&folder, "");
+    let (first, used) = resp_engine(answers);
+    let (second, drained) = resp_engine(answers);
+    let (names, said) = list_service();
+    let engines = if known { vec![first, second] } else { vec![] };
+    let config =
+        config(&engines, "resp", 5000).replacen("\"known\"", &format!("\"names\":\"{names}\",\"known\""), 1);
+    *said.lock().expect("said") = Some((7, vec![("s-0", first, false), ("s-1", second, true)]));
+    let gateway = Gateway::start_with(&config, Some(operator.path()));
+    until_kept(&folder, "s-1", false);
+    gateway.signal("-KILL");
+    drop(gateway);
+    *said.lock().expect("said") = None;
+    assert_eq!(verify(&folder).0, Some(0));
+    let gateway = Gateway::start_with(&config, Some(operator.path()));
+    let answered = lookups(&gateway, 0);
+    assert!(answered.iter().all(|a| *a == "served"), "{answered:?}");
+    assert!(wants(&used) > 0 && wants(&drained) == 0, "{} and {}", wants(&used), wants(&drained));
+    // The service's own word ends it.
+    *said.lock().expect("said") = Some((8, vec![("s-1", second, false)]));
+    until_kept(&folder, "s-1", true);
+    let answered = lookups(&gateway, 100);
+    assert!(answered.iter().all(|a| *a == "served") && wants(&drained) > 0, "{answered:?}");
+    // A file that is none costs the list, never the start.
+    gateway.signal("-KILL");
+    drop(gateway);
+    std::fs::write(folder.join("list.spk"), b"SPKLIST\nspoilt").expect("written");
+    assert_eq!(verify(&folder).0, Some(1));
+    *said.lock().expect("said") = None;
+    let gateway = Gateway::start_with(&config, Some(operator.path()));
+    let kind = if known { "served" } else { "overloaded" };
+    assert!(lookups(&gateway, 200).iter().all(|a| *a == kind));
+}
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -312,24 +312,6 @@
     assert!(!refused.is_empty() && !refused.iter().any(|l| l.contains("ending")), "{refused:?}");
 }
 
-/// A list service that speaks and falls silent: what it says, none for nothing.
-type Said = std::sync::Arc<std::sync::Mutex<Option<(u32, Vec<(&'static str, SocketAddr, bool)>)>>>;
-
-fn list_service() -> (SocketAddr, Said) {
-    let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
-    let (at, said) = (socket.local_addr().expect("bound"), Said::default());
-    let says = said.clone();
-    std::thread::spawn(move || {
-        let mut bytes = [0; 512];
-        while let Ok((len, from)) = socket.recv_from(&mut bytes) {
-            if let Some((serial, list)) = &*says.lock().expect("said") {
-                let _ = socket.send_to(&names_answer_of(&bytes[..len], *serial, list), from);
-            }
-        }
-    });
-    (at, said)
-}
-
 /// A successor that starts while the list is silent has `known` alone, which says `ready` of an engine that its
 /// predecessor knows to drain, and names one that has gone.
 #[test]
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -151,6 +151,24 @@
     out
 }
 
+/// A list service that speaks and falls silent: what it says, none for nothing.
+pub type Said = Arc<Mutex<Option<(u32, Vec<(&'static str, SocketAddr, bool)>)>>>;
+
+pub fn list_service() -> (SocketAddr, Said) {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let (at, said) = (socket.local_addr().expect("bound"), Said::default());
+    let says = said.clone();
+    thread::spawn(move || {
+        let mut bytes = [0; 512];
+        while let Ok((len, from)) = socket.recv_from(&mut bytes) {
+            if let Some((serial, list)) = &*says.lock().expect("said") {
+                let _ = socket.send_to(&names_answer_of(&bytes[..len], *serial, list), from);
+            }
+        }
+    });
+    (at, said)
+}
+
 fn connect(at: SocketAddr) -> TcpStream {
     let stream = TcpStream::connect(at).expect("it listens");
     stream.set_read_timeout(Some(Duration::from_secs(30))).expect("set");
