First probes of a start of all leave in turn, so that engines are not met by hundreds at once

Change: they leave at the gateway's place, by rank or by chance, in a span of a millisecond a gateway, two seconds at most (crates/pacing/src/start.rs); a request and its connection wait for nothing, a gateway alone waits a millisecond at most. Not chosen: starting with no saved probes, as the first requests would then go by no news at all.

--- a/crates/pacing/src/list.rs
+++ b/crates/pacing/src/list.rs
@@ -17,6 +17,8 @@
 //! | with each question that goes unanswered | by half slower, up to the slowest; climbing by halves ends here |
 //! | then, with each answer | a question in 25 s more, down to the steady pace |
 
+use crate::start;
+
 /// Milliseconds.
 pub type Ms = f64;
 
@@ -92,7 +94,7 @@
     pub fn new(rules: Rules, seed: u64, now: Ms) -> Self {
         let mut rng = fastrand::Rng::with_seed(seed);
         let all = rules.gateways.max(1) as f64;
-        let place = rules.rank.map_or_else(|| rng.f64(), |r| (r as f64 / all).fract());
+        let place = start::place(rules.gateways, rules.rank, &mut rng);
         let silent = (all / FLEET_SILENT * 1_000.0).clamp(SILENT_LEAST, SILENT_MOST);
         let slowest = rules.slowest.max(STEADY);
         // Whole rounds of the steady pace, so that later questions lie as evenly; of three gateways, 3 ms.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -11,6 +11,7 @@
 use starlingplank_operation::hand::Hand;
 use starlingplank_operation::heard::Heard;
 use starlingplank_pacing::come_back::ComeBack;
+use starlingplank_pacing::start::FirstProbes;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::fmt::Debug;
 use std::future::Future;
@@ -273,6 +274,7 @@
     AnswerAll,
     Record(u64),
     Earlier,
+    FirstProbes,
 }
 
 /// Timers order by time alone, earliest first.
@@ -334,6 +336,8 @@
     /// What an earlier life knew, until the list has named its engines.
     recall: Option<Recall>,
     probes: BTreeMap<u64, (EngineId, Ms)>,
+    /// Those of a start of all leave in turn.
+    first_probes: FirstProbes<EngineId>,
     timers: BinaryHeap<Timer>,
     numbers: u64,
     held: usize,
@@ -363,6 +367,7 @@
         Ok(Self {
             module: Gateway::new(settings.clone(), now)?,
             counts: vec![Counts::default(); settings.classes.len()],
+            first_probes: FirstProbes::new(settings.gateways, settings.rank, settings.seed, now),
             settings,
             limits,
             serial: None,
@@ -768,6 +773,16 @@
         self.end(now, id, End::plain(outcome), effects);
     }
 
+    fn probe(&mut self, now: Ms, engine: EngineId, effects: &mut Vec<Effect>) {
+        let listed = self.engines.get(&engine).filter(|l| l.member.availability == Availability::Live);
+        let Some(address) = listed.map(|l| l.address) else { return };
+        self.numbers += 1;
+        let tag = self.numbers;
+        self.probes.insert(tag, (engine.clone(), now));
+        self.timer(now + self.limits.probe, Due::Probe(tag));
+        effects.push(Effect::Probe(tag, engine, address));
+    }
+
     fn probed(&mut self, now: Ms, tag: u64, ok: bool, report: Option<Report>) {
         if let Some((engine, sent)) = self.probes.remove(&tag) {
             self.pending.push(crate::interface::Event::Probed { engine, ok, took: now - sent, report });
@@ -807,6 +822,11 @@
                 Due::Earlier if self.earlier.take_if(|e| now >= e.until()).is_some() => {
                     self.merge(now, effects)
                 }
+                Due::FirstProbes => {
+                    for engine in self.first_probes.due(now) {
+                        self.probe(now, engine, effects);
+                    }
+                }
                 Due::Turn => self.turn_set = false,
                 Due::Attempt(_)
                 | Due::Gone(_)
@@ -917,14 +937,10 @@
             Action::Timer { after, token } => self.timer(now + after, Due::Module(token)),
             // The list is polled all the time; there is nothing to subscribe to.
             Action::Watch => {}
-            Action::Probe { engine } => {
-                let Some(address) = self.engines.get(&engine).map(|l| l.address) else { return };
-                self.numbers += 1;
-                let tag = self.numbers;
-                self.probes.insert(tag, (engine.clone(), now));
-                self.timer(now + self.limits.probe, Due::Probe(tag));
-                effects.push(Effect::Probe(tag, engine, address));
-            }
+            Action::Probe { engine } => match self.first_probes.ask(engine, now) {
+                Some(engine) => self.probe(now, engine, effects),
+                None => self.timer(self.first_probes.until, Due::FirstProbes),
+            },
         }
     }
 
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -373,3 +373,24 @@
     bed.list(0, &["a"]);
     assert!(!bed.core.awaits_list() && sent(&bed.take(100, None)).is_some());
 }
+
+/// Of 300 that start together this one's probes leave at its place, 150 ms on; requests wait for none of it.
+#[test]
+fn first_probes_leave_in_turn_and_hold_no_request_up() {
+    let mut bed = Bed::new(Settings { gateways: 300, rank: Some(150), may_probe: true, ..settings() });
+    let begun = bed.now;
+    let probed = |effects: &[Effect]| effects.iter().filter(|e| matches!(e, Effect::Probe(..))).count();
+    let mut early = probed(&bed.list(1, &["a", "b", "c"]));
+    let effects = bed.take(1, None);
+    assert!(sent(&effects).is_some(), "a request does not wait for its gateway's place");
+    early += probed(&effects);
+    while bed.now < begun + 140.0 {
+        early += probed(&bed.step(Event::Clock));
+    }
+    assert_eq!(early, 0);
+    let mut later = 0;
+    while bed.now < begun + 160.0 {
+        later += probed(&bed.step(Event::Clock));
+    }
+    assert!(later >= 2, "{later}");
+}
