The bed's engines may be behind relays that are cut, slowed or reset

Need: a room that is cut off leaves connections open and silent, and a reset takes all connections at once; the bed could only stop engines themselves. Change: scenarios with such faults put a TCP relay before each engine (what is on its way as the way is cut stays, and arrives once it mends).

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -3,7 +3,7 @@
 
 use crate::bed::{arrivals, config, open, send, shut, Done, Door, Engines, Failure, Job, CLASSES};
 use crate::ledger::{self, Try};
-use crate::scenario::{Scenario, What};
+use crate::scenario::{FaultOf, Scenario, What};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rustix::process::{kill_process, Pid, Signal};
@@ -165,10 +165,19 @@
     );
     refusing = refusing.min(count);
     let up = |n: usize| s.engines.up_from + n as f64 * s.engines.apart;
+    // Ways to the engines, where something happens to them.
+    let cut = |f: &&FaultOf| matches!(f.what, What::EngineCut | What::EngineSlow | What::EngineReset);
+    let mut ways = Vec::new();
+    if s.fault.values().any(|f| cut(&f)) {
+        for e in &engines.all {
+            ways.push(Link::tcp(e.address).await?);
+        }
+    }
+    let address = |n: usize| ways.get(n).map_or(engines.all[n].address, |w| w.address);
     let mut entries: Vec<Entry> = (0..count)
         .map(|n| Entry {
             id: format!("s-{n}"),
-            address: engines.all[n].address,
+            address: address(n),
             drains: false,
             started: if n < cold { unix_ms().floor() } else { 0.0 },
         })
@@ -186,7 +195,10 @@
     }
     let first = Version { from: 0.0, serial: 2, engines: entries.clone() };
     let list = List::start(script(s, stage.gateways), vec![first])?;
-    let text = config(&engines, stage.seed, None);
+    let mut text = config(&engines, stage.seed, None);
+    for (n, e) in engines.all.iter().enumerate() {
+        text = text.replace(&format!("\"{}\"", e.address), &format!("\"{}\"", address(n)));
+    }
     let told = ((stage.gateways as f64 * s.size_told).round() as usize).max(1);
     let mut gateways = Vec::new();
     for rank in 0..stage.gateways {
@@ -263,6 +275,11 @@
                     (fault.to > fault.from).then(|| on(fault.to, |g, _| Step::Kill(g))).into_iter().flatten(),
                 );
             }
+            What::EngineCut | What::EngineSlow | What::EngineReset => {
+                let n = (fault.share * count as f64).round() as usize;
+                plan.extend((0..n).map(|e| (fault.from, Step::EngineWay(e, fault.what, fault.by))));
+                plan.extend((0..n).map(|e| (fault.to, Step::EngineMend(e, fault.what))));
+            }
             what => {
                 plan.extend((0..n).map(|g| (fault.from, Step::Way(g, what, fault.by))));
                 plan.extend((0..n).map(|g| (fault.to, Step::Mend(g, what))));
@@ -307,6 +324,14 @@
                 What::Slow => f.delay = Duration::ZERO,
                 _ => (f.out, f.back) = (false, false),
             }),
+            Step::EngineWay(n, What::EngineReset, _) => ways[n].reset(),
+            Step::EngineWay(n, What::EngineSlow, by) => {
+                ways[n].set(|f| f.delay = Duration::from_secs_f64(by));
+            }
+            Step::EngineWay(n, ..) => ways[n].set(|f| (f.out, f.back) = (true, true)),
+            Step::EngineMend(_, What::EngineReset) => {}
+            Step::EngineMend(n, What::EngineSlow) => ways[n].set(|f| f.delay = Duration::ZERO),
+            Step::EngineMend(n, _) => ways[n].set(|f| (f.out, f.back) = (false, false)),
             Step::Drain => {
                 entries[0].drains = true;
                 serial += 1;
@@ -434,6 +459,8 @@
     Way(usize, What, f64),
     Mend(usize, What),
     Drain,
+    EngineWay(usize, What, f64),
+    EngineMend(usize, What),
     Away(usize),
     Up(usize),
     Well(usize),
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -87,7 +87,7 @@
 #[serde(deny_unknown_fields)]
 pub struct FaultOf {
     pub what: What,
-    /// Of which share of the gateways, from the first on.
+    /// Of which share of the gateways, or of the engines, from the first on.
     pub share: f64,
     pub from: f64,
     #[serde(default)]
@@ -114,6 +114,12 @@
     Slow,
     /// The first engine drains at `from`, by the list alone.
     Drain,
+    /// The ways to that share of the engines are cut: connections stay open, and silent.
+    EngineCut,
+    /// They take `by` seconds more, each way.
+    EngineSlow,
+    /// All connections to them are reset, once.
+    EngineReset,
 }
 
 fn one() -> f64 {
@@ -168,7 +174,7 @@
 }
 
 /// The plays that are kept with the program: name and text.
-pub const ALL: [(&str, &str); 17] = [
+pub const ALL: [(&str, &str); 19] = [
     ("well", include_str!("../scenarios/well.hcl")),
     ("fifth", include_str!("../scenarios/fifth.hcl")),
     ("falls", include_str!("../scenarios/falls.hcl")),
@@ -185,6 +191,8 @@
     ("stopped", include_str!("../scenarios/stopped.hcl")),
     ("killed", include_str!("../scenarios/killed.hcl")),
     ("impatient", include_str!("../scenarios/impatient.hcl")),
+    ("room-cut", include_str!("../scenarios/room-cut.hcl")),
+    ("reset", include_str!("../scenarios/reset.hcl")),
     ("outage", include_str!("../scenarios/outage.hcl")),
 ];
 
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -143,6 +143,35 @@
 }
 "#
 )]
+#[case::ways_to_half_of_the_engines_are_cut_and_mend(
+    6,
+    r#"
+about   = "connections stay open and silent for 2 s"
+seconds = 9
+engines { count = 4 }
+clients { load = 0.3 }
+fault "room" {
+  what = "engine_cut"
+  share = 0.5
+  from = 2
+  to = 4
+}
+"#
+)]
+#[case::connections_to_all_engines_are_reset_at_once(
+    6,
+    r#"
+about   = "all connections reset, under load"
+seconds = 8
+engines { count = 4 }
+clients { load = 0.3 }
+fault "reset" {
+  what = "engine_reset"
+  share = 1
+  from = 3
+}
+"#
+)]
 fn rules_hold_over_the_fleet_whatever_breaks(#[case] gateways: usize, #[case] text: &str) {
     let played = played(gateways, 7, text);
     assert!(played.broken.is_empty(), "{:?}\n{}", played.broken, played.json);
