Gateways that stood still together ask the list at their places again

Cause: a gateway that was stopped for 5 s and goes on asked a pace after the moment it woke, and so did all that woke with it: 150 of 300 asked within the same 10 ms, every 200 ms from then on (virtual time; pacing/list.rs, asked). Change: the next question lies at the gateway's own place among the rounds that it missed. Each still asks once at once, as what it holds is as old as its stand-still. Test: half of 300 stand still from 5 to 10 s; after the first questions no more in 10 ms than before.

--- a/crates/pacing/src/list.rs
+++ b/crates/pacing/src/list.rs
@@ -130,8 +130,9 @@
         // Slower ones have none to keep: in step with the service's line the same would win again and again.
         let slowed = self.pace > STEADY && self.pace <= self.slowest;
         let spread = if slowed { 1.0 - JITTER + 2.0 * JITTER * self.rng.f64() } else { 1.0 };
-        let next = self.due + self.pace * spread;
-        self.due = if next > now + self.pace / 2.0 { next } else { now + self.pace };
+        // Who stood still goes on at its place: hundreds that wake together would else ask in step from then on.
+        let missed = ((now - self.due) / self.pace + 0.5).floor().max(0.0);
+        self.due += (missed + spread) * self.pace;
     }
 
     fn unanswered(&mut self, now: Ms) {
@@ -309,6 +310,30 @@
         }
     }
 
+    /// Half of a fleet stands still for 5 s and goes on, with clocks that went on: each asks once at once, and then all
+    /// lie as evenly as before.
+    #[test]
+    fn gateways_that_stood_still_together_ask_at_their_places_again() {
+        let mut fleet: Vec<ListPace> =
+            (0..300).map(|i| ListPace::new(rules(300, Some(i as u64), STEADY), i as u64, 0.0)).collect();
+        let mut buckets = vec![0_u32; 2_000];
+        for (step, bucket) in buckets.iter_mut().enumerate() {
+            let now = step as f64 * 10.0;
+            for (i, pace) in fleet.iter_mut().enumerate() {
+                let stopped = i % 2 == 0 && (5_000.0..10_000.0).contains(&now);
+                if !stopped && pace.due() <= now {
+                    pace.asked(now);
+                    pace.answered(now);
+                    *bucket += 1;
+                }
+            }
+        }
+        assert!(buckets[1_000] >= 150, "all that wake ask at once");
+        let later = buckets[1_002..].iter().max().copied().unwrap_or(0);
+        let before = buckets[100..500].iter().max().copied().unwrap_or(0);
+        assert!(later <= before, "{later} in 10 ms where {before} were before");
+    }
+
     #[test]
     fn service_that_answers_nonsense_is_asked_no_harder_than_a_silent_one() {
         let mut pace = ListPace::new(rules(300, Some(7), SLOWEST), 3, 0.0);
