--- a/crates/lab/src/ledger.rs
+++ b/crates/lab/src/ledger.rs
@@ -86,6 +86,27 @@
     })
 }
 
+/// Of the work that came to an engine over that span, the share from gateways that had been told by then.
+pub fn told_share(
+    tries: &[Try],
+    ledger: &[Arrival],
+    (from, to): (f64, f64),
+    told: impl Fn(usize) -> f64,
+) -> f64 {
+    let of = gateways_of(tries);
+    let (mut known, mut all) = (0.0, 0.0);
+    for a in ledger.iter().filter(|a| a.at >= from && a.at <= to + 0.001) {
+        let Came::Attempt(txn, work) = &a.what else { continue };
+        all += work;
+        known += of.get(txn.as_str()).filter(|g| told(**g) <= a.at).map_or(0.0, |_| *work);
+    }
+    if all > 0.0 {
+        known / all
+    } else {
+        0.0
+    }
+}
+
 /// Further attempts of a gateway beyond its ration in any ten seconds.
 pub fn ration(tries: &[Try], ledgers: &[Vec<Arrival>], gateways: usize) -> Option<String> {
     let of = gateways_of(tries);
@@ -273,6 +294,15 @@
         assert!(ration(&tries, &[again(6)], 1).is_some());
     }
 
+    #[test]
+    fn share_of_those_that_were_told_is_by_work_and_time() {
+        let tries = [a_try(0, "a", 1.0, None), a_try(1, "b", 1.0, None)];
+        let ledger = [attempt(1.0, "a"), attempt(2.0, "a"), attempt(2.0, "b"), attempt(9.0, "b")];
+        let told = |g: usize| if g == 0 { 1.5 } else { f64::INFINITY };
+        assert_eq!(told_share(&tries, &ledger, (1.0, 3.0), told), 1.0 / 3.0);
+        assert_eq!(told_share(&tries, &ledger, (20.0, 30.0), told), 0.0);
+    }
+
     #[test]
     fn spans_are_sliding() {
         assert_eq!(most_within(&[0.0, 0.05, 0.09, 0.5, 0.55], 0.1), 3);
