--- a/src/net/names.rs
+++ b/src/net/names.rs
@@ -4,7 +4,7 @@
 use crate::core::{Event, Listed};
 use crate::interface::{Availability, Settings};
 use crate::limits::Limits;
-use starlingplank_pacing::list::{ListPace, Rules};
+use starlingplank_pacing::list::{self, ListPace, Rules};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
@@ -204,8 +204,10 @@
     let now = || begun.elapsed().as_secs_f64() * 1000.0;
     let rules = Rules { gateways: settings.gateways, rank: settings.rank, slowest: limits.names_slowest };
     let mut pace = ListPace::new(rules, settings.seed, 0.0);
-    // Older than the list at the start is older than what is known.
-    let (mut newest, mut heard) = (known, false);
+    // Older than the list at the start is older than what is known. Where the pace is the rules', lists that come late are
+    // usual, and a gateway that has just started must not fall silent over the first of them.
+    let spares = limits.names_slowest > list::STEADY;
+    let (mut newest, mut heard) = (if spares { known } else { 0 }, false);
     loop {
         let due = begun + Duration::from_secs_f64(pace.due() / 1000.0);
         tokio::select! {
