Only the next version of the same gateway follows and takes a knowledge folder; failures are retried

Cause, found on reading: with `operator` set, any gateway that met a folder in use went by its log, sent keyed requests unrecorded, and took the folder when its owner ended: two gateways on one folder, which before refused all that is keyed (net/keep.rs, follow). And a take-over that failed once, for want of a descriptor say, was given up for life, or ended the program in service (no thread to be had).

Test, with processes: a second gateway on the first one's folder sends nothing keyed, while that runs and after.

--- a/src/net/keep.rs
+++ b/src/net/keep.rs
@@ -14,7 +14,7 @@
 use starlingplank_knowledge::list::{self, KeptList};
 use starlingplank_knowledge::recall::{Recall, Rules};
 use starlingplank_knowledge::records::Snapshot;
-use starlingplank_knowledge::store::Store;
+use starlingplank_knowledge::store::{self, Store};
 use std::cell::Cell;
 use std::io;
 use std::sync::{Arc, Mutex};
@@ -46,6 +46,8 @@
     folder: Option<Folder>,
     /// Another process has the folder, and leaves it to this one.
     waits: bool,
+    /// Taking it over failed, and that was said.
+    failing: bool,
 }
 
 fn locked(state: &Mutex<State>) -> std::sync::MutexGuard<'_, State> {
@@ -114,6 +116,7 @@
             state: Arc::default(),
             folder: None,
             waits: false,
+            failing: false,
         }
     }
 
@@ -213,8 +216,18 @@
         let Some(settings) = config.knowledge.as_ref().filter(|k| self.waits && k.keys && !k.required) else {
             return;
         };
+        let files = Files::new(&settings.folder);
+        // Whose it is stands in its snapshots; each life writes one as it ends, and one a second.
+        let of = store::load(&files, settings.most_bytes).ok().and_then(|l| l.snapshot);
+        if of.is_none_or(|(_, s)| s.gateway != config.name) {
+            return error!(
+                "refusing keyed requests until {} is free: no snapshot in it is of {}",
+                settings.folder.display(),
+                config.name
+            );
+        }
         let window = window(config);
-        let log = Log::read(&Files::new(&settings.folder), window, now);
+        let log = Log::read(&files, window, now);
         log.say(window);
         let kind = if log.trusted.is_some() { knowledge::Log::Off } else { knowledge::Log::Missing };
         let mut gate = Gate::new(kind, window, settings.most_keys, now);
@@ -229,47 +242,61 @@
         self.waits
     }
 
-    /// Takes the folder once the process that had it has ended. True: it is this one's now.
+    /// No other process of this gateway lives: who has the folder is another gateway, and its log tells of its sends
+    /// alone. Nothing keyed is sent, and nothing kept.
     ///
     /// # Errors
-    /// There is no thread to be had.
-    pub fn take_over(
-        &mut self,
-        config: &Config,
-        core: &mut Core,
-        now: Ms,
-        events: &Sender<Event>,
-    ) -> io::Result<bool> {
-        let Some(settings) = &config.knowledge else { return Ok(false) };
+    /// The folder is required.
+    pub fn refuse(&mut self, config: &Config) -> io::Result<()> {
+        self.waits = false;
+        let Some(settings) = &config.knowledge else { return Ok(()) };
+        let held = FolderError::Held(settings.folder.clone());
+        if settings.required {
+            return Err(io::Error::other(format!("knowledge is required: {held}")));
+        }
+        match settings.keys && window(config) > 0.0 {
+            true => error!("serving without knowledge, and refusing all keyed requests: {held}"),
+            false => error!("serving without knowledge: {held}"),
+        }
+        Ok(())
+    }
+
+    /// Takes the folder once the process that had it has ended. True: it is this one's now. What fails is said once,
+    /// and tried again at the next look.
+    pub fn take_over(&mut self, config: &Config, core: &mut Core, now: Ms, events: &Sender<Event>) -> bool {
+        let Some(settings) = &config.knowledge else { return false };
         let folder = match Folder::open(&settings.folder) {
-            Ok(folder) => folder,
-            Err(FolderError::Held(_)) => return Ok(false),
-            Err(e) => {
-                error!("what was kept is not taken over: {e}");
-                self.waits = false;
-                return Ok(false);
-            }
+            Err(FolderError::Held(_)) => return false,
+            opened => opened,
         };
-        let store = match Store::open(Box::new(folder.disk()), settings.most_bytes) {
-            Ok((store, _)) => store,
+        let taken = folder.map_err(io::Error::other).and_then(|folder| {
+            let (store, _) = Store::open(Box::new(folder.disk()), settings.most_bytes)?;
+            let (window, keyed) = (window(config), settings.keys);
+            let log = (keyed && window > 0.0).then(|| Log::read(&folder.disk(), window, now));
+            self.keep_learned(&folder, store)?;
+            if let Some(log) = &log {
+                self.keep_keys(&folder, log.offset, events)?;
+            }
+            Ok((folder, log))
+        });
+        match taken {
+            Ok((folder, log)) => {
+                info!("the other process has ended: {} is this one's", settings.folder.display());
+                if let Some(log) = log {
+                    log.say(window(config));
+                    core.take_log(settings.required, log.trusted, now);
+                }
+                (self.folder, self.waits) = (Some(folder), false);
+                true
+            }
             Err(e) => {
-                error!("what was kept is not taken over: {}: {e}", settings.folder.display());
-                self.waits = false;
-                return Ok(false);
+                (self.snapshots, self.lists, self.keys) = (None, None, None);
+                if !std::mem::replace(&mut self.failing, true) {
+                    error!("{}: what was kept is not taken over yet: {e}", settings.folder.display());
+                }
+                false
             }
-        };
-        self.waits = false;
-        let window = window(config);
-        if settings.keys && window > 0.0 {
-            let log = Log::read(&folder.disk(), window, now);
-            log.say(window);
-            core.take_log(settings.required, log.trusted, now);
-            self.keep_keys(&folder, log.offset, events)?;
         }
-        self.keep_learned(&folder, store)?;
-        info!("the other process has ended: {} is this one's", settings.folder.display());
-        self.folder = Some(folder);
-        Ok(true)
     }
 
     fn keep_keys(&mut self, folder: &Folder, offset: Offset, events: &Sender<Event>) -> io::Result<()> {
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -67,8 +67,11 @@
     }
     let mut taken_over = Vec::new();
     if let Some(h) = &mut handover {
-        keep.follow(&config, &mut core, desk.clock.now());
         taken_over.push(Event::Heard(h.look(desk.clock.now()).keys));
+        // A folder that an earlier process of this gateway has is followed; one that another gateway has is not.
+        if !h.others().is_empty() {
+            keep.follow(&config, &mut core, desk.clock.now());
+        }
         taken_over.push(Event::Hand(h.hand().clone()));
         let rules = recall::Rules { tip_after: config.settings.tip_after, ..recall::DEFAULT };
         if let Some(recall) = h.learned(desk.clock.now(), rules, &limits).await {
@@ -78,6 +81,10 @@
         let heard = h.heard().filter(|_| config.names.is_some());
         taken_over.extend(heard.map(Event::Earlier));
     }
+    let shared = handover.as_ref().is_some_and(|h| !h.others().is_empty());
+    if keep.waits() && !shared && !keep.take_over(&config, &mut core, desk.clock.now(), &sender) {
+        keep.refuse(&config)?;
+    }
     let started = Instant::now();
     let mut gateway = Runtime {
         name: config.name.clone(),
@@ -148,7 +155,7 @@
             _ = sweep.tick() => gateway.engines.sweep(&mut events),
             _ = look.tick(), if gateway.handover.is_some() || keep.waits() => {
                 events.extend(gateway.look());
-                if keep.waits() && keep.take_over(&config, &mut gateway.core, desk.clock.now(), &sender)? {
+                if keep.waits() && keep.take_over(&config, &mut gateway.core, desk.clock.now(), &sender) {
                     events.push(Event::Tend);
                 }
             }
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -735,3 +735,32 @@
     let sent = log.lock().expect("log").iter().filter(|p| p[0] == "want").count();
     assert!(sent >= 42, "{sent} loads arrived");
 }
+
+/// Two gateways and one folder: the second is not the first's next version. It serves what has no key, sends nothing
+/// keyed, and does not go by the other's log.
+#[test]
+fn folder_of_another_gateway_is_neither_followed_nor_taken() {
+    let (at, log) = resp_engine(served);
+    let mut sites = [Site::new(&[at]), Site::new(&[at])];
+    let kept = sites[0].tmp.path().join("kept");
+    for site in &mut sites {
+        site.config = site.config.replacen("\"window\":12000", "\"window\":700", 1);
+        let mut file = tempfile::NamedTempFile::new().expect("a file");
+        write!(file, "knowledge {{\n  folder = {kept:?}\n  every = \"100ms\"\n}}\n").expect("written");
+        site.operator = Some(file);
+    }
+    let first = sites[0].start();
+    assert!((0..1_000_000).any(|_| load(&first, 1) == "served"), "the first window passes");
+    let second = sites[1].start();
+    let before = log.lock().expect("log").len();
+    assert_eq!(ask_often(&second, 0, 10), 10);
+    assert!((100..130).all(|n| load(&second, n) == "overloaded"), "nothing keyed leaves");
+    first.signal("-TERM");
+    first.ended();
+    // Nor does it take the folder once it is free: looks are a tenth of a second apart, a start of another is longer.
+    let third = sites[0].start();
+    assert!((0..1_000_000).any(|_| load(&third, 2) == "served"), "its own next life has it");
+    assert!((200..230).all(|n| load(&second, n) == "overloaded"));
+    let keyed = |p: &Vec<String>| p[0] == "want" && p[2].contains("uniq=k1");
+    assert_eq!(log.lock().expect("log")[before..].iter().filter(|p| keyed(p)).count(), 0);
+}
