A successor that knows no engine does not take its predecessor's clients

Cause, found on reading: a successor listens after a second without the list, also where its configuration names no engine; it then shared new connections with its predecessor and refused all that came to it (lives.rs, may_listen). Change: while another serves, one that awaits its first list does not listen; it does once that one leaves, as nobody else answers then. Tests: the rule's table, and two processes with a list that falls silent and speaks again: all is served by the old one meanwhile.

--- a/crates/operation/src/lives.rs
+++ b/crates/operation/src/lives.rs
@@ -48,10 +48,11 @@
 pub const LIST_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Whether a process may listen: one that is alone at once, as nobody else serves; a successor once it has heard the
-/// list, or has waited for it long enough.
-pub fn may_listen(own: u64, others: &[Other], heard_list: bool, waited: Duration) -> bool {
+/// list, or has waited for it long enough and knows some engine without it. One that knows none would turn away what its
+/// predecessor serves.
+pub fn may_listen(own: u64, others: &[Other], heard_list: bool, knows: bool, waited: Duration) -> bool {
     let before = others.iter().any(|o| o.life < own && o.stage != Stage::Leaving);
-    !before || heard_list || waited >= LIST_WAIT
+    !before || heard_list || knows && waited >= LIST_WAIT
 }
 
 /// Whether a process that was told to end stops listening.
@@ -91,19 +92,23 @@
     }
 
     #[rstest]
-    #[case::alone(&[], false, ZERO, true)]
-    #[case::behind_one_that_serves(&[(1, Stage::Listening)], false, ZERO, false)]
-    #[case::behind_one_that_serves_with_the_list(&[(1, Stage::Listening)], true, ZERO, true)]
-    #[case::behind_one_that_serves_with_a_silent_list(&[(1, Stage::Listening)], false, LIST_WAIT, true)]
-    #[case::behind_one_that_leaves(&[(1, Stage::Leaving)], false, ZERO, true)]
-    #[case::before_one_that_starts(&[(3, Stage::Starting)], false, ZERO, true)]
+    #[case::alone(&[], false, true, ZERO, true)]
+    #[case::alone_without_any_engine(&[], false, false, ZERO, true)]
+    #[case::behind_one_that_serves(&[(1, Stage::Listening)], false, true, ZERO, false)]
+    #[case::behind_one_that_serves_with_the_list(&[(1, Stage::Listening)], true, true, ZERO, true)]
+    #[case::behind_one_that_serves_with_a_silent_list(&[(1, Stage::Listening)], false, true, LIST_WAIT, true)]
+    #[case::behind_one_that_serves_without_any_engine(&[(1, Stage::Listening)], false, false, LIST_WAIT, false)]
+    #[case::behind_one_that_leaves(&[(1, Stage::Leaving)], false, true, ZERO, true)]
+    #[case::behind_one_that_leaves_without_any_engine(&[(1, Stage::Leaving)], false, false, ZERO, true)]
+    #[case::before_one_that_starts(&[(3, Stage::Starting)], false, true, ZERO, true)]
     fn a_successor_listens_once_it_could_serve_as_well(
         #[case] list: &[(u64, Stage)],
         #[case] heard: bool,
+        #[case] knows: bool,
         #[case] waited: Duration,
         #[case] may: bool,
     ) {
-        assert_eq!(may_listen(2, &others(list), heard, waited), may);
+        assert_eq!(may_listen(2, &others(list), heard, knows, waited), may);
     }
 
     #[rstest]
@@ -144,7 +149,7 @@
                 match (lives.get(i).copied(), roll(4)) {
                     (None, _) if lives.len() < 3 => lives.push((Stage::Starting, false, false)),
                     (Some((Stage::Starting, _, false)), 0)
-                        if may_listen(i as u64, &seen(i, &lives), roll(2) == 0, ZERO) =>
+                        if may_listen(i as u64, &seen(i, &lives), roll(2) == 0, roll(2) == 0, ZERO) =>
                     {
                         lives[i].0 = Stage::Listening;
                     }
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -297,7 +297,7 @@
     /// Whether clients may come.
     fn may_listen(&self, waited: Duration) -> bool {
         let Some(h) = &self.handover else { return true };
-        lives::may_listen(h.own(), &h.others(), self.heard_list, waited)
+        lives::may_listen(h.own(), &h.others(), self.heard_list, !self.core.awaits_list(), waited)
     }
 
     fn say(&self, stage: Stage) {
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -764,3 +764,35 @@
     let keyed = |p: &Vec<String>| p[0] == "want" && p[2].contains("uniq=k1");
     assert_eq!(log.lock().expect("log")[before..].iter().filter(|p| keyed(p)).count(), 0);
 }
+
+/// A successor whose configuration names no engine, while the list is silent: it would turn away what its predecessor
+/// serves, so it does not listen. Once the list speaks it does.
+#[test]
+fn successor_that_knows_no_engine_leaves_the_clients_to_its_predecessor() {
+    let (at, _) = resp_engine(served);
+    let (names, said) = list_service();
+    let mut site = Site::new(&[]);
+    site.config = site.config.replacen("\"known\"", &format!("\"names\":\"{names}\",\"known\""), 1);
+    *said.lock().expect("said") = Some((2, vec![("s-0", at, false)]));
+    let old = site.start();
+    assert!((0..100_000).any(|_| old.say("GET /api/ready HTTP/1.1\r\n\r\n").0 == 200), "it is ready");
+    *said.lock().expect("said") = None;
+    let mut child = site.spawn();
+    let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
+    let mut staff = lines.by_ref().map_while(Result::ok).filter_map(|l| {
+        let (_, rest) = l.strip_suffix(" for its operators")?.split_once(" listens at ")?;
+        rest.parse::<SocketAddr>().ok()
+    });
+    let staff = staff.next().expect("it has a second address");
+    let new = Process { child, staff, clients: site.at, said: None };
+    // Longer than a successor waits for the list where it knows engines.
+    let begun = std::time::Instant::now();
+    let mut asked = 0;
+    while begun.elapsed() < starlingplank_operation::lives::LIST_WAIT + Duration::from_millis(300) {
+        assert_eq!(ask_often(&old, asked, 5), 5, "all are served by the old one");
+        asked += 5;
+    }
+    assert_eq!(new.say("GET /api/ready HTTP/1.1\r\n\r\n").0, 503);
+    *said.lock().expect("said") = Some((3, vec![("s-0", at, false)]));
+    assert!((0..100_000).any(|_| new.say("GET /api/ready HTTP/1.1\r\n\r\n").0 == 200), "it is ready");
+}
