What a successor keeps to is what was heard to drain or go, not all that was not heard of

Cause, found on reading: the word passed on named the engines that may get work, so that every engine that only the new configuration knew got nothing for up to a minute: a site whose engines were all replaced while its list service was away would have served nobody. Change: drains and engines that have gone from the list are named (the last 5,000), in the shared folder and in list.spk; an engine never heard of is as the configuration says. Also: a list that cannot be written is said once and once when it can be again, not every second; `knowledge verify` tells a newer list.spk by its error and counts it as something to verify; the bounded frame that three files had each is one function of crates/records.

--- a/crates/knowledge/src/keeper.rs
+++ b/crates/knowledge/src/keeper.rs
@@ -171,16 +171,22 @@
 }
 
 impl ListKeeper {
-    /// Starts its thread. What fails is told through `tell`, from that thread.
+    /// Starts its thread. When writing begins to fail, and when it works again (none), is told through `tell`, from that
+    /// thread: lists come every second.
     ///
     /// # Errors
     /// There is no thread to be had.
-    pub fn start(mut disk: Box<dyn Disk>, tell: impl Fn(String) + Send + 'static) -> std::io::Result<Self> {
+    pub fn start(
+        mut disk: Box<dyn Disk>,
+        tell: impl Fn(Option<String>) + Send + 'static,
+    ) -> std::io::Result<Self> {
         let (jobs, waiting) = sync_channel::<KeptList>(1);
         let write = move || {
+            let mut failing = false;
             while let Ok(kept) = waiting.recv() {
-                if let Err(e) = list::save(&mut *disk, &kept) {
-                    tell(e.to_string());
+                let failed = list::save(&mut *disk, &kept).err().map(|e| e.to_string());
+                if std::mem::replace(&mut failing, failed.is_some()) != failed.is_some() {
+                    tell(failed);
                 }
             }
         };
--- a/crates/knowledge/src/lib.rs
+++ b/crates/knowledge/src/lib.rs
@@ -5,8 +5,8 @@
 //! leave now ([`gate`]). The rule that is kept: **what may have been sent under a key is never forgotten while an
 //! engine would run it again**, whatever stops the program; and an engine that may have started anew unseen is cold.
 //!
-//! The last [`list`] of engines is kept beside them. [`snapshot`], [`records`] and [`keylog`] hold the bytes, [`store`] their files on a [`disk`]; [`recall`] and
-//! [`gate`] are pure. The I/O is in [`folder`] and [`keeper`].
+//! The last [`list`] of engines is kept beside them. [`snapshot`], [`records`] and [`keylog`] hold the bytes, [`store`]
+//! their files on a [`disk`]; [`recall`] and [`gate`] are pure. The I/O is in [`folder`] and [`keeper`].
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
--- a/crates/knowledge/src/show.rs
+++ b/crates/knowledge/src/show.rs
@@ -3,12 +3,13 @@
 
 use crate::folder::{Boot, Files};
 use crate::keylog;
-use crate::list;
+use crate::list::{self, ListError};
 use crate::recall::{self, worth, Doubt, Named, Rules};
 use crate::records::Snapshot;
 use crate::store::{self, Fault};
 use serde_json::{json, Value};
 use starlingplank_decision::interface::Ms;
+use starlingplank_records::framed::FrameError;
 use std::fmt::Write;
 use std::io;
 use std::path::Path;
@@ -53,8 +54,11 @@
     let torn = log.map_or(0, |(_, read)| read.torn);
     let mut faults = loaded.faults;
     faults.extend(keylog::faults(&disk)?);
-    if let Err(why) = list::load(&disk) {
-        faults.push(Fault { file: list::FILE.into(), offset: None, newer: why.contains("is newer"), why });
+    let list = list::load(&disk);
+    let anything = anything || !matches!(list, Ok(None));
+    if let Err(e) = list {
+        let newer = matches!(e, ListError::Frame(FrameError::Newer(..)));
+        faults.push(Fault { file: list::FILE.into(), offset: None, why: e.to_string(), newer });
     }
     Ok(Verdict { faults, anything, torn })
 }
--- a/crates/knowledge/tests/keeper.rs
+++ b/crates/knowledge/tests/keeper.rs
@@ -193,3 +193,71 @@
 }
 
 const RULES: starlingplank_knowledge::recall::Rules = starlingplank_knowledge::recall::DEFAULT;
+
+/// A disk on which nothing can be made while it is said to be full.
+#[derive(Clone)]
+struct Full(FaultyDisk, Arc<std::sync::atomic::AtomicBool>);
+
+impl Disk for Full {
+    fn names(&self) -> io::Result<Vec<String>> {
+        self.0.names()
+    }
+    fn read(&self, name: &str, most: u64) -> io::Result<Option<Vec<u8>>> {
+        self.0.read(name, most)
+    }
+    fn create(&mut self, name: &str) -> io::Result<()> {
+        match self.1.load(std::sync::atomic::Ordering::SeqCst) {
+            true => Err(io::ErrorKind::StorageFull.into()),
+            false => self.0.create(name),
+        }
+    }
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<usize> {
+        self.0.append(name, bytes)
+    }
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.0.sync(name)
+    }
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.0.rename(from, to)
+    }
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.0.remove(name)
+    }
+    fn sync_names(&mut self) -> io::Result<()> {
+        self.0.sync_names()
+    }
+}
+
+/// Lists come every second: a full disk is told of once, and once when it takes lists again.
+#[test]
+fn list_that_cannot_be_written_is_told_of_when_that_begins_and_ends() {
+    use starlingplank_knowledge::keeper::ListKeeper;
+    use starlingplank_knowledge::list::{self, KeptList};
+    let disk = Full(FaultyDisk::new(3), Arc::default());
+    let (tell, told) = channel();
+    let told_of = move |failed: Option<String>| {
+        let _ = tell.send(failed.is_some());
+    };
+    let keeper = ListKeeper::start(Box::new(disk.clone()), told_of).expect("a thread");
+    let kept = |heard: f64| KeptList { heard, engines: Vec::new(), gone: Vec::new() };
+    // Tries until so many were taken by the thread that writes.
+    let save = |times: usize| {
+        let taken = (0..300_000_000_u64).filter(|_| {
+            let taken = keeper.save(kept(1.0));
+            if !taken {
+                std::thread::yield_now();
+            }
+            taken
+        });
+        assert_eq!(taken.take(times).count(), times);
+    };
+    for _ in 0..3 {
+        disk.1.store(true, std::sync::atomic::Ordering::SeqCst);
+        save(5);
+        assert_eq!(told.recv(), Ok(true));
+        disk.1.store(false, std::sync::atomic::Ordering::SeqCst);
+        save(5);
+        assert_eq!(told.recv(), Ok(false), "said once");
+    }
+    assert!(matches!(list::load(&disk), Ok(Some(l)) if l.heard == 1.0));
+}
--- a/crates/operation/src/hand.rs
+++ b/crates/operation/src/hand.rs
@@ -2,7 +2,7 @@
 //! one that drains while it is out, and one that has just started when it is called back.
 
 use serde::{Deserialize, Serialize};
-use starlingplank_records::framed::{pack, unpack, Form, FrameError};
+use starlingplank_records::framed::{decode, encode, Form, FrameError};
 use std::collections::BTreeMap;
 use thiserror::Error;
 
@@ -102,7 +102,7 @@
     /// # Errors
     /// They cannot be made.
     pub fn encode(&self) -> Result<Vec<u8>, FrameError> {
-        Ok(FORM.frame(&pack(self)?))
+        encode(&FORM, self, BYTES as usize)
     }
 
     /// Reads the file; never panics, whatever the bytes are.
@@ -110,8 +110,7 @@
     /// # Errors
     /// Says where and why they are none.
     pub fn decode(bytes: &[u8]) -> Result<Self, FrameError> {
-        let (_, records) = FORM.open(bytes)?;
-        let hand: Self = unpack(records)?;
+        let hand: Self = decode(&FORM, bytes)?;
         let sane = |id: &String| id.len() <= ID_BYTES;
         if hand.out.len() > MOST || !hand.out.keys().chain(hand.back.keys()).all(sane) {
             return Err(FrameError::TooLarge(hand.out.len(), MOST));
--- a/crates/records/src/framed.rs
+++ b/crates/records/src/framed.rs
@@ -64,6 +64,26 @@
     hasher.finalize()
 }
 
+/// The bytes of a file of that form, at most so many.
+///
+/// # Errors
+/// They would be more.
+pub fn encode(form: &Form, records: &impl Serialize, most: usize) -> Result<Vec<u8>, FrameError> {
+    let bytes = form.frame(&pack(records)?);
+    if bytes.len() > most {
+        return Err(FrameError::TooLarge(bytes.len(), most));
+    }
+    Ok(bytes)
+}
+
+/// Reads the records of a file of that form.
+///
+/// # Errors
+/// Says where and why the bytes are none; never panics, whatever they are.
+pub fn decode<T: DeserializeOwned>(form: &Form, bytes: &[u8]) -> Result<T, FrameError> {
+    unpack(form.open(bytes)?.1)
+}
+
 /// Records in postcard's form.
 ///
 /// # Errors
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,7 +9,7 @@
 use starlingplank_knowledge::gate::{self, Admission, Gate, Key, Leave, Rewrite, Sends, Sent};
 use starlingplank_knowledge::recall::{Named, Recall};
 use starlingplank_operation::hand::Hand;
-use starlingplank_operation::heard::Heard;
+use starlingplank_operation::heard::{Gone, Heard};
 use starlingplank_pacing::come_back::ComeBack;
 use starlingplank_pacing::start::FirstProbes;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -318,6 +318,8 @@
     serial: Option<u64>,
     /// The list as it was last told.
     told: Vec<Listed>,
+    /// Engines that were in it, and have gone.
+    gone: Gone,
     /// When the list service was last heard in this life.
     service: Option<Ms>,
     /// No list is known yet: what comes is turned away.
@@ -372,6 +374,7 @@
             limits,
             serial: None,
             told: Vec::new(),
+            gone: Gone::default(),
             service: None,
             unlisted: None,
             earlier: None,
@@ -451,16 +454,17 @@
         self.serial
     }
 
-    /// The list as the service last told it, and when it last spoke; none before it did.
-    pub fn service_list(&self) -> Option<(Ms, &[Listed])> {
-        self.service.map(|at| (at, &*self.told))
+    /// The list as the service last told it, what has gone from it, and when it last spoke; none before it did.
+    pub fn service_list(&self) -> Option<(Ms, &[Listed], &Gone)> {
+        self.service.map(|at| (at, &*self.told, &self.gone))
     }
 
     /// What a successor is told of the list service: this process's own last word of it, or an earlier one's.
     pub fn heard(&self) -> Option<Heard> {
-        let live = |l: &&Listed| l.member.availability == Availability::Live;
-        let told = || self.told.iter().filter(live).map(|l| l.member.engine.0.to_string());
-        self.service.map(|at| Heard::new(at, told())).or_else(|| self.earlier.clone())
+        let drains = |l: &&Listed| l.member.availability != Availability::Live;
+        let drained = self.told.iter().filter(drains).map(|l| l.member.engine.0.to_string());
+        let out = || drained.chain(self.gone.ids().map(str::to_owned));
+        self.service.map(|at| Heard::new(at, out())).or_else(|| self.earlier.clone())
     }
 
     /// Requests that are open.
@@ -569,6 +573,8 @@
             }
         }
         self.serial = Some(serial);
+        let ids = list.iter().map(|l| &*l.member.engine.0).collect();
+        self.gone.follow(self.told.iter().map(|l| &*l.member.engine.0), &ids);
         self.told = list;
         self.unlisted = None;
         self.merge(now, effects);
--- a/src/net/keep.rs
+++ b/src/net/keep.rs
@@ -317,7 +317,10 @@
     }
 
     fn keep_learned(&mut self, folder: &Folder, store: Store) -> io::Result<()> {
-        let tell = |why: String| warn!("the list of engines is not kept: {why}");
+        let tell = |failed: Option<String>| match failed {
+            Some(why) => warn!("the list of engines is not kept: {why}"),
+            None => info!("the list of engines is kept again"),
+        };
         self.lists = Some(ListKeeper::start(Box::new(folder.disk()), tell)?);
         let told = self.state.clone();
         self.snapshots = Some(SnapshotKeeper::start(store, move |news| tell_snapshots(&news, &told))?);
@@ -347,7 +350,7 @@
 
     /// Has the list kept as the service last told it. One that does not fit is said again with the next snapshot.
     pub fn list(&self, core: &Core, settings: &Settings) {
-        let (Some(keeper), Some((heard, told))) = (&self.lists, core.service_list()) else { return };
+        let (Some(keeper), Some((heard, told, gone))) = (&self.lists, core.service_list()) else { return };
         let engine = |l: &Listed| list::Engine {
             id: l.member.engine.0.to_string(),
             address: l.address.to_string(),
@@ -362,7 +365,8 @@
             live: l.member.availability == Availability::Live,
             started: l.member.started.unwrap_or(0.0),
         };
-        keeper.save(KeptList { heard, engines: told.iter().map(engine).collect() });
+        let gone = gone.ids().map(str::to_owned).collect();
+        keeper.save(KeptList { heard, engines: told.iter().map(engine).collect(), gone });
     }
 
     /// Has a record written; what cannot be is told of at once.
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -106,8 +106,9 @@
             known = keep::listed(kept, &config.settings);
             tracing::info!("starting with the list of {age:.1} s ago: {} engines", known.len());
         } else {
-            let live = kept.engines.iter().filter(|e| e.live).map(|e| e.id.clone());
-            taken_over.push(Event::Earlier(Heard::new(kept.heard, live)));
+            let drained = kept.engines.iter().filter(|e| !e.live).map(|e| e.id.clone());
+            let out = drained.chain(kept.gone.iter().cloned());
+            taken_over.push(Event::Earlier(Heard::new(kept.heard, out)));
         }
     }
     let first = [Event::List(config.serial, known), Event::Tend];
