The bed resets as a network does, counts no overlap of its own making, and bounds its ledgers

The stand-in engines share a thread, and where it stands still the word that gives an attempt up and the next attempt are read together, in either order. Change: an overlap is measured by the clock less that thread's stand-stills. Also, found on reading: a reset of the relay was an end of the stream, and is one now (SO_LINGER 0); the list's ledger and the clients' tries had no bound; a successor takes what was heard from the last earlier process that passed it on, not only from the very last, which may be starting itself.

Tests: resets at both ends, a way that is cut and mends, answers that were not delivered, the clock without stand-stills.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -121,6 +121,9 @@
     Script { up_from: l.up_from, silent, capacity, line: l.line, falls: l.falls, stale_until: l.stale_until }
 }
 
+/// Tries that are written down at most. A play that comes so far is cut short, and says so.
+const TRIES: usize = 2_000_000;
+
 /// Tries of one job: it is sent again where its gateway refused it, or was not there, for as long as its client waits.
 async fn stubborn(
     door: Rc<RefCell<Door>>,
@@ -143,6 +146,9 @@
             _ => Duration::ZERO,
         };
         tries.borrow_mut().push((gateway, done));
+        if tries.borrow().len() >= TRIES {
+            return;
+        }
         if pause.is_zero() || due.elapsed() + pause > patience {
             return;
         }
@@ -414,6 +420,9 @@
         .collect();
     let excused = |t: &Try| all[t.gateway].broken.iter().any(|(from, to)| t.sent < *to && t.ended > *from);
     let mut broken = ledger::lost_answers(&tries, excused);
+    if tries.len() >= TRIES {
+        broken.push(format!("clients tried {TRIES} times, and the play was cut short"));
+    }
     broken.extend(ledger::overlaps(engines.fleet.overlapping()));
     broken.extend(ledger::ration(&tries, &engine_ledgers, stage.gateways));
     let mut told = BTreeMap::new();
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -22,6 +22,8 @@
 /// So long may a message on one connection be read after a later one on another: every time limit of the rules is 50 ms
 /// longer on sockets.
 const CROSSING: f64 = 50.0;
+/// A look that is later than this shows a stand-still.
+const STILL: f64 = 5.0;
 /// Time between two looks at what has ended.
 const TICK: Duration = Duration::from_millis(1);
 
@@ -77,8 +79,11 @@
     runs: BTreeMap<String, Vec<f64>>,
     /// Attempts that are out, by request.
     out: HashMap<String, u32>,
-    /// Requests of which two are out, since when.
+    /// Requests of which two are out, since when by the clock without stand-stills.
     twice: HashMap<String, f64>,
+    /// How long the thread that serves them stood still in all, and which engine measures it.
+    stood: f64,
+    meter: Option<SocketAddr>,
     overlapping: u64,
     attempts: u64,
 }
@@ -106,6 +111,15 @@
         self.start.elapsed().as_secs_f64() * 1000.0
     }
 
+    /// One of its engines looked at its clock again after so long: what is over the usual is a stand-still of the
+    /// thread that serves them all, in which nothing was read, in whatever order it came.
+    fn stands(&self, engine: SocketAddr, gap: f64) {
+        let mut seen = locked(&self.seen);
+        if *seen.meter.get_or_insert(engine) == engine {
+            seen.stood += (gap - STILL).max(0.0);
+        }
+    }
+
     /// Each key with the times at which it ran.
     pub fn runs(&self) -> BTreeMap<String, Vec<f64>> {
         locked(&self.seen).runs.clone()
@@ -113,7 +127,8 @@
 
     /// Requests of which two attempts were out at a time, for longer than messages on two connections may cross.
     pub fn overlapping(&self) -> u64 {
-        let (now, seen) = (self.now(), locked(&self.seen));
+        let seen = locked(&self.seen);
+        let now = self.now() - seen.stood;
         seen.overlapping + seen.twice.values().filter(|at| now - **at > CROSSING).count() as u64
     }
 
@@ -275,10 +290,14 @@
 
     async fn run(self) {
         let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut last = self.fleet.now();
         loop {
             tick.tick().await;
             let mut s = locked(&self.state);
             let now = self.fleet.now();
+            self.fleet.stands(self.address, now - last);
+            last = now;
             for id in s.model.advance(now) {
                 let Some(open) = s.open.remove(&id) else { continue };
                 end(&mut locked(&self.fleet.seen), &open.name, now);
@@ -386,7 +405,8 @@
                 let out = seen.out.entry(name.clone()).or_default();
                 *out += 1;
                 if *out > 1 {
-                    seen.twice.entry(name.clone()).or_insert(now);
+                    let at = now - seen.stood;
+                    seen.twice.entry(name.clone()).or_insert(at);
                 }
                 let dropped = key.as_ref().is_some_and(|k| {
                     let known = seen.keys.get(k).is_some_and(|at| now < at + self.fleet.window);
@@ -431,7 +451,7 @@
         *out -= 1;
         // The word that gives one up and the next attempt travel on two connections: which is read first is chance.
         if *out == 1 {
-            let since = seen.twice.remove(name);
+            let (now, since) = (now - seen.stood, seen.twice.remove(name));
             seen.overlapping += u64::from(since.is_some_and(|at| now - at > CROSSING));
         }
         if *out == 0 {
@@ -521,3 +541,26 @@
 fn http(status: &str, body: &str) -> Vec<u8> {
     format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Two attempts of one request are an overlap once both are out for longer than messages may cross, but for the time
+    /// in which the stand-in itself stood still.
+    #[test]
+    fn attempts_overlap_by_the_clock_without_stand_stills() {
+        let at: SocketAddr = ([127, 0, 0, 1], 1).into();
+        for (stood, overlaps) in [(0.0, 1), (100.0, 0), (40.0, 1)] {
+            let fleet = Fleet::new(0.0);
+            fleet.stands(at, 1.0);
+            // Another engine of the same thread does not count the same stand-still again.
+            fleet.stands(([127, 0, 0, 1], 2).into(), 1e6);
+            locked(&fleet.seen).out.insert("r".into(), 2);
+            locked(&fleet.seen).twice.insert("r".into(), 0.0);
+            fleet.stands(at, stood + STILL);
+            end(&mut locked(&fleet.seen), "r", 110.0);
+            assert_eq!(fleet.overlapping(), overlaps, "stood still for {stood} ms");
+        }
+    }
+}
--- a/crates/standins/src/link.rs
+++ b/crates/standins/src/link.rs
@@ -4,9 +4,11 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
 
@@ -38,6 +40,7 @@
     fault: Arc<watch::Sender<Fault>>,
     ports: Arc<Mutex<Vec<SocketAddr>>>,
     delivered: Arc<Mutex<Vec<Delivered>>>,
+    lost: Arc<AtomicU64>,
 }
 
 /// A datagram that came back whole: to which port's asker, its first two bytes, and when.
@@ -51,19 +54,19 @@
 }
 
 impl Link {
+    fn at(address: SocketAddr) -> (Self, watch::Receiver<Fault>) {
+        let (fault, seen) = watch::channel(Fault::default());
+        let (ports, delivered, lost) = (Arc::default(), Arc::default(), Arc::default());
+        (Self { address, fault: Arc::new(fault), ports, delivered, lost }, seen)
+    }
+
     /// Relays datagrams to that address. It runs on the current local set.
     ///
     /// # Errors
     /// There is no port.
     pub async fn udp(to: SocketAddr, seed: u64) -> io::Result<Self> {
         let front = Arc::new(UdpSocket::bind("127.0.0.1:0").await?);
-        let (fault, seen) = watch::channel(Fault::default());
-        let link = Self {
-            address: front.local_addr()?,
-            fault: Arc::new(fault),
-            ports: Arc::default(),
-            delivered: Arc::default(),
-        };
+        let (link, seen) = Self::at(front.local_addr()?);
         tokio::task::spawn_local(datagrams(front, to, seen, link.clone(), seed));
         Ok(link)
     }
@@ -74,13 +77,7 @@
     /// There is no port.
     pub async fn tcp(to: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let (fault, seen) = watch::channel(Fault::default());
-        let link = Self {
-            address: listener.local_addr()?,
-            fault: Arc::new(fault),
-            ports: Arc::default(),
-            delivered: Arc::default(),
-        };
+        let (link, seen) = Self::at(listener.local_addr()?);
         tokio::task::spawn_local(async move {
             while let Ok((near, _)) = listener.accept().await {
                 tokio::task::spawn_local(connection(near, to, seen.clone()));
@@ -104,6 +101,11 @@
         locked(&self.delivered).clone()
     }
 
+    /// Datagrams that were lost on it, both ways.
+    pub fn lost(&self) -> u64 {
+        self.lost.load(Ordering::SeqCst)
+    }
+
     /// Resets all connections that are open now.
     pub fn reset(&self) {
         self.set(|f| f.resets += 1);
@@ -139,12 +141,13 @@
                 front.clone(),
                 from,
                 fault.clone(),
-                link.delivered.clone(),
+                link.clone(),
                 dice.random(),
             ));
         }
         let now = *fault.borrow();
         if now.out || dice.random_bool(now.loss.clamp(0.0, 1.0)) {
+            link.lost.fetch_add(1, Ordering::SeqCst);
             continue;
         }
         let (socket, message) = (askers[&from].clone(), bytes[..len].to_vec());
@@ -160,7 +163,7 @@
     front: Arc<UdpSocket>,
     to: SocketAddr,
     fault: watch::Receiver<Fault>,
-    delivered: Arc<Mutex<Vec<Delivered>>>,
+    link: Link,
     seed: u64,
 ) {
     use rand::{Rng, SeedableRng};
@@ -171,9 +174,10 @@
         let Ok(len) = socket.recv(&mut bytes).await else { continue };
         let now = *fault.borrow();
         if now.back || dice.random_bool(now.loss.clamp(0.0, 1.0)) {
+            link.lost.fetch_add(1, Ordering::SeqCst);
             continue;
         }
-        let (front, delivered, message) = (front.clone(), delivered.clone(), bytes[..len].to_vec());
+        let (front, delivered, message) = (front.clone(), link.delivered.clone(), bytes[..len].to_vec());
         let port = socket.local_addr();
         tokio::task::spawn_local(async move {
             tokio::time::sleep(now.delay).await;
@@ -188,24 +192,29 @@
     }
 }
 
-async fn connection(near: TcpStream, to: SocketAddr, mut fault: watch::Receiver<Fault>) {
-    let Ok(far) = TcpStream::connect(to).await else { return };
+async fn connection(mut near: TcpStream, to: SocketAddr, mut fault: watch::Receiver<Fault>) {
+    let Ok(mut far) = TcpStream::connect(to).await else { return };
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     let resets = fault.borrow().resets;
-    let (near_in, near_out) = near.into_split();
-    let (far_in, far_out) = far.into_split();
-    let out = relay(near_in, far_out, fault.clone(), |f| f.out);
-    let back = relay(far_in, near_out, fault.clone(), |f| f.back);
-    tokio::select! {
-        _ = async { tokio::join!(out, back) } => {}
-        // Dropped with bytes unread, or half way, the sockets end as they stand.
-        _ = fault.wait_for(|f| f.resets != resets) => {}
+    let reset = {
+        let (near_in, near_out) = near.split();
+        let (far_in, far_out) = far.split();
+        let out = relay(near_in, far_out, fault.clone(), |f| f.out);
+        let back = relay(far_in, near_out, fault.clone(), |f| f.back);
+        tokio::select! {
+            _ = async { tokio::join!(out, back) } => false,
+            _ = fault.wait_for(|f| f.resets != resets) => true,
+        }
+    };
+    if reset {
+        // Both ends see a reset, and not the end of the stream.
+        let _ = (near.set_zero_linger(), far.set_zero_linger());
     }
 }
 
 async fn relay(
-    mut from: tokio::net::tcp::OwnedReadHalf,
-    mut to: tokio::net::tcp::OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     mut fault: watch::Receiver<Fault>,
     cut: fn(&Fault) -> bool,
 ) {
@@ -226,3 +235,83 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn run<T>(play: impl std::future::Future<Output = io::Result<T>>) -> io::Result<T> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        tokio::task::LocalSet::new().block_on(&runtime, play)
+    }
+
+    async fn pair() -> io::Result<(Link, TcpStream, TcpStream)> {
+        let far = TcpListener::bind("127.0.0.1:0").await?;
+        let link = Link::tcp(far.local_addr()?).await?;
+        let mut near = TcpStream::connect(link.address).await?;
+        let (mut far, _) = far.accept().await?;
+        near.write_all(b"a").await?;
+        assert_eq!(far.read_u8().await?, b'a');
+        Ok((link, near, far))
+    }
+
+    #[test]
+    fn reset_is_seen_as_one_at_both_ends() -> io::Result<()> {
+        run(async {
+            let (link, mut near, mut far) = pair().await?;
+            link.reset();
+            for end in [&mut near, &mut far] {
+                let kind = end.read_u8().await.map_err(|e| e.kind());
+                assert_eq!(kind, Err(io::ErrorKind::ConnectionReset));
+            }
+            Ok(())
+        })
+    }
+
+    #[test]
+    fn what_is_on_a_way_that_is_cut_arrives_once_it_mends() -> io::Result<()> {
+        run(async {
+            let (link, mut near, mut far) = pair().await?;
+            link.set(|f| f.out = true);
+            near.write_all(b"b").await?;
+            // The other way still goes; what comes on it is later than what would have gone.
+            for _ in 0..20 {
+                far.write_all(b"c").await?;
+                assert_eq!(near.read_u8().await?, b'c');
+            }
+            assert!(far.try_read(&mut [0]).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock));
+            link.set(|f| f.out = false);
+            assert_eq!(far.read_u8().await?, b'b');
+            Ok(())
+        })
+    }
+
+    #[test]
+    fn answers_that_are_cut_off_were_not_delivered() -> io::Result<()> {
+        run(async {
+            let far = UdpSocket::bind("127.0.0.1:0").await?;
+            let link = Link::udp(far.local_addr()?, 1).await?;
+            let near = UdpSocket::bind("127.0.0.1:0").await?;
+            near.connect(link.address).await?;
+            let mut bytes = [0; 8];
+            for (id, cut) in [(1_u16, false), (2, true), (3, false)] {
+                link.set(|f| f.back = cut);
+                near.send(&id.to_be_bytes()).await?;
+                let (_, port) = far.recv_from(&mut bytes).await?;
+                assert_eq!(link.ports(), [port]);
+                far.send_to(&id.to_be_bytes(), port).await?;
+                if cut {
+                    while link.lost() == 0 {
+                        tokio::task::yield_now().await;
+                    }
+                } else {
+                    near.recv(&mut bytes).await?;
+                    assert_eq!(bytes[..2], id.to_be_bytes());
+                }
+            }
+            let ids: Vec<u16> = link.delivered().iter().map(|d| d.1).collect();
+            assert_eq!(ids, [1, 3]);
+            Ok(())
+        })
+    }
+}
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -11,6 +11,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+/// Questions that are written down at most; nothing is answered after them, so that a reader sees it.
+const LEDGER: usize = 2_000_000;
+
 /// How it behaves. Times in seconds from its start.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Script {
@@ -160,12 +163,19 @@
         let up = at >= script.up_from && !(script.silent.0..script.silent.1).contains(&at);
         let fallen = script.falls && recent as f64 > script.capacity;
         let due = busy.max(at) + 1.0 / script.capacity;
-        if up && !fallen && len >= 12 && due - at <= script.line.max(8.0 / script.capacity) {
+        if up
+            && !fallen
+            && ledger.len() < LEDGER
+            && len >= 12
+            && due - at <= script.line.max(8.0 / script.capacity)
+        {
             busy = due;
             line.push_back((due, ledger.len(), bytes[..len].to_vec()));
         }
         let id = u16::from_be_bytes([bytes[0], bytes[1]]);
-        ledger.push(Asked { at, id, from, told: None });
+        if ledger.len() < LEDGER {
+            ledger.push(Asked { at, id, from, told: None });
+        }
     }
 }
 
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -420,10 +420,14 @@
         recall.ok()
     }
 
-    /// What the last of the earlier processes heard of the list service, if it has passed that on.
+    /// What the last of the earlier processes that has passed that on heard of the list service. One that is itself
+    /// starting has not.
     pub fn heard(&self) -> Option<Heard> {
-        let (from, _) = self.peers.range(..self.own).next_back()?;
-        let file = format!("{}-for-{:016x}", named("heard", *from), self.own);
+        self.peers.range(..self.own).rev().find_map(|(from, _)| self.heard_from(*from))
+    }
+
+    fn heard_from(&self, from: u64) -> Option<Heard> {
+        let file = format!("{}-for-{:016x}", named("heard", from), self.own);
         let bytes = Files::new(&self.path).read(&file, heard::BYTES).map_err(|e| e.to_string());
         let _ = std::fs::remove_file(self.path.join(&file));
         let heard =
