A version that sends beside its predecessor's log says so, and a next life that finds only that waits

Cause, found on reading and shown in virtual time: in an upgrade with `knowledge` the new version's keyed sends are in the shared folder under $TMPDIR alone until it takes the log over.

Change: before anything keyed leaves, the follower makes a locked file `beside-PID` in the knowledge folder; a log beside which one lies is not trusted, but by who takes over from a living process and heard all. It is taken away by the writer's thread once the first file of the new log is durable.

With processes: both killed in the middle, the shared folder removed: the next life's first mark says until when nothing keyed leaves, and what has no key is served.

--- a/crates/knowledge/src/keylog.rs
+++ b/crates/knowledge/src/keylog.rs
@@ -170,9 +170,34 @@
     pub why: Option<String>,
 }
 
-/// Reads the log of the life before, and settles whether it can be trusted: whole, of this start of the machine, and
-/// marked less than `window` ago. [`gate`](crate::gate) shows why that is enough.
+/// What names of files begin with that say: a process sends keyed requests beside this log, and does not write them
+/// there. Each such process makes one before it does so, and takes it away once a log of its own holds all of them.
+pub const BESIDE: &str = "beside-";
+
+/// Whether some process may have sent keyed requests that no log here holds.
+///
+/// # Errors
+/// The folder cannot be read.
+pub fn sent_beside(disk: &dyn Disk) -> io::Result<bool> {
+    Ok(disk.names()?.iter().any(|name| name.starts_with(BESIDE)))
+}
+
+/// Reads the log of the life before, and settles whether it can be trusted: whole, of this start of the machine, marked
+/// less than `window` ago, and all that there is. [`gate`](crate::gate) shows why that is enough.
 pub fn recover(disk: &dyn Disk, now: Ms, boot: Option<[u8; 16]>, window: Ms) -> Recovered {
+    match sent_beside(disk) {
+        Ok(false) => recover_beside(disk, now, boot, window),
+        Ok(true) => {
+            let why = "a version that was taking over ended before it had written down what it sent".into();
+            Recovered { trusted: None, why: Some(why) }
+        }
+        Err(e) => Recovered { trusted: None, why: Some(format!("the folder cannot be read: {e}")) },
+    }
+}
+
+/// The same for one that knows all that was sent beside the log: a process that takes over from a living one, and hears
+/// what each of them sends.
+pub fn recover_beside(disk: &dyn Disk, now: Ms, boot: Option<[u8; 16]>, window: Ms) -> Recovered {
     let distrust = |why: String| Recovered { trusted: None, why: Some(why) };
     let (file, read) = match last(disk) {
         Ok(Some(found)) => found,
--- a/crates/knowledge/src/show.rs
+++ b/crates/knowledge/src/show.rs
@@ -98,7 +98,11 @@
             "engines": l.engines.len(),
             "live": l.engines.iter().filter(|e| e.live).count(),
         })),
-        "keys": { "held": keys, "mark_age_ms": marked },
+        "keys": {
+            "held": keys,
+            "mark_age_ms": marked,
+            "sent_beside": keylog::sent_beside(&disk)?,
+        },
     })))
 }
 
--- a/crates/knowledge/tests/twice.rs
+++ b/crates/knowledge/tests/twice.rs
@@ -3,6 +3,7 @@
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use starlingplank_knowledge::disk::Disk as _;
 use starlingplank_knowledge::gate::{key, Admission, Gate, Key, Leave, Log, Sends, Sent};
 use starlingplank_knowledge::keylog::{self, KeyLog, Mark, Record};
 use starlingplank_standins::disk::{Fault, FaultyDisk};
@@ -217,3 +218,175 @@
     let twice: usize = (0..40).map(|seed| play(seed, false, Disk::Good, false).0.twice()).sum();
     assert!(twice > 20, "{twice}");
 }
+
+/// One of two processes of a gateway, in an upgrade: what it sends is in a folder that both read, and that a start of the
+/// machine, or who tidies up, empties.
+struct Process {
+    life: Life,
+    /// Of what is in that folder, how much it has heard.
+    heard: usize,
+    waiting: Vec<(f64, Key, f64, f64)>,
+}
+
+impl Process {
+    fn new(life: Life) -> Self {
+        Self { life, heard: 0, waiting: Vec::new() }
+    }
+
+    fn hear(&mut self, shared: &[(Key, Sent)], now: f64) {
+        for (key, sent) in shared.iter().skip(self.heard) {
+            self.life.gate.hear(*key, Sends::one(*sent), now);
+        }
+        self.heard = shared.len();
+    }
+
+    fn step(&mut self, rng: &mut Pcg64Mcg, shared: &mut Vec<(Key, Sent)>, engines: &mut Engines, now: f64) {
+        if rng.random_bool(0.5) {
+            // What the other has just sent counts before a keyed request is taken.
+            self.hear(shared, now);
+            let key = key(&rng.random_range(0..KEYS).to_string());
+            if let Admission::Until(by) = self.life.gate.admit(&key, WINDOW, now, MARGIN) {
+                let wait = if rng.random_bool(0.2) { 25_000.0 } else { 700.0 };
+                self.waiting.push((now + rng.random_range(0.0..wait), key, by, now));
+            }
+        }
+        let due: Vec<_> = self.waiting.extract_if(.., |w| w.0 <= now).collect();
+        for (_, key, by, came) in due {
+            if now < by && self.life.leave(key, now) {
+                shared.push((key, Sent { at: now, window: WINDOW }));
+                engines.take(key, came, now + rng.random_range(0.0..MARGIN / 2.0));
+            }
+        }
+    }
+}
+
+/// Ten minutes of upgrades: versions follow each other, either of two processes or both are killed at any moment, the
+/// shared folder is sometimes emptied before the next start, the machine sometimes started anew. `says`: who follows
+/// says so beside the log.
+fn upgrades(seed: u64, says: bool) -> (Engines, u32) {
+    const SAID: &str = "beside-1";
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let disk = FaultyDisk::new(seed);
+    let mut engines = Engines::default();
+    let mut shared: Vec<(Key, Sent)> = Vec::new();
+    let (mut now, mut machine, mut boot, mut taken) = (1_000_000.0, 5_000.0, [1; 16], 0);
+    let unsay = |disk: &FaultyDisk| {
+        let mut disk = disk.clone();
+        let _ = disk.remove(SAID).and_then(|()| disk.sync_names());
+    };
+    while now < 1_600_000.0 {
+        let born = now;
+        let mut old =
+            Process::new(Life::start(&disk, Log::Open { required: false }, now, machine - now, boot));
+        if old.life.gate.healthy() {
+            unsay(&disk);
+        }
+        let mut new: Option<Process> = None;
+        let end = now + rng.random_range(500.0..60_000.0);
+        let mut second = now;
+        let mut upgrade = now + rng.random_range(100.0..8_000.0);
+        while now < end {
+            now += rng.random_range(1.0..60.0);
+            if now >= second + 1_000.0 {
+                second = now;
+                old.life.tend(now);
+            }
+            old.step(&mut rng, &mut shared, &mut engines, now);
+            if let Some(new) = &mut new {
+                new.step(&mut rng, &mut shared, &mut engines, now);
+            }
+            if now < upgrade {
+                continue;
+            }
+            let offset = machine - born;
+            match new.take() {
+                // A new one starts, and follows.
+                None => {
+                    let found = keylog::recover_beside(&disk, now + offset, Some(boot), WINDOW);
+                    let kind = if found.trusted.is_some() { Log::Off } else { Log::Missing };
+                    let mut gate = Gate::new(kind, WINDOW, 1_000, now);
+                    if let Some((sends, shut)) = found.trusted {
+                        let here = |(k, s): (Key, Sends)| {
+                            (k, Sends { first: s.first - offset, last: s.last - offset, ..s })
+                        };
+                        gate.trust(
+                            sends.into_iter().map(here),
+                            if shut > 0.0 { shut - offset } else { 0.0 },
+                            now,
+                        );
+                    }
+                    if says {
+                        let mut disk = disk.clone();
+                        disk.create(SAID).and_then(|()| disk.sync_names()).expect("a good disk");
+                    }
+                    new = Some(Process::new(Life { gate, log: None, offset, boot }));
+                    upgrade = now + rng.random_range(50.0..5_000.0);
+                }
+                // The old one ends, and the new one sees it a little later: until then it goes on.
+                Some(mut next) if rng.random_bool(0.6) => {
+                    let seen = now + rng.random_range(0.0..150.0);
+                    while now < seen {
+                        now += rng.random_range(1.0..30.0);
+                        next.step(&mut rng, &mut shared, &mut engines, now);
+                    }
+                    next.hear(&shared, now);
+                    let found = keylog::recover_beside(&disk, now + offset, Some(boot), WINDOW);
+                    let here = |(sends, shut): (Vec<(Key, Sends)>, f64)| {
+                        let back = |s: Sends| Sends { first: s.first - offset, last: s.last - offset, ..s };
+                        let shut = if shut > 0.0 { shut - offset } else { 0.0 };
+                        (sends.into_iter().map(|(k, s)| (k, back(s))).collect(), shut)
+                    };
+                    next.life.gate.take_log(false, found.trusted.map(here), now);
+                    next.life.log = KeyLog::open(Box::new(disk.clone())).ok();
+                    // It may be killed before its first file is there.
+                    if rng.random_bool(0.2) {
+                        break;
+                    }
+                    next.life.tend(now);
+                    assert!(next.life.gate.healthy(), "a good disk");
+                    unsay(&disk);
+                    (old, taken) = (next, taken + 1);
+                    upgrade = now + rng.random_range(100.0..8_000.0);
+                }
+                // The new one is killed; the old one has what it sent.
+                Some(_) if rng.random_bool(0.5) => upgrade = now + rng.random_range(100.0..8_000.0),
+                // Both are.
+                Some(_) => break,
+            }
+        }
+        disk.restart();
+        let down = if rng.random_bool(0.7) {
+            rng.random_range(5.0..1_500.0)
+        } else {
+            rng.random_range(0.0..40_000.0)
+        };
+        machine += now - born + down;
+        now += down;
+        if rng.random_bool(0.1) {
+            (machine, boot) = (rng.random_range(0.0..20_000.0), [rng.random(); 16]);
+            shared.clear();
+        }
+        if rng.random_bool(0.5) {
+            shared.clear();
+        }
+    }
+    (engines, taken)
+}
+
+#[test]
+fn nothing_keyed_runs_twice_while_versions_take_over_from_each_other() {
+    let (mut runs, mut taken) = (0, 0);
+    for seed in 0..300 {
+        let (engines, n) = upgrades(seed, true);
+        assert_eq!(engines.twice(), 0, "seed {seed}");
+        (runs, taken) = (runs + engines.all(), taken + n);
+    }
+    assert!(runs > 10_000 && taken > 5_000, "{runs} runs, {taken} versions took over");
+}
+
+/// The same without a word beside the log: the test sees what that is for.
+#[test]
+fn upgrade_cut_short_that_nobody_knows_of_runs_loads_twice() {
+    let twice: usize = (0..100).map(|seed| upgrades(seed, false).0.twice()).sum();
+    assert!(twice > 0, "{twice}");
+}
--- a/src/net/keep.rs
+++ b/src/net/keep.rs
@@ -16,8 +16,11 @@
 use starlingplank_knowledge::records::Snapshot;
 use starlingplank_knowledge::store::{self, Store};
 use std::cell::Cell;
+use std::fs::File;
 use std::io;
-use std::sync::{Arc, Mutex};
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::mpsc::{unbounded_channel, Sender};
 use tracing::{error, info, warn};
 
@@ -46,6 +49,8 @@
     folder: Option<Folder>,
     /// Another process has the folder, and leaves it to this one.
     waits: bool,
+    /// Says that this process sends beside the log of the one that has the folder.
+    beside: Option<Beside>,
     /// Taking it over failed, and that was said.
     failing: bool,
 }
@@ -74,6 +79,31 @@
     config.settings.classes.iter().filter_map(window).fold(0.0, f64::max)
 }
 
+/// A file in the folder that says that a process sends keyed requests which the log there does not hold. It is locked
+/// for as long as that process lives.
+struct Beside {
+    path: PathBuf,
+    _lock: File,
+}
+
+impl Beside {
+    fn say(folder: &Path) -> io::Result<Self> {
+        let path = folder.join(format!("{}{}", keylog::BESIDE, std::process::id()));
+        let file = File::options().create(true).truncate(true).write(true).mode(0o600).open(&path)?;
+        file.try_lock()?;
+        file.sync_all()?;
+        File::open(folder)?.sync_all()?;
+        Ok(Self { path, _lock: file })
+    }
+}
+
+/// Such files of processes that have ended.
+fn dead_words(folder: &Folder) -> Vec<PathBuf> {
+    let names = folder.disk().names().unwrap_or_default();
+    let words = names.iter().filter(|n| n.starts_with(keylog::BESIDE)).map(|n| folder.path().join(n));
+    words.filter(|path| File::open(path).is_ok_and(|file| file.try_lock().is_ok())).collect()
+}
+
 /// What a log of keys tells in this life's time.
 struct Log {
     trusted: Option<(Vec<(Key, Sends)>, Ms)>,
@@ -82,10 +112,20 @@
 }
 
 impl Log {
+    /// Of the life before.
     fn read(disk: &dyn Disk, window: Ms, now: Ms) -> Self {
         let boot = Boot::read();
+        Self::of(keylog::recover(disk, boot.now, boot.id, window), &boot, now)
+    }
+
+    /// Of a process that is taken over from, by one that knows what was sent beside it.
+    fn beside(disk: &dyn Disk, window: Ms, now: Ms) -> Self {
+        let boot = Boot::read();
+        Self::of(keylog::recover_beside(disk, boot.now, boot.id, window), &boot, now)
+    }
+
+    fn of(found: keylog::Recovered, boot: &Boot, now: Ms) -> Self {
         let offset = Offset { by: boot.now - now, boot: boot.id.unwrap_or_default() };
-        let found = keylog::recover(disk, boot.now, boot.id, window);
         let back = |(sends, shut): (Vec<(Key, Sends)>, Ms)| {
             let shut = if shut > 0.0 { shut - offset.by } else { 0.0 };
             (sends.into_iter().map(|(k, s)| (k, offset.back(s))).collect(), shut)
@@ -116,6 +156,7 @@
             state: Arc::default(),
             folder: None,
             waits: false,
+            beside: None,
             failing: false,
         }
     }
@@ -192,7 +233,8 @@
             if let Some((sends, shut)) = log.trusted {
                 gate.trust(sends, shut, now);
             }
-            keep.keep_keys(&folder, log.offset, events)?;
+            // Those of processes that have ended have done their part once this life's own log begins.
+            keep.keep_keys(&folder, log.offset, events, dead_words(&folder))?;
             gate
         } else {
             Gate::off()
@@ -212,7 +254,7 @@
 
     /// While another version of this gateway has the folder: keyed requests leave as that one's keys allow, and each is
     /// recorded where both look. Where the folder is required they wait for it.
-    pub fn follow(&self, config: &Config, core: &mut Core, now: Ms) {
+    pub fn follow(&mut self, config: &Config, core: &mut Core, now: Ms) {
         let Some(settings) = config.knowledge.as_ref().filter(|k| self.waits && k.keys && !k.required) else {
             return;
         };
@@ -226,8 +268,18 @@
                 config.name
             );
         }
+        // Before anything keyed leaves: a next life that finds this word, and not what was sent, waits.
+        match Beside::say(&settings.folder) {
+            Ok(word) => self.beside = Some(word),
+            Err(e) => {
+                return error!(
+                    "refusing keyed requests until {} is free: it cannot be written: {e}",
+                    settings.folder.display()
+                )
+            }
+        }
         let window = window(config);
-        let log = Log::read(&files, window, now);
+        let log = Log::beside(&files, window, now);
         log.say(window);
         let kind = if log.trusted.is_some() { knowledge::Log::Off } else { knowledge::Log::Missing };
         let mut gate = Gate::new(kind, window, settings.most_keys, now);
@@ -272,10 +324,14 @@
         let taken = folder.map_err(io::Error::other).and_then(|folder| {
             let (store, _) = Store::open(Box::new(folder.disk()), settings.most_bytes)?;
             let (window, keyed) = (window(config), settings.keys);
-            let log = (keyed && window > 0.0).then(|| Log::read(&folder.disk(), window, now));
+            // One that refused all keyed requests knows of none that was sent beside the log.
+            let read = if self.beside.is_some() { Log::beside } else { Log::read };
+            let log = (keyed && window > 0.0).then(|| read(&folder.disk(), window, now));
             self.keep_learned(&folder, store)?;
             if let Some(log) = &log {
-                self.keep_keys(&folder, log.offset, events)?;
+                let own = self.beside.as_ref().map(|b| b.path.clone());
+                let words = dead_words(&folder).into_iter().chain(own).collect();
+                self.keep_keys(&folder, log.offset, events, words)?;
             }
             Ok((folder, log))
         });
@@ -299,7 +355,14 @@
         }
     }
 
-    fn keep_keys(&mut self, folder: &Folder, offset: Offset, events: &Sender<Event>) -> io::Result<()> {
+    /// `words`: files that say what the first file of this life makes void.
+    fn keep_keys(
+        &mut self,
+        folder: &Folder,
+        offset: Offset,
+        events: &Sender<Event>,
+        words: Vec<PathBuf>,
+    ) -> io::Result<()> {
         // The thread that writes and the reducer's thread share this channel alone. What is in it was asked for,
         // so it is bounded by what may wait.
         let (tell, mut told) = unbounded_channel();
@@ -311,7 +374,15 @@
                 }
             }
         });
-        let tell = move |news: KeyNews, written: Written| drop(tell.send((news, written)));
+        let words = Mutex::new(words);
+        let tell = move |news: KeyNews, written: Written| {
+            if matches!(news, KeyNews::Rewritten(_)) {
+                // One that stays costs the next life a wait.
+                let words = std::mem::take(&mut *words.lock().unwrap_or_else(PoisonError::into_inner));
+                words.iter().for_each(|word| drop(std::fs::remove_file(word)));
+            }
+            drop(tell.send((news, written)));
+        };
         self.keys = Some(KeyKeeper::start(Box::new(folder.disk()), offset, tell)?);
         Ok(())
     }
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -725,6 +725,9 @@
         load(&new, n) == "served" && held() > 40
     });
     assert!(whole, "{} keys are in the log", held());
+    let disk = starlingplank_knowledge::folder::Files::new(&kept);
+    let beside = || starlingplank_knowledge::keylog::sent_beside(&disk).expect("it can be read");
+    assert!((0..1_000_000).any(|_| !beside()), "nothing is beside it any more");
     new.signal("-KILL");
     drop(new);
     let third = site.start();
@@ -796,3 +799,37 @@
     *said.lock().expect("said") = Some((3, vec![("s-0", at, false)]));
     assert!((0..100_000).any(|_| new.say("GET /api/ready HTTP/1.1\r\n\r\n").0 == 200), "it is ready");
 }
+
+/// Both versions are killed in the middle of an upgrade, and what they shared is gone: the next life finds the word that
+/// some keyed requests are in no log, and waits for a window before it sends any.
+#[test]
+fn upgrade_cut_short_makes_the_next_life_wait_before_it_sends_what_is_keyed() {
+    let (at, _) = resp_engine(served);
+    let mut site = Site::new(&[at]);
+    site.config = site.config.replacen("\"window\":12000", "\"window\":3000", 1);
+    let kept = site.tmp.path().join("kept");
+    let mut file = tempfile::NamedTempFile::new().expect("a file");
+    write!(file, "knowledge {{\n  folder = {kept:?}\n  every = \"100ms\"\n}}\n").expect("written");
+    site.operator = Some(file);
+    let disk = || starlingplank_knowledge::folder::Files::new(&kept);
+    let beside = || starlingplank_knowledge::keylog::sent_beside(&disk()).expect("it can be read");
+    let old = site.start();
+    assert!((0..1_000_000).any(|_| load(&old, 1) == "served") && !beside());
+    let new = site.start();
+    assert!(beside(), "it is said before anything is sent");
+    assert!((100..120).all(|n| load(&new, n) == "served"));
+    old.signal("-KILL");
+    new.signal("-KILL");
+    drop((old, new));
+    let shared = std::fs::read_dir(site.tmp.path()).expect("there").flatten().map(|e| e.path());
+    let shared: Vec<_> = shared.filter(|p| p.is_dir() && *p != kept).collect();
+    assert_eq!(shared.len(), 1);
+    std::fs::remove_dir_all(&shared[0]).expect("removed");
+    let third = site.start();
+    // Its own first file says until when nothing keyed may leave; then the word has done its part.
+    let mark = || starlingplank_knowledge::keylog::last(&disk()).ok()??.1.mark;
+    assert!((0..1_000_000).any(|_| !beside()), "the word is taken away");
+    assert!(mark().is_some_and(|m| m.shut_until > m.at), "{:?}", mark());
+    assert_eq!(ask_often(&third, 0, 5), 5, "what has no key is served meanwhile");
+    assert!((0..1_000_000).any(|_| load(&third, 200) == "served"));
+}
