A flow to the list service that falls silent is left for a new socket

Need: discovery asked for ever from one connected socket (src/net/names.rs, ask): where that flow falls silent for good, nothing that the service has to tell is ever heard, and drains are not kept. Change: after three questions in a row without an answer the next leaves from a new socket, at the same pace; the one before it is listened to as well.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -75,6 +75,8 @@
     pub names_slowest: Ms,
     /// Questions to the name service whose answers are still taken.
     pub names_open: usize,
+    /// Questions without an answer, in a row, after which the next one leaves from a new socket.
+    pub names_quiet: usize,
     /// Bytes of a datagram of the name service at most.
     pub names_bytes: usize,
     /// After SIGTERM, new requests are taken at least this long.
@@ -162,6 +164,7 @@
             names_poll: ms(200.0),
             names_slowest: f.number_or("pacing.list_slowest", list::STEADY)?,
             names_open: 16,
+            names_quiet: 3,
             names_bytes: 16 << 10,
             term_window: 800.0,
             term_answer: 3_300.0,
--- a/src/net/names.rs
+++ b/src/net/names.rs
@@ -6,6 +6,7 @@
 use crate::limits::Limits;
 use starlingplank_pacing::list::{self, ListPace, Rules};
 use std::collections::{BTreeMap, VecDeque};
+use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -180,6 +181,29 @@
     }
 }
 
+/// A socket of its own, connected, so that the system takes datagrams from that address alone.
+async fn open_socket(to: SocketAddr) -> io::Result<UdpSocket> {
+    let socket = UdpSocket::bind(SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0)).await?;
+    socket.connect(to).await?;
+    Ok(socket)
+}
+
+/// A datagram from either.
+async fn receive(socket: &UdpSocket, former: Option<&UdpSocket>, buffer: &mut [u8]) -> io::Result<usize> {
+    loop {
+        tokio::select! {
+            ready = socket.readable() => ready?,
+            _ = async { former?.readable().await.ok() }, if former.is_some() => {}
+        }
+        for socket in std::iter::once(socket).chain(former) {
+            match socket.try_recv(buffer) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                got => return got,
+            }
+        }
+    }
+}
+
 /// Asks one address until nobody wants the answers any more.
 async fn ask(
     at: Option<SocketAddr>,
@@ -191,14 +215,15 @@
     let Some(at) = at else { return std::future::pending().await };
     let mut open: VecDeque<u16> = VecDeque::new();
     let mut buffer = vec![0; limits.names_bytes];
-    // Connected, so that the system takes datagrams from that address alone.
-    let unbound = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
-    let socket = loop {
-        match UdpSocket::bind(unbound).await {
-            Ok(socket) if socket.connect(at).await.is_ok() => break socket,
-            _ => tokio::time::sleep(limits.names_poll).await,
+    let mut socket = loop {
+        match open_socket(at).await {
+            Ok(socket) => break socket,
+            Err(_) => tokio::time::sleep(limits.names_poll).await,
         }
     };
+    // The one before it is listened to as well: an answer may be on its way.
+    let mut former: Option<UdpSocket> = None;
+    let mut unanswered = 0;
     // Hundreds of gateways ask one service: the pace is one that their sum can keep.
     let begun = Instant::now();
     let now = || begun.elapsed().as_secs_f64() * 1000.0;
@@ -218,11 +243,20 @@
                     open.pop_front();
                 }
                 pace.asked(now());
+                if unanswered >= limits.names_quiet {
+                    // The service may be well, and this flow to it lost for good.
+                    if let Ok(fresh) = open_socket(at).await {
+                        tracing::debug!("the list is asked for from a new socket");
+                        former = Some(std::mem::replace(&mut socket, fresh));
+                        unanswered = 0;
+                    }
+                }
+                unanswered += 1;
                 // A lost question is followed by the next one.
                 tracing::trace!("list asked for");
                 let _ = socket.send(&question(id)).await;
             }
-            got = socket.recv(&mut buffer) => {
+            got = receive(&socket, former.as_ref(), &mut buffer) => {
                 // A refused datagram shows up here; the next question tries again.
                 let Ok(len) = got else { continue };
                 let Some(answered) = read(&buffer[..len], settings) else { continue };
@@ -230,6 +264,7 @@
                 if asked.and_then(|at| open.remove(at)).is_none() {
                     continue;
                 }
+                unanswered = 0;
                 if answered.serial >= newest {
                     pace.answered(now());
                     // What a start knows is older than the service's word as a rule: the first is no change.
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -61,12 +61,34 @@
         ));
         std::fs::write(&dir, config).expect("a file");
         let mut command = Command::new(env!("CARGO_BIN_EXE_starlingplank"));
-        command.env("PROXY_CONFIG", &dir).arg("serve").stdout(Stdio::piped());
+        command.arg("serve");
         command.args(operator.iter().flat_map(|file| [std::ffi::OsStr::new("--operator"), file.as_os_str()]));
+        Self::spawn(command, dir)
+    }
+
+    /// By a shell that does something else first.
+    pub fn start_after(config: &str, first: &str) -> Self {
+        let dir = std::env::temp_dir().join(format!(
+            "starlingplank-{}-{:?}",
+            std::process::id(),
+            thread::current().id()
+        ));
+        std::fs::write(&dir, config).expect("a file");
+        let mut command = Command::new("sh");
+        let run = format!("{first} && exec {} serve", env!("CARGO_BIN_EXE_starlingplank"));
+        command.args(["-c", &run]);
+        Self::spawn(command, dir)
+    }
+
+    fn spawn(mut command: Command, dir: PathBuf) -> Self {
+        command.env("PROXY_CONFIG", &dir).stdout(Stdio::piped());
         let mut child = command.spawn().expect("the program starts");
         let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
         let mut address = || {
             let at = lines.by_ref().map_while(Result::ok).find_map(|line| {
+                if line.ends_with("for its operators") {
+                    return None;
+                }
                 let (_, rest) = line.split_once(" listens at ")?;
                 rest.split(' ').next().map(str::to_owned)
             });
