Engine connections: late keyed sends, silent ones and unanswered probes

Need, found on reading. (1) A keyed attempt was checked against its window as it was decided (core, send); it then could wait for its connection for the whole connect time-out and arrive after the window, where a repeat runs twice. (2) An engine connection on which an attempt timed out with nothing heard stayed in its pool (net/engine/pool.rs, give_up) and took the next ones. (3) A probe that is never answered kept its entry, so that a silent connection never counted as empty, and over HTTP a connection for itself, up to all that engines may have. Change: a frame carries until when its first byte may leave, and is taken back and told as never run past that; a connection that let an attempt time out or a probe go unanswered in silence takes no more; probes are given up where they wait. Result: attempt_whose_time_to_leave_is_over_never_leaves, connection_that_let_an_attempt_time_out_in_silence_takes_no_more and probes_that_nobody_answers_keep_no_connections; the last two were seen to fail without the change (never served; 7 connections where 4 are enough), the first cannot be written without it. Two tests more for attempts that wait and whose client has gone; those held before.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -189,6 +189,8 @@
     pub statement: Rc<Statement>,
     /// How long its answer is waited for.
     pub budget: Ms,
+    /// It leaves within this time or not at all: engines forget the keys that they saw.
+    pub leave_within: Option<Ms>,
     /// Memory granted; 0: the engine's choice.
     pub memory_mb: f64,
     /// 0 to 3.
@@ -200,8 +202,8 @@
 pub enum Effect {
     /// Send an attempt.
     Send(Send),
-    /// Give an attempt up: nothing it brings is wanted.
-    GiveUp(AttemptId, EngineId),
+    /// Give an attempt up: nothing it brings is wanted. What for: its time is over, or nobody wants it any more.
+    GiveUp(AttemptId, EngineId, Outcome),
     /// Change the priority of an attempt that is out.
     Hurry(AttemptId, EngineId, u8),
     /// Probe an engine under this number.
@@ -775,7 +777,7 @@
     /// Ends an attempt from this side.
     fn give_up(&mut self, now: Ms, id: AttemptId, outcome: Outcome, effects: &mut Vec<Effect>) {
         let Some(engine) = self.attempt(id).filter(|a| a.out).map(|a| a.engine.clone()) else { return };
-        effects.push(Effect::GiveUp(id, engine));
+        effects.push(Effect::GiveUp(id, engine, outcome));
         self.end(now, id, End::plain(outcome), effects);
     }
 
@@ -998,6 +1000,7 @@
             class: r.class,
             statement: r.statement.clone(),
             budget: ends - now,
+            leave_within: Some(r.send_by - now).filter(|t| t.is_finite()),
             memory_mb,
             priority,
         }));
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -57,8 +57,10 @@
     pub sweep: Duration,
     /// Being later than this for what is due is worth a line in the log.
     pub stall: Ms,
-    /// A probe unanswered by then has failed.
+    /// A probe unanswered by then has failed ...
     pub probe: Ms,
+    /// ... and its connection is looked after.
+    pub probe_over: Duration,
     /// Time between two turns of the module where nobody waits for the second, or turns take much time.
     pub turn_gap: Ms,
     /// Share of the time that turns in between may take ...
@@ -156,6 +158,7 @@
             sweep: ms(250.0),
             stall: 50.0,
             probe: 300.0,
+            probe_over: ms(300.0),
             turn_gap: f.number_or("tick", 1.0)?.clamp(2.0, 5.0),
             turn_share: 0.2,
             turn_credit: 5.0,
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -68,12 +68,19 @@
     pub parts: Vec<Part>,
     /// What is counted once the last of them has left.
     pub tally: Option<Tally>,
+    /// Its first byte leaves by then, or never.
+    pub by: Option<Instant>,
 }
 
 impl Frame {
     /// A message that sends no attempt.
     pub fn plain(bytes: Vec<u8>) -> Self {
-        Self { attempt: None, parts: vec![Part::Own(bytes)], tally: None }
+        Self::of(vec![bytes])
+    }
+
+    /// The same, in parts.
+    pub fn of(parts: Vec<Vec<u8>>) -> Self {
+        Self { attempt: None, parts: parts.into_iter().map(Part::Own).collect(), tally: None, by: None }
     }
 
     /// Counts that, once it is written.
@@ -97,6 +104,9 @@
     closing: Cell<Option<Close>>,
     wake: Notify,
     drained: Notify,
+    /// Attempts whose time to leave is over.
+    overdue: RefCell<Vec<AttemptId>>,
+    late: Notify,
     /// All that waited is written, or the connection should look again at whether it goes on.
     nudge: Notify,
 }
@@ -122,6 +132,8 @@
             closing: Cell::new(None),
             wake: Notify::new(),
             drained: Notify::new(),
+            overdue: RefCell::default(),
+            late: Notify::new(),
             nudge: Notify::new(),
         }
     }
@@ -199,6 +211,32 @@
         frames.iter().skip(usize::from(self.begun.get() > 0)).filter_map(|f| f.attempt).collect()
     }
 
+    /// Takes back what was to leave by now and has not begun to.
+    fn drop_overdue(&self) {
+        let now = Instant::now();
+        let from = usize::from(self.begun.get() > 0);
+        loop {
+            let mut frames = self.frames.borrow_mut();
+            let over = |f: &Frame| f.by.is_some_and(|by| by <= now);
+            let Some(at) = (from..frames.len()).find(|i| over(&frames[*i])) else { return };
+            let Some(frame) = frames.remove(at) else { return };
+            drop(frames);
+            self.count(0, frame.len());
+            self.overdue.borrow_mut().extend(frame.attempt);
+            self.late.notify_one();
+        }
+    }
+
+    /// Waits for an attempt whose time to leave is over; it never left.
+    pub async fn overdue(&self) -> AttemptId {
+        loop {
+            if let Some(id) = self.overdue.borrow_mut().pop() {
+                return id;
+            }
+            self.late.notified().await;
+        }
+    }
+
     fn advance(&self, mut written: usize) {
         self.count(0, written);
         let mut frames = self.frames.borrow_mut();
@@ -219,6 +257,7 @@
             if self.closing.get() == Some(Close::Now) {
                 return Ok(());
             }
+            self.drop_overdue();
             if self.frames.borrow().is_empty() {
                 if self.closing.get().is_some() {
                     return Ok(());
--- a/src/net/engine/clickhouse.rs
+++ b/src/net/engine/clickhouse.rs
@@ -6,8 +6,8 @@
 use crate::limits::Limits;
 use crate::net::conn::{Close, Common, Frame, Inbox, Outbox, Part};
 use crate::net::engine::pool::Engines;
+use crate::net::engine::resp::sending;
 use crate::net::http::{self, Length, Read};
-use starlingplank_operation::figures::Count;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -107,7 +107,7 @@
         }
     }
 
-    fn give_up(&mut self, id: AttemptId) {
+    fn give_up(&mut self, id: AttemptId, _: bool) {
         let Some(conn) = self.holder(id) else { return };
         *conn.job.borrow_mut() = None;
         if !conn.out.withdraw(id) {
@@ -138,6 +138,13 @@
     }
 
     fn sweep(&mut self, _: &mut Vec<Event>) {
+        // A probe that nobody answers would keep its connection for ever.
+        let probes = |c: &Conn| matches!(&*c.job.borrow(), Some(Job::Probe(_)));
+        for conn in self.pools.values().flatten().filter(|c| probes(c)) {
+            if conn.used.get().elapsed() >= self.limits.probe_over {
+                conn.out.close(Close::Now);
+            }
+        }
         for pool in self.pools.values_mut() {
             for conn in pool.iter().filter(|c| !c.dead.get() && c.job.borrow().is_none()) {
                 if conn.retired.get() || conn.used.get().elapsed() >= self.limits.idle {
@@ -201,7 +208,7 @@
         send.address
     );
     let parts = vec![Part::Own(head.into_bytes()), body];
-    Frame { attempt: Some(send.id), parts, tally: Some((send.class.0, Count::Sends)) }
+    sending(send, parts)
 }
 
 async fn run(conn: Rc<Conn>, limits: Rc<Limits>, events: Sender<Event>) {
@@ -211,6 +218,7 @@
         tokio::select! {
             ended = conn.out.write_all(stream, &limits) => drop(ended),
             _ = read(&conn, stream, &limits, &events) => {}
+            () = drop_overdue(&conn, &events) => {}
         }
     }
     conn.dead.set(true);
@@ -232,6 +240,17 @@
     let _ = events.send(event).await;
 }
 
+/// Tells of attempts that could not leave in time.
+async fn drop_overdue(conn: &Conn, events: &Sender<Event>) {
+    loop {
+        let id = conn.out.overdue().await;
+        if conn.holds(id) {
+            *conn.job.borrow_mut() = None;
+            let _ = events.send(Event::Ended(id, End::plain(Outcome::Moot))).await;
+        }
+    }
+}
+
 /// Reads answers until the connection is of no more use. None ends it.
 async fn read(conn: &Conn, stream: &TcpStream, limits: &Limits, events: &Sender<Event>) -> Option<()> {
     let mut inbox = Inbox::new(conn.out.common());
--- a/src/net/engine/pool.rs
+++ b/src/net/engine/pool.rs
@@ -20,8 +20,8 @@
 pub trait Engines {
     /// Sends an attempt.
     fn send(&mut self, send: Send, events: &mut Vec<Event>);
-    /// Gives one up.
-    fn give_up(&mut self, id: AttemptId);
+    /// Gives one up, because its time is over or because nobody wants it any more.
+    fn give_up(&mut self, id: AttemptId, out_of_time: bool);
     /// Changes the priority of one.
     fn hurry(&mut self, id: AttemptId, priority: u8);
     /// Probes an engine.
@@ -45,6 +45,7 @@
 #[derive(Debug)]
 struct Flight {
     id: AttemptId,
+    since: Instant,
     pages: Option<Pages>,
 }
 
@@ -59,8 +60,11 @@
     flights: RefCell<HashMap<String, Flight>>,
     /// Ids given up here. One is never sent here again: an answer to the old attempt would pass for the new.
     spent: RefCell<BTreeSet<String>>,
-    probes: RefCell<BTreeSet<u64>>,
+    /// Probes that are out, and since when.
+    probes: RefCell<BTreeMap<u64, Instant>>,
     used: Cell<Instant>,
+    /// When anything last came.
+    heard: Cell<Instant>,
 }
 
 impl Conn {
@@ -90,6 +94,25 @@
         }
     }
 
+    /// Nothing has come since then, and what was waited for is overdue: this connection may never speak again, though its
+    /// engine does on another.
+    fn doubt(&self, since: Instant) {
+        if self.heard.get() <= since {
+            self.retired.set(true);
+        }
+    }
+
+    /// Gives up probes that nobody answers.
+    fn drop_probes(&self, limits: &Limits) {
+        self.probes.borrow_mut().retain(|_, since| {
+            let over = since.elapsed() >= limits.probe_over;
+            if over {
+                self.doubt(*since);
+            }
+            !over
+        });
+    }
+
     fn end(&self, name: &str) -> Option<Flight> {
         self.used.set(Instant::now());
         self.flights.borrow_mut().remove(name)
@@ -140,6 +163,7 @@
             spent: RefCell::default(),
             probes: RefCell::default(),
             used: Cell::new(Instant::now()),
+            heard: Cell::new(Instant::now()),
         });
         self.pools.entry(engine.clone()).or_default().push(conn.clone());
         tokio::task::spawn_local(run(conn.clone(), self.limits.clone(), self.events.clone()));
@@ -155,12 +179,14 @@
             return events.push(Event::Ended(send.id, End::plain(Outcome::Moot)));
         };
         conn.used.set(Instant::now());
-        conn.flights.borrow_mut().insert(name.clone(), Flight { id: send.id, pages: None });
+        conn.flights
+            .borrow_mut()
+            .insert(name.clone(), Flight { id: send.id, since: Instant::now(), pages: None });
         conn.out.push(resp::want(&send), &self.limits);
         self.at.insert(send.id, (conn, name));
     }
 
-    fn give_up(&mut self, id: AttemptId) {
+    fn give_up(&mut self, id: AttemptId, out_of_time: bool) {
         let Some((conn, name)) = self.at.remove(&id) else { return };
         if conn.flights.borrow().get(&name).is_none_or(|f| f.id != id) {
             return;
@@ -169,6 +195,9 @@
         if conn.out.withdraw(id) {
             return;
         }
+        if out_of_time {
+            conn.doubt(flight.since);
+        }
         let word = if flight.pages.is_some() { "shut" } else { "never_mind" };
         conn.out.push(resp::say(&[word, &name]), &self.limits);
         conn.spent.borrow_mut().insert(name);
@@ -189,7 +218,7 @@
         let Some(conn) = self.pick(engine, address, "") else {
             return events.push(Event::Probed(tag, false, None));
         };
-        conn.probes.borrow_mut().insert(tag);
+        conn.probes.borrow_mut().insert(tag, Instant::now());
         conn.out.push(resp::say(&["busy", &format!("p{tag}")]), &self.limits);
     }
 
@@ -209,6 +238,7 @@
     fn sweep(&mut self, events: &mut Vec<Event>) {
         for conn in self.pools.values().flatten() {
             conn.drop_stuck(&self.limits, events);
+            conn.drop_probes(&self.limits);
         }
         for pool in self.pools.values_mut() {
             for conn in pool.iter().filter(|c| !c.dead.get() && c.empty()) {
@@ -244,6 +274,7 @@
         tokio::select! {
             ended = conn.out.write_all(stream, &limits) => drop(ended),
             () = read(&conn, stream, &limits, &events) => {}
+            () = drop_overdue(&conn, &events) => {}
         }
     }
     conn.dead.set(true);
@@ -259,11 +290,20 @@
         let _ = events.send(Event::Ended(flight.id, End::plain(outcome))).await;
     }
     let probes = std::mem::take(&mut *conn.probes.borrow_mut());
-    for tag in probes {
+    for (tag, _) in probes {
         let _ = events.send(Event::Probed(tag, false, None)).await;
     }
 }
 
+/// Tells of attempts that could not leave in time.
+async fn drop_overdue(conn: &Conn, events: &Sender<Event>) {
+    loop {
+        let id = conn.out.overdue().await;
+        conn.flights.borrow_mut().retain(|_, f| f.id != id);
+        let _ = events.send(Event::Ended(id, End::plain(Outcome::Moot))).await;
+    }
+}
+
 async fn read(conn: &Conn, stream: &TcpStream, limits: &Limits, events: &Sender<Event>) {
     let mut inbox = Inbox::new(conn.out.common());
     loop {
@@ -299,7 +339,12 @@
             }
         };
         tokio::select! {
-            more = inbox.fill(stream, limits) => if !matches!(more, Ok(true)) { return },
+            more = inbox.fill(stream, limits) => {
+                if !matches!(more, Ok(true)) {
+                    return;
+                }
+                conn.heard.set(Instant::now());
+            }
             () = stuck => {
                 return log::seldom(limits, "an engine stopped inside an answer; the connection was closed");
             }
@@ -319,7 +364,7 @@
 /// What an answer means.
 fn take(conn: &Conn, reply: &Reply<'_>, limits: &Limits) -> Taken {
     if let Some(tag) = reply.id.strip_prefix('p').and_then(|t| t.parse().ok()) {
-        if !conn.probes.borrow_mut().remove(&tag) {
+        if conn.probes.borrow_mut().remove(&tag).is_none() {
             return Taken::Nothing;
         }
         conn.used.set(Instant::now());
@@ -374,7 +419,7 @@
         conn.out.push(resp::say(&["shut", reply.id]), limits);
     }
     drop(flights);
-    let Some(Flight { id, pages: Some(pages) }) = conn.end(reply.id) else { return Taken::Nothing };
+    let Some(Flight { id, pages: Some(pages), .. }) = conn.end(reply.id) else { return Taken::Nothing };
     let rows = Rows { parts: pages.parts.into_iter().flatten().collect(), headers: Vec::new() };
     Taken::News(Event::Ended(id, End { rows, ..pages.end }))
 }
--- a/src/net/engine/resp.rs
+++ b/src/net/engine/resp.rs
@@ -5,6 +5,8 @@
 use crate::net::conn::{Frame, Part};
 use starlingplank_operation::figures::Count;
 use std::io::Write;
+use std::time::Duration;
+use tokio::time::Instant;
 use winnow::ascii::{crlf, dec_uint};
 use winnow::combinator::{delimited, preceded, terminated};
 use winnow::error::{EmptyError, ErrMode};
@@ -129,6 +131,12 @@
     out
 }
 
+/// The frame of an attempt.
+pub fn sending(send: &Send, parts: Vec<Part>) -> Frame {
+    let by = send.leave_within.map(|ms| Instant::now() + Duration::from_secs_f64(ms.max(0.0) / 1000.0));
+    Frame { attempt: Some(send.id), parts, tally: Some((send.class.0, Count::Sends)), by }
+}
+
 /// A command without a body.
 pub fn say(parts: &[&str]) -> Frame {
     let parts: Vec<&[u8]> = parts.iter().map(|p| p.as_bytes()).collect();
@@ -149,5 +157,5 @@
     let head = command(&[b"want", s.name.as_bytes(), fields.as_bytes()], Some(s.text.len() + s.data.len()));
     let parts =
         vec![Part::Own(head), Part::Text(s.clone()), Part::Data(s.clone()), Part::Own(b"\r\n".to_vec())];
-    Frame { attempt: Some(send.id), parts, tally: Some((send.class.0, Count::Sends)) }
+    sending(send, parts)
 }
--- a/src/net/front/clickhouse.rs
+++ b/src/net/front/clickhouse.rs
@@ -77,8 +77,8 @@
 
     fn say(&self, status: u16, headers: &[(&str, &str)], body: Vec<Vec<u8>>) {
         let head = self.head(status, headers, Some(body.iter().map(Vec::len).sum()));
-        let parts = std::iter::once(head).chain(body).map(Part::Own).collect();
-        self.seat.say(Frame { attempt: None, parts, tally: self.tally.take() }, &self.limits);
+        let frame = Frame::of(std::iter::once(head).chain(body).collect());
+        self.seat.say(Frame { tally: self.tally.take(), ..frame }, &self.limits);
     }
 
     fn fail(&self, (status, code, name): (u16, u32, &str), what: &str, more: &[(&str, &str)]) {
@@ -110,10 +110,8 @@
 
     fn part(&self, bytes: Vec<u8>) {
         if !bytes.is_empty() {
-            let parts = [format!("{:x}\r\n", bytes.len()).into_bytes(), bytes, b"\r\n".to_vec()];
-            let parts = parts.into_iter().map(Part::Own).collect();
-            let frame = Frame { attempt: None, parts, tally: None };
-            self.session.seat.say(frame, &self.session.limits);
+            let parts = vec![format!("{:x}\r\n", bytes.len()).into_bytes(), bytes, b"\r\n".to_vec()];
+            self.session.seat.say(Frame::of(parts), &self.session.limits);
         }
     }
 
--- a/src/net/front/thrift.rs
+++ b/src/net/front/thrift.rs
@@ -198,7 +198,7 @@
     let mut parts = parts;
     let len: usize = parts.iter().map(Vec::len).sum::<usize>() - 4;
     parts[0][..4].copy_from_slice(&(len as u32).to_be_bytes());
-    Frame { attempt: None, parts: parts.into_iter().map(Part::Own).collect(), tally: None }
+    Frame::of(parts)
 }
 
 /// An `Answer`: the result's parts go out as they came.
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -454,7 +454,7 @@
         match effect {
             Effect::Send(send) if self.record(&send) => self.engines.send(send, news),
             Effect::Send(send) => news.push(Event::Ended(send.id, End::plain(Outcome::Moot))),
-            Effect::GiveUp(id, _) => self.engines.give_up(id),
+            Effect::GiveUp(id, _, outcome) => self.engines.give_up(id, outcome == Outcome::Timeout),
             Effect::Hurry(id, _, priority) => self.engines.hurry(id, priority),
             Effect::Probe(tag, engine, address) => self.engines.probe(tag, &engine, address, news),
             Effect::Shut(engine) => self.engines.shut(&engine, news),
@@ -559,7 +559,7 @@
         Effect::Send(s) => {
             tracing::trace!("send {}.{} to {} for {:.0} ms", s.id.0 .0, s.id.1, s.engine.0, s.budget)
         }
-        Effect::GiveUp((id, n), engine) => tracing::trace!("give up {}.{n} on {}", id.0, engine.0),
+        Effect::GiveUp((id, n), engine, _) => tracing::trace!("give up {}.{n} on {}", id.0, engine.0),
         Effect::Probe(tag, engine, _) => tracing::trace!("probe {tag} to {}", engine.0),
         Effect::Shut(engine) => tracing::trace!("shut {}", engine.0),
         Effect::Answer(id, answer) => {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -99,7 +99,7 @@
     // What ran there can end no more: it is given up soon, not at its deadline.
     bed.now += 300.0;
     let effects = bed.step(Event::Clock);
-    assert!(effects.iter().any(|e| matches!(e, Effect::GiveUp(id, _) if *id == first)));
+    assert!(effects.iter().any(|e| matches!(e, Effect::GiveUp(id, ..) if *id == first)));
 }
 
 #[test]
@@ -109,7 +109,7 @@
     let first = sent(&bed.take(1, None)).expect("sent");
     let mut effects = Vec::new();
     bed.core.handle(bed.now, Event::Left(RequestId(1)), &mut effects);
-    assert!(effects.iter().any(|e| matches!(e, Effect::GiveUp(id, _) if *id == first)));
+    assert!(effects.iter().any(|e| matches!(e, Effect::GiveUp(id, ..) if *id == first)));
 }
 
 #[test]
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -45,6 +45,219 @@
     panic!("it is never closed");
 }
 
+/// A request that the first engine turned away waits for another chance. Its client goes, or takes it back: it never leaves.
+#[rstest]
+#[case::thrift_cancel(true, true)]
+#[case::thrift_close(true, false)]
+#[case::http_close(false, false)]
+fn request_that_waits_for_its_next_attempt_never_leaves_once_its_client_has_gone(
+    #[case] thrift: bool,
+    #[case] says_so: bool,
+) {
+    let full = Arc::new(AtomicBool::new(true));
+    let is_full = full.clone();
+    let (at, log) = resp_engine(move |parts| match parts[0].as_str() {
+        "want" if is_full.load(Ordering::SeqCst) => Some(reply(&[&parts[1], "overload", "-", ""])),
+        _ => served(parts),
+    });
+    let gateway = Gateway::start(&config(&[at], "resp", 20_000));
+    let name = "00000000000000a1";
+    let mut client = if thrift { gateway.client() } else { gateway.web() };
+    let head = format!("POST /?query_id={name} HTTP/1.1\r\nContent-Length: 8\r\n\r\nselect 1");
+    client.write_all(&if thrift { lookup(name, 20_000) } else { head.into_bytes() }).expect("sent");
+    until(&log, |l| l.iter().any(|p| p[0] == "want"));
+    if says_so {
+        client.write_all(&cancel(1)).expect("sent");
+        client.write_all(&health(2)).expect("sent");
+        assert_eq!(answer(&mut client).0, 2, "the withdrawal was read");
+    } else {
+        drop(client);
+    }
+    full.store(false, Ordering::SeqCst);
+    // Others are served by the engine again; what was withdrawn is not.
+    let mut after = gateway.client();
+    for seq in 1.. {
+        let fields = [("verb", "lookup"), ("txn", &*format!("{seq:016x}")), ("limit", "20000")];
+        after.write_all(&call(seq, &fields, "select 1")).expect("sent");
+        if answer(&mut after).1 == "served" {
+            break;
+        }
+        assert!(seq < 10_000, "the engine is never used again");
+    }
+    assert_eq!(wants(&log, name), 1);
+}
+
+/// An attempt that waits for its connection to come up is taken back with its request.
+#[test]
+fn attempt_whose_connection_is_not_up_yet_never_leaves_once_its_client_has_gone() {
+    // A listener whose queue is full: further connections come up once there is room.
+    let socket = rustix::net::socket(rustix::net::AddressFamily::INET, rustix::net::SocketType::STREAM, None);
+    let socket = socket.expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    rustix::net::bind(&socket, &any).expect("bound");
+    rustix::net::listen(&socket, 0).expect("listens");
+    let listener = TcpListener::from(socket);
+    let at = listener.local_addr().expect("bound");
+    let filling: Vec<_> =
+        (0..2).map(|_| TcpStream::connect_timeout(&at, Duration::from_millis(100))).collect();
+    assert!(filling[1].is_err(), "the queue is full");
+    let text =
+        config(&[at], "resp", 60_000).replace(r#""connect_timeout":250"#, r#""connect_timeout":30000"#);
+    let gateway = Gateway::start(&text);
+    let mut client = gateway.client();
+    client.write_all(&lookup("00000000000000a1", 60_000)).expect("sent");
+    client.write_all(&cancel(1)).expect("sent");
+    client.write_all(&health(2)).expect("sent");
+    assert_eq!(answer(&mut client).0, 2, "the withdrawal was read");
+    // Now it may come up, and brings the next request alone.
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let heard = seen.clone();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let heard = heard.clone();
+            thread::spawn(move || {
+                let mut bytes = [0; 4096];
+                while let Ok(n) = stream.read(&mut bytes) {
+                    heard.lock().expect("log").extend_from_slice(&bytes[..n]);
+                    if n == 0 {
+                        return;
+                    }
+                    let text = String::from_utf8_lossy(&bytes[..n]).into_owned();
+                    for name in ["00000000000000a1", "00000000000000a2"] {
+                        if text.contains(name) {
+                            let said = reply(&[name, "served", "pages=1,cost=5,need=8", "a\tb\tc\n"]);
+                            let _ = stream.write_all(said.as_bytes());
+                        }
+                    }
+                }
+            });
+        }
+    });
+    drop(filling);
+    let fields = [("verb", "lookup"), ("txn", "00000000000000a2"), ("limit", "60000")];
+    for seq in 3.. {
+        client.write_all(&call(seq, &fields, "select 1")).expect("sent");
+        if answer(&mut client).1 == "served" {
+            break;
+        }
+        assert!(seq < 10_000, "it never comes up");
+    }
+    let seen = String::from_utf8_lossy(&seen.lock().expect("log")).into_owned();
+    assert!(!seen.contains("00000000000000a1"), "{seen}");
+}
+
+/// What may not leave after a time never does, also where its connection comes up later than that.
+#[test]
+fn attempt_whose_time_to_leave_is_over_never_leaves() {
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    rt.block_on(async {
+        let limits = Limits::read(&Fields::new("settings", BTreeMap::new())).expect("defaults");
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let stream = tokio::net::TcpStream::connect(listener.local_addr().expect("bound")).await.expect("up");
+        let (mut engine, _) = listener.accept().await.expect("one");
+        let out = Rc::new(Outbox::new(Common::new(1)));
+        let late = (starlingplank::interface::RequestId(7), 0);
+        let over = tokio::time::Instant::now();
+        out.push(Frame { attempt: Some(late), by: Some(over), ..Frame::plain(b"late".to_vec()) }, &limits);
+        out.push(Frame::plain(b"next".to_vec()), &limits);
+        let written = async { drop(out.write_all(&stream, &limits).await) };
+        let mut bytes = [0; 4];
+        tokio::select! {
+            () = written => {}
+            read = tokio::io::AsyncReadExt::read_exact(&mut engine, &mut bytes) => drop(read.expect("read")),
+        }
+        assert_eq!(&bytes, b"next");
+        assert_eq!(out.overdue().await, late);
+        assert_eq!(out.waiting(), 0);
+    });
+}
+
+/// An engine's connection that says nothing, though the engine does on others, takes no further attempt.
+#[test]
+fn connection_that_let_an_attempt_time_out_in_silence_takes_no_more() {
+    let connections = Arc::new(AtomicUsize::new(0));
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().expect("bound");
+    let log = Log::default();
+    let seen = log.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (number, seen) = (connections.fetch_add(1, Ordering::SeqCst), seen.clone());
+            thread::spawn(move || {
+                let mut stream = stream;
+                let mut bytes = [0; 4096];
+                while let Ok(n @ 1..) = stream.read(&mut bytes) {
+                    let text = String::from_utf8_lossy(&bytes[..n]).into_owned();
+                    seen.lock().expect("log").push(vec![text.clone(), number.to_string()]);
+                    let name = text.split("want\r\n$16\r\n").nth(1).and_then(|rest| rest.get(..16));
+                    if let Some(name) = name.filter(|_| number > 0) {
+                        let said = reply(&[name, "served", "pages=1,cost=5,need=8", "a\tb\tc\n"]);
+                        let _ = stream.write_all(said.as_bytes());
+                    }
+                }
+            });
+        }
+    });
+    // Without probes, so that nothing but the attempt tells of it.
+    let text =
+        config(&[at], "resp", 60_000).replace(r#""cancelling":true"#, r#""cancelling":true,"probes":false"#);
+    let gateway = Gateway::start(&text);
+    let mut client = gateway.client();
+    client.write_all(&lookup("00000000000000a1", 300)).expect("sent");
+    assert_ne!(answer(&mut client).1, "served");
+    for seq in 2..8 {
+        let fields = [("verb", "lookup"), ("txn", &*format!("{seq:016x}")), ("limit", "1000")];
+        client.write_all(&call(seq, &fields, "select 1")).expect("sent");
+        if answer(&mut client).1 == "served" {
+            return;
+        }
+    }
+    panic!("never served: {:?}", log.lock().expect("log"));
+}
+
+/// Probes that an engine never answers must not take one connection after the other.
+#[test]
+fn probes_that_nobody_answers_keep_no_connections() {
+    let open = Arc::new(AtomicUsize::new(0));
+    let most = Arc::new(AtomicUsize::new(0));
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().expect("bound");
+    let pings = Arc::new(AtomicUsize::new(0));
+    let (count, peak, pinged) = (open.clone(), most.clone(), pings.clone());
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (count, pinged) = (count.clone(), pinged.clone());
+            peak.fetch_max(count.fetch_add(1, Ordering::SeqCst) + 1, Ordering::SeqCst);
+            thread::spawn(move || {
+                let mut stream = stream;
+                let mut reader = std::io::BufReader::new(stream.try_clone().expect("cloned"));
+                while let Some((head, _)) = web_message(&mut reader) {
+                    if head[0].contains("/ping") {
+                        pinged.fetch_add(1, Ordering::SeqCst);
+                        continue;
+                    }
+                    if stream.write_all(web_answer("200 OK", "", "1\n").as_bytes()).is_err() {
+                        break;
+                    }
+                }
+                count.fetch_sub(1, Ordering::SeqCst);
+            });
+        }
+    });
+    let text = config(&[at], "clickhouse", 5_000);
+    let gateway = Gateway::start(&text.replace(r#""cancelling":true"#, r#""cancelling":true,"probes":true"#));
+    let mut client = gateway.web();
+    for _ in 0..200_000 {
+        let (status, _) = ask(&mut client, "POST / HTTP/1.1\r\nContent-Length: 8\r\n\r\nselect 1");
+        assert!(status.starts_with("HTTP/1.1 200"), "{status}");
+        if pings.load(Ordering::SeqCst) >= 6 {
+            break;
+        }
+    }
+    assert!(pings.load(Ordering::SeqCst) >= 6, "it was probed");
+    assert!(most.load(Ordering::SeqCst) <= 4, "{} connections at once", most.load(Ordering::SeqCst));
+}
+
 /// The flow to the list service falls silent for good; the service is well. It is asked from a new socket, and what it
 /// tells there holds.
 #[test]
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -216,7 +216,7 @@
                             .running
                             .insert(key, (r.threads, r.work, r.work));
                     }
-                    Effect::GiveUp(attempt, engine) => {
+                    Effect::GiveUp(attempt, engine, _) => {
                         let e = engines.get_mut(&engine).expect("listed");
                         if e.running.remove(&(g, gateway.life, attempt)).is_some() {
                             gateway.requests.entry(attempt.0).and_modify(|r| r.out -= 1);
