Connections and processes end without losing what is still owed

Need, found on reading, each forced by a test. (1) The exit broke out of the loop as soon as nothing was open (net/runtime.rs, has_left): requests that lay in sockets, in the channel or in the queue of connections at that moment were neither answered nor refused, and the listener was closed over its queue. (2) Client connections were closed by dropping the socket, over unread bytes too (net/front/thrift.rs, serve): the reset takes written answers along. (3) accept waited inline up to a second for room for one client. (4) Over HTTP nothing was read behind 16 KiB of pipelined bytes, so that a client's close was not heard. (5) Descriptors were shared out by what the configuration promises, though the system may give less, and a crowd at the second address took more than its part, as callers that gave way were dropped later. Change: one routine ends every connection (net/conn.rs, finish): flush, half-close, read and drop within 250 ms, close. A process that ends alone goes the way of one that is taken over from: it stops listening, empties the queue, ends connections as they are idle, and exits once there are none; the wait for last writes, which spun, is gone. Some connections may wait for room at once. 24 descriptors are kept back from the process's real limit. Whether a client has gone is looked at every 25 ms where its bytes are not read. Result: tests/endings.rs. Without the change these were seen to fail: requests_that_arrive_as_the_window_ends_are_answered, answer_is_not_lost_with_what_the_client_says_after_it (both fronts, reset), http_client_that_pipelines_much_and_goes_is_gone. crowd_of_idle_clients_while_the_list_is_away_keeps_nothing_from_coming_back came through only after the crowd's 60 s.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::Ms;
 use crate::wire::{Fields, WireError};
+use rustix::process::{getrlimit, Resource};
 use starlingplank_pacing::list;
 use std::time::Duration;
 
@@ -51,6 +52,10 @@
     pub front_grace: Duration,
     /// A new connection for which no room is made by then is closed.
     pub front_wait: Duration,
+    /// A connection that this side ends is read for so long, so that what was written is not lost with it.
+    pub close_rest: Duration,
+    /// New connections that may wait for room at once; those behind them wait to be accepted.
+    pub front_waiting: usize,
     /// Between two log lines that say the same of what others do wrong.
     pub log_gap: Duration,
     /// Time between looks for what has gone idle.
@@ -85,8 +90,6 @@
     pub term_window: Ms,
     /// After SIGTERM, whatever is open is answered by then.
     pub term_answer: Ms,
-    /// Time for the last answers to leave.
-    pub term_flush: Duration,
     /// A record of a keyed send that is not durable by then has failed.
     pub record: Ms,
     /// Time between two looks after the log of keys.
@@ -95,7 +98,7 @@
     pub term_snapshot: Duration,
     /// Once another process takes over, connections that are idle end so long after SIGTERM.
     pub leave_idle: Duration,
-    /// Time for connections to be closed after that.
+    /// Time for connections to be closed after the last answer.
     pub leave_close: Duration,
     /// After SIGTERM, whatever is open is answered by then where another process takes over.
     pub leave_answer: Ms,
@@ -116,6 +119,10 @@
 /// Of the time between SIGTERM and SIGKILL past the longest deadline, what is left to the last answers.
 const TERM_SPARE: Ms = 400.0;
 
+/// Descriptors that no crowd of clients or engines can take: standard streams, the event queue, signals, listeners, the
+/// name service's sockets (two while one takes over from the other), files of keys and of other processes.
+const KEPT_BACK: usize = 24;
+
 impl Limits {
     /// SIGKILL follows SIGTERM by the longest deadline, but no more than 3 s (5 s where another process takes over), and
     /// 0.7 s: what is still open is answered before that.
@@ -129,7 +136,10 @@
     /// # Errors
     /// Names the first value that cannot be read.
     pub fn read(f: &Fields) -> Result<Self, WireError> {
-        let sockets = f.number_or("machine.sockets", 1024.0)? as usize;
+        // What the system lets this process have counts as well; what serves all is kept back from clients and engines.
+        let system = getrlimit(Resource::Nofile).current.map_or(usize::MAX, |n| n as usize);
+        let sockets =
+            (f.number_or("machine.sockets", 1024.0)? as usize).min(system).saturating_sub(KEPT_BACK).max(16);
         let memory = f.number_or("machine.memory_mb", 192.0)? * 1024.0 * 1024.0;
         let ms = |x: f64| Duration::from_secs_f64((x / 1000.0).clamp(0.001, 3600.0));
         Ok(Self {
@@ -154,6 +164,8 @@
             front_silent: ms(1_500.0),
             front_grace: ms(50.0),
             front_wait: ms(1_000.0),
+            close_rest: ms(250.0),
+            front_waiting: (sockets / 20).clamp(2, 64),
             log_gap: ms(1_000.0),
             sweep: ms(250.0),
             stall: 50.0,
@@ -171,7 +183,6 @@
             names_bytes: 16 << 10,
             term_window: 800.0,
             term_answer: 3_300.0,
-            term_flush: ms(200.0),
             record: f.number_or("knowledge.key_wait", 250.0)?.clamp(1.0, 250.0),
             tend: ms(1_000.0),
             term_snapshot: ms(500.0),
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -10,10 +10,10 @@
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
-use tokio::io::Interest;
+use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{timeout, Instant};
 
 /// What all connections have in common.
 #[derive(Debug)]
@@ -120,6 +120,36 @@
     Now,
 }
 
+/// The one way in which this side ends a connection. What waits is written, the peer is told that nothing more comes, and
+/// what it still says is read and dropped until it closes as well: closed over bytes that nobody has read, the connection
+/// would be reset, and what was written might never be read. A peer that goes on for too long, or says too much, is cut off.
+pub async fn finish(mut stream: TcpStream, out: &Outbox, limits: &Limits) {
+    let within = match out.closing.get() {
+        // Another client waits for the room.
+        Some(Close::Now) => limits.front_grace,
+        _ => limits.close_rest,
+    };
+    out.close(Close::AfterWrite);
+    let end = async {
+        if out.closing.get() != Some(Close::Now) {
+            out.write_all(&stream, limits).await?;
+        }
+        stream.shutdown().await?;
+        let (mut rest, mut left) = (vec![0; limits.read_bytes], limits.message_bytes);
+        loop {
+            stream.readable().await?;
+            match stream.try_read(&mut rest) {
+                Ok(0) => return Ok(()),
+                Ok(n) if n > left => return Ok(()),
+                Ok(n) => left -= n,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e),
+            }
+        }
+    };
+    let _: Result<io::Result<()>, _> = timeout(within, end).await;
+}
+
 impl Outbox {
     /// Nothing waits.
     pub fn new(common: Rc<Common>) -> Self {
--- a/src/net/front/clickhouse.rs
+++ b/src/net/front/clickhouse.rs
@@ -4,7 +4,7 @@
 use crate::core::{Answer, EngineError, Flow, Rows, Statement};
 use crate::interface::{ClassId, Repeat, RequestId};
 use crate::limits::Limits;
-use crate::net::conn::{Close, Frame, Inbox, Part};
+use crate::net::conn::{finish, Close, Frame, Inbox};
 use crate::net::front::rules::ClassRules;
 use crate::net::front::{count_of, Asked, Client, Desk, Seat};
 use crate::net::http::{self, Head, Length, Read};
@@ -13,6 +13,8 @@
 use starlingplank_operation::figures::Tally;
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -26,6 +28,10 @@
 const TIMEOUT: (u16, u32, &str) = (408, 159, "TIMEOUT_EXCEEDED");
 const NETWORK: (u16, u32, &str) = (502, 210, "NETWORK_ERROR");
 
+/// Between two looks at whether a client has gone whose further bytes are not read yet. One that has is to be heard within
+/// a tenth of a second.
+const LOOK: Duration = Duration::from_millis(25);
+
 struct Session {
     seat: Rc<Seat>,
     limits: Rc<Limits>,
@@ -158,14 +164,18 @@
         tally: Cell::new(None),
     });
     let open = Cell::new(None);
-    tokio::select! {
-        ended = seat.out.write_all(&stream, &limits) => drop(ended),
-        () = read(&stream, &session, &desk, &rules, &open) => {}
-    }
+    let gone = tokio::select! {
+        written = seat.out.write_all(&stream, &limits) => written.is_err(),
+        () = read(&stream, &session, &desk, &rules, &open) => seat.gone(),
+    };
     // A client that left is waited for no longer, also in the middle of its result.
     if let Some(id) = open.take() {
         desk.leave(id).await;
     }
+    match gone {
+        true => seat.out.close(Close::Now),
+        false => finish(stream, &seat.out, &limits).await,
+    }
 }
 
 async fn read(
@@ -185,16 +195,24 @@
                 // More than one message is not read ahead.
                 more = inbox.fill(stream, &session.limits), if inbox.unread().len() < session.limits.read_bytes => {
                     if !matches!(more, Ok(true)) {
-                        return;
+                        return session.seat.has_gone();
                     }
                 }
+                // A client that has gone is heard behind what is not read yet.
+                () = closed(stream), if inbox.unread().len() >= session.limits.read_bytes => {
+                    return session.seat.has_gone();
+                }
             }
         }
         open.set(None);
     }
-    // What was said still leaves.
-    session.seat.out.close(Close::AfterWrite);
-    std::future::pending::<()>().await;
+}
+
+/// Waits until the client has closed the connection, whatever of it is still to be read.
+async fn closed(stream: &TcpStream) {
+    while stream.ready(Interest::READABLE).await.is_ok_and(|ready| !ready.is_read_closed()) {
+        tokio::time::sleep(LOOK).await;
+    }
 }
 
 /// Reads more, or says that the connection is of no more use.
--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -76,10 +76,14 @@
     /// Requests that are open, by their clients' names for them, over all connections.
     names: RefCell<HashMap<String, RequestId>>,
     seats: RefCell<Vec<Rc<Seat>>>,
+    listens: Listens,
     freed: Notify,
     next: Cell<u64>,
 }
 
+/// Held by all that may still bring a connection: listeners, and connections for which room is awaited.
+pub type Listens = Rc<()>;
+
 /// How far a process is on its way out.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Leaving {
@@ -92,6 +96,8 @@
     AfterAnswer,
     /// Connections that are idle end as well.
     Idle,
+    /// Its window is over and nobody takes over: it listens no longer, and connections end as they are idle.
+    Last,
 }
 
 /// A client's connection.
@@ -102,6 +108,8 @@
     /// It was answered since this process began to leave.
     done: Cell<bool>,
     opened: Instant,
+    /// Its client closed the connection, or it broke.
+    left: Cell<bool>,
     open: Cell<usize>,
     answered: Cell<bool>,
     /// When it connected, asked or was answered last.
@@ -148,7 +156,9 @@
             tokio::select! {
                 filled = timeout_at(until, inbox.fill(stream, limits)) => {
                     if let Ok(filled) = filled {
-                        return matches!(filled, Ok(true));
+                        let more = matches!(filled, Ok(true));
+                        self.left.set(!more);
+                        return more;
                     }
                 }
                 () = self.out.nudged() => {}
@@ -156,18 +166,28 @@
         }
     }
 
-    /// Whether another process takes over what this client asks next.
+    /// Its client has closed the connection, or it broke.
+    pub fn has_gone(&self) {
+        self.left.set(true);
+    }
+
+    /// Whether its client has closed the connection, or it broke.
+    pub fn gone(&self) -> bool {
+        self.left.get()
+    }
+
+    /// Whether what this client asks next is for another process.
     pub fn leaving(&self) -> bool {
-        matches!(self.end.get(), Leaving::AfterAnswer | Leaving::Idle)
+        !matches!(self.end.get(), Leaving::Not | Leaving::Alone)
     }
 
-    /// Whether it ends now, as another process has taken over. What has just arrived is answered first: a request that
+    /// Whether it ends now, as this process is leaving. What has just arrived is answered first: a request that
     /// meets a closed connection has to be sent again.
     fn is_over(&self, inbox: &Inbox, stream: &TcpStream) -> bool {
         let due = match self.end.get() {
             Leaving::Not | Leaving::Alone => false,
             Leaving::AfterAnswer => self.done.get(),
-            Leaving::Idle => true,
+            Leaving::Idle | Leaving::Last => true,
         };
         due && self.idle().is_some()
             && inbox.unread().is_empty()
@@ -196,6 +216,7 @@
             waiting: RefCell::default(),
             names: RefCell::default(),
             seats: RefCell::default(),
+            listens: Listens::default(),
             freed: Notify::new(),
             next: Cell::new(1),
         })
@@ -228,7 +249,8 @@
         let out = Rc::new(Outbox::new(self.common.clone()));
         let (open, answered, opened) = (Cell::new(0), Cell::new(false), Instant::now());
         let (end, done, active) = (self.end.clone(), Cell::new(false), Cell::new(opened));
-        let seat = Rc::new(Seat { out, end, done, opened, open, answered, active });
+        let left = Cell::new(false);
+        let seat = Rc::new(Seat { out, end, done, opened, left, open, answered, active });
         self.seats.borrow_mut().push(seat.clone());
         Some(seat)
     }
@@ -242,7 +264,7 @@
     /// This process goes one step further on its way out.
     pub fn leave_by(&self, how: Leaving) {
         self.end.set(how);
-        if matches!(how, Leaving::AfterAnswer | Leaving::Idle) {
+        if !matches!(how, Leaving::Not | Leaving::Alone) {
             self.closing.send_replace(true);
         }
         self.seats.borrow().iter().for_each(|s| s.out.nudge());
@@ -256,12 +278,17 @@
     /// Whether those who ask how this gateway does should go elsewhere. While another process takes over they need not:
     /// it listens at the same address.
     pub fn turns_away(&self) -> bool {
-        self.end.get() == Leaving::Alone
+        matches!(self.end.get(), Leaving::Alone | Leaving::Last)
     }
 
-    /// Whether no client is connected.
+    /// Something that may bring a connection.
+    pub fn listens(&self) -> Listens {
+        self.listens.clone()
+    }
+
+    /// Whether no client is connected, and none can come.
     pub fn empty(&self) -> bool {
-        self.seats.borrow().is_empty()
+        self.seats.borrow().is_empty() && Rc::strong_count(&self.listens) == 1
     }
 
     /// Requests taken and not yet ended.
@@ -269,11 +296,6 @@
         self.waiting.borrow().len()
     }
 
-    /// Whether anything still waits to be written to clients.
-    pub fn writing(&self) -> bool {
-        self.seats.borrow().iter().any(|s| s.out.waiting() > 0 && !s.out.closing())
-    }
-
     /// An id for a request that is about to be taken.
     pub fn number(&self) -> RequestId {
         let id = self.next.get();
--- a/src/net/front/thrift.rs
+++ b/src/net/front/thrift.rs
@@ -3,7 +3,7 @@
 use crate::core::{Answer, Rows, Statement};
 use crate::interface::{ClassId, Repeat, RequestId};
 use crate::limits::Limits;
-use crate::net::conn::{Close, Frame, Inbox, Part};
+use crate::net::conn::{finish, Close, Frame, Inbox};
 use crate::net::front::{count_of, Asked, Client, Desk, Seat};
 use crate::net::log;
 use starlingplank_operation::figures::Count;
@@ -292,15 +292,18 @@
         last: Cell::new(0),
     });
     let _ = stream.set_nodelay(true);
-    tokio::select! {
-        ended = seat.out.write_all(&stream, &limits) => drop(ended),
-        () = read(&stream, &session, &desk) => {}
-    }
-    seat.out.close(Close::Now);
+    let gone = tokio::select! {
+        written = seat.out.write_all(&stream, &limits) => written.is_err(),
+        () = read(&stream, &session, &desk) => seat.gone(),
+    };
     let open: Vec<_> = session.open.borrow_mut().drain().collect();
     for (_, id) in open {
         desk.leave(id).await;
     }
+    match gone {
+        true => seat.out.close(Close::Now),
+        false => finish(stream, &seat.out, &limits).await,
+    }
 }
 
 async fn read(stream: &TcpStream, session: &Rc<Session>, desk: &Rc<Desk>) {
--- a/src/net/operate.rs
+++ b/src/net/operate.rs
@@ -37,7 +37,10 @@
         };
         callers.retain(|c| !c.is_finished());
         while callers.len() >= limits.callers {
-            callers.pop_front().into_iter().for_each(|c| c.abort());
+            let Some(caller) = callers.pop_front() else { break };
+            caller.abort();
+            // Its descriptor is free before the next one is taken.
+            let _ = caller.await;
         }
         let (limits, common, calls) = (limits.clone(), common.clone(), calls.clone());
         callers.push_back(tokio::task::spawn_local(serve(stream, limits, common, calls)));
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -5,7 +5,7 @@
 use crate::interface::{Outcome, Repeat, Settings, Why};
 use crate::net::engine::clickhouse::HttpEngines;
 use crate::net::engine::pool::{Engines, RespEngines};
-use crate::net::front::{clickhouse, thrift, Desk, Leaving, Seat};
+use crate::net::front::{clickhouse, thrift, Desk, Leaving, Listens, Seat};
 use crate::net::handover::{self, Handover, Refused};
 use crate::net::keep::{self, Keep};
 use crate::net::log;
@@ -23,11 +23,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, watch};
-use tokio::time::{sleep_until, timeout, Instant, MissedTickBehavior};
+use tokio::sync::{mpsc, watch, AcquireError, OwnedSemaphorePermit, Semaphore};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant, MissedTickBehavior};
 
 /// Serves until SIGTERM, then until all that was taken is answered. At SIGHUP `reload` reads the configuration
 /// again: the name service may have moved, while connections, requests and all that was learned stay.
@@ -212,13 +213,6 @@
         latest = latest.max(late);
     }
     tracing::info!("loop: longest turn {:.3} ms, latest {latest:.3} ms", longest.as_secs_f64() * 1000.0);
-    // The last answers leave before the program does.
-    let flushed = async {
-        while desk.writing() {
-            tokio::task::yield_now().await;
-        }
-    };
-    let _ = timeout(limits.term_flush, flushed).await;
     // What the last answers taught is in the last snapshot, if the disk takes it in time.
     keep.snapshot(&gateway.core, desk.clock.now());
     let by_class = settings.classes.iter().zip(gateway.core.counts()).zip(gateway.core.waits());
@@ -252,7 +246,7 @@
         let desk = desk.clone();
         move |stream, seat| thrift::serve(stream, seat, desk.clone())
     };
-    tokio::task::spawn_local(accept(listener, desk.clone(), serve_thrift));
+    tokio::task::spawn_local(accept(listener, desk.clone(), serve_thrift, desk.listens()));
     if let Some((at, rules)) = &config.clickhouse {
         let listener = bind(*at, shared).await?;
         tracing::info!("{} listens at {} for ClickHouse HTTP", config.name, listener.local_addr()?);
@@ -261,7 +255,8 @@
             let desk = desk.clone();
             move |stream, seat| clickhouse::serve(stream, seat, desk.clone(), rules.clone())
         };
-        tokio::task::spawn_local(accept(listener, desk, serve_http));
+        let listens = desk.listens();
+        tokio::task::spawn_local(accept(listener, desk, serve_http, listens));
     }
     Ok(())
 }
@@ -334,19 +329,22 @@
         events
     }
 
-    /// Whether one that was told to end then has nothing more to do.
-    fn has_left(&self, told: Instant) -> bool {
-        let limits = &self.desk.limits;
-        let handed = matches!(self.desk.leaving(), Leaving::AfterAnswer | Leaving::Idle);
+    /// Whether one that was told to end then has nothing more to do: no more connections are taken, what waited to be
+    /// accepted has been, and each connection was closed once nothing was open on it and nothing was left to read.
+    fn has_left(&mut self, told: Instant) -> bool {
+        let (limits, leaving) = (self.desk.limits.clone(), self.desk.leaving());
+        let handed = matches!(leaving, Leaving::AfterAnswer | Leaving::Idle);
         let last = if handed { limits.leave_answer } else { limits.term_answer };
         // Connections that are in use to the end are answered and closed before the program ends.
         let last = told.elapsed() >= Duration::from_secs_f64(last / 1000.0) + limits.leave_close;
-        if handed && self.desk.leaving() == Leaving::AfterAnswer && told.elapsed() >= limits.leave_idle {
-            self.desk.leave_by(Leaving::Idle);
+        let awaited = || self.handover.as_ref().is_some_and(|h| lives::awaited(h.own(), &h.others()));
+        match leaving {
+            Leaving::Alone if self.exit && !awaited() => self.desk.leave_by(Leaving::Last),
+            Leaving::AfterAnswer if told.elapsed() >= limits.leave_idle => self.desk.leave_by(Leaving::Idle),
+            _ => {}
         }
-        let awaited = self.handover.as_ref().is_some_and(|h| lives::awaited(h.own(), &h.others()));
-        let waits = if handed { !self.desk.empty() } else { awaited };
-        self.exit && (!waits || last)
+        let closes = matches!(self.desk.leaving(), Leaving::Idle | Leaving::Last);
+        self.exit && (last || closes && self.desk.empty())
     }
 
     /// Answers a call of staff. What it changes is news for the reducer.
@@ -483,23 +481,27 @@
     }
 }
 
-/// Accepts connections, each served on its own, until another process takes over.
-async fn accept<S, F>(listener: TcpListener, desk: Rc<Desk>, serve: S)
+/// Accepts connections, each served on its own, until another process takes over or this one is about to end. A few may
+/// wait for room at once, so that one client that waits keeps out nobody for whom there is some.
+async fn accept<S, F>(listener: TcpListener, desk: Rc<Desk>, serve: S, listens: Listens)
 where
-    S: Fn(TcpStream, Rc<Seat>) -> F,
+    S: Fn(TcpStream, Rc<Seat>) -> F + Clone + 'static,
     F: Future<Output = ()> + 'static,
 {
     let mut closing = desk.closing.subscribe();
+    let waiting = Arc::new(Semaphore::new(desk.limits.front_waiting));
     loop {
         let accepted = tokio::select! {
             biased;
             _ = closing.wait_for(|c| *c) => break,
-            accepted = listener.accept() => accepted,
+            accepted = async { (waiting.clone().acquire_owned().await, listener.accept().await) } => accepted,
         };
         match accepted {
-            Ok((stream, _)) => seat(stream, &desk, &serve).await,
+            (place, Ok((stream, _))) => {
+                tokio::task::spawn_local(seat(stream, desk.clone(), serve.clone(), place, listens.clone()));
+            }
             // Out of descriptors, or the client left again: others may still be served.
-            Err(e) => {
+            (_, Err(e)) => {
                 tracing::error!("accept: {e}");
                 tokio::time::sleep(desk.limits.names_poll).await;
             }
@@ -509,32 +511,35 @@
     // that found it empty.
     let until = Instant::now() + desk.limits.front_wait;
     let Ok(queue) = listener.into_std() else { return };
-    while let Ok((stream, _)) = queue.accept() {
-        if stream.set_nonblocking(true).is_ok() {
-            if let Ok(stream) = TcpStream::from_std(stream) {
-                seat(stream, &desk, &serve).await;
-            }
-        }
-        if Instant::now() > until {
+    loop {
+        let Ok(place) = timeout_at(until, waiting.clone().acquire_owned()).await else {
             tracing::warn!("more connections came than could be taken before this process stopped listening");
             break;
+        };
+        let Ok((stream, _)) = queue.accept() else { break };
+        if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
+            tokio::task::spawn_local(seat(stream, desk.clone(), serve.clone(), place, listens.clone()));
         }
     }
 }
 
-async fn seat<S, F>(stream: TcpStream, desk: &Rc<Desk>, serve: &S)
-where
+/// Serves a connection, once there is room for it.
+async fn seat<S, F>(
+    stream: TcpStream,
+    desk: Rc<Desk>,
+    serve: S,
+    place: Result<OwnedSemaphorePermit, AcquireError>,
+    _listens: Listens,
+) where
     S: Fn(TcpStream, Rc<Seat>) -> F,
-    F: Future<Output = ()> + 'static,
+    F: Future<Output = ()>,
 {
     let Some(seat) = desk.connect().await else {
         return log::seldom(&desk.limits, "a connection was closed: all others have requests open");
     };
-    let (desk, served) = (desk.clone(), serve(stream, seat.clone()));
-    tokio::task::spawn_local(async move {
-        served.await;
-        desk.disconnect(&seat);
-    });
+    drop(place);
+    serve(stream, seat.clone()).await;
+    desk.disconnect(&seat);
 }
 
 /// What comes in, a line each, at the level `trace`; where that is off, a test of one flag.
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -45,6 +45,90 @@
     panic!("it is never closed");
 }
 
+/// A process stands still over the end of its window. What arrived meanwhile, on connections that rested and on such as
+/// wait to be accepted, was taken by the machine, and is answered.
+#[test]
+fn requests_that_arrive_as_the_window_ends_are_answered() {
+    let (at, _) = resp_engine(served);
+    let mut gateway = Gateway::start(&config(&[at], "resp", 5000));
+    let mut resting: Vec<_> = (0..8).map(|_| gateway.client()).collect();
+    for client in &mut resting {
+        client.write_all(&health(1)).expect("sent");
+        assert_eq!(answer(client).0, 1);
+    }
+    gateway.terminate();
+    // Its last second passes; were it slower, they would be answered all the same.
+    gateway.signal("-STOP");
+    thread::sleep(Duration::from_millis(1_200));
+    let mut new: Vec<_> = (0..8).map(|_| gateway.client()).collect();
+    for (i, client) in resting.iter_mut().chain(&mut new).enumerate() {
+        let seq = if i < 8 { 2 } else { 1 };
+        let fields = [("verb", "lookup"), ("txn", &*format!("{i:016x}")), ("limit", "5000")];
+        client.write_all(&call(seq, &fields, "select 1")).expect("sent");
+    }
+    gateway.signal("-CONT");
+    for client in resting.iter_mut().chain(&mut new) {
+        let (_, kind, _) = answer(client);
+        assert!(matches!(kind, "served" | "overloaded"), "{kind}");
+    }
+    drop((resting, new));
+    assert!(gateway.child.wait().expect("it ends").success());
+}
+
+/// Some clients rest until the gateway ends their connections. What they say after that is read by nobody, and takes
+/// nothing that was said to them along.
+#[test]
+fn resting_client_is_told_of_the_end_and_what_it_says_then_is_never_sent_on() {
+    let (at, log) = resp_engine(served);
+    let mut gateway = Gateway::start(&config(&[at], "resp", 5000));
+    let mut client = gateway.client();
+    client.write_all(&lookup("00000000000000a1", 5000)).expect("sent");
+    assert_eq!(answer(&mut client).1, "served");
+    gateway.terminate();
+    assert_eq!(client.read(&mut [0; 16]).expect("closed, not reset"), 0);
+    client
+        .write_all(&call(2, &[("verb", "lookup"), ("txn", "a2"), ("limit", "5000")], "select 2"))
+        .expect("sent");
+    drop(client);
+    assert!(gateway.child.wait().expect("it ends").success());
+    assert_eq!(wants(&log, "a2"), 0);
+}
+
+/// Closed over bytes that nobody has read, a connection is reset, and an answer that lies at the client's machine is lost.
+#[rstest]
+#[case::thrift_frame_too_long(true)]
+#[case::http_that_cannot_be_read(false)]
+fn answer_is_not_lost_with_what_the_client_says_after_it(#[case] thrift: bool) {
+    let (at, _) = resp_engine(served);
+    let gateway = Gateway::start(&config(&[at], "resp", 5000));
+    let mut client = if thrift { gateway.client() } else { gateway.web() };
+    client.write_all(&if thrift { health(1) } else { b"GET /ping HTTP/1.1\r\n\r\n".to_vec() }).expect("sent");
+    // It lies there, and is not read.
+    assert!(client.peek(&mut [0; 1]).expect("answered") > 0);
+    let junk = if thrift { vec![0x7f; 200_000] } else { b"NO WAY\r\n".repeat(25_000) };
+    let _ = client.write_all(&junk);
+    until_closed(&client);
+    let mut all = Vec::new();
+    client.read_to_end(&mut all).expect("closed, not reset");
+    assert!(all.len() > 8, "{all:?}");
+}
+
+/// Bytes that are not read ahead must not hide that their client has gone.
+#[test]
+fn http_client_that_pipelines_much_and_goes_is_gone() {
+    let (at, log) = resp_engine(|parts| if parts[0] == "want" { Some(String::new()) } else { served(parts) });
+    let gateway = Gateway::start(&config(&[at], "resp", 60_000));
+    let mut client = gateway.web();
+    client.write_all(b"POST / HTTP/1.1\r\nContent-Length: 8\r\n\r\nselect 1").expect("sent");
+    until(&log, |l| l.iter().any(|p| p[0] == "want"));
+    client.write_all(&b"GET /ping HTTP/1.1\r\n\r\n".repeat(4_000)).expect("sent");
+    drop(client);
+    until(&log, |l| l.iter().any(|p| p[0] == "never_mind"));
+    // It was given up as its client had gone, and not to go elsewhere.
+    let counts = gateway.counts();
+    assert!(counts[0].contains("answered [0, 0, 0, 1]"), "{counts:?}");
+}
+
 /// A request that the first engine turned away waits for another chance. Its client goes, or takes it back: it never leaves.
 #[rstest]
 #[case::thrift_cancel(true, true)]
@@ -308,3 +392,46 @@
         assert!(seq < 200_000, "the drain is never heard");
     }
 }
+
+/// Idle clients hold all that clients may hold, and more wait, while the list service is away. It comes back: the list is
+/// heard, new clients are served, the second address answers.
+#[test]
+fn crowd_of_idle_clients_while_the_list_is_away_keeps_nothing_from_coming_back() {
+    let names = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let names_at = names.local_addr().expect("bound");
+    let (at, _) = resp_engine(served);
+    let operator = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let more = format!(r#"{{"names":"{names_at}","operator":"{operator}","#);
+    let text = config(&[], "resp", 5_000).replacen('{', &more, 1);
+    // The configuration promises more than the system gives.
+    let gateway = Gateway::start_after(&text, "ulimit -n 96");
+    let crowd: Vec<_> = (0..150)
+        .map(|_| {
+            let client = gateway.client();
+            let mut said = client.try_clone().expect("cloned");
+            said.write_all(&health(1)).expect("sent");
+            client
+        })
+        .collect();
+    let (served_by, mut bytes) = (at, [0; 512]);
+    thread::spawn(move || {
+        while let Ok((len, from)) = names.recv_from(&mut bytes) {
+            let _ = names.send_to(&names_answer(&bytes[..len], 2, &[("s-0", served_by)]), from);
+        }
+    });
+    let mut ready = false;
+    for _ in 0..10_000 {
+        let mut staff = TcpStream::connect(operator).expect("it listens");
+        staff.set_read_timeout(Some(Duration::from_secs(30))).expect("set");
+        let (head, _) = ask(&mut staff, "GET /api/ready HTTP/1.1\r\n\r\n");
+        ready = head.starts_with("HTTP/1.1 200");
+        if ready {
+            break;
+        }
+    }
+    assert!(ready, "the list was heard and the second address answers");
+    let mut client = gateway.client();
+    client.write_all(&lookup("00000000000000a1", 5_000)).expect("sent");
+    assert_eq!(answer(&mut client).1, "served");
+    drop(crowd);
+}
