What arrived in a stand-still earns further attempts from when it may have come

One way in which this gateway counts more than the machine does was found on reading: learn_request (decide.rs) puts requests down to the turn that learns of them; after a stand-still of seconds that is seconds after they were taken, and they earn attempts for that much too long. Change: they count from the turn before. Result: requests_that_came_in_a_stand_still_count_for_the_ration_from_when_they_may_have_come, seen to fail without the change (an attempt too many at 10.4 s).

--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -247,7 +247,7 @@
         if let Some(key) = asked.key.filter(|_| self.s.classes[asked.class.0].ordered) {
             self.keys.entry(key).or_default().line.push_back(asked.id);
         }
-        self.taken.push_back(self.now);
+        self.taken.push_back(self.now - self.stood); // what came meanwhile is as old as that
         self.probes_paid = (self.probes_paid + probe_part(&self.s)).min(PROBES_SAVED.max(self.probes_paid));
         // What came while this gateway stood still is as old as its time left tells.
         let c = &mut self.classes[asked.class.0];
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -1018,3 +1018,38 @@
     let speed = bed.gateway.learned().fleet.speed;
     assert!(speed > 0.9, "queries seem to take {:.1} times as long as alone", 1.0 / speed);
 }
+
+/// What arrived while a gateway stood still was taken by the machine then: at its waking it earns no further attempts that
+/// the time since would not.
+#[test]
+fn requests_that_came_in_a_stand_still_count_for_the_ration_from_when_they_may_have_come() {
+    let mut s = settings();
+    s.ration = Some(Ration { free: 0.0, per_request: 0.2, span: 10_000.0 });
+    let mut gateway = Gateway::new(s, 0.0).expect("settings are good");
+    let mut actions = Vec::new();
+    gateway.turn(0.0, &[fleet(4)], &mut actions);
+    gateway.turn(100.0, &[Event::Timer(0)], &mut actions);
+    // Ten came in 6 s of standing still, perhaps all of them at once.
+    let came: Vec<Event> = (0..10).map(|i| Event::Request(incoming(i, 0, 30_000.0))).collect();
+    gateway.turn(6_100.0, &came, &mut actions);
+    let ends: Vec<Event> =
+        sends(&actions).iter().map(|(id, engine)| outcome(*id, 0, engine, Outcome::Ok, 50.0)).collect();
+    gateway.turn(6_150.0, &ends, &mut actions);
+    // Ten seconds after the earliest that they may have come, nothing is earned any more: one that fails is given up.
+    for (at, again) in [(9_900.0, true), (10_400.0, false)] {
+        let id = at as u64;
+        let mut actions = Vec::new();
+        gateway.turn(at, &[Event::Request(incoming(id, 0, at + 3_000.0))], &mut actions);
+        let first = sends(&actions);
+        assert_eq!(first.len(), 1);
+        let mut actions = Vec::new();
+        let full = outcome(id, 0, &first[0].1, Outcome::Reset, 10.0);
+        gateway.turn(at + 10.0, &[full], &mut actions);
+        let sent = sends(&actions).len();
+        assert_eq!(sent, usize::from(again), "at {at}");
+        if again {
+            let (id, engine) = sends(&actions)[0].clone();
+            gateway.turn(at + 20.0, &[outcome(id, 1, &engine, Outcome::Ok, 10.0)], &mut Vec::new());
+        }
+    }
+}
