Requests are their team's, where the settings name tenants

Need: settings may name tenants with shares, and requests were handed to the module with none (net/front/mod.rs, take). Change: team names the tenant by the settings; a name that they do not have is no tenant.

--- a/src/net/front/clickhouse.rs
+++ b/src/net/front/clickhouse.rs
@@ -420,7 +420,7 @@
         params: request.params,
         flow: request.parts.then(|| -> Rc<dyn Flow> { session.seat.out.clone() }),
     };
-    let asked = Asked { class, arrived, limit, work: None, memory_mb: None, statement };
+    let asked = Asked { class, tenant: None, arrived, limit, work: None, memory_mb: None, statement };
     session.seat.asked();
     desk.take(id, Box::new(Caller { session: session.clone(), name, class }), asked).await;
     Some(id)
--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -5,7 +5,7 @@
 pub mod thrift;
 
 use crate::core::{Answer, Ask, Event, Rows, Statement};
-use crate::interface::{ClassId, DataSet, Incoming, Ms, RequestId, Settings};
+use crate::interface::{ClassId, DataSet, Incoming, Ms, RequestId, Settings, TenantId};
 use crate::limits::Limits;
 use crate::net::conn::{Close, Common, Frame, Inbox, Outbox};
 use crate::net::sql;
@@ -309,7 +309,7 @@
         let asked_of_module = Incoming {
             id,
             class: asked.class,
-            tenant: None,
+            tenant: asked.tenant,
             key: None,
             deadline: asked.arrived + asked.limit,
             work: asked.work.filter(|w| *w > 0.0),
@@ -373,6 +373,8 @@
 pub struct Asked {
     /// Its class.
     pub class: ClassId,
+    /// Whose it is, where the settings name tenants.
+    pub tenant: Option<TenantId>,
     /// When its last byte was read.
     pub arrived: Ms,
     /// How long the client waits.
--- a/src/net/front/thrift.rs
+++ b/src/net/front/thrift.rs
@@ -1,7 +1,7 @@
 //! The platform's protocol: framed Thrift, strict binary. Heads are read in place, answers are gathered.
 
 use crate::core::{Answer, Rows, Statement};
-use crate::interface::{ClassId, Repeat, RequestId};
+use crate::interface::{ClassId, Repeat, RequestId, TenantId};
 use crate::limits::Limits;
 use crate::net::conn::{finish, Close, Frame, Inbox};
 use crate::net::front::{count_of, Asked, Client, Desk, Seat};
@@ -422,8 +422,12 @@
     if limit > 10.0 * give_up {
         return Err("limit is longer than any request of its class may take");
     }
+    // One that the settings do not name has no share that it could be held to.
+    let team = fields.get("team");
+    let tenant = team.and_then(|t| desk.settings.tenants.iter().position(|tenant| tenant.name == *t));
     Ok(Asked {
         class: ClassId(class),
+        tenant: tenant.map(TenantId),
         arrived,
         limit,
         work: number("cpu")?,
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -4,7 +4,7 @@
 
 mod common;
 
-use common::{engine, incoming, member, outcome, sends, settings};
+use common::{incoming, member, outcome, sends, settings};
 use rstest::rstest;
 use starlingplank::decide::Gateway;
 use starlingplank::interface::*;
