A key that was sent under another window keeps to the shorter of the two

Need: Gate::admit took the window that the key was first sent under, also for a class (or, after a restart with a log, a configuration) whose own is shorter: a repeat could leave after its engines had forgotten it, up to 10.8 s late between windows of 12 s and 1.2 s. Change: a repeat leaves within the shorter window; the key is kept for the longer, as before. With it a test of a client that sends 1,498 calls and goes: none is sent on; that held before.

--- a/crates/knowledge/src/gate.rs
+++ b/crates/knowledge/src/gate.rs
@@ -260,13 +260,15 @@
             self.refused += 1;
             return Admission::Later((until - now).min(self.window.max(UNHEALTHY_WAIT)));
         }
+        // The shorter of the two windows where another class, or an earlier configuration, sent that key.
+        let until = |s: &Sends| s.first + s.window.min(window) - margin;
         match self.sends.get(key) {
             // Too late to go as a repeat, too early to be sure that it goes as a load of its own.
-            Some((sends, _)) if now >= sends.first + sends.window - margin => {
+            Some((sends, _)) if now >= until(sends) => {
                 self.refused += 1;
                 Admission::Later(sends.end() - now)
             }
-            Some((sends, _)) => Admission::Until(sends.first + sends.window - margin),
+            Some((sends, _)) => Admission::Until(until(sends)),
             None if self.sends.len() >= self.most => {
                 self.refused += 1;
                 Admission::Later(UNHEALTHY_WAIT)
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -435,3 +435,25 @@
     assert_eq!(answer(&mut client).1, "served");
     drop(crowd);
 }
+
+/// A client sends much at once and goes: what it sent and its going are read together, and nothing of it is sent on.
+#[test]
+fn client_that_sends_much_and_goes_has_sent_nothing() {
+    let (at, log) = resp_engine(served);
+    let gateway = Gateway::start(&config(&[at], "resp", 20_000));
+    let mut client = gateway.client();
+    client.write_all(&health(1)).expect("sent");
+    assert_eq!(answer(&mut client).0, 1);
+    gateway.signal("-STOP");
+    for seq in 2..1_500 {
+        let fields = [("verb", "lookup"), ("txn", &*format!("{seq:016x}")), ("limit", "20000")];
+        client.write_all(&call(seq, &fields, "select 1")).expect("sent");
+    }
+    drop(client);
+    gateway.signal("-CONT");
+    let mut after = gateway.client();
+    after.write_all(&lookup("00000000000000a1", 20_000)).expect("sent");
+    assert_eq!(answer(&mut after).1, "served");
+    let sent = log.lock().expect("log").iter().filter(|p| p[0] == "want").count();
+    assert_eq!(sent, 1);
+}
