--- /dev/null
+++ b/crates/decision/src/aperture/tests.rs
@@ -0,0 +1,62 @@
+use super::*;
+
+fn ids(n: usize) -> Vec<EngineId> {
+    (0..n).map(|i| EngineId(format!("s-{i:05}").as_str().into())).collect()
+}
+
+fn sums(gateways: usize, engines: usize) -> (Vec<f64>, Vec<f64>) {
+    let ids = ids(engines);
+    let ids: Vec<&EngineId> = ids.iter().collect();
+    let (mut by_engine, mut by_gateway) = (vec![0.0; engines], Vec::new());
+    for rank in 0..gateways {
+        let a = Aperture::new(Some(rank as u64), gateways, 0);
+        let shares = a.shares(&ids, a.width(engines));
+        by_gateway.push(shares.iter().sum());
+        by_engine.iter_mut().zip(&shares).for_each(|(sum, s)| *sum += s);
+    }
+    (by_engine, by_gateway)
+}
+
+#[test]
+fn every_engine_is_met_in_equal_share_and_every_gateway_meets_as_many() {
+    for (gateways, engines) in [(100, 30), (100, 60), (7, 60), (300, 11), (3, 1_000), (1, 40), (97, 10)] {
+        let (by_engine, by_gateway) = sums(gateways, engines);
+        let even = by_engine.iter().sum::<f64>() / engines as f64;
+        assert!(
+            by_engine.iter().all(|s| (s - even).abs() < 1.0 + 1e-6),
+            "{gateways}x{engines}: {by_engine:?}"
+        );
+        let met = by_gateway[0];
+        assert!(by_gateway.iter().all(|s| (s - met).abs() < 1e-6), "{gateways}x{engines}: {by_gateway:?}");
+        assert!(met + 1e-6 >= MET.min(engines as f64), "{gateways}x{engines}: {met}");
+    }
+}
+
+#[test]
+fn a_small_fleet_is_met_whole() {
+    for engines in 1..=10 {
+        assert!(sums(100, engines).0.iter().all(|s| (s - 100.0).abs() < 1e-6));
+    }
+}
+
+#[test]
+fn an_engine_that_leaves_moves_few_of_the_others() {
+    let ids = ids(60);
+    let all: Vec<&EngineId> = ids.iter().collect();
+    let less: Vec<&EngineId> = ids.iter().skip(1).collect();
+    let mut lost = 0;
+    for rank in 0..100 {
+        let a = Aperture::new(Some(rank), 100, 0);
+        let before = a.shares(&all, a.width(60));
+        let after = a.shares(&less, a.width(59));
+        lost += before[1..].iter().zip(&after).filter(|(b, a)| **b > 0.0 && **a == 0.0).count();
+    }
+    assert!(lost <= 100, "{lost} of some 1,000 engines met were dropped");
+}
+
+#[test]
+fn without_a_number_the_place_is_drawn() {
+    let places: Vec<f64> = (0..50).map(|seed| Aperture::new(None, 50, seed).at).collect();
+    assert!(places.iter().all(|p| (0.0..1.0).contains(p)));
+    assert!(places.iter().filter(|p| **p < 0.5).count().abs_diff(25) < 15, "{places:?}");
+}
--- /dev/null
+++ b/crates/knowledge/src/list/tests.rs
@@ -0,0 +1,58 @@
+use super::*;
+use proptest::prelude::*;
+
+fn list() -> KeptList {
+    let engine = |id: &str, live| Engine {
+        id: id.into(),
+        address: "10.0.0.1:9".into(),
+        zone: "a".into(),
+        kind: String::new(),
+        cell: 3,
+        live,
+        started: 5.0,
+    };
+    let gone = vec!["s-2".to_owned()];
+    KeptList { heard: 1_000.0, engines: vec![engine("s-0", true), engine("s-1", false)], gone }
+}
+
+#[test]
+fn file_is_read_as_it_was_written_and_every_cut_or_changed_byte_is_noticed() {
+    let bytes = list().encode().expect("small");
+    assert_eq!(KeptList::decode(&bytes), Ok(list()));
+    for at in 0..bytes.len() {
+        assert!(KeptList::decode(&bytes[..at]).is_err(), "cut at {at}");
+        let mut changed = bytes.clone();
+        changed[at] ^= 4;
+        assert!(KeptList::decode(&changed).is_err(), "byte {at}");
+    }
+    let never = KeptList { heard: f64::NAN, ..list() };
+    assert!(KeptList::decode(&never.encode().expect("small")).is_err());
+}
+
+/// These bytes were written down by hand: the file's form is a promise.
+#[test]
+fn file_form_stays() {
+    let mut list = list();
+    list.engines.truncate(1);
+    let bytes = list.encode().expect("small");
+    assert_eq!(&bytes[..16], b"SPKLIST\n\x01\0\0\0\x2a\0\0\0");
+    let records =
+        b"\0\0\0\0\0\x40\x8f\x40\x01\x03s-0\x0a10.0.0.1:9\x01a\0\x03\x01\0\0\0\0\0\0\x14\x40\x01\x03s-2";
+    assert_eq!(&bytes[20..], records);
+}
+
+#[test]
+fn engines_of_an_old_list_are_cold_and_a_list_too_old_is_none() {
+    let at = |now: Ms| list().now(now, 2_000.0, 60_000.0);
+    assert_eq!(at(2_500.0), Some(list()));
+    assert!(at(4_000.0).is_some_and(|l| l.engines.iter().all(|e| e.started == 4_000.0)));
+    assert!(at(61_001.0).is_none() && at(-5_000.0).is_none());
+}
+
+proptest! {
+    #[test]
+    fn reader_never_panics(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = KeptList::decode(&bytes);
+        let _ = KeptList::decode(&FORM.frame(&bytes));
+    }
+}
--- /dev/null
+++ b/crates/operation/src/heard/tests.rs
@@ -0,0 +1,58 @@
+use super::*;
+use proptest::prelude::*;
+
+fn heard() -> Heard {
+    Heard::new(1_000.0, ["s-1", "s-3"].map(str::to_owned))
+}
+
+#[test]
+fn drained_and_gone_engines_are_kept_out_for_as_long_as_it_binds() {
+    assert!(!heard().keeps_out("s-0", 1_000.0), "one of which nothing was heard is used");
+    assert!(heard().keeps_out("s-1", 1_000.0) && heard().keeps_out("s-1", 60_999.0));
+    assert!(!heard().keeps_out("s-1", 61_000.0), "it ends by itself");
+}
+
+#[test]
+fn engines_that_have_gone_are_remembered_until_they_are_back_and_no_more_than_so_many() {
+    let mut gone = Gone::default();
+    let ids: Vec<String> = (0..GONE + 10).map(|n| format!("{n:05}")).collect();
+    gone.follow(["a", "b", "c"].into_iter(), &BTreeSet::from(["b"]));
+    assert_eq!(gone.ids().collect::<Vec<_>>(), ["a", "c"]);
+    gone.follow(["b"].into_iter(), &BTreeSet::from(["a", "b"]));
+    assert_eq!(gone.ids().collect::<Vec<_>>(), ["c"]);
+    gone.follow(ids.iter().map(String::as_str), &BTreeSet::new());
+    assert_eq!(gone.ids().count(), GONE);
+    assert!(!gone.ids().any(|id| id == "c" || id == "00000") && gone.ids().any(|id| id == "05009"));
+}
+
+#[test]
+fn file_is_read_as_it_was_written_and_every_cut_or_changed_byte_is_noticed() {
+    let bytes = heard().encode().expect("small");
+    assert_eq!(Heard::decode(&bytes), Ok(heard()));
+    for at in 0..bytes.len() {
+        assert!(Heard::decode(&bytes[..at]).is_err(), "cut at {at}");
+        let mut changed = bytes.clone();
+        changed[at] ^= 1;
+        assert!(Heard::decode(&changed).is_err(), "byte {at}");
+    }
+    let never = Heard::new(f64::INFINITY, []).encode().expect("small");
+    assert!(Heard::decode(&never).is_err());
+    let many = Heard::new(0.0, (0..20_000).map(|n| format!("{n:0100}")));
+    assert!(matches!(many.encode(), Err(FrameError::TooLarge(..))));
+}
+
+/// These bytes were written down by hand: the file's form is a promise.
+#[test]
+fn file_form_stays() {
+    let bytes = Heard::new(1.0, ["s-1".to_owned()]).encode().expect("small");
+    assert_eq!(&bytes[..16], b"SPKHEARD\x01\0\0\0\x0d\0\0\0");
+    assert_eq!(&bytes[20..], [0, 0, 0, 0, 0, 0, 0xf0, 0x3f, 1, 3, b's', b'-', b'1']);
+}
+
+proptest! {
+    #[test]
+    fn reader_never_panics(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = Heard::decode(&bytes);
+        let _ = Heard::decode(&FORM.frame(&bytes));
+    }
+}
