Staff who call as the process ends are told so

Need: a call at the second address that was under way when the loop ended was dropped with the process (net/runtime.rs, the end of serve): the caller saw a close without an answer.

--- a/src/net/operate.rs
+++ b/src/net/operate.rs
@@ -4,6 +4,7 @@
 use crate::net::conn::{Common, Inbox};
 use crate::net::http::{self, Length, Read};
 use starlingplank_operation::calls::{self, Call, Reply};
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
@@ -15,13 +16,14 @@
 /// A call, and where its answer goes.
 pub type Asked = (Call, oneshot::Sender<Reply>);
 
-/// Takes calls. Callers are few at a time: where there are more, the one that has been unfinished longest gives way,
+/// Takes calls, and tells how many callers there are. Callers are few at a time: where there are more, the one that has been unfinished longest gives way,
 /// so that callers who say nothing keep out nobody.
 pub async fn listen(
     listener: TcpListener,
     limits: Rc<Limits>,
     common: Rc<Common>,
     calls: mpsc::Sender<Asked>,
+    served: Rc<Cell<usize>>,
 ) {
     let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
     loop {
@@ -43,7 +45,27 @@
             let _ = caller.await;
         }
         let (limits, common, calls) = (limits.clone(), common.clone(), calls.clone());
-        callers.push_back(tokio::task::spawn_local(serve(stream, limits, common, calls)));
+        let one = One::of(&served);
+        callers.push_back(tokio::task::spawn_local(async move {
+            serve(stream, limits, common, calls).await;
+            drop(one);
+        }));
+    }
+}
+
+/// One caller more, until it is dropped.
+struct One(Rc<Cell<usize>>);
+
+impl One {
+    fn of(all: &Rc<Cell<usize>>) -> Self {
+        all.set(all.get() + 1);
+        Self(all.clone())
+    }
+}
+
+impl Drop for One {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
     }
 }
 
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -18,6 +18,7 @@
 use starlingplank_operation::hand::{Hand, No};
 use starlingplank_operation::heard::Heard;
 use starlingplank_operation::lives::{self, Stage};
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
@@ -28,7 +29,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch, AcquireError, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep_until, timeout, timeout_at, Instant, MissedTickBehavior};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant, MissedTickBehavior};
 
 /// Serves until SIGTERM, then until all that was taken is answered. At SIGHUP `reload` reads the configuration
 /// again: the name service may have moved, while connections, requests and all that was learned stay.
@@ -52,12 +53,13 @@
     };
     let mut handover = None;
     let (call, mut calls) = mpsc::channel(limits.callers);
+    let callers = Rc::new(Cell::new(0));
     if let Some(at) = config.operator {
         let folder = handover::folder(&std::env::temp_dir(), &config.name, config.listen);
         let listener = TcpListener::bind(at).await?;
         tracing::info!("{} listens at {} for its operators", config.name, listener.local_addr()?);
         let (limits, common) = (limits.clone(), desk.common.clone());
-        tokio::task::spawn_local(operate::listen(listener, limits, common, call.clone()));
+        tokio::task::spawn_local(operate::listen(listener, limits, common, call.clone(), callers.clone()));
         match Handover::open(&folder, desk.clock.now()) {
             Ok(opened) => {
                 tracing::info!("{}", opened.describe());
@@ -212,6 +214,19 @@
         longest = longest.max(turn.elapsed());
         latest = latest.max(late);
     }
+    // Staff whose call is under way are told that it ends; who says nothing is not waited for.
+    drop(calls);
+    let told = async {
+        loop {
+            sleep(limits.look / 10).await;
+            if callers.get() == 0 {
+                break;
+            }
+        }
+    };
+    if config.operator.is_some() {
+        let _ = timeout(limits.look, told).await;
+    }
     tracing::info!("loop: longest turn {:.3} ms, latest {latest:.3} ms", longest.as_secs_f64() * 1000.0);
     // What the last answers taught is in the last snapshot, if the disk takes it in time.
     keep.snapshot(&gateway.core, desk.clock.now());
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -457,3 +457,26 @@
     let sent = log.lock().expect("log").iter().filter(|p| p[0] == "want").count();
     assert_eq!(sent, 1);
 }
+
+/// Staff call as the process ends: they are told so, and are not met by a close.
+#[test]
+fn call_that_arrives_as_the_process_ends_is_answered() {
+    let (at, _) = resp_engine(served);
+    let operator = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let text = config(&[at], "resp", 5_000).replacen('{', &format!(r#"{{"operator":"{operator}","#), 1);
+    let mut gateway = Gateway::start(&text);
+    gateway.terminate();
+    gateway.signal("-STOP");
+    thread::sleep(Duration::from_millis(1_200));
+    let mut staff: Vec<_> = (0..4).map(|_| TcpStream::connect(operator).expect("it listens")).collect();
+    for caller in &mut staff {
+        caller.set_read_timeout(Some(Duration::from_secs(30))).expect("set");
+        caller.write_all(b"GET /api/ready HTTP/1.1\r\n\r\n").expect("sent");
+    }
+    gateway.signal("-CONT");
+    for caller in staff {
+        let (head, _) = web_message(&mut std::io::BufReader::new(caller)).expect("an answer");
+        assert!(head[0].starts_with("HTTP/1.1 503"), "{head:?}");
+    }
+    assert!(gateway.child.wait().expect("it ends").success());
+}
