A log of keys that is begun anew while it is looked for is found

Need: keylog::last lists the folder and then reads the latest file; where the gateway began a new log in between, that file has gone, and the log looked empty and without a mark (knowledge show and verify may run beside a gateway). Change: the folder is listed again, eight times at most. Result: crates/knowledge/tests/keylog.rs, seen to fail without the change.

--- a/crates/knowledge/src/keylog.rs
+++ b/crates/knowledge/src/keylog.rs
@@ -218,15 +218,22 @@
     Recovered { trusted: Some((read.sends.into_iter().collect(), mark.shut_until)), why: None }
 }
 
+/// Times that a folder is listed again, at most, whose latest log has gone meanwhile: a new one was begun.
+const LISTED: usize = 8;
+
 /// The latest log and what it says.
 ///
 /// # Errors
 /// The folder or the file cannot be read.
 pub fn last(disk: &dyn Disk) -> io::Result<Option<(String, Read)>> {
-    let Some(number) = disk::numbers(disk, PREFIX, EXTENSION)?.first().copied() else { return Ok(None) };
-    let file = disk::numbered(PREFIX, number, EXTENSION);
-    let bytes = disk.read(&file, MOST)?.unwrap_or_default();
-    Ok(Some((file, read(&bytes))))
+    for _ in 0..LISTED {
+        let Some(number) = disk::numbers(disk, PREFIX, EXTENSION)?.first().copied() else { return Ok(None) };
+        let file = disk::numbered(PREFIX, number, EXTENSION);
+        if let Some(bytes) = disk.read(&file, MOST)? {
+            return Ok(Some((file, read(&bytes))));
+        }
+    }
+    Err(io::Error::other("the log is begun anew as often as it is looked for"))
 }
 
 /// The faults of all logs that are there.
