--- a/crates/lab/src/ledger.rs
+++ b/crates/lab/src/ledger.rs
@@ -149,13 +149,15 @@
 }
 
 /// What the list service's ledger tells. A gateway holds the list once it was told of it.
+/// `ports`: by gateway, what it asked from in its last life.
 pub fn questions(asked: &[Asked], ports: &[Vec<SocketAddr>], capacity: f64, seconds: f64) -> Value {
     let times: Vec<f64> = asked.iter().map(|a| a.at).collect();
     let later: Vec<f64> = times.iter().copied().filter(|at| *at >= 1.0).collect();
     let told: HashMap<SocketAddr, f64> =
         asked.iter().rev().filter_map(|a| Some((a.from, a.told.filter(|t| t.0 > 0)?.1))).collect();
-    // Of a gateway that was started anew, when its last life was told.
-    let held = |ports: &Vec<SocketAddr>| ports.last().and_then(|p| told.get(p).copied());
+    // A gateway whose questions go unanswered asks from one socket after the other: when any of its last life's was told.
+    let held =
+        |ports: &Vec<SocketAddr>| ports.iter().filter_map(|p| told.get(p).copied()).min_by(f64::total_cmp);
     let mut held: Vec<f64> = ports.iter().filter_map(held).collect();
     held.sort_by(f64::total_cmp);
     let by = |share: f64| {
