Silent engine connections are judged once they are up, and by long silences too

(1) A probe that waited 0.3 s for its connection to come up had that connection retired before it was up, where the settings allow longer than that, and the next probe or attempt opened another; over HTTP each such probe kept one for the whole connect time-out. (2) Only attempts that ran out of all their time told of a silent connection; most are taken back before that, as late. (3) An attempt whose time to leave was over, on a connection that ended just then, could be told of by nobody before its deadline. (4) Taking features out of a copy showed tests that would pass without them: of attempts whose connection is not up (none was out: request and withdrawal were read together), of probes that go unanswered, of the time to leave as the reducer hands it on. Change: a connection is doubted only once it is up, also by an attempt given up after half a second of silence; an HTTP connection that is wanted no more stops coming up; what is overdue is held until it is told.

--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -208,6 +208,13 @@
         self.wake.notify_one();
     }
 
+    /// Waits, before anything is written, for an end at once.
+    pub async fn closed_now(&self) {
+        while self.closing.get() != Some(Close::Now) {
+            self.wake.notified().await;
+        }
+    }
+
     /// Has the reader of the connection look again at whether it goes on.
     pub fn nudge(&self) {
         self.nudge.notify_one();
@@ -235,10 +242,11 @@
         true
     }
 
-    /// The attempts none of whose bytes have left.
+    /// The attempts none of whose bytes have left, nor will: those whose time is over, not told of yet, among them.
     pub fn unsent(&self) -> Vec<AttemptId> {
         let frames = self.frames.borrow();
-        frames.iter().skip(usize::from(self.begun.get() > 0)).filter_map(|f| f.attempt).collect()
+        let waiting = frames.iter().skip(usize::from(self.begun.get() > 0)).filter_map(|f| f.attempt);
+        waiting.chain(self.overdue.borrow().iter().copied()).collect()
     }
 
     /// Takes back what was to leave by now and has not begun to.
--- a/src/net/engine/clickhouse.rs
+++ b/src/net/engine/clickhouse.rs
@@ -212,7 +212,10 @@
 }
 
 async fn run(conn: Rc<Conn>, limits: Rc<Limits>, events: Sender<Event>) {
-    let stream = timeout(limits.connect, TcpStream::connect(conn.address)).await.ok().and_then(Result::ok);
+    let stream = tokio::select! {
+        stream = timeout(limits.connect, TcpStream::connect(conn.address)) => stream.ok().and_then(Result::ok),
+        () = conn.out.closed_now() => None,
+    };
     if let Some(stream) = &stream {
         let _ = stream.set_nodelay(true);
         tokio::select! {
@@ -245,8 +248,8 @@
     loop {
         let id = conn.out.overdue().await;
         if conn.holds(id) {
-            *conn.job.borrow_mut() = None;
             let _ = events.send(Event::Ended(id, End::plain(Outcome::Moot))).await;
+            *conn.job.borrow_mut() = None;
         }
     }
 }
--- a/src/net/engine/pool.rs
+++ b/src/net/engine/pool.rs
@@ -11,6 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Sender;
 use tokio::time::{sleep_until, timeout, Instant};
@@ -53,7 +54,8 @@
 struct Conn {
     address: SocketAddr,
     out: Outbox,
-    up: Cell<bool>,
+    /// Since when it is up.
+    up: Cell<Option<Instant>>,
     dead: Cell<bool>,
     /// No new attempts; it closes once it is empty.
     retired: Cell<bool>,
@@ -94,10 +96,11 @@
         }
     }
 
-    /// Nothing has come since then, and what was waited for is overdue: this connection may never speak again, though its
-    /// engine does on another.
-    fn doubt(&self, since: Instant) {
-        if self.heard.get() <= since {
+    /// What was sent then is waited for no longer. Where nothing has come since, for as long as anything is waited for, this
+    /// connection may never speak again, though its engine does on another. One that comes up has its own time for that.
+    fn doubt(&self, sent: Instant, least: Duration) {
+        let silent = |up: Instant| self.heard.get() <= up.max(sent) && up.max(sent).elapsed() >= least;
+        if self.up.get().is_some_and(silent) {
             self.retired.set(true);
         }
     }
@@ -107,7 +110,7 @@
         self.probes.borrow_mut().retain(|_, since| {
             let over = since.elapsed() >= limits.probe_over;
             if over {
-                self.doubt(*since);
+                self.doubt(*since, limits.probe_over);
             }
             !over
         });
@@ -139,7 +142,7 @@
         let pool = self.pools.entry(engine.clone()).or_default();
         pool.iter().filter(|c| c.address != address).for_each(|c| c.retired.set(true));
         let free = pool.iter().filter(|c| c.takes(&self.limits, name));
-        let free = free.min_by_key(|c| (!c.up.get(), c.flights.borrow().len())).cloned();
+        let free = free.min_by_key(|c| (c.up.get().is_none(), c.flights.borrow().len())).cloned();
         let open = |p: &Vec<Rc<Conn>>| p.iter().filter(|c| !c.dead.get()).count();
         let most = self.common.part(self.limits.engine_conns);
         let part = most / self.pools.len().max(1);
@@ -156,7 +159,7 @@
         let conn = Rc::new(Conn {
             address,
             out: Outbox::new(self.common.clone()),
-            up: Cell::new(false),
+            up: Cell::new(None),
             dead: Cell::new(false),
             retired: Cell::new(false),
             flights: RefCell::default(),
@@ -195,9 +198,9 @@
         if conn.out.withdraw(id) {
             return;
         }
-        if out_of_time {
-            conn.doubt(flight.since);
-        }
+        // All the time that it had, however little, or more than an engine that lives says nothing for.
+        let least = if out_of_time { Duration::ZERO } else { self.limits.engine_silent };
+        conn.doubt(flight.since, least);
         let word = if flight.pages.is_some() { "shut" } else { "never_mind" };
         conn.out.push(resp::say(&[word, &name]), &self.limits);
         conn.spent.borrow_mut().insert(name);
@@ -268,7 +271,7 @@
         }
     };
     if let Some(stream) = &stream {
-        conn.up.set(true);
+        conn.up.set(Some(Instant::now()));
         tracing::trace!("connection to {} is up", conn.address);
         let _ = stream.set_nodelay(true);
         tokio::select! {
@@ -299,8 +302,9 @@
 async fn drop_overdue(conn: &Conn, events: &Sender<Event>) {
     loop {
         let id = conn.out.overdue().await;
-        conn.flights.borrow_mut().retain(|_, f| f.id != id);
+        // Held until it is told: a connection that ends meanwhile ends what is on it.
         let _ = events.send(Event::Ended(id, End::plain(Outcome::Moot))).await;
+        conn.flights.borrow_mut().retain(|_, f| f.id != id);
     }
 }
 
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -195,6 +195,37 @@
     assert_eq!(bed.core.counts()[0].outcomes[Outcome::Moot as usize], 1, "it never ran");
 }
 
+/// The window counts from when the request was taken, and what is left of it goes along with the attempt.
+#[test]
+fn keyed_send_says_until_when_it_may_leave() {
+    let mut s = settings();
+    s.classes[0].repeat = Repeat::Keyed { scope: Scope::All, window: 800.0 };
+    let mut bed = Bed::new(s);
+    bed.list(1, &["a"]);
+    let within = |effects: &[Effect]| {
+        let sends =
+            effects.iter().filter_map(|e| if let Effect::Send(s) = e { Some(s.leave_within) } else { None });
+        sends.collect::<Vec<_>>()
+    };
+    // 20 ms are kept for the way.
+    assert_eq!(within(&bed.take(1, Some("k"))), [Some(780.0)]);
+    let unkeyed = bed.take(2, None);
+    assert_eq!(within(&unkeyed), [None]);
+}
+
+#[test]
+fn client_that_leaves_before_there_is_an_engine_sends_nothing_once_there_is_one() {
+    let mut bed = Bed::new(settings());
+    bed.list(1, &[]);
+    assert_eq!(sent(&bed.take(1, None)), None, "it waits");
+    bed.step(Event::Left(RequestId(1)));
+    assert_eq!(sent(&bed.list(2, &["a"])), None);
+    // One that stays is sent then.
+    bed.list(3, &[]);
+    assert_eq!(sent(&bed.take(2, None)), None);
+    assert_eq!(sent(&bed.list(4, &["a"])), Some((RequestId(2), 0)));
+}
+
 #[test]
 fn client_that_leaves_while_its_record_is_written_sends_nothing() {
     let mut bed = logged();
