A process that waits in vain for its successor closes its connections in time

Change: the wait ends when all that was open is answered, and the rest of the time is for closing. Result: the rule is lives::awaited, its test fails without the bound by type; no test with processes.

--- a/crates/operation/src/lives.rs
+++ b/crates/operation/src/lives.rs
@@ -60,9 +60,11 @@
     others.iter().any(|o| o.life > own && o.stage == Stage::Listening)
 }
 
-/// Whether one that was told to end should wait for a successor that has started and does not listen yet.
-pub fn awaited(own: u64, others: &[Other]) -> bool {
-    !hands_over(own, others) && others.iter().any(|o| o.life > own && o.stage == Stage::Starting)
+/// Whether one that was told to end should wait for a successor that has started and does not listen yet. Not past `most`:
+/// from then on there is time to close what is open, and no more.
+pub fn awaited(own: u64, others: &[Other], waited: Duration, most: Duration) -> bool {
+    let starts = others.iter().any(|o| o.life > own && o.stage == Stage::Starting);
+    starts && !hands_over(own, others) && waited < most
 }
 
 /// By how many what one gateway may use is divided.
--- a/crates/operation/src/lives/tests.rs
+++ b/crates/operation/src/lives/tests.rs
@@ -50,7 +50,9 @@
     #[case] hands: bool,
     #[case] waits: bool,
 ) {
-    assert_eq!((hands_over(2, &others(list)), awaited(2, &others(list))), (hands, waits));
+    let most = Duration::from_secs(3);
+    assert_eq!((hands_over(2, &others(list)), awaited(2, &others(list), ZERO, most)), (hands, waits));
+    assert!(!awaited(2, &others(list), most, most), "what is open is closed in time");
 }
 
 /// However three processes start, hear the list and are told to end, one listens at all times once the first does.
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -349,13 +349,15 @@
     fn has_left(&mut self, told: Instant) -> bool {
         let (limits, leaving) = (self.desk.limits.clone(), self.desk.leaving());
         let handed = matches!(leaving, Leaving::AfterAnswer | Leaving::Idle);
-        let last = if handed { limits.leave_answer } else { limits.term_answer };
+        let (waited, last) = (told.elapsed(), if handed { limits.leave_answer } else { limits.term_answer });
+        let most = Duration::from_secs_f64(last / 1000.0);
         // Connections that are in use to the end are answered and closed before the program ends.
-        let last = told.elapsed() >= Duration::from_secs_f64(last / 1000.0) + limits.leave_close;
-        let awaited = || self.handover.as_ref().is_some_and(|h| lives::awaited(h.own(), &h.others()));
+        let last = waited >= most + limits.leave_close;
+        let awaited =
+            || self.handover.as_ref().is_some_and(|h| lives::awaited(h.own(), &h.others(), waited, most));
         match leaving {
             Leaving::Alone if self.exit && !awaited() => self.desk.leave_by(Leaving::Last),
-            Leaving::AfterAnswer if told.elapsed() >= limits.leave_idle => self.desk.leave_by(Leaving::Idle),
+            Leaving::AfterAnswer if waited >= limits.leave_idle => self.desk.leave_by(Leaving::Idle),
             _ => {}
         }
         let closes = matches!(self.desk.leaving(), Leaving::Idle | Leaving::Last);
