The places of clients that wait for room are counted over all listeners

Need, found on reading: each listener had its own places, and under some 100 descriptors the parts and the 24 kept back added up to more than there are. Change: one count for both.

--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -13,10 +13,11 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Sender;
-use tokio::sync::{watch, Notify};
+use tokio::sync::{watch, Notify, Semaphore};
 use tokio::time::{timeout_at, Instant};
 
 /// The system's Unix clock at the start, carried on by a clock that never jumps.
@@ -77,6 +78,8 @@
     names: RefCell<HashMap<String, RequestId>>,
     seats: RefCell<Vec<Rc<Seat>>>,
     listens: Listens,
+    /// Places for connections for which room is awaited, over all listeners.
+    pub waiting_places: Arc<Semaphore>,
     freed: Notify,
     next: Cell<u64>,
 }
@@ -207,6 +210,7 @@
         Rc::new(Self {
             common: Common::new(settings.classes.len()),
             settings,
+            waiting_places: Arc::new(Semaphore::new(limits.front_waiting)),
             limits,
             clock: Clock::start(),
             events,
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -24,11 +24,10 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, watch, AcquireError, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{mpsc, watch, AcquireError, OwnedSemaphorePermit};
 use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant, MissedTickBehavior};
 
 /// Serves until SIGTERM, then until all that was taken is answered. At SIGHUP `reload` reads the configuration
@@ -506,7 +505,7 @@
     F: Future<Output = ()> + 'static,
 {
     let mut closing = desk.closing.subscribe();
-    let waiting = Arc::new(Semaphore::new(desk.limits.front_waiting));
+    let waiting = desk.waiting_places.clone();
     loop {
         let accepted = tokio::select! {
             biased;
--- /dev/null
+++ b/tests/limits.rs
@@ -0,0 +1,21 @@
+//! What a process may take of its machine, added up.
+
+use rstest::rstest;
+use starlingplank::limits::Limits;
+use starlingplank::wire::Fields;
+use std::collections::BTreeMap;
+
+/// Descriptors that a process needs whatever comes: some 20 were counted, two sockets of the name service among them.
+const OWN: usize = 24;
+
+/// Clients, engines, staff and those that wait for room, all at their most, leave what the process itself needs.
+#[rstest]
+fn descriptors_of_all_that_comes_leave_those_that_the_process_needs(
+    #[values(64, 65, 96, 256, 384, 544, 1024)] sockets: usize,
+) {
+    let set = BTreeMap::from([("machine.sockets".to_owned(), sockets.to_string())]);
+    let l = Limits::read(&Fields::new("settings", set)).expect("a number");
+    let all = l.front_conns + l.front_waiting + l.engine_conns + l.callers;
+    assert!(all + OWN <= sockets, "{all} and {OWN} of {sockets}");
+    assert!(all + OWN + sockets / 10 + 8 >= sockets, "and little is left over: {all} of {sockets}");
+}
