Engines' progress updates are news of an attempt, not the end of its connection

Cause: `take` in net/engine/pool.rs knew no word `update` and took it for a spoilt answer, which ends a connection and all that is open on it.

Updates are read by `Reply::note`, go to the reducer as `Event::Noted` and on to the module while the attempt is out and no result of it has begun. One that cannot be used is dropped with one line in a while; a word that no page knows still ends its connection.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -146,6 +146,8 @@
     More(AttemptId, Vec<u8>),
     /// An attempt ended.
     Ended(AttemptId, End),
+    /// An engine told how far an attempt is, or what it waits for.
+    Noted(AttemptId, Note),
     /// A probe was answered.
     Probed(u64, bool, Option<Report>),
     /// Whatever is due by now is due.
@@ -507,6 +509,7 @@
                 }
             }
             Event::Ended(id, end) => self.end(now, id, end, effects),
+            Event::Noted(id, note) => self.note(id, note),
             Event::Probed(tag, ok, report) => self.probed(now, tag, ok, report),
             Event::Clock => self.clock(now, effects),
             Event::Turn => self.turn(now, effects),
@@ -774,6 +777,14 @@
         self.forget(id.0);
     }
 
+    /// A progress update says nothing of an attempt that has ended or of a result that is being passed on.
+    fn note(&mut self, id: AttemptId, note: Note) {
+        let running = self.requests.get(&id.0).is_some_and(|r| !r.over && !r.begun);
+        if running && self.attempt(id).is_some_and(|a| a.out) {
+            self.pending.push(crate::interface::Event::Note { id: id.0, attempt: id.1, note });
+        }
+    }
+
     /// Ends an attempt from this side.
     fn give_up(&mut self, now: Ms, id: AttemptId, outcome: Outcome, effects: &mut Vec<Effect>) {
         let Some(engine) = self.attempt(id).filter(|a| a.out).map(|a| a.engine.clone()) else { return };
--- a/src/net/engine/pool.rs
+++ b/src/net/engine/pool.rs
@@ -379,6 +379,7 @@
         b"overload" => Outcome::Full,
         b"nobody" => Outcome::Moot,
         b"crashed" => Outcome::Error,
+        b"update" => return take_update(conn, reply, limits),
         _ => return Taken::Spoilt,
     };
     let Some(flight) = conn.end(reply.id) else { return Taken::Nothing };
@@ -387,6 +388,22 @@
     Taken::News(Event::Ended(flight.id, End { report: reply.report(), ..End::plain(outcome) }))
 }
 
+/// A progress update: news of an attempt that is out, and no answer to it. One that cannot be used is dropped; the
+/// attempt and its neighbours go on.
+fn take_update(conn: &Conn, reply: &Reply<'_>, limits: &Limits) -> Taken {
+    let flights = conn.flights.borrow();
+    // Once a result has begun its query is over.
+    let Some(flight) = flights.get(reply.id).filter(|f| f.pages.is_none()) else { return Taken::Nothing };
+    match reply.note() {
+        Ok(Some(note)) => Taken::News(Event::Noted(flight.id, note)),
+        Ok(None) => Taken::Nothing,
+        Err(resp::BadNote) => {
+            log::seldom(limits, "an engine's progress update cannot be used; it was dropped");
+            Taken::Nothing
+        }
+    }
+}
+
 /// A page, the first with the result's measures. The attempt has ended well once all of them are here: a page
 /// that is lost is an error of an attempt that ran. A copy of a page that is here changes nothing.
 fn take_page(conn: &Conn, reply: &Reply<'_>, limits: &Limits) -> Taken {
