Functions of the reducer are short, and its tuples have names

Need: `handle`, `clock`, `take`, `send` and `merge` did several jobs each; timers, probes, records, keys and terms were bare tuples. The order of checks, effects, events and timer numbers is kept.

--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -1,17 +1,55 @@
 //! Attempts of requests: sending, results in parts, outcomes and giving up.
 
+use super::records::PendingRecord;
+use super::requests::{Request, RequestKey, Terms};
 use super::timers::Due;
-use super::{Answer, AttemptId, Core, Effect, End, Rows, Send};
-use crate::interface::Event as DecisionEvent;
-use crate::interface::{Availability, EngineId, Ms, Note, Outcome, RequestId};
-use starlingplank_knowledge::gate::{Leave, Sent};
+use super::{Answer, AttemptId, Core, Effect, End, EngineError, Rows, Send};
+use crate::interface::{EngineId, Event as DecisionEvent, Ms, Note, Outcome, RequestId};
+use starlingplank_knowledge::gate::Leave;
 
+/// One send of a request to an engine.
 pub(super) struct Attempt {
     pub(super) engine: EngineId,
     pub(super) sent: Ms,
     pub(super) out: bool,
-    /// It leaves once this record of it is durable, and is answered by then.
-    pub(super) record: Option<(u64, Sent, Ms)>,
+    /// It leaves once this record of it is durable.
+    pub(super) record: Option<PendingRecord>,
+}
+
+impl Request {
+    /// When an attempt that is begun now ends. A timeout of 0 is none of its own.
+    fn attempt_end(&self, now: Ms, timeout: Ms, margin: Ms) -> Ms {
+        let last = self.deadline - margin;
+        if timeout > 0.0 {
+            last.min(now + timeout)
+        } else {
+            last
+        }
+    }
+
+    /// The attempts with their numbers.
+    fn numbered(&self) -> impl Iterator<Item = (u32, &Attempt)> {
+        (0..).zip(&self.attempts)
+    }
+}
+
+/// The final answer that the end of an attempt gives its request, or the error to keep for a later one.
+fn final_answer(
+    outcome: Outcome,
+    begun: bool,
+    rows: Rows,
+    error: Option<EngineError>,
+) -> Result<Answer, Option<EngineError>> {
+    match (outcome, begun) {
+        (Outcome::Ok, true) => Ok(Answer::Finished),
+        (Outcome::Ok, false) => Ok(match error {
+            // The engine did its part: the statement itself is at fault.
+            Some(error) => Answer::Failed(Some(error)),
+            None => Answer::Served(rows),
+        }),
+        (_, true) => Ok(Answer::Cut),
+        (_, false) => Err(error),
+    }
 }
 
 impl Core {
@@ -19,6 +57,7 @@
         self.requests.get(&id.0).and_then(|r| r.attempts.get(id.1 as usize))
     }
 
+    /// Begins an attempt. One that may not be sent ends at once.
     pub(super) fn send(
         &mut self,
         now: Ms,
@@ -27,46 +66,32 @@
         timeout: Ms,
         effects: &mut Vec<Effect>,
     ) {
-        let listed = self.engines.get(&engine).filter(|l| l.member.availability == Availability::Live);
-        let address = listed.map(|l| l.address);
+        let live = self.live_address(&engine).is_some();
         let Some(r) = self.requests.get_mut(&id) else { return };
-        let number = r.attempts.len() as u32;
+        let attempt = (id, r.attempts.len() as u32);
         let lone = r.attempts.iter().all(|a| !a.out) || self.settings.may_copy;
-        r.attempts.push(Attempt { engine: engine.clone(), sent: now, out: true, record: None });
-        let ends = r.deadline - self.limits.answer_margin;
-        let ends = if timeout > 0.0 { ends.min(now + timeout) } else { ends };
-        let may = address.is_some() && lone && !r.over && now < r.send_by && now < ends;
+        r.attempts.push(Attempt { engine, sent: now, out: true, record: None });
+        let ends = r.attempt_end(now, timeout, self.limits.answer_margin);
+        let may = live && lone && !r.over && now < r.send_by && now < ends;
         let leave = match r.key.filter(|_| may) {
-            Some((key, window)) => self.gate.leave(&key, window, now),
+            Some(RequestKey { key, window }) => self.gate.leave(&key, window, now),
             None if may => Leave::Now,
             None => Leave::No,
         };
         match leave {
-            Leave::No => self.end(now, (id, number), End::plain(Outcome::Moot), effects),
-            Leave::Now => self.go(now, (id, number), ends, effects),
-            Leave::AfterRecord(sent) => {
-                let Some((key, _)) = r.key else { return };
-                self.numbers += 1;
-                let record = self.numbers;
-                if let Some(a) = r.attempts.last_mut() {
-                    a.record = Some((record, sent, ends));
-                }
-                self.records.insert(record, (id, number));
-                self.timer(now + self.limits.record, Due::Record(record));
-                effects.push(Effect::Record(record, key, sent));
-            }
+            Leave::No => self.end(now, attempt, End::plain(Outcome::Moot), effects),
+            Leave::Now => self.go(now, attempt, ends, effects),
+            Leave::AfterRecord(sent) => self.record(now, attempt, PendingRecord { sent, ends }, effects),
         }
     }
 
     /// An attempt leaves, if its engine still takes work.
     pub(super) fn go(&mut self, now: Ms, id: AttemptId, ends: Ms, effects: &mut Vec<Effect>) {
+        let Some(engine) = self.attempt(id).map(|a| a.engine.clone()) else { return };
         let Some(r) = self.requests.get(&id.0) else { return };
-        let Some(engine) = r.attempts.get(id.1 as usize).map(|a| a.engine.clone()) else { return };
-        let listed = self.engines.get(&engine).filter(|l| l.member.availability == Availability::Live);
-        let Some(address) = listed.map(|l| l.address).filter(|_| now < ends) else {
+        let Some(address) = self.live_address(&engine).filter(|_| now < ends) else {
             return self.end(now, id, End::plain(Outcome::Moot), effects);
         };
-        let (memory_mb, priority) = r.terms;
         effects.push(Effect::Send(Send {
             id,
             engine,
@@ -75,12 +100,13 @@
             statement: r.statement.clone(),
             budget: ends - now,
             leave_within: Some(r.send_by - now).filter(|t| t.is_finite()),
-            memory_mb,
-            priority,
+            memory_mb: r.terms.memory_mb,
+            priority: r.terms.priority,
         }));
         self.timer(ends, Due::Attempt(id));
     }
 
+    /// The first part of a result that is passed on as it comes.
     pub(super) fn begin(&mut self, now: Ms, id: AttemptId, rows: Rows, effects: &mut Vec<Effect>) {
         let Some(r) = self.requests.get_mut(&id.0).filter(|r| !r.over && !r.begun) else { return };
         if !r.attempts.get(id.1 as usize).is_some_and(|a| a.out) || now >= r.deadline {
@@ -91,40 +117,30 @@
         effects.push(Effect::Begin(id.0, rows));
     }
 
+    /// A further part.
+    pub(super) fn part(&mut self, id: AttemptId, part: Vec<u8>, effects: &mut Vec<Effect>) {
+        if self.attempt(id).is_some_and(|a| a.out) {
+            effects.push(Effect::Part(id.0, part));
+        }
+    }
+
     /// An attempt ended. A late word on one that was given up finds it not out, and changes nothing.
     pub(super) fn end(&mut self, now: Ms, id: AttemptId, end: End, effects: &mut Vec<Effect>) {
         let Some(r) = self.requests.get_mut(&id.0) else { return };
         let Some(a) = r.attempts.get_mut(id.1 as usize).filter(|a| a.out) else { return };
         a.out = false;
         let (engine, took) = (a.engine.clone(), now - a.sent);
-        self.counts[r.class.0].outcomes[end.outcome as usize] += 1;
-        let begun = r.begun;
-        if end.outcome == Outcome::Ok {
-            let whole = match end.error {
-                _ if begun => Answer::Finished,
-                // The engine did its part: the statement itself is at fault.
-                Some(error) => Answer::Failed(Some(error)),
-                None => Answer::Served(end.rows),
-            };
-            self.answer(id.0, whole, effects);
-        } else if begun {
-            self.answer(id.0, Answer::Cut, effects);
-        } else {
-            r.error = end.error;
+        let End { outcome, work, report, rows, error } = end;
+        self.counts[r.class.0].outcomes[outcome as usize] += 1;
+        match final_answer(outcome, r.begun, rows, error) {
+            Ok(answer) => self.answer(id.0, answer, effects),
+            Err(error) => r.error = error,
         }
         let over = self.requests.get(&id.0).is_none_or(|r| r.over);
         self.urgent |= !over;
-        self.pending.push(DecisionEvent::Outcome {
-            id: id.0,
-            attempt: id.1,
-            engine,
-            outcome: end.outcome,
-            took,
-            over,
-            work: end.work,
-            report: end.report,
-        });
-        self.forget(id.0);
+        let (id, attempt) = id;
+        self.pending.push(DecisionEvent::Outcome { id, attempt, engine, outcome, took, over, work, report });
+        self.forget(id);
     }
 
     /// A progress update says nothing of an attempt that has ended or of a result that is being passed on.
@@ -147,11 +163,35 @@
         (0..attempts).for_each(|n| self.give_up(now, (id, n), outcome, effects));
     }
 
-    pub(super) fn out_on(&self, engine: &EngineId) -> Vec<AttemptId> {
-        let all = self
-            .requests
-            .iter()
-            .flat_map(|(id, r)| r.attempts.iter().zip(0..).map(move |(a, n)| (*id, n, a)));
-        all.filter(|(_, _, a)| a.out && a.engine == *engine).map(|(id, n, _)| (id, n)).collect()
+    /// The time of an attempt is over. A stream that has begun has no deadline any more.
+    pub(super) fn attempt_timed_out(&mut self, now: Ms, id: AttemptId, effects: &mut Vec<Effect>) {
+        if self.requests.get(&id.0).is_some_and(|r| !r.begun) {
+            self.give_up(now, id, Outcome::Timeout, effects);
+        }
+    }
+
+    /// Attempts on an engine that has left the list have ended with it, or never will.
+    pub(super) fn engine_removed(&mut self, now: Ms, engine: &EngineId, effects: &mut Vec<Effect>) {
+        if self.engines.contains_key(engine) {
+            return;
+        }
+        for id in self.out_on(engine) {
+            self.give_up(now, id, Outcome::Reset, effects);
+        }
+    }
+
+    fn out_on(&self, engine: &EngineId) -> Vec<AttemptId> {
+        let all = self.requests.iter().flat_map(|(id, r)| r.numbered().map(|(n, a)| ((*id, n), a)));
+        all.filter(|(_, a)| a.out && a.engine == *engine).map(|(id, _)| id).collect()
+    }
+
+    /// Sets what engines grant the request's attempts, those in flight included.
+    pub(super) fn set_terms(&mut self, id: RequestId, terms: Terms, effects: &mut Vec<Effect>) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let changed = r.terms.priority != terms.priority;
+        r.terms = terms;
+        for (n, a) in r.numbered().filter(|(_, a)| a.out && changed) {
+            effects.push(Effect::Hurry((id, n), a.engine.clone(), terms.priority));
+        }
     }
 }
--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -3,13 +3,13 @@
 
 use super::timers::Due;
 use super::{Core, Effect, Listed};
-use crate::interface::Event as DecisionEvent;
-use crate::interface::{Availability, Ms};
+use crate::interface::{Availability, EngineId, Event as DecisionEvent, Ms};
 use starlingplank_knowledge::recall::Named;
 use starlingplank_operation::hand::Hand;
 use starlingplank_operation::heard::{Gone, Heard};
 use starlingplank_pacing::come_back::ComeBack;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 /// What an engine of the list is to the gateway.
 fn merged(listed: &Listed, hand: &Hand, earlier: Option<&Heard>, now: Ms) -> Listed {
@@ -24,6 +24,14 @@
     listed
 }
 
+fn named(listed: &Listed) -> Named {
+    Named {
+        id: listed.member.engine.0.to_string(),
+        address: listed.address.to_string(),
+        started: listed.member.started,
+    }
+}
+
 impl Core {
     /// Where the engines of the list are, by their ids.
     pub fn addresses(&self) -> BTreeMap<String, String> {
@@ -72,17 +80,10 @@
         self.service.map(|at| Heard::new(at, out())).or_else(|| self.earlier.clone())
     }
 
-    /// Lists come whole and numbered; one older than what is known came late and says nothing new.
+    /// Takes the name service's list.
     pub(super) fn list(&mut self, now: Ms, serial: u64, list: Vec<Listed>, effects: &mut Vec<Effect>) {
-        if let Some(known) = self.serial {
-            if serial < known {
-                return;
-            }
-            self.service = Some(now);
-            // What an earlier process heard binds no longer: the service's own word does.
-            if self.earlier.take().is_none() && self.unlisted.is_none() && serial == known {
-                return;
-            }
+        if !self.is_news(now, serial) {
+            return;
         }
         self.serial = Some(serial);
         let ids = list.iter().map(|l| &*l.member.engine.0).collect();
@@ -92,35 +93,82 @@
         self.merge(now, effects);
     }
 
-    /// The list, the hand and what an earlier process heard make one list: an engine that is out by hand, or was drained
-    /// or gone there, is one that drains, so what guards drains guards all three; one that was called back has just
-    /// started.
-    pub(super) fn merge(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+    /// Lists come whole and numbered. One older than the known one came late and says nothing new; one of the known
+    /// number confirms it, which matters only while an inherited membership holds or no list is known.
+    fn is_news(&mut self, now: Ms, serial: u64) -> bool {
+        let Some(known) = self.serial else { return true };
+        if serial < known {
+            return false;
+        }
+        self.service = Some(now);
+        // The service itself has spoken: what an earlier process heard holds no longer.
+        let inherited = self.earlier.take().is_some();
+        inherited || self.unlisted.is_some() || serial != known
+    }
+
+    /// Takes the engines that staff have taken out.
+    pub(super) fn override_by_hand(&mut self, now: Ms, hand: Hand, effects: &mut Vec<Effect>) {
+        self.hand = hand;
+        self.merge(now, effects);
+    }
+
+    /// Takes what an earlier process heard, unless the service has spoken to this one.
+    pub(super) fn inherit(&mut self, now: Ms, heard: Heard, effects: &mut Vec<Effect>) {
+        if self.service.is_some() {
+            return;
+        }
+        self.timer(heard.until(), Due::Earlier);
+        self.earlier = Some(heard);
+        self.merge(now, effects);
+    }
+
+    /// What an earlier process heard holds for a limited time.
+    pub(super) fn inherited_expired(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+        if self.earlier.take_if(|e| now >= e.until()).is_some() {
+            self.merge(now, effects);
+        }
+    }
+
+    /// Merges the list, the operator's hand and what an earlier process heard. An engine that is out by hand, or that
+    /// drained or was removed in the earlier process, is a draining one, so one guard covers all three; one that was
+    /// called back has just started.
+    fn merge(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         self.hand.forget(now, self.settings.warm_within);
         let list: Vec<Listed> =
             self.told.iter().map(|l| merged(l, &self.hand, self.earlier.as_ref(), now)).collect();
+        self.replace_engines(now, &list, effects);
+        self.report_members(now, list);
+    }
+
+    fn replace_engines(&mut self, now: Ms, list: &[Listed], effects: &mut Vec<Effect>) {
         let mut before = std::mem::take(&mut self.engines);
-        for listed in &list {
-            before.remove(&listed.member.engine);
+        for listed in list {
+            let engine = &listed.member.engine;
+            before.remove(engine);
             if listed.member.availability != Availability::Live {
-                effects.push(Effect::Shut(listed.member.engine.clone()));
+                effects.push(Effect::Shut(engine.clone()));
             }
-            self.engines.insert(listed.member.engine.clone(), listed.clone());
+            self.engines.insert(engine.clone(), listed.clone());
         }
         for (engine, _) in before {
             effects.push(Effect::Shut(engine.clone()));
             self.timer(now + self.limits.gone_grace, Due::Gone(engine));
         }
-        let named = |l: &Listed| Named {
-            id: l.member.engine.0.to_string(),
-            address: l.address.to_string(),
-            started: l.member.started,
-        };
-        let back =
-            self.recall.as_mut().and_then(|r| r.list(&list.iter().map(named).collect::<Vec<_>>(), now));
+    }
+
+    /// Tells the decision module its engines, and what an earlier incarnation learned of them.
+    fn report_members(&mut self, now: Ms, list: Vec<Listed>) {
+        let named: Vec<Named> = list.iter().map(named).collect();
+        let recalled = self.recall.as_mut().and_then(|recall| recall.list(&named, now));
         let members = list.into_iter().map(|l| l.member).collect();
         self.pending.push(DecisionEvent::Members { whole: true, members });
-        self.pending.extend(back.map(|b| DecisionEvent::Recalled(Box::new(b))));
-        self.recall.take_if(|r| r.over(now));
+        self.pending.extend(recalled.map(|learned| DecisionEvent::Recalled(Box::new(learned))));
+        self.recall.take_if(|recall| recall.over(now));
+    }
+
+    /// Where an engine listens that takes new work.
+    pub(super) fn live_address(&self, engine: &EngineId) -> Option<SocketAddr> {
+        let listed = self.engines.get(engine)?;
+        (listed.member.availability == Availability::Live).then_some(listed.address)
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,6 +16,7 @@
 use crate::decide::Gateway;
 use crate::interface::{EngineId, Event as DecisionEvent, Ms, RequestId, Settings, SettingsError};
 use crate::limits::Limits;
+use probes::Probe;
 use requests::Request;
 use starlingplank_decision::learned::Learned;
 use starlingplank_knowledge::gate::Gate;
@@ -25,7 +26,7 @@
 use starlingplank_pacing::come_back::ComeBack;
 use starlingplank_pacing::start::FirstProbes;
 use std::collections::{BTreeMap, BinaryHeap};
-use timers::{Due, Timer};
+use timers::Timer;
 
 pub use messages::{Effect, Event, Send};
 pub use types::{Answer, Ask, AttemptId, Counts, End, EngineError, Flow, Listed, Rows, Statement};
@@ -57,7 +58,7 @@
     records: BTreeMap<u64, AttemptId>,
     /// What an earlier life knew, until the list has named its engines.
     recall: Option<Recall>,
-    probes: BTreeMap<u64, (EngineId, Ms)>,
+    probes: BTreeMap<u64, Probe>,
     /// Those of a start of all leave in turn.
     first_probes: FirstProbes<EngineId>,
     timers: BinaryHeap<Timer>,
@@ -144,58 +145,25 @@
     pub fn handle(&mut self, now: Ms, event: Event, effects: &mut Vec<Effect>) {
         match event {
             Event::List(serial, list) => self.list(now, serial, list, effects),
+            Event::Hand(hand) => self.override_by_hand(now, hand, effects),
+            Event::Earlier(heard) => self.inherit(now, heard, effects),
+            Event::Processes(n) => self.pending.push(DecisionEvent::Processes(n as u32)),
             Event::Taken(ask) => self.take(now, ask, effects),
             Event::Left(id) => self.leave(now, id, effects),
             Event::Begun(id, rows) => self.begin(now, id, rows, effects),
-            Event::More(id, part) => {
-                if self.attempt(id).is_some_and(|a| a.out) {
-                    effects.push(Effect::Part(id.0, part));
-                }
-            }
+            Event::More(id, part) => self.part(id, part, effects),
             Event::Ended(id, end) => self.end(now, id, end, effects),
             Event::Noted(id, note) => self.note(id, note),
+            Event::Recorded(numbers) => self.records_durable(now, numbers, effects),
+            Event::RecordsFailed(numbers) => self.records_failed(now, numbers, effects),
+            Event::LogBegun(keys) => self.log_begun(now, &keys, effects),
+            Event::Tend => self.tend(now, effects),
+            Event::Heard(keys) => self.hear_keys(now, keys),
             Event::Probed(tag, ok, report) => self.probed(now, tag, ok, report),
             Event::Clock => self.clock(now, effects),
             Event::Turn => self.turn(now, effects),
-            Event::Recorded(numbers) => {
-                numbers.into_iter().for_each(|n| self.recorded(now, n, true, effects))
-            }
-            Event::RecordsFailed(numbers) => {
-                self.gate.failed();
-                numbers.into_iter().for_each(|n| self.recorded(now, n, false, effects));
-            }
-            Event::LogBegun(keys) => {
-                if self.gate.rewritten(&keys) {
-                    self.mark(now, effects);
-                }
-            }
-            Event::Tend => self.tend(now, effects),
-            Event::HandOver => {
-                if let Some(told) = self.terminating {
-                    self.answer_by = told + self.limits.leave_answer;
-                    self.timer(self.answer_by, Due::AnswerAll);
-                }
-            }
-            Event::Hand(hand) => {
-                self.hand = hand;
-                self.merge(now, effects);
-            }
-            Event::Earlier(heard) if self.service.is_none() => {
-                self.timer(heard.until(), Due::Earlier);
-                self.earlier = Some(heard);
-                self.merge(now, effects);
-            }
-            Event::Earlier(_) => {}
-            Event::Heard(keys) => keys.into_iter().for_each(|(key, sends)| self.gate.hear(key, sends, now)),
-            Event::Processes(n) => self.pending.push(DecisionEvent::Processes(n as u32)),
-            Event::Terminate => {
-                if self.terminating.is_none() {
-                    self.terminating = Some(now);
-                    self.timer(now + self.limits.term_window, Due::Leave);
-                    self.answer_by = now + self.limits.term_answer;
-                    self.timer(self.answer_by, Due::AnswerAll);
-                }
-            }
+            Event::Terminate => self.terminate(now),
+            Event::HandOver => self.hand_over(),
         }
         self.exit_when_done(now, effects);
     }
--- a/src/core/probes.rs
+++ b/src/core/probes.rs
@@ -2,22 +2,41 @@
 
 use super::timers::Due;
 use super::{Core, Effect};
-use crate::interface::Event as DecisionEvent;
-use crate::interface::{Availability, EngineId, Ms, Report};
+use crate::interface::{EngineId, Event as DecisionEvent, Ms, Report};
+
+/// A probe without an answer so far.
+pub(super) struct Probe {
+    engine: EngineId,
+    sent: Ms,
+}
 
 impl Core {
-    pub(super) fn probe(&mut self, now: Ms, engine: EngineId, effects: &mut Vec<Effect>) {
-        let listed = self.engines.get(&engine).filter(|l| l.member.availability == Availability::Live);
-        let Some(address) = listed.map(|l| l.address) else { return };
+    /// Probes an engine once this gateway's place in a start of the whole fleet has come.
+    pub(super) fn ask_for_probe(&mut self, now: Ms, engine: EngineId, effects: &mut Vec<Effect>) {
+        match self.first_probes.ask(engine, now) {
+            Some(engine) => self.probe(now, engine, effects),
+            None => self.timer(self.first_probes.until, Due::FirstProbes),
+        }
+    }
+
+    /// Sends the probes that were held back at the start.
+    pub(super) fn send_first_probes(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+        for engine in self.first_probes.due(now) {
+            self.probe(now, engine, effects);
+        }
+    }
+
+    fn probe(&mut self, now: Ms, engine: EngineId, effects: &mut Vec<Effect>) {
+        let Some(address) = self.live_address(&engine) else { return };
         self.numbers += 1;
         let tag = self.numbers;
-        self.probes.insert(tag, (engine.clone(), now));
+        self.probes.insert(tag, Probe { engine: engine.clone(), sent: now });
         self.timer(now + self.limits.probe, Due::Probe(tag));
         effects.push(Effect::Probe(tag, engine, address));
     }
 
     pub(super) fn probed(&mut self, now: Ms, tag: u64, ok: bool, report: Option<Report>) {
-        if let Some((engine, sent)) = self.probes.remove(&tag) {
+        if let Some(Probe { engine, sent }) = self.probes.remove(&tag) {
             self.pending.push(DecisionEvent::Probed { engine, ok, took: now - sent, report });
         }
     }
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -1,8 +1,17 @@
 //! Records of keyed sends, and the log that keeps them.
 
-use super::{Core, Effect, End};
+use super::requests::RequestKey;
+use super::timers::Due;
+use super::{AttemptId, Core, Effect, End};
 use crate::interface::{Ms, Outcome};
-use starlingplank_knowledge::gate::{Gate, Key, Sends};
+use starlingplank_knowledge::gate::{Gate, Key, Sends, Sent};
+
+/// A record that is being written.
+pub(super) struct PendingRecord {
+    pub(super) sent: Sent,
+    /// When the attempt that waits for it ends.
+    pub(super) ends: Ms,
+}
 
 impl Core {
     /// How keys are kept.
@@ -15,24 +24,81 @@
         self.gate.take_log(required, trusted, now);
     }
 
+    /// Asks for a record of a send; the attempt leaves once that is durable.
+    pub(super) fn record(
+        &mut self,
+        now: Ms,
+        id: AttemptId,
+        record: PendingRecord,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(r) = self.requests.get_mut(&id.0) else { return };
+        let Some(RequestKey { key, .. }) = r.key else { return };
+        self.numbers += 1;
+        let number = self.numbers;
+        let sent = record.sent;
+        if let Some(a) = r.attempts.get_mut(id.1 as usize) {
+            a.record = Some(record);
+        }
+        self.records.insert(number, id);
+        self.timer(now + self.limits.record, Due::Record(number));
+        effects.push(Effect::Record(number, key, sent));
+    }
+
+    /// Records are durable.
+    pub(super) fn records_durable(&mut self, now: Ms, numbers: Vec<u64>, effects: &mut Vec<Effect>) {
+        for number in numbers {
+            self.recorded(now, number, true, effects);
+        }
+    }
+
+    /// Records may not be durable: the log is not relied on until it is begun anew.
+    pub(super) fn records_failed(&mut self, now: Ms, numbers: Vec<u64>, effects: &mut Vec<Effect>) {
+        self.gate.failed();
+        for number in numbers {
+            self.recorded(now, number, false, effects);
+        }
+    }
+
+    /// The disk hangs: what waits for it ends, and the log is not relied on until it is begun anew.
+    pub(super) fn record_timed_out(&mut self, now: Ms, number: u64, effects: &mut Vec<Effect>) {
+        if self.records.contains_key(&number) {
+            self.records_failed(now, vec![number], effects);
+        }
+    }
+
     /// A record is durable, or never will be. Late words on one whose attempt was given up change nothing.
-    pub(super) fn recorded(&mut self, now: Ms, number: u64, durable: bool, effects: &mut Vec<Effect>) {
+    fn recorded(&mut self, now: Ms, number: u64, durable: bool, effects: &mut Vec<Effect>) {
         let Some(id) = self.records.remove(&number) else { return };
         let Some(r) = self.requests.get_mut(&id.0) else { return };
-        let (Some((key, _)), over, by) = (r.key, r.over, r.send_by) else { return };
+        let Some(RequestKey { key, .. }) = r.key else { return };
         let Some(a) = r.attempts.get_mut(id.1 as usize) else { return };
-        let Some((_, sent, ends)) = a.record.take() else { return };
+        let Some(PendingRecord { sent, ends }) = a.record.take() else { return };
         let in_time = durable && self.gate.recorded(&key, sent, now);
         if !a.out {
             return;
         }
-        if in_time && !over && now < by {
+        if in_time && !r.over && now < r.send_by {
             self.go(now, id, ends, effects);
         } else {
             self.end(now, id, End::plain(Outcome::Moot), effects);
         }
     }
 
+    /// The log was begun anew, with those keys.
+    pub(super) fn log_begun(&mut self, now: Ms, keys: &[(Key, Sends)], effects: &mut Vec<Effect>) {
+        if self.gate.rewritten(keys) {
+            self.mark(now, effects);
+        }
+    }
+
+    /// Another process of this gateway sent those keys.
+    pub(super) fn hear_keys(&mut self, now: Ms, keys: Vec<(Key, Sends)>) {
+        for (key, sends) in keys {
+            self.gate.hear(key, sends, now);
+        }
+    }
+
     /// Looks after the log: a mark, or a new file where the old one failed or has grown long.
     pub(super) fn tend(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         match self.gate.rewrite(now) {
@@ -41,7 +107,7 @@
         }
     }
 
-    pub(super) fn mark(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+    fn mark(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         effects.extend(self.gate.mark(now).map(|(at, shut_until)| Effect::Mark(at, shut_until)));
     }
 }
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -3,23 +3,61 @@
 use super::attempts::Attempt;
 use super::timers::Due;
 use super::{Answer, Ask, Core, Effect, EngineError, Statement};
-use crate::interface::Event as DecisionEvent;
-use crate::interface::{ClassId, Incoming, Ms, Outcome, Repeat, RequestId};
+use crate::interface::{ClassId, Event as DecisionEvent, Incoming, Ms, Outcome, Repeat, RequestId};
 use starlingplank_knowledge::gate::{self, Admission, Key};
 use std::rc::Rc;
 
+/// The priority of a request until the decision module sets another.
+const DEFAULT_PRIORITY: u8 = 1;
+
+/// An idempotency key, and how long engines remember it.
+#[derive(Clone, Copy)]
+pub(super) struct RequestKey {
+    pub(super) key: Key,
+    pub(super) window: Ms,
+}
+
+/// What the engine grants an attempt.
+#[derive(Clone, Copy)]
+pub(super) struct Terms {
+    /// 0: the engine's choice.
+    pub(super) memory_mb: f64,
+    /// 0 to 3.
+    pub(super) priority: u8,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self { memory_mb: 0.0, priority: DEFAULT_PRIORITY }
+    }
+}
+
+/// What admission says of a request that is taken.
+struct Admitted {
+    key: Option<RequestKey>,
+    /// No attempt may leave later.
+    send_by: Ms,
+}
+
+/// Why a request is turned away, and when its client may retry.
+struct Rejection {
+    reason: &'static str,
+    retry_after: Ms,
+}
+
+/// A request from its arrival until it is answered and no attempt of it is in flight.
 pub(super) struct Request {
     pub(super) statement: Rc<Statement>,
     pub(super) class: ClassId,
     pub(super) taken: Ms,
-    pub(super) key: Option<(Key, Ms)>,
+    pub(super) key: Option<RequestKey>,
     pub(super) deadline: Ms,
     /// A keyed statement may not leave later than this: an engine that saw its key before forgets it then.
     pub(super) send_by: Ms,
     pub(super) attempts: Vec<Attempt>,
     pub(super) begun: bool,
     pub(super) over: bool,
-    pub(super) terms: (f64, u8),
+    pub(super) terms: Terms,
     pub(super) error: Option<EngineError>,
 }
 
@@ -29,69 +67,96 @@
         self.open
     }
 
+    /// Takes a request, or turns it away.
     pub(super) fn take(&mut self, now: Ms, ask: Ask, effects: &mut Vec<Effect>) {
-        let (id, class, deadline) = (ask.asked.id, ask.asked.class, ask.asked.deadline);
+        let (id, class) = (ask.asked.id, ask.asked.class);
         self.counts[class.0].taken += 1;
-        // Guards the memory: past these limits a request is turned away before the module hears of it.
-        if self.open >= self.limits.max_open || self.held + ask.statement.bytes() > self.limits.held_bytes {
-            return self.turn_away(id, class, self.settings.max_retry_after, "limits", effects);
+        match self.admit(now, &ask) {
+            Ok(admitted) => self.accept(now, ask, admitted),
+            Err(rejection) => self.turn_away(id, class, rejection, effects),
         }
-        // Waiting for the list in a queue would end as the herd that it lets in: clients wait, each for another time.
-        if let Some(line) = &mut self.unlisted {
-            let wait = line.wait(now, self.settings.max_retry_after);
-            return self.turn_away(id, class, wait, "no list", effects);
+    }
+
+    fn admit(&mut self, now: Ms, ask: &Ask) -> Result<Admitted, Rejection> {
+        self.check_room(ask)?;
+        self.check_list(now)?;
+        self.check_end(now)?;
+        self.check_key(now, ask)
+    }
+
+    /// Guards the memory: past these limits a request is turned away before the module hears of it.
+    fn check_room(&self, ask: &Ask) -> Result<(), Rejection> {
+        let crowded = self.open >= self.limits.max_open;
+        if crowded || self.held + ask.statement.bytes() > self.limits.held_bytes {
+            return Err(self.rejection("limits"));
         }
-        // Nothing new is begun once whatever is open was answered.
+        Ok(())
+    }
+
+    /// Clients that waited in a queue for the list would all be let in at once: each is told another time to retry.
+    fn check_list(&mut self, now: Ms) -> Result<(), Rejection> {
+        let Some(come_back) = &mut self.unlisted else { return Ok(()) };
+        let retry_after = come_back.wait(now, self.settings.max_retry_after);
+        Err(Rejection { reason: "no list", retry_after })
+    }
+
+    /// Nothing new is begun once whatever is open was answered.
+    fn check_end(&self, now: Ms) -> Result<(), Rejection> {
         if now >= self.answer_by {
-            return self.turn_away(id, class, self.settings.max_retry_after, "ending", effects);
+            return Err(self.rejection("ending"));
         }
-        // A repeat that came while the engines remember its key must not leave after it: it would run twice.
-        let key =
-            ask.statement.key.as_ref().zip(self.window(class)).map(|(k, window)| (gate::key(k), window));
-        let admitted = key.map(|(k, window)| self.gate.admit(&k, window, now, self.limits.answer_margin));
-        let send_by = match admitted {
-            None => f64::INFINITY,
-            Some(Admission::Until(by)) => by,
-            Some(Admission::Later(wait)) => {
-                return self.turn_away(id, class, wait.min(self.settings.max_retry_after), "keys", effects);
+        Ok(())
+    }
+
+    /// A repeat that came while the engines remember its key must not leave after it: it would run twice.
+    fn check_key(&mut self, now: Ms, ask: &Ask) -> Result<Admitted, Rejection> {
+        let text = ask.statement.key.as_ref().zip(self.window(ask.asked.class));
+        let Some((text, window)) = text else { return Ok(Admitted { key: None, send_by: f64::INFINITY }) };
+        let key = RequestKey { key: gate::key(text), window };
+        match self.gate.admit(&key.key, window, now, self.limits.answer_margin) {
+            Admission::Until(send_by) => Ok(Admitted { key: Some(key), send_by }),
+            Admission::Later(wait) => {
+                Err(Rejection { reason: "keys", retry_after: wait.min(self.settings.max_retry_after) })
             }
-        };
+        }
+    }
+
+    fn rejection(&self, reason: &'static str) -> Rejection {
+        Rejection { reason, retry_after: self.settings.max_retry_after }
+    }
+
+    fn accept(&mut self, now: Ms, ask: Ask, admitted: Admitted) {
+        let Incoming { id, class, deadline, .. } = ask.asked;
         self.open += 1;
         self.held += ask.statement.bytes();
         let request = Request {
             statement: ask.statement,
             class,
             taken: now,
-            key,
+            key: admitted.key,
             deadline,
-            send_by,
+            send_by: admitted.send_by,
             attempts: Vec::new(),
             begun: false,
             over: false,
-            terms: (0.0, 1),
+            terms: Terms::default(),
             error: None,
         };
         self.requests.insert(id, request);
         self.timer(deadline - self.limits.answer_margin / 2.0, Due::Deadline(id));
         // The module plans by the time that there is: attempts end before the deadline, so that the answer can
-        // leave. With the client's own deadline it sent again in the time between, which went against its ration.
+        // leave. Given the client's own deadline it would retry in the time between, which its retry budget pays for.
         let deadline = deadline - self.limits.answer_margin;
         self.urgent = true;
         self.pending.push(DecisionEvent::Request(Incoming { deadline, ..ask.asked }));
     }
 
     /// Refuses what was not taken.
-    pub(super) fn turn_away(
-        &mut self,
-        id: RequestId,
-        class: ClassId,
-        wait: Ms,
-        why: &'static str,
-        effects: &mut Vec<Effect>,
-    ) {
-        *self.counts[class.0].refusals.entry(why).or_default() += 1;
-        effects.push(Effect::Refused(id, class, why, 0.0));
-        effects.push(Effect::Answer(id, Answer::Refused(wait)));
+    fn turn_away(&mut self, id: RequestId, class: ClassId, rejection: Rejection, effects: &mut Vec<Effect>) {
+        let Rejection { reason, retry_after } = rejection;
+        *self.counts[class.0].refusals.entry(reason).or_default() += 1;
+        effects.push(Effect::Refused(id, class, reason, 0.0));
+        effects.push(Effect::Answer(id, Answer::Refused(retry_after)));
     }
 
     /// Refuses what was taken.
@@ -113,13 +178,29 @@
         self.answer(id, Answer::Refused(wait), effects);
     }
 
-    pub(super) fn window(&self, class: ClassId) -> Option<Ms> {
+    /// Fails a request with what its engine said last.
+    pub(super) fn fail(&mut self, now: Ms, id: RequestId, effects: &mut Vec<Effect>) {
+        let error = self.requests.get_mut(&id).and_then(|r| r.error.take());
+        self.stop(now, id, Outcome::Cancelled, effects);
+        self.answer(id, Answer::Failed(error), effects);
+    }
+
+    fn window(&self, class: ClassId) -> Option<Ms> {
         match self.settings.classes[class.0].repeat {
             Repeat::Keyed { window, .. } => Some(window),
             _ => None,
         }
     }
 
+    /// The module answers in time by itself. This makes sure of it, whatever it does.
+    pub(super) fn deadline_passed(&mut self, now: Ms, id: RequestId, effects: &mut Vec<Effect>) {
+        if self.requests.get(&id).is_some_and(|r| !r.over && !r.begun) {
+            self.stop(now, id, Outcome::Timeout, effects);
+            self.answer(id, Answer::Expired, effects);
+            self.pending.push(DecisionEvent::Gone(id));
+        }
+    }
+
     /// Its attempts end here and now: one that still waits to be sent must not leave after its client has.
     pub(super) fn leave(&mut self, now: Ms, id: RequestId, effects: &mut Vec<Effect>) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
--- a/src/core/shutdown.rs
+++ b/src/core/shutdown.rs
@@ -1,8 +1,9 @@
 //! The end of the process: what is still open is answered, then the program leaves.
 
+use super::requests::Request;
+use super::timers::Due;
 use super::{Answer, Core, Effect};
-use crate::interface::Event as DecisionEvent;
-use crate::interface::{Ms, Outcome, Repeat, Scope};
+use crate::interface::{Event as DecisionEvent, Ms, Outcome, Repeat, Scope};
 
 impl Core {
     /// Whether the end was asked for.
@@ -10,16 +11,41 @@
         self.terminating.is_some()
     }
 
+    /// The end was asked for.
+    pub(super) fn terminate(&mut self, now: Ms) {
+        if self.terminating.is_some() {
+            return;
+        }
+        self.terminating = Some(now);
+        self.timer(now + self.limits.term_window, Due::Leave);
+        self.set_answer_by(now + self.limits.term_answer);
+    }
+
+    /// Another process takes over, which leaves more time to answer what is open.
+    pub(super) fn hand_over(&mut self) {
+        if let Some(told) = self.terminating {
+            self.set_answer_by(told + self.limits.leave_answer);
+        }
+    }
+
+    fn set_answer_by(&mut self, at: Ms) {
+        self.answer_by = at;
+        self.timer(at, Due::AnswerAll);
+    }
+
+    /// The time for answers is over, unless it was extended since the timer was set.
+    pub(super) fn answer_deadline_passed(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+        if now >= self.answer_by {
+            self.answer_all(now, effects);
+        }
+    }
+
     /// The program must end soon: what is still open is answered while that can be done.
-    pub(super) fn answer_all(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+    fn answer_all(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         let open: Vec<_> = self.requests.iter().filter(|(_, r)| !r.over).map(|(id, _)| *id).collect();
         for id in open {
             let Some(r) = self.requests.get(&id) else { continue };
-            let harmless = match self.settings.classes[r.class.0].repeat {
-                Repeat::Safe | Repeat::Keyed { scope: Scope::All, .. } => true,
-                _ => r.attempts.is_empty(),
-            };
-            if harmless {
+            if self.may_be_repeated(r) {
                 self.refuse(now, id, self.settings.max_retry_after, "ending", effects);
             } else {
                 self.stop(now, id, Outcome::Cancelled, effects);
@@ -29,6 +55,14 @@
         }
     }
 
+    /// Whether the client can send the request again without harm.
+    fn may_be_repeated(&self, request: &Request) -> bool {
+        match self.settings.classes[request.class.0].repeat {
+            Repeat::Safe | Repeat::Keyed { scope: Scope::All, .. } => true,
+            _ => request.attempts.is_empty(),
+        }
+    }
+
     pub(super) fn exit_when_done(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         let window = |from: Ms| now >= from + self.limits.term_window;
         if self.open == 0 && self.terminating.is_some_and(window) {
