Renames in the reducer's state: the field's terms for membership, decisions and shutdown

Need: names such as `told`, `hand`, `earlier`, `unlisted` and `credit` need explanation. Change, names alone: the fields of `Core` are `service_members`, `operator_override`, `inherited_membership`, `membership_wait`, `decision_credit` and so on.

--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -113,7 +113,7 @@
             return;
         }
         r.begun = true;
-        self.pending.push(DecisionEvent::Streaming { id: id.0 });
+        self.pending_events.push(DecisionEvent::Streaming { id: id.0 });
         effects.push(Effect::Begin(id.0, rows));
     }
 
@@ -137,9 +137,18 @@
             Err(error) => r.error = error,
         }
         let over = self.requests.get(&id.0).is_none_or(|r| r.over);
-        self.urgent |= !over;
+        self.decision_urgent |= !over;
         let (id, attempt) = id;
-        self.pending.push(DecisionEvent::Outcome { id, attempt, engine, outcome, took, over, work, report });
+        self.pending_events.push(DecisionEvent::Outcome {
+            id,
+            attempt,
+            engine,
+            outcome,
+            took,
+            over,
+            work,
+            report,
+        });
         self.forget(id);
     }
 
@@ -147,7 +156,7 @@
     pub(super) fn note(&mut self, id: AttemptId, note: Note) {
         let running = self.requests.get(&id.0).is_some_and(|r| !r.over && !r.begun);
         if running && self.attempt(id).is_some_and(|a| a.out) {
-            self.pending.push(DecisionEvent::Note { id: id.0, attempt: id.1, note });
+            self.pending_events.push(DecisionEvent::Note { id: id.0, attempt: id.1, note });
         }
     }
 
--- a/src/core/decisions.rs
+++ b/src/core/decisions.rs
@@ -13,34 +13,34 @@
 
     /// So much time was spent on turns.
     pub fn spent(&mut self, time: Ms) {
-        self.credit -= time;
+        self.decision_credit -= time;
     }
 
     /// Lets the module decide: at once where somebody waits for it and turns have taken little time of late; else once
     /// in a while, with all that has come in.
     pub(super) fn turn(&mut self, now: Ms, effects: &mut Vec<Effect>) {
-        if self.pending.is_empty() {
+        if self.pending_events.is_empty() {
             return;
         }
         self.earn_credit(now);
-        let at_once = self.urgent && self.credit > 0.0;
-        if now < self.next_turn && !at_once {
+        let at_once = self.decision_urgent && self.decision_credit > 0.0;
+        if now < self.next_decision_at && !at_once {
             return self.set_turn();
         }
-        self.next_turn = now + self.limits.turn_gap;
-        self.urgent = false;
+        self.next_decision_at = now + self.limits.turn_gap;
+        self.decision_urgent = false;
         self.decide(now, effects);
     }
 
     fn earn_credit(&mut self, now: Ms) {
-        self.credit += (now - self.earned).max(0.0) * self.limits.turn_share;
-        self.credit = self.credit.min(self.limits.turn_credit);
-        self.earned = now;
+        self.decision_credit += (now - self.credit_updated_at).max(0.0) * self.limits.turn_share;
+        self.decision_credit = self.decision_credit.min(self.limits.turn_credit);
+        self.credit_updated_at = now;
     }
 
     fn set_turn(&mut self) {
-        if !std::mem::replace(&mut self.turn_set, true) {
-            self.timer(self.next_turn, Due::Turn);
+        if !std::mem::replace(&mut self.decision_timer_set, true) {
+            self.timer(self.next_decision_at, Due::Turn);
         }
     }
 
@@ -48,10 +48,10 @@
     fn decide(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         let mut actions = Vec::new();
         for _ in 0..=self.settings.send_cap {
-            if self.pending.is_empty() {
+            if self.pending_events.is_empty() {
                 return;
             }
-            let events = std::mem::take(&mut self.pending);
+            let events = std::mem::take(&mut self.pending_events);
             self.module.turn(now, &events, &mut actions);
             for action in actions.drain(..) {
                 self.act(now, action, effects);
--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -47,19 +47,19 @@
 
     /// There is a list service, and what this starts with names no engine: nothing can be served before it is heard.
     pub fn await_list(&mut self, now: Ms) {
-        if self.told.is_empty() && self.service.is_none() {
-            self.unlisted = Some(ComeBack::new(self.settings.seed, now));
+        if self.service_members.is_empty() && self.service_heard_at.is_none() {
+            self.membership_wait = Some(ComeBack::new(self.settings.seed, now));
         }
     }
 
     /// Whether nothing can be served as no list is known yet.
     pub fn awaits_list(&self) -> bool {
-        self.unlisted.is_some()
+        self.membership_wait.is_some()
     }
 
     /// Whether the list names that engine.
     pub fn lists(&self, id: &str) -> bool {
-        self.told.iter().any(|l| &*l.member.engine.0 == id)
+        self.service_members.iter().any(|l| &*l.member.engine.0 == id)
     }
 
     /// The number of the list that holds.
@@ -69,15 +69,15 @@
 
     /// The list as the service last told it, what has gone from it, and when it last spoke; none before it did.
     pub fn service_list(&self) -> Option<(Ms, &[Listed], &Gone)> {
-        self.service.map(|at| (at, &*self.told, &self.gone))
+        self.service_heard_at.map(|at| (at, &*self.service_members, &self.removed_engines))
     }
 
     /// What a successor is told of the list service: this process's own last word of it, or an earlier one's.
     pub fn heard(&self) -> Option<Heard> {
         let drains = |l: &&Listed| l.member.availability != Availability::Live;
-        let drained = self.told.iter().filter(drains).map(|l| l.member.engine.0.to_string());
-        let out = || drained.chain(self.gone.ids().map(str::to_owned));
-        self.service.map(|at| Heard::new(at, out())).or_else(|| self.earlier.clone())
+        let drained = self.service_members.iter().filter(drains).map(|l| l.member.engine.0.to_string());
+        let out = || drained.chain(self.removed_engines.ids().map(str::to_owned));
+        self.service_heard_at.map(|at| Heard::new(at, out())).or_else(|| self.inherited_membership.clone())
     }
 
     /// Takes the name service's list.
@@ -87,9 +87,9 @@
         }
         self.serial = Some(serial);
         let ids = list.iter().map(|l| &*l.member.engine.0).collect();
-        self.gone.follow(self.told.iter().map(|l| &*l.member.engine.0), &ids);
-        self.told = list;
-        self.unlisted = None;
+        self.removed_engines.follow(self.service_members.iter().map(|l| &*l.member.engine.0), &ids);
+        self.service_members = list;
+        self.membership_wait = None;
         self.merge(now, effects);
     }
 
@@ -100,31 +100,31 @@
         if serial < known {
             return false;
         }
-        self.service = Some(now);
+        self.service_heard_at = Some(now);
         // The service itself has spoken: what an earlier process heard holds no longer.
-        let inherited = self.earlier.take().is_some();
-        inherited || self.unlisted.is_some() || serial != known
+        let inherited = self.inherited_membership.take().is_some();
+        inherited || self.membership_wait.is_some() || serial != known
     }
 
     /// Takes the engines that staff have taken out.
     pub(super) fn override_by_hand(&mut self, now: Ms, hand: Hand, effects: &mut Vec<Effect>) {
-        self.hand = hand;
+        self.operator_override = hand;
         self.merge(now, effects);
     }
 
     /// Takes what an earlier process heard, unless the service has spoken to this one.
     pub(super) fn inherit(&mut self, now: Ms, heard: Heard, effects: &mut Vec<Effect>) {
-        if self.service.is_some() {
+        if self.service_heard_at.is_some() {
             return;
         }
         self.timer(heard.until(), Due::Earlier);
-        self.earlier = Some(heard);
+        self.inherited_membership = Some(heard);
         self.merge(now, effects);
     }
 
     /// What an earlier process heard holds for a limited time.
     pub(super) fn inherited_expired(&mut self, now: Ms, effects: &mut Vec<Effect>) {
-        if self.earlier.take_if(|e| now >= e.until()).is_some() {
+        if self.inherited_membership.take_if(|e| now >= e.until()).is_some() {
             self.merge(now, effects);
         }
     }
@@ -133,9 +133,12 @@
     /// drained or was removed in the earlier process, is a draining one, so one guard covers all three; one that was
     /// called back has just started.
     fn merge(&mut self, now: Ms, effects: &mut Vec<Effect>) {
-        self.hand.forget(now, self.settings.warm_within);
-        let list: Vec<Listed> =
-            self.told.iter().map(|l| merged(l, &self.hand, self.earlier.as_ref(), now)).collect();
+        self.operator_override.forget(now, self.settings.warm_within);
+        let list: Vec<Listed> = self
+            .service_members
+            .iter()
+            .map(|l| merged(l, &self.operator_override, self.inherited_membership.as_ref(), now))
+            .collect();
         self.replace_engines(now, &list, effects);
         self.report_members(now, list);
     }
@@ -161,8 +164,8 @@
         let named: Vec<Named> = list.iter().map(named).collect();
         let recalled = self.recall.as_mut().and_then(|recall| recall.list(&named, now));
         let members = list.into_iter().map(|l| l.member).collect();
-        self.pending.push(DecisionEvent::Members { whole: true, members });
-        self.pending.extend(recalled.map(|learned| DecisionEvent::Recalled(Box::new(learned))));
+        self.pending_events.push(DecisionEvent::Members { whole: true, members });
+        self.pending_events.extend(recalled.map(|learned| DecisionEvent::Recalled(Box::new(learned))));
         self.recall.take_if(|recall| recall.over(now));
     }
 
--- a/src/core/probes.rs
+++ b/src/core/probes.rs
@@ -28,8 +28,8 @@
 
     fn probe(&mut self, now: Ms, engine: EngineId, effects: &mut Vec<Effect>) {
         let Some(address) = self.live_address(&engine) else { return };
-        self.numbers += 1;
-        let tag = self.numbers;
+        self.last_number += 1;
+        let tag = self.last_number;
         self.probes.insert(tag, Probe { engine: engine.clone(), sent: now });
         self.timer(now + self.limits.probe, Due::Probe(tag));
         effects.push(Effect::Probe(tag, engine, address));
@@ -37,7 +37,7 @@
 
     pub(super) fn probed(&mut self, now: Ms, tag: u64, ok: bool, report: Option<Report>) {
         if let Some(Probe { engine, sent }) = self.probes.remove(&tag) {
-            self.pending.push(DecisionEvent::Probed { engine, ok, took: now - sent, report });
+            self.pending_events.push(DecisionEvent::Probed { engine, ok, took: now - sent, report });
         }
     }
 }
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -34,13 +34,13 @@
     ) {
         let Some(r) = self.requests.get_mut(&id.0) else { return };
         let Some(RequestKey { key, .. }) = r.key else { return };
-        self.numbers += 1;
-        let number = self.numbers;
+        self.last_number += 1;
+        let number = self.last_number;
         let sent = record.sent;
         if let Some(a) = r.attempts.get_mut(id.1 as usize) {
             a.record = Some(record);
         }
-        self.records.insert(number, id);
+        self.pending_records.insert(number, id);
         self.timer(now + self.limits.record, Due::Record(number));
         effects.push(Effect::Record(number, key, sent));
     }
@@ -62,14 +62,14 @@
 
     /// The disk hangs: what waits for it ends, and the log is not relied on until it is begun anew.
     pub(super) fn record_timed_out(&mut self, now: Ms, number: u64, effects: &mut Vec<Effect>) {
-        if self.records.contains_key(&number) {
+        if self.pending_records.contains_key(&number) {
             self.records_failed(now, vec![number], effects);
         }
     }
 
     /// A record is durable, or never will be. Late words on one whose attempt was given up change nothing.
     fn recorded(&mut self, now: Ms, number: u64, durable: bool, effects: &mut Vec<Effect>) {
-        let Some(id) = self.records.remove(&number) else { return };
+        let Some(id) = self.pending_records.remove(&number) else { return };
         let Some(r) = self.requests.get_mut(&id.0) else { return };
         let Some(RequestKey { key, .. }) = r.key else { return };
         let Some(a) = r.attempts.get_mut(id.1 as usize) else { return };
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -64,7 +64,7 @@
 impl Core {
     /// Requests that are open.
     pub fn open(&self) -> usize {
-        self.open
+        self.open_requests
     }
 
     /// Takes a request, or turns it away.
@@ -86,8 +86,8 @@
 
     /// Guards the memory: past these limits a request is turned away before the module hears of it.
     fn check_room(&self, ask: &Ask) -> Result<(), Rejection> {
-        let crowded = self.open >= self.limits.max_open;
-        if crowded || self.held + ask.statement.bytes() > self.limits.held_bytes {
+        let crowded = self.open_requests >= self.limits.max_open;
+        if crowded || self.held_bytes + ask.statement.bytes() > self.limits.held_bytes {
             return Err(self.rejection("limits"));
         }
         Ok(())
@@ -95,7 +95,7 @@
 
     /// Clients that waited in a queue for the list would all be let in at once: each is told another time to retry.
     fn check_list(&mut self, now: Ms) -> Result<(), Rejection> {
-        let Some(come_back) = &mut self.unlisted else { return Ok(()) };
+        let Some(come_back) = &mut self.membership_wait else { return Ok(()) };
         let retry_after = come_back.wait(now, self.settings.max_retry_after);
         Err(Rejection { reason: "no list", retry_after })
     }
@@ -127,8 +127,8 @@
 
     fn accept(&mut self, now: Ms, ask: Ask, admitted: Admitted) {
         let Incoming { id, class, deadline, .. } = ask.asked;
-        self.open += 1;
-        self.held += ask.statement.bytes();
+        self.open_requests += 1;
+        self.held_bytes += ask.statement.bytes();
         let request = Request {
             statement: ask.statement,
             class,
@@ -147,8 +147,8 @@
         // The module plans by the time that there is: attempts end before the deadline, so that the answer can
         // leave. Given the client's own deadline it would retry in the time between, which its retry budget pays for.
         let deadline = deadline - self.limits.answer_margin;
-        self.urgent = true;
-        self.pending.push(DecisionEvent::Request(Incoming { deadline, ..ask.asked }));
+        self.decision_urgent = true;
+        self.pending_events.push(DecisionEvent::Request(Incoming { deadline, ..ask.asked }));
     }
 
     /// Refuses what was not taken.
@@ -197,7 +197,7 @@
         if self.requests.get(&id).is_some_and(|r| !r.over && !r.begun) {
             self.stop(now, id, Outcome::Timeout, effects);
             self.answer(id, Answer::Expired, effects);
-            self.pending.push(DecisionEvent::Gone(id));
+            self.pending_events.push(DecisionEvent::Gone(id));
         }
     }
 
@@ -205,9 +205,9 @@
     pub(super) fn leave(&mut self, now: Ms, id: RequestId, effects: &mut Vec<Effect>) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
         r.over = true;
-        self.open -= 1;
+        self.open_requests -= 1;
         self.counts[r.class.0].left += 1;
-        self.pending.push(DecisionEvent::Gone(id));
+        self.pending_events.push(DecisionEvent::Gone(id));
         self.stop(now, id, Outcome::Cancelled, effects);
         self.forget(id);
     }
@@ -217,7 +217,7 @@
         let Some(r) = self.requests.get(&id).filter(|r| r.over && r.attempts.iter().all(|a| !a.out)) else {
             return;
         };
-        self.held -= r.statement.bytes();
+        self.held_bytes -= r.statement.bytes();
         self.requests.remove(&id);
     }
 
@@ -225,7 +225,7 @@
     pub(super) fn answer(&mut self, id: RequestId, answer: Answer, effects: &mut Vec<Effect>) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
         r.over = true;
-        self.open -= 1;
+        self.open_requests -= 1;
         let answer = if r.begun && !matches!(answer, Answer::Finished) { Answer::Cut } else { answer };
         effects.push(Effect::Answer(id, answer));
         self.forget(id);
--- a/src/core/shutdown.rs
+++ b/src/core/shutdown.rs
@@ -8,22 +8,22 @@
 impl Core {
     /// Whether the end was asked for.
     pub fn terminating(&self) -> bool {
-        self.terminating.is_some()
+        self.terminating_since.is_some()
     }
 
     /// The end was asked for.
     pub(super) fn terminate(&mut self, now: Ms) {
-        if self.terminating.is_some() {
+        if self.terminating_since.is_some() {
             return;
         }
-        self.terminating = Some(now);
+        self.terminating_since = Some(now);
         self.timer(now + self.limits.term_window, Due::Leave);
         self.set_answer_by(now + self.limits.term_answer);
     }
 
     /// Another process takes over, which leaves more time to answer what is open.
     pub(super) fn hand_over(&mut self) {
-        if let Some(told) = self.terminating {
+        if let Some(told) = self.terminating_since {
             self.set_answer_by(told + self.limits.leave_answer);
         }
     }
@@ -51,7 +51,7 @@
                 self.stop(now, id, Outcome::Cancelled, effects);
                 self.answer(id, Answer::Failed(None), effects);
             }
-            self.pending.push(DecisionEvent::Gone(id));
+            self.pending_events.push(DecisionEvent::Gone(id));
         }
     }
 
@@ -65,7 +65,7 @@
 
     pub(super) fn exit_when_done(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         let window = |from: Ms| now >= from + self.limits.term_window;
-        if self.open == 0 && self.terminating.is_some_and(window) {
+        if self.open_requests == 0 && self.terminating_since.is_some_and(window) {
             effects.push(Effect::Exit);
         }
     }
--- a/src/core/timers.rs
+++ b/src/core/timers.rs
@@ -52,8 +52,8 @@
     }
 
     pub(super) fn timer(&mut self, at: Ms, due: Due) {
-        self.numbers += 1;
-        self.timers.push(Timer { at, number: self.numbers, due });
+        self.last_number += 1;
+        self.timers.push(Timer { at, number: self.last_number, due });
     }
 
     /// Handles every timer that is due by now.
@@ -70,14 +70,14 @@
 
     fn fire(&mut self, now: Ms, due: Due, effects: &mut Vec<Effect>) {
         match due {
-            Due::Module(token) => self.pending.push(DecisionEvent::Timer(token)),
+            Due::Module(token) => self.pending_events.push(DecisionEvent::Timer(token)),
             Due::Attempt(id) => self.attempt_timed_out(now, id, effects),
             Due::Deadline(id) => self.deadline_passed(now, id, effects),
             Due::Probe(tag) => self.probed(now, tag, false, None),
             Due::Gone(engine) => self.engine_removed(now, &engine, effects),
             // The check after every event exits.
             Due::Leave => {}
-            Due::Turn => self.turn_set = false,
+            Due::Turn => self.decision_timer_set = false,
             Due::AnswerAll => self.answer_deadline_passed(now, effects),
             Due::Record(number) => self.record_timed_out(now, number, effects),
             Due::Earlier => self.inherited_expired(now, effects),
