Renames in requests, attempts and probes: in_flight, streaming, closed, sent_at, deadline

Need: `out`, `begun`, `over` and `ends` say little by themselves. Change, names alone: attempts are `in_flight` until their `deadline`, requests are `streaming` or `closed`, times end in `_at`.

--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -10,15 +10,15 @@
 /// One send of a request to an engine.
 pub(super) struct Attempt {
     pub(super) engine: EngineId,
-    pub(super) sent: Ms,
-    pub(super) out: bool,
+    pub(super) sent_at: Ms,
+    pub(super) in_flight: bool,
     /// It leaves once this record of it is durable.
     pub(super) record: Option<PendingRecord>,
 }
 
 impl Request {
     /// When an attempt that is begun now ends. A timeout of 0 is none of its own.
-    fn attempt_end(&self, now: Ms, timeout: Ms, margin: Ms) -> Ms {
+    fn attempt_deadline(&self, now: Ms, timeout: Ms, margin: Ms) -> Ms {
         let last = self.deadline - margin;
         if timeout > 0.0 {
             last.min(now + timeout)
@@ -36,11 +36,11 @@
 /// The final answer that the end of an attempt gives its request, or the error to keep for a later one.
 fn final_answer(
     outcome: Outcome,
-    begun: bool,
+    streaming: bool,
     rows: Rows,
     error: Option<EngineError>,
 ) -> Result<Answer, Option<EngineError>> {
-    match (outcome, begun) {
+    match (outcome, streaming) {
         (Outcome::Ok, true) => Ok(Answer::Finished),
         (Outcome::Ok, false) => Ok(match error {
             // The engine did its part: the statement itself is at fault.
@@ -69,10 +69,10 @@
         let live = self.live_address(&engine).is_some();
         let Some(r) = self.requests.get_mut(&id) else { return };
         let attempt = (id, r.attempts.len() as u32);
-        let lone = r.attempts.iter().all(|a| !a.out) || self.settings.may_copy;
-        r.attempts.push(Attempt { engine, sent: now, out: true, record: None });
-        let ends = r.attempt_end(now, timeout, self.limits.answer_margin);
-        let may = live && lone && !r.over && now < r.send_by && now < ends;
+        let lone = r.attempts.iter().all(|a| !a.in_flight) || self.settings.may_copy;
+        r.attempts.push(Attempt { engine, sent_at: now, in_flight: true, record: None });
+        let deadline = r.attempt_deadline(now, timeout, self.limits.answer_margin);
+        let may = live && lone && !r.closed && now < r.send_by && now < deadline;
         let leave = match r.key.filter(|_| may) {
             Some(RequestKey { key, window }) => self.gate.leave(&key, window, now),
             None if may => Leave::Now,
@@ -80,16 +80,16 @@
         };
         match leave {
             Leave::No => self.end(now, attempt, End::plain(Outcome::Moot), effects),
-            Leave::Now => self.go(now, attempt, ends, effects),
-            Leave::AfterRecord(sent) => self.record(now, attempt, PendingRecord { sent, ends }, effects),
+            Leave::Now => self.go(now, attempt, deadline, effects),
+            Leave::AfterRecord(sent) => self.record(now, attempt, PendingRecord { sent, deadline }, effects),
         }
     }
 
     /// An attempt leaves, if its engine still takes work.
-    pub(super) fn go(&mut self, now: Ms, id: AttemptId, ends: Ms, effects: &mut Vec<Effect>) {
+    pub(super) fn go(&mut self, now: Ms, id: AttemptId, deadline: Ms, effects: &mut Vec<Effect>) {
         let Some(engine) = self.attempt(id).map(|a| a.engine.clone()) else { return };
         let Some(r) = self.requests.get(&id.0) else { return };
-        let Some(address) = self.live_address(&engine).filter(|_| now < ends) else {
+        let Some(address) = self.live_address(&engine).filter(|_| now < deadline) else {
             return self.end(now, id, End::plain(Outcome::Moot), effects);
         };
         effects.push(Effect::Send(Send {
@@ -98,28 +98,28 @@
             address,
             class: r.class,
             statement: r.statement.clone(),
-            budget: ends - now,
+            budget: deadline - now,
             leave_within: Some(r.send_by - now).filter(|t| t.is_finite()),
             memory_mb: r.terms.memory_mb,
             priority: r.terms.priority,
         }));
-        self.timer(ends, Due::Attempt(id));
+        self.timer(deadline, Due::Attempt(id));
     }
 
     /// The first part of a result that is passed on as it comes.
     pub(super) fn begin(&mut self, now: Ms, id: AttemptId, rows: Rows, effects: &mut Vec<Effect>) {
-        let Some(r) = self.requests.get_mut(&id.0).filter(|r| !r.over && !r.begun) else { return };
-        if !r.attempts.get(id.1 as usize).is_some_and(|a| a.out) || now >= r.deadline {
+        let Some(r) = self.requests.get_mut(&id.0).filter(|r| !r.closed && !r.streaming) else { return };
+        if !r.attempts.get(id.1 as usize).is_some_and(|a| a.in_flight) || now >= r.deadline {
             return;
         }
-        r.begun = true;
+        r.streaming = true;
         self.pending_events.push(DecisionEvent::Streaming { id: id.0 });
         effects.push(Effect::Begin(id.0, rows));
     }
 
     /// A further part.
     pub(super) fn part(&mut self, id: AttemptId, part: Vec<u8>, effects: &mut Vec<Effect>) {
-        if self.attempt(id).is_some_and(|a| a.out) {
+        if self.attempt(id).is_some_and(|a| a.in_flight) {
             effects.push(Effect::Part(id.0, part));
         }
     }
@@ -127,16 +127,16 @@
     /// An attempt ended. A late word on one that was given up finds it not out, and changes nothing.
     pub(super) fn end(&mut self, now: Ms, id: AttemptId, end: End, effects: &mut Vec<Effect>) {
         let Some(r) = self.requests.get_mut(&id.0) else { return };
-        let Some(a) = r.attempts.get_mut(id.1 as usize).filter(|a| a.out) else { return };
-        a.out = false;
-        let (engine, took) = (a.engine.clone(), now - a.sent);
+        let Some(a) = r.attempts.get_mut(id.1 as usize).filter(|a| a.in_flight) else { return };
+        a.in_flight = false;
+        let (engine, took) = (a.engine.clone(), now - a.sent_at);
         let End { outcome, work, report, rows, error } = end;
         self.counts[r.class.0].outcomes[outcome as usize] += 1;
-        match final_answer(outcome, r.begun, rows, error) {
+        match final_answer(outcome, r.streaming, rows, error) {
             Ok(answer) => self.answer(id.0, answer, effects),
-            Err(error) => r.error = error,
+            Err(error) => r.last_error = error,
         }
-        let over = self.requests.get(&id.0).is_none_or(|r| r.over);
+        let over = self.requests.get(&id.0).is_none_or(|r| r.closed);
         self.decision_urgent |= !over;
         let (id, attempt) = id;
         self.pending_events.push(DecisionEvent::Outcome {
@@ -154,15 +154,15 @@
 
     /// A progress update says nothing of an attempt that has ended or of a result that is being passed on.
     pub(super) fn note(&mut self, id: AttemptId, note: Note) {
-        let running = self.requests.get(&id.0).is_some_and(|r| !r.over && !r.begun);
-        if running && self.attempt(id).is_some_and(|a| a.out) {
+        let running = self.requests.get(&id.0).is_some_and(|r| !r.closed && !r.streaming);
+        if running && self.attempt(id).is_some_and(|a| a.in_flight) {
             self.pending_events.push(DecisionEvent::Note { id: id.0, attempt: id.1, note });
         }
     }
 
     /// Ends an attempt from this side.
     pub(super) fn give_up(&mut self, now: Ms, id: AttemptId, outcome: Outcome, effects: &mut Vec<Effect>) {
-        let Some(engine) = self.attempt(id).filter(|a| a.out).map(|a| a.engine.clone()) else { return };
+        let Some(engine) = self.attempt(id).filter(|a| a.in_flight).map(|a| a.engine.clone()) else { return };
         effects.push(Effect::GiveUp(id, engine, outcome));
         self.end(now, id, End::plain(outcome), effects);
     }
@@ -174,7 +174,7 @@
 
     /// The time of an attempt is over. A stream that has begun has no deadline any more.
     pub(super) fn attempt_timed_out(&mut self, now: Ms, id: AttemptId, effects: &mut Vec<Effect>) {
-        if self.requests.get(&id.0).is_some_and(|r| !r.begun) {
+        if self.requests.get(&id.0).is_some_and(|r| !r.streaming) {
             self.give_up(now, id, Outcome::Timeout, effects);
         }
     }
@@ -191,7 +191,7 @@
 
     fn out_on(&self, engine: &EngineId) -> Vec<AttemptId> {
         let all = self.requests.iter().flat_map(|(id, r)| r.numbered().map(|(n, a)| ((*id, n), a)));
-        all.filter(|(_, a)| a.out && a.engine == *engine).map(|(id, _)| id).collect()
+        all.filter(|(_, a)| a.in_flight && a.engine == *engine).map(|(id, _)| id).collect()
     }
 
     /// Sets what engines grant the request's attempts, those in flight included.
@@ -199,7 +199,7 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let changed = r.terms.priority != terms.priority;
         r.terms = terms;
-        for (n, a) in r.numbered().filter(|(_, a)| a.out && changed) {
+        for (n, a) in r.numbered().filter(|(_, a)| a.in_flight && changed) {
             effects.push(Effect::Hurry((id, n), a.engine.clone(), terms.priority));
         }
     }
--- a/src/core/probes.rs
+++ b/src/core/probes.rs
@@ -7,7 +7,7 @@
 /// A probe without an answer so far.
 pub(super) struct Probe {
     engine: EngineId,
-    sent: Ms,
+    sent_at: Ms,
 }
 
 impl Core {
@@ -30,14 +30,14 @@
         let Some(address) = self.live_address(&engine) else { return };
         self.last_number += 1;
         let tag = self.last_number;
-        self.probes.insert(tag, Probe { engine: engine.clone(), sent: now });
+        self.probes.insert(tag, Probe { engine: engine.clone(), sent_at: now });
         self.timer(now + self.limits.probe, Due::Probe(tag));
         effects.push(Effect::Probe(tag, engine, address));
     }
 
     pub(super) fn probed(&mut self, now: Ms, tag: u64, ok: bool, report: Option<Report>) {
-        if let Some(Probe { engine, sent }) = self.probes.remove(&tag) {
-            self.pending_events.push(DecisionEvent::Probed { engine, ok, took: now - sent, report });
+        if let Some(Probe { engine, sent_at }) = self.probes.remove(&tag) {
+            self.pending_events.push(DecisionEvent::Probed { engine, ok, took: now - sent_at, report });
         }
     }
 }
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -10,7 +10,7 @@
 pub(super) struct PendingRecord {
     pub(super) sent: Sent,
     /// When the attempt that waits for it ends.
-    pub(super) ends: Ms,
+    pub(super) deadline: Ms,
 }
 
 impl Core {
@@ -73,13 +73,13 @@
         let Some(r) = self.requests.get_mut(&id.0) else { return };
         let Some(RequestKey { key, .. }) = r.key else { return };
         let Some(a) = r.attempts.get_mut(id.1 as usize) else { return };
-        let Some(PendingRecord { sent, ends }) = a.record.take() else { return };
+        let Some(PendingRecord { sent, deadline }) = a.record.take() else { return };
         let in_time = durable && self.gate.recorded(&key, sent, now);
-        if !a.out {
+        if !a.in_flight {
             return;
         }
-        if in_time && !r.over && now < r.send_by {
-            self.go(now, id, ends, effects);
+        if in_time && !r.closed && now < r.send_by {
+            self.go(now, id, deadline, effects);
         } else {
             self.end(now, id, End::plain(Outcome::Moot), effects);
         }
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -49,16 +49,16 @@
 pub(super) struct Request {
     pub(super) statement: Rc<Statement>,
     pub(super) class: ClassId,
-    pub(super) taken: Ms,
+    pub(super) received_at: Ms,
     pub(super) key: Option<RequestKey>,
     pub(super) deadline: Ms,
     /// A keyed statement may not leave later than this: an engine that saw its key before forgets it then.
     pub(super) send_by: Ms,
     pub(super) attempts: Vec<Attempt>,
-    pub(super) begun: bool,
-    pub(super) over: bool,
+    pub(super) streaming: bool,
+    pub(super) closed: bool,
     pub(super) terms: Terms,
-    pub(super) error: Option<EngineError>,
+    pub(super) last_error: Option<EngineError>,
 }
 
 impl Core {
@@ -132,15 +132,15 @@
         let request = Request {
             statement: ask.statement,
             class,
-            taken: now,
+            received_at: now,
             key: admitted.key,
             deadline,
             send_by: admitted.send_by,
             attempts: Vec::new(),
-            begun: false,
-            over: false,
+            streaming: false,
+            closed: false,
             terms: Terms::default(),
-            error: None,
+            last_error: None,
         };
         self.requests.insert(id, request);
         self.timer(deadline - self.limits.answer_margin / 2.0, Due::Deadline(id));
@@ -168,10 +168,10 @@
         why: &'static str,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(r) = self.requests.get(&id).filter(|r| !r.over) else { return };
-        let (class, waited, begun) = (r.class, now - r.taken, r.begun);
+        let Some(r) = self.requests.get(&id).filter(|r| !r.closed) else { return };
+        let (class, waited, streaming) = (r.class, now - r.received_at, r.streaming);
         self.stop(now, id, Outcome::Cancelled, effects);
-        if !begun && self.requests.get(&id).is_some_and(|r| !r.over) {
+        if !streaming && self.requests.get(&id).is_some_and(|r| !r.closed) {
             *self.counts[class.0].refusals.entry(why).or_default() += 1;
             effects.push(Effect::Refused(id, class, why, waited));
         }
@@ -180,7 +180,7 @@
 
     /// Fails a request with what its engine said last.
     pub(super) fn fail(&mut self, now: Ms, id: RequestId, effects: &mut Vec<Effect>) {
-        let error = self.requests.get_mut(&id).and_then(|r| r.error.take());
+        let error = self.requests.get_mut(&id).and_then(|r| r.last_error.take());
         self.stop(now, id, Outcome::Cancelled, effects);
         self.answer(id, Answer::Failed(error), effects);
     }
@@ -194,7 +194,7 @@
 
     /// The module answers in time by itself. This makes sure of it, whatever it does.
     pub(super) fn deadline_passed(&mut self, now: Ms, id: RequestId, effects: &mut Vec<Effect>) {
-        if self.requests.get(&id).is_some_and(|r| !r.over && !r.begun) {
+        if self.requests.get(&id).is_some_and(|r| !r.closed && !r.streaming) {
             self.stop(now, id, Outcome::Timeout, effects);
             self.answer(id, Answer::Expired, effects);
             self.pending_events.push(DecisionEvent::Gone(id));
@@ -203,8 +203,8 @@
 
     /// Its attempts end here and now: one that still waits to be sent must not leave after its client has.
     pub(super) fn leave(&mut self, now: Ms, id: RequestId, effects: &mut Vec<Effect>) {
-        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
-        r.over = true;
+        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.closed) else { return };
+        r.closed = true;
         self.open_requests -= 1;
         self.counts[r.class.0].left += 1;
         self.pending_events.push(DecisionEvent::Gone(id));
@@ -214,7 +214,8 @@
 
     /// Drops a request once it is answered and nothing is out for it.
     pub(super) fn forget(&mut self, id: RequestId) {
-        let Some(r) = self.requests.get(&id).filter(|r| r.over && r.attempts.iter().all(|a| !a.out)) else {
+        let Some(r) = self.requests.get(&id).filter(|r| r.closed && r.attempts.iter().all(|a| !a.in_flight))
+        else {
             return;
         };
         self.held_bytes -= r.statement.bytes();
@@ -223,10 +224,10 @@
 
     /// The one place from which final answers go.
     pub(super) fn answer(&mut self, id: RequestId, answer: Answer, effects: &mut Vec<Effect>) {
-        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
-        r.over = true;
+        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.closed) else { return };
+        r.closed = true;
         self.open_requests -= 1;
-        let answer = if r.begun && !matches!(answer, Answer::Finished) { Answer::Cut } else { answer };
+        let answer = if r.streaming && !matches!(answer, Answer::Finished) { Answer::Cut } else { answer };
         effects.push(Effect::Answer(id, answer));
         self.forget(id);
     }
--- a/src/core/shutdown.rs
+++ b/src/core/shutdown.rs
@@ -42,7 +42,7 @@
 
     /// The program must end soon: what is still open is answered while that can be done.
     fn answer_all(&mut self, now: Ms, effects: &mut Vec<Effect>) {
-        let open: Vec<_> = self.requests.iter().filter(|(_, r)| !r.over).map(|(id, _)| *id).collect();
+        let open: Vec<_> = self.requests.iter().filter(|(_, r)| !r.closed).map(|(id, _)| *id).collect();
         for id in open {
             let Some(r) = self.requests.get(&id) else { continue };
             if self.may_be_repeated(r) {
