Renames of the reducer's timers: each is named for what it is set for

Need: `Due::Gone`, `Due::Leave` and `Due::Turn` need explanation. Change, names alone: `Due::EngineRemoved`, `Due::TerminationWindow`, `Due::DecisionCycle` and so on; `timer` is `set_timer`, `clock` is `fire_due_timers`.

--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -103,7 +103,7 @@
             memory_mb: r.terms.memory_mb,
             priority: r.terms.priority,
         }));
-        self.timer(deadline, Due::Attempt(id));
+        self.set_timer(deadline, Due::AttemptTimeout(id));
     }
 
     /// The first part of a result that is passed on as it comes.
--- a/src/core/decisions.rs
+++ b/src/core/decisions.rs
@@ -40,7 +40,7 @@
 
     fn set_turn(&mut self) {
         if !std::mem::replace(&mut self.decision_timer_set, true) {
-            self.timer(self.next_decision_at, Due::Turn);
+            self.set_timer(self.next_decision_at, Due::DecisionCycle);
         }
     }
 
@@ -68,7 +68,7 @@
             Action::Terms { id, memory_mb, priority } => {
                 self.set_terms(id, Terms { memory_mb, priority }, effects);
             }
-            Action::Timer { after, token } => self.timer(now + after, Due::Module(token)),
+            Action::Timer { after, token } => self.set_timer(now + after, Due::DecisionTimer(token)),
             // The list is polled all the time; there is nothing to subscribe to.
             Action::Watch => {}
             Action::Probe { engine } => self.ask_for_probe(now, engine, effects),
--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -117,7 +117,7 @@
         if self.service_heard_at.is_some() {
             return;
         }
-        self.timer(heard.until(), Due::Earlier);
+        self.set_timer(heard.until(), Due::InheritedMembership);
         self.inherited_membership = Some(heard);
         self.merge(now, effects);
     }
@@ -155,7 +155,7 @@
         }
         for (engine, _) in before {
             effects.push(Effect::Shut(engine.clone()));
-            self.timer(now + self.limits.gone_grace, Due::Gone(engine));
+            self.set_timer(now + self.limits.gone_grace, Due::EngineRemoved(engine));
         }
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -160,7 +160,7 @@
             Event::Tend => self.tend(now, effects),
             Event::Heard(keys) => self.hear_keys(now, keys),
             Event::Probed(tag, ok, report) => self.probed(now, tag, ok, report),
-            Event::Clock => self.clock(now, effects),
+            Event::Clock => self.fire_due_timers(now, effects),
             Event::Turn => self.turn(now, effects),
             Event::Terminate => self.terminate(now),
             Event::HandOver => self.hand_over(),
--- a/src/core/probes.rs
+++ b/src/core/probes.rs
@@ -15,7 +15,7 @@
     pub(super) fn ask_for_probe(&mut self, now: Ms, engine: EngineId, effects: &mut Vec<Effect>) {
         match self.first_probes.ask(engine, now) {
             Some(engine) => self.probe(now, engine, effects),
-            None => self.timer(self.first_probes.until, Due::FirstProbes),
+            None => self.set_timer(self.first_probes.until, Due::FirstProbes),
         }
     }
 
@@ -31,7 +31,7 @@
         self.last_number += 1;
         let tag = self.last_number;
         self.probes.insert(tag, Probe { engine: engine.clone(), sent_at: now });
-        self.timer(now + self.limits.probe, Due::Probe(tag));
+        self.set_timer(now + self.limits.probe, Due::ProbeTimeout(tag));
         effects.push(Effect::Probe(tag, engine, address));
     }
 
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -41,7 +41,7 @@
             a.record = Some(record);
         }
         self.pending_records.insert(number, id);
-        self.timer(now + self.limits.record, Due::Record(number));
+        self.set_timer(now + self.limits.record, Due::RecordTimeout(number));
         effects.push(Effect::Record(number, key, sent));
     }
 
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -143,7 +143,7 @@
             last_error: None,
         };
         self.requests.insert(id, request);
-        self.timer(deadline - self.limits.answer_margin / 2.0, Due::Deadline(id));
+        self.set_timer(deadline - self.limits.answer_margin / 2.0, Due::RequestDeadline(id));
         // The module plans by the time that there is: attempts end before the deadline, so that the answer can
         // leave. Given the client's own deadline it would retry in the time between, which its retry budget pays for.
         let deadline = deadline - self.limits.answer_margin;
--- a/src/core/shutdown.rs
+++ b/src/core/shutdown.rs
@@ -17,7 +17,7 @@
             return;
         }
         self.terminating_since = Some(now);
-        self.timer(now + self.limits.term_window, Due::Leave);
+        self.set_timer(now + self.limits.term_window, Due::TerminationWindow);
         self.set_answer_by(now + self.limits.term_answer);
     }
 
@@ -30,7 +30,7 @@
 
     fn set_answer_by(&mut self, at: Ms) {
         self.answer_by = at;
-        self.timer(at, Due::AnswerAll);
+        self.set_timer(at, Due::AnswerDeadline);
     }
 
     /// The time for answers is over, unless it was extended since the timer was set.
--- a/src/core/timers.rs
+++ b/src/core/timers.rs
@@ -5,16 +5,16 @@
 
 #[derive(Debug, Clone, PartialEq)]
 pub(super) enum Due {
-    Module(u64),
-    Attempt(AttemptId),
-    Deadline(RequestId),
-    Probe(u64),
-    Gone(EngineId),
-    Leave,
-    Turn,
-    AnswerAll,
-    Record(u64),
-    Earlier,
+    DecisionTimer(u64),
+    AttemptTimeout(AttemptId),
+    RequestDeadline(RequestId),
+    ProbeTimeout(u64),
+    EngineRemoved(EngineId),
+    TerminationWindow,
+    DecisionCycle,
+    AnswerDeadline,
+    RecordTimeout(u64),
+    InheritedMembership,
     FirstProbes,
 }
 
@@ -51,13 +51,13 @@
         self.timers.peek().map(|timer| timer.at)
     }
 
-    pub(super) fn timer(&mut self, at: Ms, due: Due) {
+    pub(super) fn set_timer(&mut self, at: Ms, due: Due) {
         self.last_number += 1;
         self.timers.push(Timer { at, number: self.last_number, due });
     }
 
     /// Handles every timer that is due by now.
-    pub(super) fn clock(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+    pub(super) fn fire_due_timers(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         while let Some(due) = self.pop_due(now) {
             self.fire(now, due, effects);
         }
@@ -70,17 +70,17 @@
 
     fn fire(&mut self, now: Ms, due: Due, effects: &mut Vec<Effect>) {
         match due {
-            Due::Module(token) => self.pending_events.push(DecisionEvent::Timer(token)),
-            Due::Attempt(id) => self.attempt_timed_out(now, id, effects),
-            Due::Deadline(id) => self.deadline_passed(now, id, effects),
-            Due::Probe(tag) => self.probed(now, tag, false, None),
-            Due::Gone(engine) => self.engine_removed(now, &engine, effects),
+            Due::DecisionTimer(token) => self.pending_events.push(DecisionEvent::Timer(token)),
+            Due::AttemptTimeout(id) => self.attempt_timed_out(now, id, effects),
+            Due::RequestDeadline(id) => self.deadline_passed(now, id, effects),
+            Due::ProbeTimeout(tag) => self.probed(now, tag, false, None),
+            Due::EngineRemoved(engine) => self.engine_removed(now, &engine, effects),
             // The check after every event exits.
-            Due::Leave => {}
-            Due::Turn => self.decision_timer_set = false,
-            Due::AnswerAll => self.answer_deadline_passed(now, effects),
-            Due::Record(number) => self.record_timed_out(now, number, effects),
-            Due::Earlier => self.inherited_expired(now, effects),
+            Due::TerminationWindow => {}
+            Due::DecisionCycle => self.decision_timer_set = false,
+            Due::AnswerDeadline => self.answer_deadline_passed(now, effects),
+            Due::RecordTimeout(number) => self.record_timed_out(now, number, effects),
+            Due::InheritedMembership => self.inherited_expired(now, effects),
             Due::FirstProbes => self.send_first_probes(now, effects),
         }
     }
