Renames of the reducer's functions: receive, reject, shed, transmit, abort, decision cycle

Need: `take`, `turn_away`, `go`, `stop`, `tend` and `act` need explanation. Change, names alone: `receive`, `reject`, `transmit`, `abort_attempts`, `maintain_log`, `perform` and so on. Public names stay, as fronts and wires use them.

--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -53,12 +53,12 @@
 }
 
 impl Core {
-    pub(super) fn attempt(&self, id: AttemptId) -> Option<&Attempt> {
+    pub(super) fn find_attempt(&self, id: AttemptId) -> Option<&Attempt> {
         self.requests.get(&id.0).and_then(|r| r.attempts.get(id.1 as usize))
     }
 
     /// Begins an attempt. One that may not be sent ends at once.
-    pub(super) fn send(
+    pub(super) fn start_attempt(
         &mut self,
         now: Ms,
         id: RequestId,
@@ -79,18 +79,20 @@
             None => Leave::No,
         };
         match leave {
-            Leave::No => self.end(now, attempt, End::plain(Outcome::Moot), effects),
-            Leave::Now => self.go(now, attempt, deadline, effects),
-            Leave::AfterRecord(sent) => self.record(now, attempt, PendingRecord { sent, deadline }, effects),
+            Leave::No => self.end_attempt(now, attempt, End::plain(Outcome::Moot), effects),
+            Leave::Now => self.transmit(now, attempt, deadline, effects),
+            Leave::AfterRecord(sent) => {
+                self.request_record(now, attempt, PendingRecord { sent, deadline }, effects)
+            }
         }
     }
 
     /// An attempt leaves, if its engine still takes work.
-    pub(super) fn go(&mut self, now: Ms, id: AttemptId, deadline: Ms, effects: &mut Vec<Effect>) {
-        let Some(engine) = self.attempt(id).map(|a| a.engine.clone()) else { return };
+    pub(super) fn transmit(&mut self, now: Ms, id: AttemptId, deadline: Ms, effects: &mut Vec<Effect>) {
+        let Some(engine) = self.find_attempt(id).map(|a| a.engine.clone()) else { return };
         let Some(r) = self.requests.get(&id.0) else { return };
         let Some(address) = self.live_address(&engine).filter(|_| now < deadline) else {
-            return self.end(now, id, End::plain(Outcome::Moot), effects);
+            return self.end_attempt(now, id, End::plain(Outcome::Moot), effects);
         };
         effects.push(Effect::Send(Send {
             id,
@@ -107,7 +109,7 @@
     }
 
     /// The first part of a result that is passed on as it comes.
-    pub(super) fn begin(&mut self, now: Ms, id: AttemptId, rows: Rows, effects: &mut Vec<Effect>) {
+    pub(super) fn start_streaming(&mut self, now: Ms, id: AttemptId, rows: Rows, effects: &mut Vec<Effect>) {
         let Some(r) = self.requests.get_mut(&id.0).filter(|r| !r.closed && !r.streaming) else { return };
         if !r.attempts.get(id.1 as usize).is_some_and(|a| a.in_flight) || now >= r.deadline {
             return;
@@ -118,14 +120,14 @@
     }
 
     /// A further part.
-    pub(super) fn part(&mut self, id: AttemptId, part: Vec<u8>, effects: &mut Vec<Effect>) {
-        if self.attempt(id).is_some_and(|a| a.in_flight) {
+    pub(super) fn forward_part(&mut self, id: AttemptId, part: Vec<u8>, effects: &mut Vec<Effect>) {
+        if self.find_attempt(id).is_some_and(|a| a.in_flight) {
             effects.push(Effect::Part(id.0, part));
         }
     }
 
     /// An attempt ended. A late word on one that was given up finds it not out, and changes nothing.
-    pub(super) fn end(&mut self, now: Ms, id: AttemptId, end: End, effects: &mut Vec<Effect>) {
+    pub(super) fn end_attempt(&mut self, now: Ms, id: AttemptId, end: End, effects: &mut Vec<Effect>) {
         let Some(r) = self.requests.get_mut(&id.0) else { return };
         let Some(a) = r.attempts.get_mut(id.1 as usize).filter(|a| a.in_flight) else { return };
         a.in_flight = false;
@@ -149,33 +151,47 @@
             work,
             report,
         });
-        self.forget(id);
+        self.remove_if_done(id);
     }
 
     /// A progress update says nothing of an attempt that has ended or of a result that is being passed on.
-    pub(super) fn note(&mut self, id: AttemptId, note: Note) {
+    pub(super) fn progress_update(&mut self, id: AttemptId, note: Note) {
         let running = self.requests.get(&id.0).is_some_and(|r| !r.closed && !r.streaming);
-        if running && self.attempt(id).is_some_and(|a| a.in_flight) {
+        if running && self.find_attempt(id).is_some_and(|a| a.in_flight) {
             self.pending_events.push(DecisionEvent::Note { id: id.0, attempt: id.1, note });
         }
     }
 
     /// Ends an attempt from this side.
-    pub(super) fn give_up(&mut self, now: Ms, id: AttemptId, outcome: Outcome, effects: &mut Vec<Effect>) {
-        let Some(engine) = self.attempt(id).filter(|a| a.in_flight).map(|a| a.engine.clone()) else { return };
+    pub(super) fn abort_attempt(
+        &mut self,
+        now: Ms,
+        id: AttemptId,
+        outcome: Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(engine) = self.find_attempt(id).filter(|a| a.in_flight).map(|a| a.engine.clone()) else {
+            return;
+        };
         effects.push(Effect::GiveUp(id, engine, outcome));
-        self.end(now, id, End::plain(outcome), effects);
+        self.end_attempt(now, id, End::plain(outcome), effects);
     }
 
-    pub(super) fn stop(&mut self, now: Ms, id: RequestId, outcome: Outcome, effects: &mut Vec<Effect>) {
+    pub(super) fn abort_attempts(
+        &mut self,
+        now: Ms,
+        id: RequestId,
+        outcome: Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
         let attempts = self.requests.get(&id).map_or(0, |r| r.attempts.len() as u32);
-        (0..attempts).for_each(|n| self.give_up(now, (id, n), outcome, effects));
+        (0..attempts).for_each(|n| self.abort_attempt(now, (id, n), outcome, effects));
     }
 
     /// The time of an attempt is over. A stream that has begun has no deadline any more.
     pub(super) fn attempt_timed_out(&mut self, now: Ms, id: AttemptId, effects: &mut Vec<Effect>) {
         if self.requests.get(&id.0).is_some_and(|r| !r.streaming) {
-            self.give_up(now, id, Outcome::Timeout, effects);
+            self.abort_attempt(now, id, Outcome::Timeout, effects);
         }
     }
 
@@ -184,12 +200,12 @@
         if self.engines.contains_key(engine) {
             return;
         }
-        for id in self.out_on(engine) {
-            self.give_up(now, id, Outcome::Reset, effects);
+        for id in self.in_flight_on(engine) {
+            self.abort_attempt(now, id, Outcome::Reset, effects);
         }
     }
 
-    fn out_on(&self, engine: &EngineId) -> Vec<AttemptId> {
+    fn in_flight_on(&self, engine: &EngineId) -> Vec<AttemptId> {
         let all = self.requests.iter().flat_map(|(id, r)| r.numbered().map(|(n, a)| ((*id, n), a)));
         all.filter(|(_, a)| a.in_flight && a.engine == *engine).map(|(id, _)| id).collect()
     }
--- a/src/core/decisions.rs
+++ b/src/core/decisions.rs
@@ -18,27 +18,27 @@
 
     /// Lets the module decide: at once where somebody waits for it and turns have taken little time of late; else once
     /// in a while, with all that has come in.
-    pub(super) fn turn(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+    pub(super) fn decision_cycle(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         if self.pending_events.is_empty() {
             return;
         }
-        self.earn_credit(now);
+        self.accrue_credit(now);
         let at_once = self.decision_urgent && self.decision_credit > 0.0;
         if now < self.next_decision_at && !at_once {
-            return self.set_turn();
+            return self.set_decision_timer();
         }
         self.next_decision_at = now + self.limits.turn_gap;
         self.decision_urgent = false;
         self.decide(now, effects);
     }
 
-    fn earn_credit(&mut self, now: Ms) {
+    fn accrue_credit(&mut self, now: Ms) {
         self.decision_credit += (now - self.credit_updated_at).max(0.0) * self.limits.turn_share;
         self.decision_credit = self.decision_credit.min(self.limits.turn_credit);
         self.credit_updated_at = now;
     }
 
-    fn set_turn(&mut self) {
+    fn set_decision_timer(&mut self) {
         if !std::mem::replace(&mut self.decision_timer_set, true) {
             self.set_timer(self.next_decision_at, Due::DecisionCycle);
         }
@@ -54,17 +54,19 @@
             let events = std::mem::take(&mut self.pending_events);
             self.module.turn(now, &events, &mut actions);
             for action in actions.drain(..) {
-                self.act(now, action, effects);
+                self.perform(now, action, effects);
             }
         }
     }
 
-    fn act(&mut self, now: Ms, action: Action, effects: &mut Vec<Effect>) {
+    fn perform(&mut self, now: Ms, action: Action, effects: &mut Vec<Effect>) {
         match action {
-            Action::Send { id, engine, timeout } => self.send(now, id, engine, timeout, effects),
-            Action::Refuse { id, retry_after, why } => self.refuse(now, id, retry_after, why.name(), effects),
+            Action::Send { id, engine, timeout } => self.start_attempt(now, id, engine, timeout, effects),
+            Action::Refuse { id, retry_after, why } => self.shed(now, id, retry_after, why.name(), effects),
             Action::Fail { id } => self.fail(now, id, effects),
-            Action::Cancel { id, attempt } => self.give_up(now, (id, attempt), Outcome::Cancelled, effects),
+            Action::Cancel { id, attempt } => {
+                self.abort_attempt(now, (id, attempt), Outcome::Cancelled, effects)
+            }
             Action::Terms { id, memory_mb, priority } => {
                 self.set_terms(id, Terms { memory_mb, priority }, effects);
             }
--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -81,7 +81,13 @@
     }
 
     /// Takes the name service's list.
-    pub(super) fn list(&mut self, now: Ms, serial: u64, list: Vec<Listed>, effects: &mut Vec<Effect>) {
+    pub(super) fn update_membership(
+        &mut self,
+        now: Ms,
+        serial: u64,
+        list: Vec<Listed>,
+        effects: &mut Vec<Effect>,
+    ) {
         if !self.is_news(now, serial) {
             return;
         }
@@ -90,7 +96,7 @@
         self.removed_engines.follow(self.service_members.iter().map(|l| &*l.member.engine.0), &ids);
         self.service_members = list;
         self.membership_wait = None;
-        self.merge(now, effects);
+        self.rebuild_engines(now, effects);
     }
 
     /// Lists come whole and numbered. One older than the known one came late and says nothing new; one of the known
@@ -107,32 +113,32 @@
     }
 
     /// Takes the engines that staff have taken out.
-    pub(super) fn override_by_hand(&mut self, now: Ms, hand: Hand, effects: &mut Vec<Effect>) {
+    pub(super) fn override_membership(&mut self, now: Ms, hand: Hand, effects: &mut Vec<Effect>) {
         self.operator_override = hand;
-        self.merge(now, effects);
+        self.rebuild_engines(now, effects);
     }
 
     /// Takes what an earlier process heard, unless the service has spoken to this one.
-    pub(super) fn inherit(&mut self, now: Ms, heard: Heard, effects: &mut Vec<Effect>) {
+    pub(super) fn inherit_membership(&mut self, now: Ms, heard: Heard, effects: &mut Vec<Effect>) {
         if self.service_heard_at.is_some() {
             return;
         }
         self.set_timer(heard.until(), Due::InheritedMembership);
         self.inherited_membership = Some(heard);
-        self.merge(now, effects);
+        self.rebuild_engines(now, effects);
     }
 
     /// What an earlier process heard holds for a limited time.
-    pub(super) fn inherited_expired(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+    pub(super) fn inherited_membership_expired(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         if self.inherited_membership.take_if(|e| now >= e.until()).is_some() {
-            self.merge(now, effects);
+            self.rebuild_engines(now, effects);
         }
     }
 
     /// Merges the list, the operator's hand and what an earlier process heard. An engine that is out by hand, or that
     /// drained or was removed in the earlier process, is a draining one, so one guard covers all three; one that was
     /// called back has just started.
-    fn merge(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+    fn rebuild_engines(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         self.operator_override.forget(now, self.settings.warm_within);
         let list: Vec<Listed> = self
             .service_members
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -25,7 +25,7 @@
     }
 
     /// Asks for a record of a send; the attempt leaves once that is durable.
-    pub(super) fn record(
+    pub(super) fn request_record(
         &mut self,
         now: Ms,
         id: AttemptId,
@@ -79,16 +79,16 @@
             return;
         }
         if in_time && !r.closed && now < r.send_by {
-            self.go(now, id, deadline, effects);
+            self.transmit(now, id, deadline, effects);
         } else {
-            self.end(now, id, End::plain(Outcome::Moot), effects);
+            self.end_attempt(now, id, End::plain(Outcome::Moot), effects);
         }
     }
 
     /// The log was begun anew, with those keys.
     pub(super) fn log_begun(&mut self, now: Ms, keys: &[(Key, Sends)], effects: &mut Vec<Effect>) {
         if self.gate.rewritten(keys) {
-            self.mark(now, effects);
+            self.mark_log(now, effects);
         }
     }
 
@@ -100,14 +100,14 @@
     }
 
     /// Looks after the log: a mark, or a new file where the old one failed or has grown long.
-    pub(super) fn tend(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+    pub(super) fn maintain_log(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         match self.gate.rewrite(now) {
             Some(rewrite) => effects.push(Effect::Rewrite(rewrite)),
-            None => self.mark(now, effects),
+            None => self.mark_log(now, effects),
         }
     }
 
-    fn mark(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+    fn mark_log(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         effects.extend(self.gate.mark(now).map(|(at, shut_until)| Effect::Mark(at, shut_until)));
     }
 }
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -68,24 +68,24 @@
     }
 
     /// Takes a request, or turns it away.
-    pub(super) fn take(&mut self, now: Ms, ask: Ask, effects: &mut Vec<Effect>) {
+    pub(super) fn receive(&mut self, now: Ms, ask: Ask, effects: &mut Vec<Effect>) {
         let (id, class) = (ask.asked.id, ask.asked.class);
         self.counts[class.0].taken += 1;
         match self.admit(now, &ask) {
             Ok(admitted) => self.accept(now, ask, admitted),
-            Err(rejection) => self.turn_away(id, class, rejection, effects),
+            Err(rejection) => self.reject(id, class, rejection, effects),
         }
     }
 
     fn admit(&mut self, now: Ms, ask: &Ask) -> Result<Admitted, Rejection> {
-        self.check_room(ask)?;
-        self.check_list(now)?;
-        self.check_end(now)?;
-        self.check_key(now, ask)
+        self.check_capacity(ask)?;
+        self.check_membership(now)?;
+        self.check_shutdown(now)?;
+        self.check_deduplication(now, ask)
     }
 
     /// Guards the memory: past these limits a request is turned away before the module hears of it.
-    fn check_room(&self, ask: &Ask) -> Result<(), Rejection> {
+    fn check_capacity(&self, ask: &Ask) -> Result<(), Rejection> {
         let crowded = self.open_requests >= self.limits.max_open;
         if crowded || self.held_bytes + ask.statement.bytes() > self.limits.held_bytes {
             return Err(self.rejection("limits"));
@@ -94,14 +94,14 @@
     }
 
     /// Clients that waited in a queue for the list would all be let in at once: each is told another time to retry.
-    fn check_list(&mut self, now: Ms) -> Result<(), Rejection> {
+    fn check_membership(&mut self, now: Ms) -> Result<(), Rejection> {
         let Some(come_back) = &mut self.membership_wait else { return Ok(()) };
         let retry_after = come_back.wait(now, self.settings.max_retry_after);
         Err(Rejection { reason: "no list", retry_after })
     }
 
     /// Nothing new is begun once whatever is open was answered.
-    fn check_end(&self, now: Ms) -> Result<(), Rejection> {
+    fn check_shutdown(&self, now: Ms) -> Result<(), Rejection> {
         if now >= self.answer_by {
             return Err(self.rejection("ending"));
         }
@@ -109,7 +109,7 @@
     }
 
     /// A repeat that came while the engines remember its key must not leave after it: it would run twice.
-    fn check_key(&mut self, now: Ms, ask: &Ask) -> Result<Admitted, Rejection> {
+    fn check_deduplication(&mut self, now: Ms, ask: &Ask) -> Result<Admitted, Rejection> {
         let text = ask.statement.key.as_ref().zip(self.window(ask.asked.class));
         let Some((text, window)) = text else { return Ok(Admitted { key: None, send_by: f64::INFINITY }) };
         let key = RequestKey { key: gate::key(text), window };
@@ -152,7 +152,7 @@
     }
 
     /// Refuses what was not taken.
-    fn turn_away(&mut self, id: RequestId, class: ClassId, rejection: Rejection, effects: &mut Vec<Effect>) {
+    fn reject(&mut self, id: RequestId, class: ClassId, rejection: Rejection, effects: &mut Vec<Effect>) {
         let Rejection { reason, retry_after } = rejection;
         *self.counts[class.0].refusals.entry(reason).or_default() += 1;
         effects.push(Effect::Refused(id, class, reason, 0.0));
@@ -160,7 +160,7 @@
     }
 
     /// Refuses what was taken.
-    pub(super) fn refuse(
+    pub(super) fn shed(
         &mut self,
         now: Ms,
         id: RequestId,
@@ -170,7 +170,7 @@
     ) {
         let Some(r) = self.requests.get(&id).filter(|r| !r.closed) else { return };
         let (class, waited, streaming) = (r.class, now - r.received_at, r.streaming);
-        self.stop(now, id, Outcome::Cancelled, effects);
+        self.abort_attempts(now, id, Outcome::Cancelled, effects);
         if !streaming && self.requests.get(&id).is_some_and(|r| !r.closed) {
             *self.counts[class.0].refusals.entry(why).or_default() += 1;
             effects.push(Effect::Refused(id, class, why, waited));
@@ -181,7 +181,7 @@
     /// Fails a request with what its engine said last.
     pub(super) fn fail(&mut self, now: Ms, id: RequestId, effects: &mut Vec<Effect>) {
         let error = self.requests.get_mut(&id).and_then(|r| r.last_error.take());
-        self.stop(now, id, Outcome::Cancelled, effects);
+        self.abort_attempts(now, id, Outcome::Cancelled, effects);
         self.answer(id, Answer::Failed(error), effects);
     }
 
@@ -195,25 +195,25 @@
     /// The module answers in time by itself. This makes sure of it, whatever it does.
     pub(super) fn deadline_passed(&mut self, now: Ms, id: RequestId, effects: &mut Vec<Effect>) {
         if self.requests.get(&id).is_some_and(|r| !r.closed && !r.streaming) {
-            self.stop(now, id, Outcome::Timeout, effects);
+            self.abort_attempts(now, id, Outcome::Timeout, effects);
             self.answer(id, Answer::Expired, effects);
             self.pending_events.push(DecisionEvent::Gone(id));
         }
     }
 
     /// Its attempts end here and now: one that still waits to be sent must not leave after its client has.
-    pub(super) fn leave(&mut self, now: Ms, id: RequestId, effects: &mut Vec<Effect>) {
+    pub(super) fn client_disconnected(&mut self, now: Ms, id: RequestId, effects: &mut Vec<Effect>) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.closed) else { return };
         r.closed = true;
         self.open_requests -= 1;
         self.counts[r.class.0].left += 1;
         self.pending_events.push(DecisionEvent::Gone(id));
-        self.stop(now, id, Outcome::Cancelled, effects);
-        self.forget(id);
+        self.abort_attempts(now, id, Outcome::Cancelled, effects);
+        self.remove_if_done(id);
     }
 
     /// Drops a request once it is answered and nothing is out for it.
-    pub(super) fn forget(&mut self, id: RequestId) {
+    pub(super) fn remove_if_done(&mut self, id: RequestId) {
         let Some(r) = self.requests.get(&id).filter(|r| r.closed && r.attempts.iter().all(|a| !a.in_flight))
         else {
             return;
@@ -229,6 +229,6 @@
         self.open_requests -= 1;
         let answer = if r.streaming && !matches!(answer, Answer::Finished) { Answer::Cut } else { answer };
         effects.push(Effect::Answer(id, answer));
-        self.forget(id);
+        self.remove_if_done(id);
     }
 }
--- a/src/core/shutdown.rs
+++ b/src/core/shutdown.rs
@@ -46,9 +46,9 @@
         for id in open {
             let Some(r) = self.requests.get(&id) else { continue };
             if self.may_be_repeated(r) {
-                self.refuse(now, id, self.settings.max_retry_after, "ending", effects);
+                self.shed(now, id, self.settings.max_retry_after, "ending", effects);
             } else {
-                self.stop(now, id, Outcome::Cancelled, effects);
+                self.abort_attempts(now, id, Outcome::Cancelled, effects);
                 self.answer(id, Answer::Failed(None), effects);
             }
             self.pending_events.push(DecisionEvent::Gone(id));
--- a/src/core/timers.rs
+++ b/src/core/timers.rs
@@ -80,7 +80,7 @@
             Due::DecisionCycle => self.decision_timer_set = false,
             Due::AnswerDeadline => self.answer_deadline_passed(now, effects),
             Due::RecordTimeout(number) => self.record_timed_out(now, number, effects),
-            Due::InheritedMembership => self.inherited_expired(now, effects),
+            Due::InheritedMembership => self.inherited_membership_expired(now, effects),
             Due::FirstProbes => self.send_first_probes(now, effects),
         }
     }
