--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -12,12 +12,12 @@
 use std::net::SocketAddr;
 
 /// What an engine of the list is to the gateway.
-fn merged(listed: &Listed, hand: &Hand, earlier: Option<&Heard>, now: Ms) -> Listed {
+fn merged(listed: &Listed, operator: &Hand, inherited: Option<&Heard>, now: Ms) -> Listed {
     let mut listed = listed.clone();
     let m = &mut listed.member;
     let id = m.engine.clone();
-    m.started = hand.started(&id.0, m.started);
-    let kept_out = hand.is_out(&id.0) || earlier.is_some_and(|e| e.keeps_out(&id.0, now));
+    m.started = operator.started(&id.0, m.started);
+    let kept_out = operator.is_out(&id.0) || inherited.is_some_and(|heard| heard.keeps_out(&id.0, now));
     if kept_out && m.availability == Availability::Live {
         m.availability = Availability::Draining;
     }
--- a/src/core/shutdown.rs
+++ b/src/core/shutdown.rs
@@ -23,8 +23,8 @@
 
     /// Another process takes over, which leaves more time to answer what is open.
     pub(super) fn hand_over(&mut self) {
-        if let Some(told) = self.terminating_since {
-            self.set_answer_by(told + self.limits.leave_answer);
+        if let Some(since) = self.terminating_since {
+            self.set_answer_by(since + self.limits.leave_answer);
         }
     }
 
