Comments of the reducer are plain statements, and its fields are documented

Need: many comments were written for those who knew the story, and half of the state had none. Change: comments under src/core say what a type holds or what a function does, in the present tense and in the field's terms; mod.rs lists the parts in the order in which data passes. No line of code changes.

--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -1,4 +1,4 @@
-//! Attempts of requests: sending, results in parts, outcomes and giving up.
+//! Attempts of requests: transmission, streamed results, outcomes, aborts.
 
 use super::records::PendingRecord;
 use super::requests::{Request, RequestKey, Terms};
@@ -7,17 +7,17 @@
 use crate::interface::{EngineId, Event as DecisionEvent, Ms, Note, Outcome, RequestId};
 use starlingplank_knowledge::gate::Leave;
 
-/// One send of a request to an engine.
+/// One attempt to execute a request on an engine.
 pub(super) struct Attempt {
     pub(super) engine: EngineId,
     pub(super) sent_at: Ms,
     pub(super) in_flight: bool,
-    /// It leaves once this record of it is durable.
+    /// The record that must be durable before it is transmitted.
     pub(super) record: Option<PendingRecord>,
 }
 
 impl Request {
-    /// When an attempt that is begun now ends. A timeout of 0 is none of its own.
+    /// The deadline of an attempt that starts now. A timeout of 0 stands for no timeout of its own.
     fn attempt_deadline(&self, now: Ms, timeout: Ms, margin: Ms) -> Ms {
         let last = self.deadline - margin;
         if timeout > 0.0 {
@@ -33,7 +33,7 @@
     }
 }
 
-/// The final answer that the end of an attempt gives its request, or the error to keep for a later one.
+/// The final answer that follows from the end of an attempt; otherwise the error to keep for a later answer.
 fn final_answer(
     outcome: Outcome,
     streaming: bool,
@@ -43,7 +43,7 @@
     match (outcome, streaming) {
         (Outcome::Ok, true) => Ok(Answer::Finished),
         (Outcome::Ok, false) => Ok(match error {
-            // The engine did its part: the statement itself is at fault.
+            // The engine executed the statement, which is itself at fault.
             Some(error) => Answer::Failed(Some(error)),
             None => Answer::Served(rows),
         }),
@@ -53,11 +53,12 @@
 }
 
 impl Core {
+    /// An attempt by its id.
     pub(super) fn find_attempt(&self, id: AttemptId) -> Option<&Attempt> {
         self.requests.get(&id.0).and_then(|r| r.attempts.get(id.1 as usize))
     }
 
-    /// Begins an attempt. One that may not be sent ends at once.
+    /// Starts an attempt. It ends at once as not executed if it may not be transmitted.
     pub(super) fn start_attempt(
         &mut self,
         now: Ms,
@@ -87,7 +88,7 @@
         }
     }
 
-    /// An attempt leaves, if its engine still takes work.
+    /// Transmits an attempt, if its engine still takes work.
     pub(super) fn transmit(&mut self, now: Ms, id: AttemptId, deadline: Ms, effects: &mut Vec<Effect>) {
         let Some(engine) = self.find_attempt(id).map(|a| a.engine.clone()) else { return };
         let Some(r) = self.requests.get(&id.0) else { return };
@@ -108,7 +109,7 @@
         self.set_timer(deadline, Due::AttemptTimeout(id));
     }
 
-    /// The first part of a result that is passed on as it comes.
+    /// Starts to stream a result to the client.
     pub(super) fn start_streaming(&mut self, now: Ms, id: AttemptId, rows: Rows, effects: &mut Vec<Effect>) {
         let Some(r) = self.requests.get_mut(&id.0).filter(|r| !r.closed && !r.streaming) else { return };
         if !r.attempts.get(id.1 as usize).is_some_and(|a| a.in_flight) || now >= r.deadline {
@@ -119,14 +120,14 @@
         effects.push(Effect::Begin(id.0, rows));
     }
 
-    /// A further part.
+    /// Streams a further part of a result.
     pub(super) fn forward_part(&mut self, id: AttemptId, part: Vec<u8>, effects: &mut Vec<Effect>) {
         if self.find_attempt(id).is_some_and(|a| a.in_flight) {
             effects.push(Effect::Part(id.0, part));
         }
     }
 
-    /// An attempt ended. A late word on one that was given up finds it not out, and changes nothing.
+    /// Ends an attempt. The late end of an attempt that was aborted changes nothing.
     pub(super) fn end_attempt(&mut self, now: Ms, id: AttemptId, end: End, effects: &mut Vec<Effect>) {
         let Some(r) = self.requests.get_mut(&id.0) else { return };
         let Some(a) = r.attempts.get_mut(id.1 as usize).filter(|a| a.in_flight) else { return };
@@ -154,7 +155,7 @@
         self.remove_if_done(id);
     }
 
-    /// A progress update says nothing of an attempt that has ended or of a result that is being passed on.
+    /// Takes a progress update. It is ignored for attempts that ended and for results that are streamed.
     pub(super) fn progress_update(&mut self, id: AttemptId, note: Note) {
         let running = self.requests.get(&id.0).is_some_and(|r| !r.closed && !r.streaming);
         if running && self.find_attempt(id).is_some_and(|a| a.in_flight) {
@@ -162,7 +163,7 @@
         }
     }
 
-    /// Ends an attempt from this side.
+    /// Aborts an attempt in flight.
     pub(super) fn abort_attempt(
         &mut self,
         now: Ms,
@@ -177,6 +178,7 @@
         self.end_attempt(now, id, End::plain(outcome), effects);
     }
 
+    /// Aborts all attempts of a request.
     pub(super) fn abort_attempts(
         &mut self,
         now: Ms,
@@ -188,14 +190,14 @@
         (0..attempts).for_each(|n| self.abort_attempt(now, (id, n), outcome, effects));
     }
 
-    /// The time of an attempt is over. A stream that has begun has no deadline any more.
+    /// Aborts an attempt at its deadline. A streamed result has no deadline.
     pub(super) fn attempt_timed_out(&mut self, now: Ms, id: AttemptId, effects: &mut Vec<Effect>) {
         if self.requests.get(&id.0).is_some_and(|r| !r.streaming) {
             self.abort_attempt(now, id, Outcome::Timeout, effects);
         }
     }
 
-    /// Attempts on an engine that has left the list have ended with it, or never will.
+    /// Aborts the attempts on an engine that is still removed after the grace period.
     pub(super) fn engine_removed(&mut self, now: Ms, engine: &EngineId, effects: &mut Vec<Effect>) {
         if self.engines.contains_key(engine) {
             return;
--- a/src/core/decisions.rs
+++ b/src/core/decisions.rs
@@ -1,4 +1,4 @@
-//! Turns of the decision module: when it decides, and what is done for its actions.
+//! Decision cycles: when the decision module runs, and what is done for its actions.
 
 use super::requests::Terms;
 use super::timers::Due;
@@ -6,18 +6,18 @@
 use crate::interface::{Action, Ms, Outcome, Why};
 
 impl Core {
-    /// Requests by class that could not be sent at once, and why.
+    /// The number of requests that could not be transmitted at once, by class and reason.
     pub fn waits(&self) -> &[[u64; Why::COUNT]] {
         self.module.waits()
     }
 
-    /// So much time was spent on turns.
+    /// Deducts the processing time of decision cycles.
     pub fn spent(&mut self, time: Ms) {
         self.decision_credit -= time;
     }
 
-    /// Lets the module decide: at once where somebody waits for it and turns have taken little time of late; else once
-    /// in a while, with all that has come in.
+    /// Runs a decision cycle if one is due. It is due at once where a request waits for it and recent cycles have taken
+    /// little time; otherwise cycles are paced, and each handles all events since the last.
     pub(super) fn decision_cycle(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         if self.pending_events.is_empty() {
             return;
@@ -44,7 +44,7 @@
         }
     }
 
-    /// Lets the module decide, and again while its own actions give it news.
+    /// Runs the decision module, and again while its own actions cause events for it.
     fn decide(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         let mut actions = Vec::new();
         for _ in 0..=self.settings.send_cap {
@@ -71,7 +71,7 @@
                 self.set_terms(id, Terms { memory_mb, priority }, effects);
             }
             Action::Timer { after, token } => self.set_timer(now + after, Due::DecisionTimer(token)),
-            // The list is polled all the time; there is nothing to subscribe to.
+            // The name service is polled continuously; there is nothing to subscribe to.
             Action::Watch => {}
             Action::Probe { engine } => self.ask_for_probe(now, engine, effects),
         }
--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -1,5 +1,5 @@
-//! The engines that the gateway goes by: the list of the name service, merged with the operator's hand and with what
-//! an earlier process of this gateway heard.
+//! The engines in use: the name service's list, merged with the operator override and with what an earlier process of
+//! this gateway heard of the name service.
 
 use super::timers::Due;
 use super::{Core, Effect, Listed};
@@ -11,7 +11,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// What an engine of the list is to the gateway.
+/// A member after the operator override and the inherited membership are applied.
 fn merged(listed: &Listed, operator: &Hand, inherited: Option<&Heard>, now: Ms) -> Listed {
     let mut listed = listed.clone();
     let m = &mut listed.member;
@@ -24,6 +24,7 @@
     listed
 }
 
+/// A member in the form in which learned state is matched to it.
 fn named(listed: &Listed) -> Named {
     Named {
         id: listed.member.engine.0.to_string(),
@@ -33,46 +34,47 @@
 }
 
 impl Core {
-    /// Where the engines of the list are, by their ids.
+    /// The addresses of the members, by id.
     pub fn addresses(&self) -> BTreeMap<String, String> {
         self.engines.iter().map(|(id, l)| (id.0.to_string(), l.address.to_string())).collect()
     }
 
-    /// Engines in the list, and how many of them get nothing new: drained, out by hand, or avoided by choice.
+    /// The number of members, and how many of them get no new work: draining, excluded by operators, or avoided by the
+    /// decision module.
     pub fn engines(&self) -> (usize, usize) {
         let live = |l: &&Listed| l.member.availability == Availability::Live;
         let used = self.engines.values().filter(live).filter(|l| !self.module.avoids(&l.member.engine));
         (self.engines.len(), self.engines.len() - used.count())
     }
 
-    /// There is a list service, and what this starts with names no engine: nothing can be served before it is heard.
+    /// Rejects requests until the name service answers, unless a membership is known. For gateways with a name service.
     pub fn await_list(&mut self, now: Ms) {
         if self.service_members.is_empty() && self.service_heard_at.is_none() {
             self.membership_wait = Some(ComeBack::new(self.settings.seed, now));
         }
     }
 
-    /// Whether nothing can be served as no list is known yet.
+    /// Whether requests are rejected as no membership is known.
     pub fn awaits_list(&self) -> bool {
         self.membership_wait.is_some()
     }
 
-    /// Whether the list names that engine.
+    /// Whether the name service lists that engine.
     pub fn lists(&self, id: &str) -> bool {
         self.service_members.iter().any(|l| &*l.member.engine.0 == id)
     }
 
-    /// The number of the list that holds.
+    /// The version of the membership.
     pub fn serial(&self) -> Option<u64> {
         self.serial
     }
 
-    /// The list as the service last told it, what has gone from it, and when it last spoke; none before it did.
+    /// When the name service last answered, its members, and the engines that it removed; none before its first answer.
     pub fn service_list(&self) -> Option<(Ms, &[Listed], &Gone)> {
         self.service_heard_at.map(|at| (at, &*self.service_members, &self.removed_engines))
     }
 
-    /// What a successor is told of the list service: this process's own last word of it, or an earlier one's.
+    /// What a successor inherits: what this process heard of the name service, or else what it inherited itself.
     pub fn heard(&self) -> Option<Heard> {
         let drains = |l: &&Listed| l.member.availability != Availability::Live;
         let drained = self.service_members.iter().filter(drains).map(|l| l.member.engine.0.to_string());
@@ -80,7 +82,7 @@
         self.service_heard_at.map(|at| Heard::new(at, out())).or_else(|| self.inherited_membership.clone())
     }
 
-    /// Takes the name service's list.
+    /// Replaces the membership by the name service's list.
     pub(super) fn update_membership(
         &mut self,
         now: Ms,
@@ -99,26 +101,26 @@
         self.rebuild_engines(now, effects);
     }
 
-    /// Lists come whole and numbered. One older than the known one came late and says nothing new; one of the known
-    /// number confirms it, which matters only while an inherited membership holds or no list is known.
+    /// Whether a list of this version changes anything. An older version is a late answer. The known version confirms
+    /// the membership, which matters only while an inherited one holds or none is known.
     fn is_news(&mut self, now: Ms, serial: u64) -> bool {
         let Some(known) = self.serial else { return true };
         if serial < known {
             return false;
         }
         self.service_heard_at = Some(now);
-        // The service itself has spoken: what an earlier process heard holds no longer.
+        // An answer to this process ends the inherited membership.
         let inherited = self.inherited_membership.take().is_some();
         inherited || self.membership_wait.is_some() || serial != known
     }
 
-    /// Takes the engines that staff have taken out.
+    /// Replaces the operator override.
     pub(super) fn override_membership(&mut self, now: Ms, hand: Hand, effects: &mut Vec<Effect>) {
         self.operator_override = hand;
         self.rebuild_engines(now, effects);
     }
 
-    /// Takes what an earlier process heard, unless the service has spoken to this one.
+    /// Takes over what an earlier process heard, unless the name service has answered this one.
     pub(super) fn inherit_membership(&mut self, now: Ms, heard: Heard, effects: &mut Vec<Effect>) {
         if self.service_heard_at.is_some() {
             return;
@@ -128,16 +130,16 @@
         self.rebuild_engines(now, effects);
     }
 
-    /// What an earlier process heard holds for a limited time.
+    /// Drops the inherited membership once its time is over.
     pub(super) fn inherited_membership_expired(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         if self.inherited_membership.take_if(|e| now >= e.until()).is_some() {
             self.rebuild_engines(now, effects);
         }
     }
 
-    /// Merges the list, the operator's hand and what an earlier process heard. An engine that is out by hand, or that
-    /// drained or was removed in the earlier process, is a draining one, so one guard covers all three; one that was
-    /// called back has just started.
+    /// Merges the list, the operator override and the inherited membership. An engine that operators excluded, or that
+    /// drained or was removed in the earlier process, is treated as draining, so one guard covers all three. An engine
+    /// that operators included again counts as just started.
     fn rebuild_engines(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         self.operator_override.forget(now, self.settings.warm_within);
         let list: Vec<Listed> = self
@@ -149,6 +151,8 @@
         self.report_members(now, list);
     }
 
+    /// Replaces the engines in use. Queued work for draining and removed engines is dropped; attempts on removed ones
+    /// end after a grace period.
     fn replace_engines(&mut self, now: Ms, list: &[Listed], effects: &mut Vec<Effect>) {
         let mut before = std::mem::take(&mut self.engines);
         for listed in list {
@@ -175,7 +179,7 @@
         self.recall.take_if(|recall| recall.over(now));
     }
 
-    /// Where an engine listens that takes new work.
+    /// The address of an engine, if it takes new work.
     pub(super) fn live_address(&self, engine: &EngineId) -> Option<SocketAddr> {
         let listed = self.engines.get(engine)?;
         (listed.member.availability == Availability::Live).then_some(listed.address)
--- a/src/core/messages.rs
+++ b/src/core/messages.rs
@@ -1,4 +1,4 @@
-//! What comes into the reducer and what goes out of it.
+//! The reducer's input, [`Event`], and its output, [`Effect`].
 
 use super::types::{Answer, Ask, AttemptId, End, Listed, Rows, Statement};
 use crate::interface::{ClassId, EngineId, Ms, Note, Outcome, Report, RequestId};
@@ -8,55 +8,55 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// What happens to a gateway.
+/// Input of the reducer.
 #[derive(Debug)]
 pub enum Event {
-    /// The name service's whole list, with its number.
+    /// The name service's whole list, with its version.
     List(u64, Vec<Listed>),
-    /// A request was taken.
+    /// A front received a request.
     Taken(Ask),
-    /// Its client left or withdrew it.
+    /// The client disconnected or withdrew the request.
     Left(RequestId),
-    /// The first part of an answer that is passed on as it comes.
+    /// The first part of a streamed answer arrived.
     Begun(AttemptId, Rows),
-    /// A further part.
+    /// A further part of a streamed answer arrived.
     More(AttemptId, Vec<u8>),
     /// An attempt ended.
     Ended(AttemptId, End),
-    /// An engine told how far an attempt is, or what it waits for.
+    /// An engine sent a progress update of an attempt.
     Noted(AttemptId, Note),
-    /// A probe was answered.
+    /// A probe ended: its number, whether it succeeded, the engine's load.
     Probed(u64, bool, Option<Report>),
-    /// Whatever is due by now is due.
+    /// The time of a timer has come.
     Clock,
-    /// All that has come in was handed over: decide.
+    /// All events of a batch were handled: run a decision cycle if one is due.
     Turn,
-    /// The end was asked for.
+    /// The shutdown was requested.
     Terminate,
-    /// Records of keyed sends are durable.
+    /// These records of keyed sends are durable.
     Recorded(Vec<u64>),
-    /// They may not be, and the log takes no more.
+    /// These records may not be durable, and the log accepts no more.
     RecordsFailed(Vec<u64>),
-    /// The log was begun anew, with those keys.
+    /// The log was rewritten with these keys.
     LogBegun(Vec<(Key, Sends)>),
-    /// Time to look after the log of keys; once a second.
+    /// The maintenance tick of the log, once a second.
     Tend,
-    /// Another process takes over, and there is more time to answer what is open.
+    /// Another process takes over, which leaves more time for open requests.
     HandOver,
-    /// Which engines are out by hand.
+    /// The operator override: engines that operators have excluded.
     Hand(Hand),
-    /// What an earlier process of this gateway heard of the list service.
+    /// What an earlier process of this gateway heard of the name service.
     Earlier(Heard),
-    /// Another process of this gateway sent those keys.
+    /// Another process of this gateway sent requests with these keys.
     Heard(Vec<(Key, Sends)>),
-    /// So many processes of this gateway run now.
+    /// How many processes of this gateway run now.
     Processes(usize),
 }
 
-/// What an attempt carries.
+/// An attempt to transmit.
 #[derive(Debug, Clone)]
 pub struct Send {
-    /// Which.
+    /// The attempt.
     pub id: AttemptId,
     /// The engine.
     pub engine: EngineId,
@@ -64,45 +64,45 @@
     pub address: SocketAddr,
     /// The request's class.
     pub class: ClassId,
-    /// What is sent.
+    /// What is transmitted.
     pub statement: Rc<Statement>,
-    /// How long its answer is waited for.
+    /// The time until its deadline.
     pub budget: Ms,
-    /// It leaves within this time or not at all: engines forget the keys that they saw.
+    /// The time within which it must be transmitted or dropped, as engines forget keys.
     pub leave_within: Option<Ms>,
-    /// Memory granted; 0: the engine's choice.
+    /// Memory grant in MB; 0 leaves it to the engine.
     pub memory_mb: f64,
-    /// 0 to 3.
+    /// Priority, 0 to 3.
     pub priority: u8,
 }
 
-/// What the runtime is asked to do.
+/// Output of the reducer, performed by the runtime.
 #[derive(Debug)]
 pub enum Effect {
-    /// Send an attempt.
+    /// Transmit an attempt.
     Send(Send),
-    /// Give an attempt up: nothing it brings is wanted. What for: its time is over, or nobody wants it any more.
+    /// Abort an attempt. The outcome gives the reason: a timeout, a cancellation or a reset.
     GiveUp(AttemptId, EngineId, Outcome),
-    /// Change the priority of an attempt that is out.
+    /// Change the priority of an attempt in flight.
     Hurry(AttemptId, EngineId, u8),
     /// Probe an engine under this number.
     Probe(u64, EngineId, SocketAddr),
-    /// Send nothing that still waits to an engine that drains or is gone.
+    /// Drop what is queued for an engine that drains or was removed.
     Shut(EngineId),
-    /// Pass on the first part of an answer.
+    /// Stream the first part of an answer to the client.
     Begin(RequestId, Rows),
-    /// Pass on a further part.
+    /// Stream a further part.
     Part(RequestId, Vec<u8>),
-    /// Give the final answer.
+    /// Send the final answer.
     Answer(RequestId, Answer),
-    /// Say, to who looks closely, what kept a request from being sent, and for how long.
+    /// Log why a request was rejected, and how long it had waited.
     Refused(RequestId, ClassId, &'static str, Ms),
-    /// Write a record of a keyed send, and tell of it under its number.
+    /// Write a record of a keyed send; [`Event::Recorded`] reports its number.
     Record(u64, Key, Sent),
-    /// Write that the log is whole: the time, and until when nothing keyed may leave.
+    /// Write a mark that the log is complete: the time, and until when no keyed request may be transmitted.
     Mark(Ms, Ms),
-    /// Begin the log anew.
+    /// Rewrite the log.
     Rewrite(Rewrite),
-    /// All is answered: leave.
+    /// Every request is answered: exit.
     Exit,
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,6 +1,16 @@
-//! The reducer: `(state, event, now) -> effects`. It owns every request from its arrival to its one final
-//! answer, every attempt, all timers, the drain and the end. It opens no socket and reads no clock, and knows
-//! no wire: fronts hand it requests, engine wires hand it outcomes, and the runtime performs its effects.
+//! The reducer: `(state, event, now) -> effects`. It owns every request from its arrival to its one final answer, every
+//! attempt, all timers and the shutdown. It opens no socket, reads no clock and knows no wire: fronts hand it requests,
+//! engine wires hand it outcomes, and the runtime performs its effects.
+//!
+//! The parts, in the order in which data passes:
+//!
+//! - `types` and `messages`: what is exchanged with fronts, engine wires and the runtime;
+//! - `membership`: the engines in use;
+//! - `requests`: admission, rejection, the one final answer;
+//! - `decisions`: decision cycles, and the actions that come out of them;
+//! - `attempts`, `records`, `probes`: what is sent to engines, and what they answer;
+//! - `timers`: the timer queue;
+//! - `shutdown`: the last answers, and the exit.
 
 mod attempts;
 mod decisions;
@@ -36,56 +46,65 @@
     module: Gateway,
     settings: Settings,
     limits: Limits,
+    /// The version of the membership.
     serial: Option<u64>,
-    /// The list as it was last told.
+    /// The membership as the name service last sent it.
     service_members: Vec<Listed>,
-    /// Engines that were in it, and have gone.
+    /// Engines that were members before and are not any more.
     removed_engines: Gone,
-    /// When the list service was last heard in this life.
+    /// When the name service last answered this process.
     service_heard_at: Option<Ms>,
-    /// No list is known yet: what comes is turned away.
+    /// Set while no membership is known: requests are rejected, each with another time to retry.
     membership_wait: Option<ComeBack>,
-    /// What an earlier process heard of it, until then.
+    /// What an earlier process heard of the name service; it holds until the service answers this one.
     inherited_membership: Option<Heard>,
-    /// Engines that staff have taken out.
+    /// Engines that operators have excluded.
     operator_override: Hand,
-    /// The two together: the one list that all goes by.
+    /// The three merged: the engines in use.
     engines: BTreeMap<EngineId, Listed>,
     requests: BTreeMap<RequestId, Request>,
-    /// Sends by idempotency key.
+    /// The deduplication window: sends by idempotency key.
     gate: Gate,
-    /// Records that are being written.
+    /// Records of keyed sends that are being written, by number.
     pending_records: BTreeMap<u64, AttemptId>,
-    /// What an earlier life knew, until the list has named its engines.
+    /// What an earlier incarnation learned, until the membership has named its engines.
     recall: Option<Recall>,
+    /// Probes without an answer, by number.
     probes: BTreeMap<u64, Probe>,
-    /// Those of a start of all leave in turn.
+    /// Spreads the first probes of a fleet that starts all at once.
     first_probes: FirstProbes<EngineId>,
     timers: BinaryHeap<Timer>,
+    /// The last number given to a timer, a probe or a record.
     last_number: u64,
+    /// Bytes of the statements of all requests.
     held_bytes: usize,
+    /// Requests without a final answer.
     open_requests: usize,
+    /// Counts by class.
     counts: Vec<Counts>,
+    /// Events for the next decision cycle.
     pending_events: Vec<DecisionEvent>,
-    /// The module decides no later once something is pending: a turn costs much the same for one event as for many.
+    /// When the next decision cycle is due if events are pending. Cycles are paced, as one costs much the same for one
+    /// event as for many.
     next_decision_at: Ms,
-    /// A timer for that is set.
+    /// Whether a timer is set for that.
     decision_timer_set: bool,
-    /// Somebody waits for what the next turn decides.
+    /// Whether a request waits for the next decision cycle.
     decision_urgent: bool,
-    /// Time for turns before the next is due, in ms: earned as time passes, spent as turns take it.
+    /// Processing time for urgent cycles before the next one is due, in ms: it accrues with time, and cycles spend it.
     decision_credit: Ms,
     credit_updated_at: Ms,
+    /// When the shutdown was requested.
     terminating_since: Option<Ms>,
-    /// Whatever is open then is answered.
+    /// When every open request is answered for the shutdown.
     answer_by: Ms,
 }
 
 impl Core {
-    /// A gateway that has taken nothing yet.
+    /// A gateway without requests.
     ///
     /// # Errors
-    /// The settings contradict themselves.
+    /// The settings are inconsistent.
     pub fn new(settings: Settings, limits: Limits, now: Ms) -> Result<Self, SettingsError> {
         Ok(Self {
             module: Gateway::new(settings.clone(), now)?,
@@ -121,17 +140,17 @@
         })
     }
 
-    /// Keeps keys by that gate, and gives the module back what an earlier life knew. Before the first event.
+    /// Sets the deduplication window and what an earlier incarnation learned. To be called before the first event.
     pub fn resume(&mut self, gate: Gate, recall: Option<Recall>) {
         (self.gate, self.recall) = (gate, recall);
     }
 
-    /// What was learned so far.
+    /// What the decision module has learned so far.
     pub fn learned(&self, now: Ms) -> Learned {
         Learned { at: now, ..self.module.learned() }
     }
 
-    /// Gives the module back what an earlier life knew, unless it has been given some.
+    /// Sets what an earlier incarnation learned, unless that is set already.
     pub fn remember(&mut self, recall: Recall) {
         self.recall.get_or_insert(recall);
     }
@@ -141,7 +160,7 @@
         &self.counts
     }
 
-    /// Takes one event.
+    /// Handles one event.
     pub fn handle(&mut self, now: Ms, event: Event, effects: &mut Vec<Effect>) {
         match event {
             Event::List(serial, list) => self.update_membership(now, serial, list, effects),
--- a/src/core/probes.rs
+++ b/src/core/probes.rs
@@ -4,14 +4,14 @@
 use super::{Core, Effect};
 use crate::interface::{EngineId, Event as DecisionEvent, Ms, Report};
 
-/// A probe without an answer so far.
+/// A probe without an answer.
 pub(super) struct Probe {
     engine: EngineId,
     sent_at: Ms,
 }
 
 impl Core {
-    /// Probes an engine once this gateway's place in a start of the whole fleet has come.
+    /// Probes an engine. First probes are held back, so that a fleet that starts at once spreads them.
     pub(super) fn ask_for_probe(&mut self, now: Ms, engine: EngineId, effects: &mut Vec<Effect>) {
         match self.first_probes.ask(engine, now) {
             Some(engine) => self.probe(now, engine, effects),
@@ -35,6 +35,7 @@
         effects.push(Effect::Probe(tag, engine, address));
     }
 
+    /// Ends a probe. The late answer of one that timed out changes nothing.
     pub(super) fn probed(&mut self, now: Ms, tag: u64, ok: bool, report: Option<Report>) {
         if let Some(Probe { engine, sent_at }) = self.probes.remove(&tag) {
             self.pending_events.push(DecisionEvent::Probed { engine, ok, took: now - sent_at, report });
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -1,4 +1,4 @@
-//! Records of keyed sends, and the log that keeps them.
+//! Records of keyed sends, and maintenance of the log that holds them.
 
 use super::requests::RequestKey;
 use super::timers::Due;
@@ -9,22 +9,22 @@
 /// A record that is being written.
 pub(super) struct PendingRecord {
     pub(super) sent: Sent,
-    /// When the attempt that waits for it ends.
+    /// The deadline of the attempt that waits for it.
     pub(super) deadline: Ms,
 }
 
 impl Core {
-    /// How keys are kept.
+    /// The deduplication window.
     pub fn gate(&self) -> &Gate {
         &self.gate
     }
 
-    /// The log of keys of a process that has ended is this one's from now on.
+    /// Takes over the log of a process that has ended.
     pub fn take_log(&mut self, required: bool, trusted: Option<(Vec<(Key, Sends)>, Ms)>, now: Ms) {
         self.gate.take_log(required, trusted, now);
     }
 
-    /// Asks for a record of a send; the attempt leaves once that is durable.
+    /// Requests a record of a send. The attempt is transmitted once the record is durable.
     pub(super) fn request_record(
         &mut self,
         now: Ms,
@@ -45,14 +45,14 @@
         effects.push(Effect::Record(number, key, sent));
     }
 
-    /// Records are durable.
+    /// Transmits the attempts whose records are durable.
     pub(super) fn records_durable(&mut self, now: Ms, numbers: Vec<u64>, effects: &mut Vec<Effect>) {
         for number in numbers {
             self.recorded(now, number, true, effects);
         }
     }
 
-    /// Records may not be durable: the log is not relied on until it is begun anew.
+    /// Ends the attempts whose records may not be durable. The log is not relied on until it is rewritten.
     pub(super) fn records_failed(&mut self, now: Ms, numbers: Vec<u64>, effects: &mut Vec<Effect>) {
         self.gate.failed();
         for number in numbers {
@@ -60,14 +60,14 @@
         }
     }
 
-    /// The disk hangs: what waits for it ends, and the log is not relied on until it is begun anew.
+    /// Treats a record that is not durable in time as failed, as with a disk that hangs.
     pub(super) fn record_timed_out(&mut self, now: Ms, number: u64, effects: &mut Vec<Effect>) {
         if self.pending_records.contains_key(&number) {
             self.records_failed(now, vec![number], effects);
         }
     }
 
-    /// A record is durable, or never will be. Late words on one whose attempt was given up change nothing.
+    /// Ends the wait for a record. It changes nothing for an attempt that was aborted meanwhile.
     fn recorded(&mut self, now: Ms, number: u64, durable: bool, effects: &mut Vec<Effect>) {
         let Some(id) = self.pending_records.remove(&number) else { return };
         let Some(r) = self.requests.get_mut(&id.0) else { return };
@@ -85,21 +85,21 @@
         }
     }
 
-    /// The log was begun anew, with those keys.
+    /// The log was rewritten with these keys.
     pub(super) fn log_begun(&mut self, now: Ms, keys: &[(Key, Sends)], effects: &mut Vec<Effect>) {
         if self.gate.rewritten(keys) {
             self.mark_log(now, effects);
         }
     }
 
-    /// Another process of this gateway sent those keys.
+    /// Another process of this gateway sent requests with these keys.
     pub(super) fn hear_keys(&mut self, now: Ms, keys: Vec<(Key, Sends)>) {
         for (key, sends) in keys {
             self.gate.hear(key, sends, now);
         }
     }
 
-    /// Looks after the log: a mark, or a new file where the old one failed or has grown long.
+    /// The maintenance tick: marks the log, or rewrites it where it failed or has grown long.
     pub(super) fn maintain_log(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         match self.gate.rewrite(now) {
             Some(rewrite) => effects.push(Effect::Rewrite(rewrite)),
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -1,4 +1,4 @@
-//! Requests from their arrival to their one final answer: taking, refusing, leaving, forgetting.
+//! Requests from their arrival to their one final answer: admission, rejection, client disconnects, removal.
 
 use super::attempts::Attempt;
 use super::timers::Due;
@@ -17,10 +17,10 @@
     pub(super) window: Ms,
 }
 
-/// What the engine grants an attempt.
+/// What an engine grants the attempts of a request.
 #[derive(Clone, Copy)]
 pub(super) struct Terms {
-    /// 0: the engine's choice.
+    /// 0 leaves it to the engine.
     pub(super) memory_mb: f64,
     /// 0 to 3.
     pub(super) priority: u8,
@@ -32,42 +32,45 @@
     }
 }
 
-/// What admission says of a request that is taken.
+/// The result of admission.
 struct Admitted {
     key: Option<RequestKey>,
-    /// No attempt may leave later.
+    /// No attempt may be transmitted later.
     send_by: Ms,
 }
 
-/// Why a request is turned away, and when its client may retry.
+/// Why a request is rejected, and when its client should retry.
 struct Rejection {
     reason: &'static str,
     retry_after: Ms,
 }
 
-/// A request from its arrival until it is answered and no attempt of it is in flight.
+/// A request that is open, or that is closed and has attempts in flight.
 pub(super) struct Request {
     pub(super) statement: Rc<Statement>,
     pub(super) class: ClassId,
     pub(super) received_at: Ms,
     pub(super) key: Option<RequestKey>,
     pub(super) deadline: Ms,
-    /// A keyed statement may not leave later than this: an engine that saw its key before forgets it then.
+    /// A keyed statement is not transmitted later than this, as an engine that saw its key before forgets it then.
     pub(super) send_by: Ms,
     pub(super) attempts: Vec<Attempt>,
+    /// The first part of its answer was sent to the client.
     pub(super) streaming: bool,
+    /// It is answered, or its client disconnected.
     pub(super) closed: bool,
     pub(super) terms: Terms,
+    /// The engine's error of its last attempt.
     pub(super) last_error: Option<EngineError>,
 }
 
 impl Core {
-    /// Requests that are open.
+    /// The number of open requests.
     pub fn open(&self) -> usize {
         self.open_requests
     }
 
-    /// Takes a request, or turns it away.
+    /// Accepts or rejects a request.
     pub(super) fn receive(&mut self, now: Ms, ask: Ask, effects: &mut Vec<Effect>) {
         let (id, class) = (ask.asked.id, ask.asked.class);
         self.counts[class.0].taken += 1;
@@ -84,7 +87,7 @@
         self.check_deduplication(now, ask)
     }
 
-    /// Guards the memory: past these limits a request is turned away before the module hears of it.
+    /// Bounds memory: past these limits a request is rejected without a decision.
     fn check_capacity(&self, ask: &Ask) -> Result<(), Rejection> {
         let crowded = self.open_requests >= self.limits.max_open;
         if crowded || self.held_bytes + ask.statement.bytes() > self.limits.held_bytes {
@@ -93,14 +96,15 @@
         Ok(())
     }
 
-    /// Clients that waited in a queue for the list would all be let in at once: each is told another time to retry.
+    /// Requests queued until a membership is known would all be released at once. Each is rejected with another time to
+    /// retry.
     fn check_membership(&mut self, now: Ms) -> Result<(), Rejection> {
         let Some(come_back) = &mut self.membership_wait else { return Ok(()) };
         let retry_after = come_back.wait(now, self.settings.max_retry_after);
         Err(Rejection { reason: "no list", retry_after })
     }
 
-    /// Nothing new is begun once whatever is open was answered.
+    /// No request is accepted once the open ones were answered for the shutdown.
     fn check_shutdown(&self, now: Ms) -> Result<(), Rejection> {
         if now >= self.answer_by {
             return Err(self.rejection("ending"));
@@ -108,7 +112,8 @@
         Ok(())
     }
 
-    /// A repeat that came while the engines remember its key must not leave after it: it would run twice.
+    /// A repeat that arrives while engines remember its key must not be transmitted after they forget it: it would be
+    /// executed twice.
     fn check_deduplication(&mut self, now: Ms, ask: &Ask) -> Result<Admitted, Rejection> {
         let text = ask.statement.key.as_ref().zip(self.window(ask.asked.class));
         let Some((text, window)) = text else { return Ok(Admitted { key: None, send_by: f64::INFINITY }) };
@@ -144,14 +149,14 @@
         };
         self.requests.insert(id, request);
         self.set_timer(deadline - self.limits.answer_margin / 2.0, Due::RequestDeadline(id));
-        // The module plans by the time that there is: attempts end before the deadline, so that the answer can
-        // leave. Given the client's own deadline it would retry in the time between, which its retry budget pays for.
+        // Attempts end before the client's deadline, so that the answer can be sent in time. The decision module plans
+        // with that earlier deadline: with the client's it would spend its retry budget on retries in between.
         let deadline = deadline - self.limits.answer_margin;
         self.decision_urgent = true;
         self.pending_events.push(DecisionEvent::Request(Incoming { deadline, ..ask.asked }));
     }
 
-    /// Refuses what was not taken.
+    /// Rejects a request that was not accepted.
     fn reject(&mut self, id: RequestId, class: ClassId, rejection: Rejection, effects: &mut Vec<Effect>) {
         let Rejection { reason, retry_after } = rejection;
         *self.counts[class.0].refusals.entry(reason).or_default() += 1;
@@ -159,7 +164,7 @@
         effects.push(Effect::Answer(id, Answer::Refused(retry_after)));
     }
 
-    /// Refuses what was taken.
+    /// Rejects a request that was accepted.
     pub(super) fn shed(
         &mut self,
         now: Ms,
@@ -178,13 +183,14 @@
         self.answer(id, Answer::Refused(wait), effects);
     }
 
-    /// Fails a request with what its engine said last.
+    /// Fails a request with the engine's last error.
     pub(super) fn fail(&mut self, now: Ms, id: RequestId, effects: &mut Vec<Effect>) {
         let error = self.requests.get_mut(&id).and_then(|r| r.last_error.take());
         self.abort_attempts(now, id, Outcome::Cancelled, effects);
         self.answer(id, Answer::Failed(error), effects);
     }
 
+    /// How long engines remember the keys of a class; none for classes without keys.
     fn window(&self, class: ClassId) -> Option<Ms> {
         match self.settings.classes[class.0].repeat {
             Repeat::Keyed { window, .. } => Some(window),
@@ -192,7 +198,7 @@
         }
     }
 
-    /// The module answers in time by itself. This makes sure of it, whatever it does.
+    /// Answers a request whose deadline is close. The decision module answers earlier; this holds whatever it does.
     pub(super) fn deadline_passed(&mut self, now: Ms, id: RequestId, effects: &mut Vec<Effect>) {
         if self.requests.get(&id).is_some_and(|r| !r.closed && !r.streaming) {
             self.abort_attempts(now, id, Outcome::Timeout, effects);
@@ -201,7 +207,7 @@
         }
     }
 
-    /// Its attempts end here and now: one that still waits to be sent must not leave after its client has.
+    /// Closes a request whose client disconnected. Its attempts end at once, so that none is transmitted afterwards.
     pub(super) fn client_disconnected(&mut self, now: Ms, id: RequestId, effects: &mut Vec<Effect>) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.closed) else { return };
         r.closed = true;
@@ -212,7 +218,7 @@
         self.remove_if_done(id);
     }
 
-    /// Drops a request once it is answered and nothing is out for it.
+    /// Removes a request that is closed and has no attempt in flight.
     pub(super) fn remove_if_done(&mut self, id: RequestId) {
         let Some(r) = self.requests.get(&id).filter(|r| r.closed && r.attempts.iter().all(|a| !a.in_flight))
         else {
@@ -222,7 +228,7 @@
         self.requests.remove(&id);
     }
 
-    /// The one place from which final answers go.
+    /// Sends the final answer. Every final answer to an accepted request is sent from here.
     pub(super) fn answer(&mut self, id: RequestId, answer: Answer, effects: &mut Vec<Effect>) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.closed) else { return };
         r.closed = true;
--- a/src/core/shutdown.rs
+++ b/src/core/shutdown.rs
@@ -1,4 +1,4 @@
-//! The end of the process: what is still open is answered, then the program leaves.
+//! Shutdown: open requests are answered in time, then the program exits.
 
 use super::requests::Request;
 use super::timers::Due;
@@ -6,12 +6,12 @@
 use crate::interface::{Event as DecisionEvent, Ms, Outcome, Repeat, Scope};
 
 impl Core {
-    /// Whether the end was asked for.
+    /// Whether the shutdown was requested.
     pub fn terminating(&self) -> bool {
         self.terminating_since.is_some()
     }
 
-    /// The end was asked for.
+    /// Begins the shutdown. Requests are accepted until the time for answers is over.
     pub(super) fn terminate(&mut self, now: Ms) {
         if self.terminating_since.is_some() {
             return;
@@ -21,7 +21,7 @@
         self.set_answer_by(now + self.limits.term_answer);
     }
 
-    /// Another process takes over, which leaves more time to answer what is open.
+    /// Extends the time for answers, as another process takes over.
     pub(super) fn hand_over(&mut self) {
         if let Some(since) = self.terminating_since {
             self.set_answer_by(since + self.limits.leave_answer);
@@ -33,14 +33,14 @@
         self.set_timer(at, Due::AnswerDeadline);
     }
 
-    /// The time for answers is over, unless it was extended since the timer was set.
+    /// Answers all requests, unless the time for answers was extended since the timer was set.
     pub(super) fn answer_deadline_passed(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         if now >= self.answer_by {
             self.answer_all(now, effects);
         }
     }
 
-    /// The program must end soon: what is still open is answered while that can be done.
+    /// Answers all open requests before the process is killed.
     fn answer_all(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         let open: Vec<_> = self.requests.iter().filter(|(_, r)| !r.closed).map(|(id, _)| *id).collect();
         for id in open {
@@ -63,6 +63,7 @@
         }
     }
 
+    /// Exits once the termination window is over and no request is open.
     pub(super) fn exit_when_done(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         let window = |from: Ms| now >= from + self.limits.term_window;
         if self.open_requests == 0 && self.terminating_since.is_some_and(window) {
--- a/src/core/timers.rs
+++ b/src/core/timers.rs
@@ -1,24 +1,36 @@
-//! The timer queue, and what happens to each timer that is due.
+//! The timer queue, and the handler of each timer.
 
 use super::{AttemptId, Core, Effect};
 use crate::interface::{EngineId, Event as DecisionEvent, Ms, RequestId};
 
+/// What a timer is set for.
 #[derive(Debug, Clone, PartialEq)]
 pub(super) enum Due {
+    /// A timer of the decision module, by its token.
     DecisionTimer(u64),
+    /// The deadline of an attempt.
     AttemptTimeout(AttemptId),
+    /// Just before the deadline of a request.
     RequestDeadline(RequestId),
+    /// The deadline of a probe.
     ProbeTimeout(u64),
+    /// The grace period of an engine that was removed from the membership.
     EngineRemoved(EngineId),
+    /// The earliest exit after a shutdown was requested.
     TerminationWindow,
+    /// A decision cycle that was put off.
     DecisionCycle,
+    /// The time by which every open request is answered for the shutdown.
     AnswerDeadline,
+    /// The deadline of a record of a keyed send.
     RecordTimeout(u64),
+    /// The end of what an earlier process heard of the name service.
     InheritedMembership,
+    /// The time of the first probes.
     FirstProbes,
 }
 
-/// Timers order by time, earliest first, and those of one time in the order in which they were set.
+/// A timer. The earliest is the greatest, as the queue is a max-heap; among equals the one that was set first.
 pub(super) struct Timer {
     at: Ms,
     number: u64,
@@ -46,11 +58,12 @@
 }
 
 impl Core {
-    /// When [`Event::Clock`] is due next.
+    /// When [`Event::Clock`](super::Event::Clock) is due next.
     pub fn next_due(&self) -> Option<Ms> {
         self.timers.peek().map(|timer| timer.at)
     }
 
+    /// Sets a timer. Timers are never cancelled: their handlers check whether they still apply.
     pub(super) fn set_timer(&mut self, at: Ms, due: Due) {
         self.last_number += 1;
         self.timers.push(Timer { at, number: self.last_number, due });
@@ -75,8 +88,9 @@
             Due::RequestDeadline(id) => self.deadline_passed(now, id, effects),
             Due::ProbeTimeout(tag) => self.probed(now, tag, false, None),
             Due::EngineRemoved(engine) => self.engine_removed(now, &engine, effects),
-            // The check after every event exits.
+            // `exit_when_done` runs after every event.
             Due::TerminationWindow => {}
+            // The cycle follows with the next `Event::Turn`.
             Due::DecisionCycle => self.decision_timer_set = false,
             Due::AnswerDeadline => self.answer_deadline_passed(now, effects),
             Due::RecordTimeout(number) => self.record_timed_out(now, number, effects),
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -1,4 +1,4 @@
-//! What a gateway deals in: engines, statements, results, answers and counts.
+//! The plain types that the reducer shares with fronts, engine wires and the runtime.
 
 use crate::interface::*;
 use std::collections::BTreeMap;
@@ -8,38 +8,38 @@
 use std::pin::Pin;
 use std::rc::Rc;
 
-/// An engine as the list names it.
+/// A member: an engine as the name service lists it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Listed {
-    /// What the module is told.
+    /// The decision module's view of it.
     pub member: Member,
-    /// Where it listens. The id, never this, says which engine it is: addresses are used again.
+    /// Where it listens. Engines are identified by their id alone, as addresses are reused.
     pub address: SocketAddr,
 }
 
-/// What waits for the reader of an answer that is passed on in parts. A front implements it; an engine wire asks
-/// it for room before it reads on, so that a slow reader slows its own engine and memory stays bounded.
+/// Flow control of a streamed answer. A front implements it; an engine wire waits for room before it reads on, so that
+/// a slow client slows its own engine and memory stays bounded.
 pub trait Flow: Debug {
-    /// Waits until no more than so many bytes wait for the reader, or the reader has gone.
+    /// Waits until at most this many bytes are queued for the client, or the client has disconnected.
     fn room(&self, bytes: usize) -> Pin<Box<dyn Future<Output = ()> + '_>>;
 }
 
-/// What a request carries to its engine; no decision looks at it.
+/// What a request carries to its engine; decisions do not depend on it.
 #[derive(Debug, Default)]
 pub struct Statement {
     /// The client's name for the request.
     pub name: String,
     /// The class's name.
     pub class: String,
-    /// The statement, as it came.
+    /// The statement, unchanged.
     pub text: Vec<u8>,
     /// The idempotency key, if any.
     pub key: Option<String>,
-    /// Data that follows the statement.
+    /// The data after the statement.
     pub data: Vec<u8>,
-    /// Further parameters and credentials to pass on, where the engines' interface has them.
+    /// Further parameters and credentials, where the engines' interface has them.
     pub params: Vec<(String, String)>,
-    /// Where the answer can be passed on in parts, what waits for its reader; else it is passed on whole.
+    /// Flow control where the answer can be streamed; without it the answer is sent whole.
     pub flow: Option<Rc<dyn Flow>>,
 }
 
@@ -49,53 +49,53 @@
     }
 }
 
-/// A result: its bytes in the parts in which they came, and what describes them.
+/// A result: its bytes in the parts in which they arrived, and the headers that describe them.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Rows {
     /// Text of rows, in order.
     pub parts: Vec<Vec<u8>>,
-    /// Headers of the engine's answer that the client should see.
+    /// Headers of the engine's answer that go to the client.
     pub headers: Vec<(String, String)>,
 }
 
-/// A request as a front took it.
+/// A request as a front received it.
 #[derive(Debug)]
 pub struct Ask {
-    /// The module's view of it.
+    /// The decision module's view of it.
     pub asked: Incoming,
-    /// What is sent.
+    /// What is sent to the engine.
     pub statement: Rc<Statement>,
 }
 
-/// What an engine said about a failure, for fronts whose clients expect it.
+/// An engine's error, for fronts that pass it on to the client.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineError {
     /// Status code.
     pub status: u16,
     /// The engine's own code.
     pub code: u32,
-    /// Its text.
+    /// The engine's message.
     pub text: Vec<u8>,
 }
 
-/// The one final answer.
+/// The one final answer to a request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Answer {
-    /// All rows.
+    /// The whole result.
     Served(Rows),
-    /// The rest of what was begun came whole.
+    /// The streamed result is complete.
     Finished,
-    /// What was begun can not be finished.
+    /// The streamed result cannot be completed.
     Cut,
-    /// Turned away; trying again is harmless, best after so many milliseconds.
+    /// Rejected before execution; the client may retry, best after this many milliseconds.
     Refused(Ms),
-    /// Failed, with the engine's words if there are any.
+    /// Failed, with the engine's error if there is one.
     Failed(Option<EngineError>),
-    /// Failed because its time ran out.
+    /// Failed as its deadline passed.
     Expired,
 }
 
-/// One attempt.
+/// Identifies an attempt: its request, and its number within the request.
 pub type AttemptId = (RequestId, u32);
 
 /// How an attempt ended, as an engine wire saw it.
@@ -103,32 +103,32 @@
 pub struct End {
     /// Its outcome.
     pub outcome: Outcome,
-    /// Its work, where told.
+    /// The work it took, where the engine reports that.
     pub work: Option<Ms>,
-    /// The engine's load, where told.
+    /// The engine's load, where the engine reports that.
     pub report: Option<Report>,
-    /// The result of one that was served whole.
+    /// The result, if it was not streamed.
     pub rows: Rows,
-    /// What the engine said of a failure.
+    /// The engine's error, if it failed.
     pub error: Option<EngineError>,
 }
 
 impl End {
-    /// An end with nothing but its outcome.
+    /// An end that has nothing but its outcome.
     pub fn plain(outcome: Outcome) -> Self {
         Self { outcome, work: None, report: None, rows: Rows::default(), error: None }
     }
 }
 
-/// Attempts and outcomes of one class so far.
+/// Counts of one class since the start.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Counts {
-    /// Requests taken.
+    /// Requests received.
     pub taken: u64,
-    /// Ends of attempts, in the order of [`Outcome`].
+    /// Ended attempts, in the order of [`Outcome`].
     pub outcomes: [u64; 8],
-    /// Requests left by their clients.
+    /// Requests whose clients disconnected or withdrew them.
     pub left: u64,
-    /// Of the refused, what kept them from being sent.
+    /// Rejected requests by reason.
     pub refusals: BTreeMap<&'static str, u64>,
 }
