Engine connections: one module for each job, the trait of all wires in mod.rs

The trait that both wires implement stood in the file of one of them.

Change: moves alone, no name and no statement is another. connection.rs holds the state of one connection, driver.rs its loops, replies.rs the meaning of a reply, results.rs the pages of a result, progress.rs progress updates with the parser that stood in resp.rs; pool.rs keeps the pools. `Engines` stands in mod.rs. `resp::BadNote` stays where tests import it from.

--- a/src/net/engine/resp.rs
+++ b/src/net/engine/resp.rs
@@ -1,8 +1,9 @@
 //! The platform's engines: RESP arrays of bulk strings. Answers are read in place.
 
 use crate::core::Send;
-use crate::interface::{Note, Report};
+use crate::interface::Report;
 use crate::net::conn::{Frame, Part};
+pub use crate::net::engine::progress::BadNote;
 use starlingplank_operation::figures::Count;
 use std::io::Write;
 use std::time::Duration;
@@ -41,17 +42,6 @@
     Bad,
 }
 
-/// Codes of the progress update `w`: what a query waits for.
-const WAITS_FOR_MEMORY: f64 = 1.0;
-const WAITS_FOR_LOAD: f64 = 2.0;
-
-/// Megabytes that a query can be short of; more is no figure of an engine in order (a petabyte).
-const MOST_MISSING_MB: f64 = 1e9;
-
-/// A progress update that cannot be used.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct BadNote;
-
 fn bulk<'a>(limit: usize) -> impl FnMut(&mut In<'a>) -> Res<&'a [u8]> {
     move |i: &mut In<'a>| {
         let len: usize = delimited(b'$', dec_uint, crlf).verify(|n| *n <= limit).parse_next(i)?;
@@ -98,24 +88,6 @@
         self.field(name).and_then(|v| v.parse().ok()).filter(|v: &f64| v.is_finite())
     }
 
-    /// The progress update in `detail` and `v`.
-    ///
-    /// # Errors
-    /// There is one, and it cannot be used: its kind is unknown, or its figure is missing, unreadable or out of range.
-    pub fn note(&self) -> Result<Option<Note>, BadNote> {
-        let Some(kind) = self.field("detail").filter(|kind| !kind.is_empty()) else {
-            return if self.field("v").is_some_and(|v| !v.is_empty()) { Err(BadNote) } else { Ok(None) };
-        };
-        let value = self.number("v").ok_or(BadNote)?;
-        match kind {
-            "p" if (0.0..=1.0).contains(&value) => Ok(Some(Note::Progress(value))),
-            "s" if (0.0..=MOST_MISSING_MB).contains(&value) => Ok(Some(Note::Spill(value))),
-            "w" if value == WAITS_FOR_MEMORY => Ok(Some(Note::WaitsForMemory)),
-            "w" if value == WAITS_FOR_LOAD => Ok(Some(Note::WaitsForLoad)),
-            _ => Err(BadNote),
-        }
-    }
-
     /// The load report in `use`, if there is one.
     pub fn report(&self) -> Option<Report> {
         self.field("use").map(report)
