Engine connections: names of the field in place of the house's

Need: names in net/engine had to be learned: a flight, what was spent, a doubt, what was taken.

Change: names alone. In resp.rs say is command, want want_command, rows has_whole_rows. Names that tests and the reducer use stay.

Result: no statement changed. Formatter and linter clean.

--- a/src/net/engine/clickhouse.rs
+++ b/src/net/engine/clickhouse.rs
@@ -137,7 +137,7 @@
         }
     }
 
-    fn sweep(&mut self, _: &mut Vec<Event>) {
+    fn maintain(&mut self, _: &mut Vec<Event>) {
         // A probe that nobody answers would keep its connection for ever.
         let probes = |c: &Conn| matches!(&*c.job.borrow(), Some(Job::Probe(_)));
         for conn in self.pools.values().flatten().filter(|c| probes(c)) {
--- a/src/net/engine/mod.rs
+++ b/src/net/engine/mod.rs
@@ -36,5 +36,5 @@
     /// Takes back what has not left for an engine that drains or is gone.
     fn shut(&mut self, engine: &EngineId, events: &mut Vec<Event>);
     /// Closes what has gone idle, and ends what an engine keeps back.
-    fn sweep(&mut self, events: &mut Vec<Event>);
+    fn maintain(&mut self, events: &mut Vec<Event>);
 }
--- a/src/net/engine/progress.rs
+++ b/src/net/engine/progress.rs
@@ -3,8 +3,8 @@
 use crate::core::Event;
 use crate::interface::Note;
 use crate::limits::Limits;
-use crate::net::engine::connection::Conn;
-use crate::net::engine::replies::Taken;
+use crate::net::engine::connection::Connection;
+use crate::net::engine::replies::ReplyEffect;
 use crate::net::engine::resp::Reply;
 use crate::net::log;
 
@@ -41,16 +41,18 @@
 
 /// A progress update: news of an attempt that is out, and no answer to it. One that cannot be used is dropped; the
 /// attempt and its neighbours go on.
-pub fn take_update(conn: &Conn, reply: &Reply<'_>, limits: &Limits) -> Taken {
-    let flights = conn.flights.borrow();
+pub fn handle_progress_update(connection: &Connection, reply: &Reply<'_>, limits: &Limits) -> ReplyEffect {
+    let in_flight = connection.in_flight.borrow();
     // Once a result has begun its query is over.
-    let Some(flight) = flights.get(reply.id).filter(|f| f.pages.is_none()) else { return Taken::Nothing };
+    let Some(attempt) = in_flight.get(reply.id).filter(|f| f.result.is_none()) else {
+        return ReplyEffect::Ignored;
+    };
     match reply.note() {
-        Ok(Some(note)) => Taken::News(Event::Noted(flight.id, note)),
-        Ok(None) => Taken::Nothing,
+        Ok(Some(note)) => ReplyEffect::Event(Event::Noted(attempt.id, note)),
+        Ok(None) => ReplyEffect::Ignored,
         Err(BadNote) => {
             log::seldom(limits, "an engine's progress update cannot be used; it was dropped");
-            Taken::Nothing
+            ReplyEffect::Ignored
         }
     }
 }
--- a/src/net/engine/replies.rs
+++ b/src/net/engine/replies.rs
@@ -3,40 +3,40 @@
 use crate::core::{End, Event};
 use crate::interface::Outcome;
 use crate::limits::Limits;
-use crate::net::engine::connection::Conn;
-use crate::net::engine::progress::take_update;
+use crate::net::engine::connection::Connection;
+use crate::net::engine::progress::handle_progress_update;
 use crate::net::engine::resp::Reply;
-use crate::net::engine::results::take_page;
+use crate::net::engine::results::handle_page;
 use tokio::time::Instant;
 
 /// What an answer brings.
-pub enum Taken {
+pub enum ReplyEffect {
     /// It is to nothing that is open here: given up, unknown, or a second copy.
-    Nothing,
-    News(Event),
+    Ignored,
+    Event(Event),
     /// It is none that an engine in order would give.
-    Spoilt,
+    ProtocolError,
 }
 
 /// What an answer means.
-pub fn take(conn: &Conn, reply: &Reply<'_>, limits: &Limits) -> Taken {
+pub fn handle_reply(connection: &Connection, reply: &Reply<'_>, limits: &Limits) -> ReplyEffect {
     if let Some(tag) = reply.id.strip_prefix('p').and_then(|t| t.parse().ok()) {
-        if conn.probes.borrow_mut().remove(&tag).is_none() {
-            return Taken::Nothing;
+        if connection.probes.borrow_mut().remove(&tag).is_none() {
+            return ReplyEffect::Ignored;
         }
-        conn.used.set(Instant::now());
-        return Taken::News(Event::Probed(tag, reply.word == b"green", reply.report()));
+        connection.last_used.set(Instant::now());
+        return ReplyEffect::Event(Event::Probed(tag, reply.word == b"green", reply.report()));
     }
     let outcome = match reply.word {
-        b"served" | b"rows" => return take_page(conn, reply, limits),
+        b"served" | b"rows" => return handle_page(connection, reply, limits),
         b"overload" => Outcome::Full,
         b"nobody" => Outcome::Moot,
         b"crashed" => Outcome::Error,
-        b"update" => return take_update(conn, reply, limits),
-        _ => return Taken::Spoilt,
+        b"update" => return handle_progress_update(connection, reply, limits),
+        _ => return ReplyEffect::ProtocolError,
     };
-    let Some(flight) = conn.end(reply.id) else { return Taken::Nothing };
+    let Some(attempt) = connection.end_attempt(reply.id) else { return ReplyEffect::Ignored };
     // What ran far enough to have pages has run, whatever is said of it now.
-    let outcome = if flight.pages.is_some() { Outcome::Error } else { outcome };
-    Taken::News(Event::Ended(flight.id, End { report: reply.report(), ..End::plain(outcome) }))
+    let outcome = if attempt.result.is_some() { Outcome::Error } else { outcome };
+    ReplyEffect::Event(Event::Ended(attempt.id, End { report: reply.report(), ..End::plain(outcome) }))
 }
--- a/src/net/engine/resp.rs
+++ b/src/net/engine/resp.rs
@@ -15,8 +15,8 @@
 use winnow::token::take;
 use winnow::Partial;
 
-type In<'a> = Partial<&'a [u8]>;
-type Res<T> = Result<T, ErrMode<EmptyError>>;
+type Input<'a> = Partial<&'a [u8]>;
+type ParseResult<T> = Result<T, ErrMode<EmptyError>>;
 
 /// An answer of an engine, still in the buffer.
 #[derive(Debug, PartialEq)]
@@ -42,35 +42,37 @@
     Bad,
 }
 
-fn bulk<'a>(limit: usize) -> impl FnMut(&mut In<'a>) -> Res<&'a [u8]> {
-    move |i: &mut In<'a>| {
-        let len: usize = delimited(b'$', dec_uint, crlf).verify(|n| *n <= limit).parse_next(i)?;
-        terminated(take(len), crlf).parse_next(i)
+fn bulk_string<'a>(limit: usize) -> impl FnMut(&mut Input<'a>) -> ParseResult<&'a [u8]> {
+    move |input: &mut Input<'a>| {
+        let len: usize = delimited(b'$', dec_uint, crlf).verify(|n| *n <= limit).parse_next(input)?;
+        terminated(take(len), crlf).parse_next(input)
     }
 }
 
-fn word<'a>(limit: usize) -> impl FnMut(&mut In<'a>) -> Res<&'a str> {
-    move |i: &mut In<'a>| bulk(limit).verify_map(|b| std::str::from_utf8(b).ok()).parse_next(i)
+fn utf8_string<'a>(limit: usize) -> impl FnMut(&mut Input<'a>) -> ParseResult<&'a str> {
+    move |input: &mut Input<'a>| {
+        bulk_string(limit).verify_map(|b| std::str::from_utf8(b).ok()).parse_next(input)
+    }
 }
 
-fn array<'a>(limit: usize) -> impl FnMut(&mut In<'a>) -> Res<Reply<'a>> {
-    move |i: &mut In<'a>| {
-        let parts: usize = terminated(preceded(b'*', dec_uint), crlf).parse_next(i)?;
+fn reply_array<'a>(limit: usize) -> impl FnMut(&mut Input<'a>) -> ParseResult<Reply<'a>> {
+    move |input: &mut Input<'a>| {
+        let parts: usize = terminated(preceded(b'*', dec_uint), crlf).parse_next(input)?;
         if !(2..=4).contains(&parts) {
             return Err(ErrMode::Backtrack(EmptyError));
         }
-        let (id, said) = (word(limit), bulk(limit)).parse_next(i)?;
-        let fields = if parts > 2 { word(limit).parse_next(i)? } else { "-" };
-        let body = if parts > 3 { bulk(limit).parse_next(i)? } else { &[] };
+        let (id, said) = (utf8_string(limit), bulk_string(limit)).parse_next(input)?;
+        let fields = if parts > 2 { utf8_string(limit).parse_next(input)? } else { "-" };
+        let body = if parts > 3 { bulk_string(limit).parse_next(input)? } else { &[] };
         Ok(Reply { id, word: said, fields, body })
     }
 }
 
 /// Reads one answer, no part of which is longer than the limit.
 pub fn read(bytes: &[u8], limit: usize) -> Read<'_> {
-    let mut i = Partial::new(bytes);
-    match array(limit).parse_next(&mut i) {
-        Ok(reply) => Read::Reply(reply, bytes.len() - i.len()),
+    let mut input = Partial::new(bytes);
+    match reply_array(limit).parse_next(&mut input) {
+        Ok(reply) => Read::Reply(reply, bytes.len() - input.len()),
         Err(ErrMode::Incomplete(_)) => Read::More,
         Err(_) => Read::Bad,
     }
@@ -112,13 +114,13 @@
 }
 
 /// Whether this is a page of a result: whole rows of three columns of text.
-pub fn rows(body: &[u8]) -> bool {
+pub fn has_whole_rows(body: &[u8]) -> bool {
     let whole = body.is_empty() || body.ends_with(b"\n");
     let three = |row: &str| row.bytes().filter(|b| *b == b'\t').count() == 2;
     whole && std::str::from_utf8(body).is_ok_and(|text| text.lines().all(three))
 }
 
-fn command(parts: &[&[u8]], open: Option<usize>) -> Vec<u8> {
+fn encode_command(parts: &[&[u8]], open: Option<usize>) -> Vec<u8> {
     let mut out = Vec::with_capacity(128);
     let _ = write!(out, "*{}\r\n", parts.len() + usize::from(open.is_some()));
     for part in parts {
@@ -139,24 +141,31 @@
 }
 
 /// A command without a body.
-pub fn say(parts: &[&str]) -> Frame {
+pub fn command(parts: &[&str]) -> Frame {
     let parts: Vec<&[u8]> = parts.iter().map(|p| p.as_bytes()).collect();
-    Frame::plain(command(&parts, None))
+    Frame::plain(encode_command(&parts, None))
 }
 
-/// `want`: the statement goes out as it came in, shared by all attempts.
-pub fn want(send: &Send) -> Frame {
-    let s = &send.statement;
-    let mut fields = format!("queue={},budget={:.0}", s.class, send.budget.max(1.0));
-    if let Some(key) = &s.key {
+/// The command `want`: the statement goes out as it came in, shared by all attempts.
+pub fn want_command(send: &Send) -> Frame {
+    let statement = &send.statement;
+    let mut fields = format!("queue={},budget={:.0}", statement.class, send.budget.max(1.0));
+    if let Some(key) = &statement.key {
         fields += &format!(",uniq={key}");
     }
     if send.memory_mb >= 1.0 {
         fields += &format!(",mem={:.0}", send.memory_mb);
     }
     fields += &format!(",prio={}", send.priority);
-    let head = command(&[b"want", s.name.as_bytes(), fields.as_bytes()], Some(s.text.len() + s.data.len()));
-    let parts =
-        vec![Part::Own(head), Part::Text(s.clone()), Part::Data(s.clone()), Part::Own(b"\r\n".to_vec())];
+    let head = encode_command(
+        &[b"want", statement.name.as_bytes(), fields.as_bytes()],
+        Some(statement.text.len() + statement.data.len()),
+    );
+    let parts = vec![
+        Part::Own(head),
+        Part::Text(statement.clone()),
+        Part::Data(statement.clone()),
+        Part::Own(b"\r\n".to_vec()),
+    ];
     sending(send, parts)
 }
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -156,7 +156,7 @@
         tokio::select! {
             event = receiver.recv() => events.extend(event),
             () = sleep_until(due) => {}
-            _ = sweep.tick() => gateway.engines.sweep(&mut events),
+            _ = sweep.tick() => gateway.engines.maintain(&mut events),
             _ = look.tick(), if gateway.handover.is_some() || keep.waits() => {
                 events.extend(gateway.look());
                 if keep.waits() && keep.take_over(&config, &mut gateway.core, desk.clock.now(), &sender) {
