Engine connections: short functions, one step a line, and plain comments

Need: the choice of a connection, its read loop and the taking of a page were functions of forty lines and more; comments had to be guessed at.

Change: each is a few named steps. An attempt's connection and name are a `Placement`, the effect of a page on its result a `PageEffect`, the goings-on of the read loop a `ControlFlow`; a connection has a constructor, and the bound on an incomplete reply a name. All public items and the trait say in plain statements what they do. Behaviour is the same.

--- a/src/net/engine/connection.rs
+++ b/src/net/engine/connection.rs
@@ -1,64 +1,130 @@
-//! One connection to an engine of the platform: the attempts and probes that are open on it, and its age.
+//! State of one connection to an engine of the platform: what is in flight on it, and when it was last active.
 
 use crate::core::{AttemptId, End, Event};
 use crate::interface::Outcome;
 use crate::limits::Limits;
-use crate::net::conn::Outbox;
+use crate::net::conn::{Common, Outbox};
 use crate::net::engine::resp;
 use crate::net::engine::results::PartialResult;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// An attempt that was handed to a connection and has not ended.
 #[derive(Debug)]
 pub struct InFlight {
+    /// The reducer's id of the attempt.
     pub id: AttemptId,
+    /// When it was handed to the connection.
     pub sent_at: Instant,
+    /// The pages of its result, once the first of them has arrived.
     pub result: Option<PartialResult>,
 }
 
-/// One connection.
+impl InFlight {
+    /// An attempt that is sent now.
+    pub fn new(id: AttemptId) -> Self {
+        Self { id, sent_at: Instant::now(), result: None }
+    }
+
+    /// Whether its result has begun to arrive and then stopped.
+    fn is_stalled(&self, limits: &Limits) -> bool {
+        self.result.as_ref().is_some_and(|result| result.last_page_at().elapsed() > limits.engine_silent)
+    }
+}
+
+/// One connection to an engine.
 pub struct Connection {
+    /// The address that it was opened to.
     pub address: SocketAddr,
+    /// Its write queue.
     pub outbox: Outbox,
-    /// Since when it is up.
+    /// When it was established; none: it is being opened.
     pub connected_at: Cell<Option<Instant>>,
+    /// It has ended; the pool forgets it at the next maintenance tick.
     pub closed: Cell<bool>,
-    /// No new attempts; it closes once it is empty.
+    /// It takes no new attempts, and is closed once nothing is open on it.
     pub retired: Cell<bool>,
+    /// Attempts in flight, by the names of their statements.
     pub in_flight: RefCell<HashMap<String, InFlight>>,
-    /// Ids given up here. One is never sent here again: an answer to the old attempt would pass for the new.
+    /// Names of attempts that were cancelled on this connection. None of them is sent here again: a late reply to the
+    /// cancelled attempt would be taken for a reply to the new one.
     pub retired_ids: RefCell<BTreeSet<String>>,
-    /// Probes that are out, and since when.
+    /// Probes without a reply, and when they were sent.
     pub probes: RefCell<BTreeMap<u64, Instant>>,
+    /// When something was last sent or ended on it.
     pub last_used: Cell<Instant>,
-    /// When anything last came.
+    /// When bytes last arrived.
     pub last_received: Cell<Instant>,
 }
 
 impl Connection {
+    /// A connection that is about to be opened.
+    pub fn new(address: SocketAddr, common: Rc<Common>) -> Self {
+        Self {
+            address,
+            outbox: Outbox::new(common),
+            connected_at: Cell::new(None),
+            closed: Cell::new(false),
+            retired: Cell::new(false),
+            in_flight: RefCell::default(),
+            retired_ids: RefCell::default(),
+            probes: RefCell::default(),
+            last_used: Cell::new(Instant::now()),
+            last_received: Cell::new(Instant::now()),
+        }
+    }
+
+    /// Whether nothing is open on it.
     pub fn is_idle(&self) -> bool {
         self.in_flight.borrow().is_empty() && self.probes.borrow().is_empty()
     }
 
+    /// Whether it can take an attempt of that name.
     pub fn accepts(&self, limits: &Limits, name: &str) -> bool {
         !self.closed.get()
             && !self.retired.get()
             && !self.outbox.closing()
-            && self.in_flight.borrow().len() < limits.streams
+            && self.in_flight_count() < limits.streams
             && !self.in_flight.borrow().contains_key(name)
             && !self.retired_ids.borrow().contains(name)
     }
 
-    /// Ends attempts whose further pages do not come: they ran, and the rest of their results is lost.
+    /// How many attempts are in flight.
+    pub fn in_flight_count(&self) -> usize {
+        self.in_flight.borrow().len()
+    }
+
+    /// Whether the attempt of that name that is in flight here is this one.
+    pub fn holds(&self, id: AttemptId, name: &str) -> bool {
+        self.in_flight.borrow().get(name).is_some_and(|attempt| attempt.id == id)
+    }
+
+    /// Removes an attempt that ends.
+    pub fn end_attempt(&self, name: &str) -> Option<InFlight> {
+        self.last_used.set(Instant::now());
+        self.in_flight.borrow_mut().remove(name)
+    }
+
+    /// Removes an attempt by its id.
+    pub fn remove_attempt(&self, id: AttemptId) {
+        self.in_flight.borrow_mut().retain(|_, attempt| attempt.id != id);
+    }
+
+    /// Withdraws the attempts none of whose bytes has left, and returns their ids.
+    pub fn withdraw_unsent(&self) -> Vec<AttemptId> {
+        let mut withdrawn = self.outbox.unsent();
+        withdrawn.retain(|id| self.outbox.withdraw(*id));
+        withdrawn.iter().for_each(|id| self.remove_attempt(*id));
+        withdrawn
+    }
+
+    /// Ends attempts whose results have stopped arriving. They were executed, and the rest of their results is lost.
     pub fn end_stalled_results(&self, limits: &Limits, events: &mut Vec<Event>) {
-        let stuck =
-            |f: &InFlight| f.result.as_ref().is_some_and(|p| p.last_page_at.elapsed() > limits.engine_silent);
-        let names: Vec<_> =
-            self.in_flight.borrow().iter().filter(|(_, f)| stuck(f)).map(|(n, _)| n.clone()).collect();
-        for name in names {
+        for name in self.stalled_names(limits) {
             let Some(attempt) = self.end_attempt(&name) else { continue };
             self.outbox.push(resp::command(&["shut", &name]), limits);
             self.retired_ids.borrow_mut().insert(name);
@@ -66,29 +132,30 @@
         }
     }
 
-    /// What was sent then is waited for no longer. Where nothing has come since, for as long as anything is waited for, this
-    /// connection may never speak again, though its engine does on another. One that comes up has its own time for that.
-    pub fn retire_if_silent(&self, sent: Instant, least: Duration) {
-        let silent =
-            |up: Instant| self.last_received.get() <= up.max(sent) && up.max(sent).elapsed() >= least;
-        if self.connected_at.get().is_some_and(silent) {
-            self.retired.set(true);
-        }
+    fn stalled_names(&self, limits: &Limits) -> Vec<String> {
+        let in_flight = self.in_flight.borrow();
+        let stalled = in_flight.iter().filter(|(_, attempt)| attempt.is_stalled(limits));
+        stalled.map(|(name, _)| name.clone()).collect()
     }
 
-    /// Gives up probes that nobody answers.
+    /// Ends the wait for probes that have had no reply for too long.
     pub fn expire_probes(&self, limits: &Limits) {
-        self.probes.borrow_mut().retain(|_, since| {
-            let over = since.elapsed() >= limits.probe_over;
-            if over {
-                self.retire_if_silent(*since, limits.probe_over);
+        self.probes.borrow_mut().retain(|_, sent_at| {
+            let expired = sent_at.elapsed() >= limits.probe_over;
+            if expired {
+                self.retire_if_silent(*sent_at, limits.probe_over);
             }
-            !over
+            !expired
         });
     }
 
-    pub fn end_attempt(&self, name: &str) -> Option<InFlight> {
-        self.last_used.set(Instant::now());
-        self.in_flight.borrow_mut().remove(name)
+    /// Retires the connection if no byte has arrived since a message was sent, for at least `silence`: it may be dead
+    /// although its engine answers on others. The time before the connection was established does not count.
+    pub fn retire_if_silent(&self, sent_at: Instant, silence: Duration) {
+        let Some(connected_at) = self.connected_at.get() else { return };
+        let silent_since = connected_at.max(sent_at);
+        if self.last_received.get() <= silent_since && silent_since.elapsed() >= silence {
+            self.retired.set(true);
+        }
     }
 }
--- a/src/net/engine/driver.rs
+++ b/src/net/engine/driver.rs
@@ -1,6 +1,6 @@
-//! Drives one connection: opens it, writes and reads until it ends, and tells what became of all that was open on it.
+//! Drives one connection: opens it, writes and reads until it ends, and reports what was open on it as ended.
 
-use crate::core::{End, Event};
+use crate::core::{AttemptId, End, Event};
 use crate::interface::Outcome;
 use crate::limits::Limits;
 use crate::net::conn::{Close, Inbox};
@@ -8,14 +8,30 @@
 use crate::net::engine::replies::{handle_reply, ReplyEffect};
 use crate::net::engine::resp::{self, Read};
 use crate::net::log;
+use std::ops::ControlFlow;
 use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Sender;
 use tokio::time::{sleep_until, timeout, Instant};
 
-/// Opens a connection, then writes and reads until it ends; tells what became of all that was on it.
+/// A reply that is longer than so many whole results is not waited for.
+const LONGEST_REPLY_IN_RESULTS: usize = 2;
+
+/// Opens a connection, then writes and reads until it ends, and reports the end of everything that was open on it.
 pub async fn run(connection: Rc<Connection>, limits: Rc<Limits>, events: Sender<Event>) {
-    let stream = match timeout(limits.connect, TcpStream::connect(connection.address)).await {
+    let stream = connect(&connection, &limits).await;
+    if let Some(stream) = &stream {
+        exchange(&connection, stream, &limits, &events).await;
+    }
+    connection.closed.set(true);
+    let unsent = connection.outbox.unsent();
+    connection.outbox.close(Close::Now);
+    report_ended_attempts(&connection, stream.is_some(), &unsent, &events).await;
+    report_failed_probes(&connection, &events).await;
+}
+
+async fn connect(connection: &Connection, limits: &Limits) -> Option<TcpStream> {
+    match timeout(limits.connect, TcpStream::connect(connection.address)).await {
         Ok(Ok(stream)) => Some(stream),
         Ok(Err(e)) => {
             tracing::trace!("connection to {} failed: {e}", connection.address);
@@ -25,91 +41,128 @@
             tracing::trace!("connection to {} failed: not up in time", connection.address);
             None
         }
-    };
-    if let Some(stream) = &stream {
-        connection.connected_at.set(Some(Instant::now()));
-        tracing::trace!("connection to {} is up", connection.address);
-        let _ = stream.set_nodelay(true);
-        tokio::select! {
-            ended = connection.outbox.write_all(stream, &limits) => drop(ended),
-            () = read_replies(&connection, stream, &limits, &events) => {}
-            () = report_overdue(&connection, &events) => {}
-        }
-    }
-    connection.closed.set(true);
-    let unsent = connection.outbox.unsent();
-    connection.outbox.close(Close::Now);
-    let in_flight: Vec<_> = connection.in_flight.borrow_mut().drain().collect();
-    for (_, attempt) in in_flight {
-        let outcome = match (&stream, unsent.contains(&attempt.id)) {
-            (None, _) => Outcome::ConnectFailed,
-            (Some(_), true) => Outcome::Moot,
-            (Some(_), false) => Outcome::Reset,
-        };
-        let _ = events.send(Event::Ended(attempt.id, End::plain(outcome))).await;
     }
-    let probes = std::mem::take(&mut *connection.probes.borrow_mut());
-    for (tag, _) in probes {
-        let _ = events.send(Event::Probed(tag, false, None)).await;
+}
+
+/// Writes and reads until the connection ends.
+async fn exchange(connection: &Connection, stream: &TcpStream, limits: &Limits, events: &Sender<Event>) {
+    connection.connected_at.set(Some(Instant::now()));
+    tracing::trace!("connection to {} is up", connection.address);
+    let _ = stream.set_nodelay(true);
+    tokio::select! {
+        written = connection.outbox.write_all(stream, limits) => drop(written),
+        () = read_replies(connection, stream, limits, events) => {}
+        () = report_overdue(connection, events) => {}
     }
 }
 
-/// Tells of attempts that could not leave in time.
+/// Reports attempts that could not leave in time.
 async fn report_overdue(connection: &Connection, events: &Sender<Event>) {
     loop {
         let id = connection.outbox.overdue().await;
-        // Held until it is told: a connection that ends meanwhile ends what is on it.
+        // It stays in flight until it is reported: if the connection ends meanwhile, its end is reported with it.
         let _ = events.send(Event::Ended(id, End::plain(Outcome::Moot))).await;
-        connection.in_flight.borrow_mut().retain(|_, f| f.id != id);
+        connection.remove_attempt(id);
     }
 }
 
+/// Reads until the engine closes the connection, or sends what cannot be used.
 async fn read_replies(connection: &Connection, stream: &TcpStream, limits: &Limits, events: &Sender<Event>) {
     let mut inbox = Inbox::new(connection.outbox.common());
     loop {
-        loop {
-            let (effect, used) = match resp::read(inbox.unread(), limits.result_bytes) {
-                Read::Reply(reply, used) => (handle_reply(connection, &reply, limits), used),
-                Read::More if inbox.unread().len() > 2 * limits.result_bytes => {
-                    (ReplyEffect::ProtocolError, 0)
-                }
-                Read::More => break,
-                Read::Bad => (ReplyEffect::ProtocolError, 0),
-            };
-            inbox.used(used);
-            match effect {
-                ReplyEffect::Ignored => {}
-                ReplyEffect::Event(event) => {
-                    if events.send(event).await.is_err() {
-                        return;
-                    }
-                }
-                // Whatever follows on this connection, nobody can tell what it answers.
-                ReplyEffect::ProtocolError => {
-                    return log::seldom(
-                        limits,
-                        "an engine's answer cannot be used; the connection was closed",
-                    );
-                }
-            }
+        if handle_buffered_replies(connection, &mut inbox, limits, events).await.is_break() {
+            return;
         }
-        let stuck = inbox.since().map(|since| since + limits.engine_silent);
-        let stuck = async move {
-            match stuck {
-                Some(until) => sleep_until(until).await,
-                None => std::future::pending().await,
-            }
+        if receive(connection, &mut inbox, stream, limits).await.is_break() {
+            return;
+        }
+    }
+}
+
+/// Handles all whole replies in the read buffer. Break: the connection is to be closed.
+async fn handle_buffered_replies(
+    connection: &Connection,
+    inbox: &mut Inbox,
+    limits: &Limits,
+    events: &Sender<Event>,
+) -> ControlFlow<()> {
+    let longest = LONGEST_REPLY_IN_RESULTS * limits.result_bytes;
+    loop {
+        let (effect, used) = match resp::read(inbox.unread(), limits.result_bytes) {
+            Read::Reply(reply, used) => (handle_reply(connection, &reply, limits), used),
+            Read::More if inbox.unread().len() <= longest => return ControlFlow::Continue(()),
+            Read::More | Read::Bad => (ReplyEffect::ProtocolError, 0),
         };
-        tokio::select! {
-            more = inbox.fill(stream, limits) => {
-                if !matches!(more, Ok(true)) {
-                    return;
+        inbox.used(used);
+        match effect {
+            ReplyEffect::Ignored => {}
+            ReplyEffect::Event(event) => {
+                if events.send(event).await.is_err() {
+                    return ControlFlow::Break(());
                 }
-                connection.last_received.set(Instant::now());
             }
-            () = stuck => {
-                return log::seldom(limits, "an engine stopped inside an answer; the connection was closed");
+            // It is not known which attempts the replies after this one belong to.
+            ReplyEffect::ProtocolError => {
+                log::seldom(limits, "an engine's answer cannot be used; the connection was closed");
+                return ControlFlow::Break(());
+            }
+        }
+    }
+}
+
+/// Waits for more bytes; not for ever where a reply is incomplete. Break: the connection is to be closed.
+async fn receive(
+    connection: &Connection,
+    inbox: &mut Inbox,
+    stream: &TcpStream,
+    limits: &Limits,
+) -> ControlFlow<()> {
+    let complete_by = inbox.since().map(|since| since + limits.engine_silent);
+    tokio::select! {
+        filled = inbox.fill(stream, limits) => {
+            if !matches!(filled, Ok(true)) {
+                return ControlFlow::Break(());
             }
+            connection.last_received.set(Instant::now());
+            ControlFlow::Continue(())
+        }
+        () = sleep_until_deadline(complete_by) => {
+            log::seldom(limits, "an engine stopped inside an answer; the connection was closed");
+            ControlFlow::Break(())
         }
     }
 }
+
+/// Waits until a deadline; without one, for ever.
+async fn sleep_until_deadline(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => sleep_until(deadline).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Reports the attempts that were in flight as the connection ended.
+async fn report_ended_attempts(
+    connection: &Connection,
+    was_connected: bool,
+    unsent: &[AttemptId],
+    events: &Sender<Event>,
+) {
+    let in_flight: Vec<_> = connection.in_flight.borrow_mut().drain().collect();
+    for (_, attempt) in in_flight {
+        let outcome = match (was_connected, unsent.contains(&attempt.id)) {
+            (false, _) => Outcome::ConnectFailed,
+            (true, true) => Outcome::Moot,
+            (true, false) => Outcome::Reset,
+        };
+        let _ = events.send(Event::Ended(attempt.id, End::plain(outcome))).await;
+    }
+}
+
+/// Reports the probes that had no reply as the connection ended.
+async fn report_failed_probes(connection: &Connection, events: &Sender<Event>) {
+    let probes = std::mem::take(&mut *connection.probes.borrow_mut());
+    for (tag, _) in probes {
+        let _ = events.send(Event::Probed(tag, false, None)).await;
+    }
+}
--- a/src/net/engine/mod.rs
+++ b/src/net/engine/mod.rs
@@ -1,9 +1,9 @@
-//! Engine wires: they turn attempts into what engines read, and what these say into outcomes.
+//! Engine wires: they turn attempts into the bytes that engines read, and replies of engines into outcomes.
 //!
-//! An attempt on an engine of the platform passes through `pool` (the choice of a connection) and `resp` (the bytes of
-//! the command) to its `connection`. Its `driver` writes and reads them; `replies` says what a reply means, `progress`
-//! what a progress update means, and `results` gathers the pages of a result. `clickhouse` is the other wire, complete
-//! in itself.
+//! The parts stand in the order in which data passes. An attempt on an engine of the platform goes through [`pool`]
+//! (choice of a connection) and [`resp`] (bytes of the command) to its `connection`, which a `driver` writes and reads.
+//! A reply goes through `replies` (its meaning), `progress` (progress updates) and `results` (pages of a result) back to
+//! the reducer. [`clickhouse`] is the other wire, complete in itself.
 
 pub mod pool;
 
@@ -12,8 +12,9 @@
 
 pub mod resp;
 
-mod progress;
 mod replies;
+
+mod progress;
 mod results;
 
 pub mod clickhouse;
@@ -22,19 +23,19 @@
 use crate::interface::EngineId;
 use std::net::SocketAddr;
 
-/// What the runtime asks of the engines' side, whatever they speak. News that comes at once is pushed to
-/// `events`; all else arrives through the channel.
+/// Connections to all engines, whatever they speak. Events that arise during a call are pushed to `events`; all others
+/// arrive through the channel of events.
 pub trait Engines {
     /// Sends an attempt.
     fn send(&mut self, send: Send, events: &mut Vec<Event>);
-    /// Gives one up, because its time is over or because nobody wants it any more.
+    /// Cancels an attempt, because its time is over or because its result is no longer needed.
     fn give_up(&mut self, id: AttemptId, out_of_time: bool);
-    /// Changes the priority of one.
+    /// Changes the priority of an attempt.
     fn hurry(&mut self, id: AttemptId, priority: u8);
     /// Probes an engine.
     fn probe(&mut self, tag: u64, engine: &EngineId, address: SocketAddr, events: &mut Vec<Event>);
-    /// Takes back what has not left for an engine that drains or is gone.
+    /// Withdraws the attempts on an engine that drains or has been removed, as far as none of their bytes has left.
     fn shut(&mut self, engine: &EngineId, events: &mut Vec<Event>);
-    /// Closes what has gone idle, and ends what an engine keeps back.
+    /// Closes idle connections, and ends attempts and probes whose engine has stopped answering.
     fn maintain(&mut self, events: &mut Vec<Event>);
 }
--- a/src/net/engine/pool.rs
+++ b/src/net/engine/pool.rs
@@ -1,14 +1,12 @@
-//! Connections to the platform's engines, in pools by the engine's id. The address never says which engine it
-//! is: a new engine may be given the address of one that has gone.
+//! Connections to the platform's engines, in pools by the engine's id. An address does not identify an engine: a new
+//! engine may be given the address of one that was removed.
 
 use crate::core::{AttemptId, End, Event, Send};
 use crate::interface::{EngineId, Outcome};
 use crate::limits::Limits;
-use crate::net::conn::{Close, Common, Outbox};
+use crate::net::conn::{Close, Common};
 use crate::net::engine::connection::{Connection, InFlight};
-use crate::net::engine::driver::run;
-use crate::net::engine::{resp, Engines};
-use std::cell::{Cell, RefCell};
+use crate::net::engine::{driver, resp, Engines};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,63 +14,116 @@
 use tokio::sync::mpsc::Sender;
 use tokio::time::Instant;
 
+/// The connection that an attempt was handed to, and the attempt's name there.
+struct Placement {
+    connection: Rc<Connection>,
+    name: String,
+}
+
 /// All connections to the platform's engines.
 pub struct RespEngines {
     pools: BTreeMap<EngineId, Vec<Rc<Connection>>>,
-    placements: HashMap<AttemptId, (Rc<Connection>, String)>,
+    placements: HashMap<AttemptId, Placement>,
     limits: Rc<Limits>,
     common: Rc<Common>,
     events: Sender<Event>,
 }
 
 impl RespEngines {
-    /// No connection yet.
+    /// Pools without a connection.
     pub fn new(limits: Rc<Limits>, common: Rc<Common>, events: Sender<Event>) -> Self {
         Self { pools: BTreeMap::new(), placements: HashMap::new(), limits, common, events }
     }
 
-    /// The connection with most room, one that is up before one that is not; else a new one.
+    /// The connection for an attempt of that name: the least loaded one, or a new one if all are busy and the limits
+    /// allow it. None: no connection accepts it, and none can be opened.
     fn choose_connection(
         &mut self,
         engine: &EngineId,
         address: SocketAddr,
         name: &str,
     ) -> Option<Rc<Connection>> {
+        self.retire_other_addresses(engine, address);
+        let available = self.least_loaded(engine, name);
+        if available.as_ref().is_some_and(|connection| !self.wants_another(engine, connection)) {
+            return available;
+        }
+        if self.open_connections() >= self.most_connections() {
+            return available;
+        }
+        Some(self.open_connection(engine, address))
+    }
+
+    /// Retires the connections to addresses that the engine had before. The engine has a pool from here on, which counts
+    /// towards its share of the connections.
+    fn retire_other_addresses(&mut self, engine: &EngineId, address: SocketAddr) {
         let pool = self.pools.entry(engine.clone()).or_default();
-        pool.iter().filter(|c| c.address != address).for_each(|c| c.retired.set(true));
-        let free = pool.iter().filter(|c| c.accepts(&self.limits, name));
-        let free = free.min_by_key(|c| (c.connected_at.get().is_none(), c.in_flight.borrow().len())).cloned();
-        let open = |p: &Vec<Rc<Connection>>| p.iter().filter(|c| !c.closed.get()).count();
-        let most = self.common.part(self.limits.engine_conns);
-        let part = most / self.pools.len().max(1);
-        let more = |c: &Connection| {
-            let busy = c.in_flight.borrow().len() >= self.limits.streams_wanted;
-            busy && self.pools.get(engine).map_or(0, open) < part / 2
+        for connection in pool.iter().filter(|connection| connection.address != address) {
+            connection.retired.set(true);
+        }
+    }
+
+    /// The connection with the fewest attempts in flight, an established one before one that is being opened.
+    fn least_loaded(&self, engine: &EngineId, name: &str) -> Option<Rc<Connection>> {
+        let pool = self.pools.get(engine)?;
+        let available = pool.iter().filter(|connection| connection.accepts(&self.limits, name));
+        let load = |connection: &&Rc<Connection>| {
+            (connection.connected_at.get().is_none(), connection.in_flight_count())
         };
-        if free.as_ref().is_some_and(|c| !more(c)) {
-            return free;
+        available.min_by_key(load).cloned()
+    }
+
+    /// Whether a connection is so busy that another one beside it is worth opening, within half of the engine's share.
+    fn wants_another(&self, engine: &EngineId, connection: &Connection) -> bool {
+        let share = self.most_connections() / self.pools.len().max(1);
+        let open = self.pools.get(engine).map_or(0, |pool| count_open(pool));
+        connection.in_flight_count() >= self.limits.streams_wanted && open < share / 2
+    }
+
+    /// Connections that this process may have open at once.
+    fn most_connections(&self) -> usize {
+        self.common.part(self.limits.engine_conns)
+    }
+
+    fn open_connections(&self) -> usize {
+        self.pools.values().map(|pool| count_open(pool)).sum()
+    }
+
+    fn open_connection(&mut self, engine: &EngineId, address: SocketAddr) -> Rc<Connection> {
+        let connection = Rc::new(Connection::new(address, self.common.clone()));
+        self.pools.entry(engine.clone()).or_default().push(connection.clone());
+        let run = driver::run(connection.clone(), self.limits.clone(), self.events.clone());
+        tokio::task::spawn_local(run);
+        connection
+    }
+
+    /// Closes connections that are retired or have been idle for long, once nothing is open on them.
+    fn close_unused(&self) {
+        let connections = self.pools.values().flatten();
+        for connection in connections.filter(|connection| !connection.closed.get() && connection.is_idle()) {
+            if connection.retired.get() || connection.last_used.get().elapsed() >= self.limits.idle {
+                connection.retired.set(true);
+                connection.outbox.close(Close::AfterWrite);
+            }
         }
-        if self.pools.values().map(open).sum::<usize>() >= most {
-            return free;
+    }
+
+    fn forget_closed(&mut self) {
+        for pool in self.pools.values_mut() {
+            pool.retain(|connection| !connection.closed.get());
         }
-        let connection = Rc::new(Connection {
-            address,
-            outbox: Outbox::new(self.common.clone()),
-            connected_at: Cell::new(None),
-            closed: Cell::new(false),
-            retired: Cell::new(false),
-            in_flight: RefCell::default(),
-            retired_ids: RefCell::default(),
-            probes: RefCell::default(),
-            last_used: Cell::new(Instant::now()),
-            last_received: Cell::new(Instant::now()),
-        });
-        self.pools.entry(engine.clone()).or_default().push(connection.clone());
-        tokio::task::spawn_local(run(connection.clone(), self.limits.clone(), self.events.clone()));
-        Some(connection)
+        self.pools.retain(|_, pool| !pool.is_empty());
+    }
+
+    fn forget_ended_attempts(&mut self) {
+        self.placements.retain(|id, placement| placement.connection.holds(*id, &placement.name));
     }
 }
 
+fn count_open(pool: &[Rc<Connection>]) -> usize {
+    pool.iter().filter(|connection| !connection.closed.get()).count()
+}
+
 impl Engines for RespEngines {
     fn send(&mut self, send: Send, events: &mut Vec<Event>) {
         let name = send.statement.name.clone();
@@ -81,26 +132,24 @@
             return events.push(Event::Ended(send.id, End::plain(Outcome::Moot)));
         };
         connection.last_used.set(Instant::now());
-        connection
-            .in_flight
-            .borrow_mut()
-            .insert(name.clone(), InFlight { id: send.id, sent_at: Instant::now(), result: None });
+        connection.in_flight.borrow_mut().insert(name.clone(), InFlight::new(send.id));
         connection.outbox.push(resp::want_command(&send), &self.limits);
-        self.placements.insert(send.id, (connection, name));
+        self.placements.insert(send.id, Placement { connection, name });
     }
 
     fn give_up(&mut self, id: AttemptId, out_of_time: bool) {
-        let Some((connection, name)) = self.placements.remove(&id) else { return };
-        if connection.in_flight.borrow().get(&name).is_none_or(|f| f.id != id) {
+        let Some(Placement { connection, name }) = self.placements.remove(&id) else { return };
+        if !connection.holds(id, &name) {
             return;
         }
         let Some(attempt) = connection.end_attempt(&name) else { return };
         if connection.outbox.withdraw(id) {
             return;
         }
-        // All the time that it had, however little, or more than an engine that lives says nothing for.
-        let least = if out_of_time { Duration::ZERO } else { self.limits.engine_silent };
-        connection.retire_if_silent(attempt.sent_at, least);
+        // An attempt that is out of time has waited long enough, however short its time was. Any other proves the
+        // connection silent only after a silence that no live engine keeps.
+        let silence = if out_of_time { Duration::ZERO } else { self.limits.engine_silent };
+        connection.retire_if_silent(attempt.sent_at, silence);
         let word = if attempt.result.is_some() { "shut" } else { "never_mind" };
         connection.outbox.push(resp::command(&[word, &name]), &self.limits);
         connection.retired_ids.borrow_mut().insert(name);
@@ -110,10 +159,14 @@
     }
 
     fn hurry(&mut self, id: AttemptId, priority: u8) {
-        if let Some((connection, name)) = self.placements.get(&id) {
-            if connection.in_flight.borrow().get(name).is_some_and(|f| f.id == id && f.result.is_none()) {
-                connection.outbox.push(resp::command(&["hurry", name, &priority.to_string()]), &self.limits);
-            }
+        let Some(Placement { connection, name }) = self.placements.get(&id) else { return };
+        let is_running = connection
+            .in_flight
+            .borrow()
+            .get(name)
+            .is_some_and(|attempt| attempt.id == id && attempt.result.is_none());
+        if is_running {
+            connection.outbox.push(resp::command(&["hurry", name, &priority.to_string()]), &self.limits);
         }
     }
 
@@ -128,12 +181,9 @@
     fn shut(&mut self, engine: &EngineId, events: &mut Vec<Event>) {
         for connection in self.pools.get(engine).into_iter().flatten() {
             connection.retired.set(true);
-            for id in connection.outbox.unsent() {
-                if connection.outbox.withdraw(id) {
-                    connection.in_flight.borrow_mut().retain(|_, f| f.id != id);
-                    self.placements.remove(&id);
-                    events.push(Event::Ended(id, End::plain(Outcome::Moot)));
-                }
+            for id in connection.withdraw_unsent() {
+                self.placements.remove(&id);
+                events.push(Event::Ended(id, End::plain(Outcome::Moot)));
             }
         }
     }
@@ -143,18 +193,8 @@
             connection.end_stalled_results(&self.limits, events);
             connection.expire_probes(&self.limits);
         }
-        for pool in self.pools.values_mut() {
-            for connection in pool.iter().filter(|c| !c.closed.get() && c.is_idle()) {
-                if connection.retired.get() || connection.last_used.get().elapsed() >= self.limits.idle {
-                    connection.retired.set(true);
-                    connection.outbox.close(Close::AfterWrite);
-                }
-            }
-            pool.retain(|c| !c.closed.get());
-        }
-        self.pools.retain(|_, pool| !pool.is_empty());
-        self.placements.retain(|id, (connection, name)| {
-            connection.in_flight.borrow().get(name).is_some_and(|f| f.id == *id)
-        });
+        self.close_unused();
+        self.forget_closed();
+        self.forget_ended_attempts();
     }
 }
--- a/src/net/engine/progress.rs
+++ b/src/net/engine/progress.rs
@@ -1,4 +1,4 @@
-//! Progress updates: news of an attempt that is out. They end neither the attempt nor its connection.
+//! Progress updates: news of an attempt in flight. They end neither the attempt nor its connection.
 
 use crate::core::Event;
 use crate::interface::Note;
@@ -8,11 +8,12 @@
 use crate::net::engine::resp::Reply;
 use crate::net::log;
 
-/// Codes of the progress update `w`: what a query waits for.
+/// Value of a progress update of kind `w`: the query waits for memory.
 const WAITS_FOR_MEMORY: f64 = 1.0;
+/// Value of a progress update of kind `w`: the query waits for other load.
 const WAITS_FOR_LOAD: f64 = 2.0;
 
-/// Megabytes that a query can be short of; more is no figure of an engine in order (a petabyte).
+/// Megabytes that a query can be short of; no machine has more (a petabyte).
 const MOST_MISSING_MB: f64 = 1e9;
 
 /// A progress update that cannot be used.
@@ -26,7 +27,8 @@
     /// There is one, and it cannot be used: its kind is unknown, or its figure is missing, unreadable or out of range.
     pub fn note(&self) -> Result<Option<Note>, BadNote> {
         let Some(kind) = self.field("detail").filter(|kind| !kind.is_empty()) else {
-            return if self.field("v").is_some_and(|v| !v.is_empty()) { Err(BadNote) } else { Ok(None) };
+            let has_value = self.field("v").is_some_and(|value| !value.is_empty());
+            return if has_value { Err(BadNote) } else { Ok(None) };
         };
         let value = self.number("v").ok_or(BadNote)?;
         match kind {
@@ -39,14 +41,15 @@
     }
 }
 
-/// A progress update: news of an attempt that is out, and no answer to it. One that cannot be used is dropped; the
-/// attempt and its neighbours go on.
+/// Passes a progress update on to the reducer. One that cannot be used is dropped; the attempt and the others on its
+/// connection go on.
 pub fn handle_progress_update(connection: &Connection, reply: &Reply<'_>, limits: &Limits) -> ReplyEffect {
     let in_flight = connection.in_flight.borrow();
-    // Once a result has begun its query is over.
-    let Some(attempt) = in_flight.get(reply.id).filter(|f| f.result.is_none()) else {
+    let Some(attempt) = in_flight.get(reply.id) else { return ReplyEffect::Ignored };
+    // The query is over once its result has begun.
+    if attempt.result.is_some() {
         return ReplyEffect::Ignored;
-    };
+    }
     match reply.note() {
         Ok(Some(note)) => ReplyEffect::Event(Event::Noted(attempt.id, note)),
         Ok(None) => ReplyEffect::Ignored,
--- a/src/net/engine/replies.rs
+++ b/src/net/engine/replies.rs
@@ -1,4 +1,4 @@
-//! The meaning of a reply: the outcome of an attempt, the answer to a probe, or news of an attempt that goes on.
+//! The meaning of a reply: the outcome of an attempt, the result of a probe, or news of an attempt that goes on.
 
 use crate::core::{End, Event};
 use crate::interface::Outcome;
@@ -9,34 +9,50 @@
 use crate::net::engine::results::handle_page;
 use tokio::time::Instant;
 
-/// What an answer brings.
+/// What a reply leads to.
 pub enum ReplyEffect {
-    /// It is to nothing that is open here: given up, unknown, or a second copy.
+    /// Nothing: the reply belongs to nothing that is open on the connection (cancelled, unknown, or a duplicate), or
+    /// the attempt goes on.
     Ignored,
+    /// News for the reducer.
     Event(Event),
-    /// It is none that an engine in order would give.
+    /// The reply breaks the protocol: the connection is closed.
     ProtocolError,
 }
 
-/// What an answer means.
+/// Applies a reply to the connection that it came on.
 pub fn handle_reply(connection: &Connection, reply: &Reply<'_>, limits: &Limits) -> ReplyEffect {
-    if let Some(tag) = reply.id.strip_prefix('p').and_then(|t| t.parse().ok()) {
-        if connection.probes.borrow_mut().remove(&tag).is_none() {
-            return ReplyEffect::Ignored;
-        }
-        connection.last_used.set(Instant::now());
-        return ReplyEffect::Event(Event::Probed(tag, reply.word == b"green", reply.report()));
+    if let Some(tag) = probe_tag(reply) {
+        return handle_probe_reply(connection, tag, reply);
     }
-    let outcome = match reply.word {
-        b"served" | b"rows" => return handle_page(connection, reply, limits),
-        b"overload" => Outcome::Full,
-        b"nobody" => Outcome::Moot,
-        b"crashed" => Outcome::Error,
-        b"update" => return handle_progress_update(connection, reply, limits),
-        _ => return ReplyEffect::ProtocolError,
-    };
+    match reply.word {
+        b"served" | b"rows" => handle_page(connection, reply, limits),
+        b"update" => handle_progress_update(connection, reply, limits),
+        b"overload" => handle_failure(connection, reply, Outcome::Full),
+        b"nobody" => handle_failure(connection, reply, Outcome::Moot),
+        b"crashed" => handle_failure(connection, reply, Outcome::Error),
+        _ => ReplyEffect::ProtocolError,
+    }
+}
+
+/// The tag of the probe that a reply answers, if it answers one.
+fn probe_tag(reply: &Reply<'_>) -> Option<u64> {
+    reply.id.strip_prefix('p')?.parse().ok()
+}
+
+fn handle_probe_reply(connection: &Connection, tag: u64, reply: &Reply<'_>) -> ReplyEffect {
+    if connection.probes.borrow_mut().remove(&tag).is_none() {
+        return ReplyEffect::Ignored;
+    }
+    connection.last_used.set(Instant::now());
+    ReplyEffect::Event(Event::Probed(tag, reply.word == b"green", reply.report()))
+}
+
+/// Ends an attempt that has no result.
+fn handle_failure(connection: &Connection, reply: &Reply<'_>, outcome: Outcome) -> ReplyEffect {
     let Some(attempt) = connection.end_attempt(reply.id) else { return ReplyEffect::Ignored };
-    // What ran far enough to have pages has run, whatever is said of it now.
+    // An attempt whose result has begun was executed, whatever the reply says.
     let outcome = if attempt.result.is_some() { Outcome::Error } else { outcome };
-    ReplyEffect::Event(Event::Ended(attempt.id, End { report: reply.report(), ..End::plain(outcome) }))
+    let end = End { report: reply.report(), ..End::plain(outcome) };
+    ReplyEffect::Event(Event::Ended(attempt.id, end))
 }
--- a/src/net/engine/results.rs
+++ b/src/net/engine/results.rs
@@ -1,4 +1,4 @@
-//! Pages of a result, gathered until all of them are here.
+//! Pages of a result, gathered until all of them have arrived.
 
 use crate::core::{End, Event, Rows};
 use crate::interface::Outcome;
@@ -8,59 +8,114 @@
 use crate::net::engine::resp::{self, Reply};
 use tokio::time::Instant;
 
-/// A result as its pages come in.
+/// The word of a reply that brings the first page.
+const FIRST_PAGE: &[u8] = b"served";
+
+/// A result while its pages arrive.
 #[derive(Debug)]
 pub struct PartialResult {
     pages: Vec<Option<Vec<u8>>>,
     bytes: usize,
     end: End,
-    /// When the last page came.
-    pub last_page_at: Instant,
+    last_page_at: Instant,
 }
 
-/// A page, the first with the result's measures. The attempt has ended well once all of them are here: a page
-/// that is lost is an error of an attempt that ran. A copy of a page that is here changes nothing.
-pub fn handle_page(connection: &Connection, reply: &Reply<'_>, limits: &Limits) -> ReplyEffect {
-    let mut in_flight = connection.in_flight.borrow_mut();
-    let Some(attempt) = in_flight.get_mut(reply.id) else { return ReplyEffect::Ignored };
-    let first = reply.word == b"served";
-    let whole = |name: &str, most: usize| {
-        reply.number(name).filter(|n| n.fract() == 0.0 && (1.0..=most as f64).contains(n)).map(|n| n as usize)
-    };
-    if first && attempt.result.is_none() {
-        // Pages past all sense are no result, and neither is one that does not say how many it has.
-        let Some(count) = whole("pages", limits.queue) else { return ReplyEffect::ProtocolError };
+/// What a page does to a result.
+enum PageEffect {
+    /// The page has been received before.
+    Duplicate,
+    /// Further pages are awaited.
+    Incomplete,
+    /// It is the last page that was awaited.
+    Complete,
+    /// The result has no such page, or the page is malformed or too long.
+    Invalid,
+}
+
+impl PartialResult {
+    /// A result of which the first reply has come. None: the reply does not say how many pages there are, or says more
+    /// than an engine sends.
+    fn begin(reply: &Reply<'_>, limits: &Limits) -> Option<Self> {
+        let count = positive_integer(reply, "pages", limits.queue)?;
         let end = End { work: reply.number("cost"), report: reply.report(), ..End::plain(Outcome::Ok) };
         let pages = (0..count).map(|_| None).collect();
-        attempt.result = Some(PartialResult { pages, bytes: 0, end, last_page_at: Instant::now() });
-        for page in 1..count {
-            connection.outbox.push(resp::command(&["turn", reply.id, &page.to_string()]), limits);
+        Some(Self { pages, bytes: 0, end, last_page_at: Instant::now() })
+    }
+
+    /// When the last page arrived.
+    pub fn last_page_at(&self) -> Instant {
+        self.last_page_at
+    }
+
+    fn add(&mut self, number: usize, body: &[u8], limits: &Limits) -> PageEffect {
+        match self.pages.get(number) {
+            None => return PageEffect::Invalid,
+            Some(Some(_)) => return PageEffect::Duplicate,
+            Some(None) => {}
+        }
+        if !resp::has_whole_rows(body) || self.bytes + body.len() > limits.result_bytes {
+            return PageEffect::Invalid;
         }
+        self.last_page_at = Instant::now();
+        self.bytes += body.len();
+        self.pages[number] = Some(body.to_vec());
+        if self.pages.iter().any(Option::is_none) {
+            return PageEffect::Incomplete;
+        }
+        PageEffect::Complete
     }
-    let number = if first { Some(0) } else { whole("page", limits.queue) };
+
+    fn into_end(self) -> End {
+        let rows = Rows { parts: self.pages.into_iter().flatten().collect(), headers: Vec::new() };
+        End { rows, ..self.end }
+    }
+}
+
+/// Applies a page to the result of its attempt. The first one also carries the measures of the result. The attempt
+/// succeeds once all pages are here; a page that is lost is an error of an attempt that was executed.
+pub fn handle_page(connection: &Connection, reply: &Reply<'_>, limits: &Limits) -> ReplyEffect {
+    let mut in_flight = connection.in_flight.borrow_mut();
+    let Some(attempt) = in_flight.get_mut(reply.id) else { return ReplyEffect::Ignored };
+    let is_first = reply.word == FIRST_PAGE;
+    if is_first && attempt.result.is_none() {
+        let Some(result) = PartialResult::begin(reply, limits) else { return ReplyEffect::ProtocolError };
+        request_further_pages(connection, reply.id, result.pages.len(), limits);
+        attempt.result = Some(result);
+    }
+    let number = if is_first { Some(0) } else { positive_integer(reply, "page", limits.queue) };
     let (Some(result), Some(number)) = (attempt.result.as_mut(), number) else {
         return ReplyEffect::ProtocolError;
     };
-    match result.pages.get(number) {
-        Some(Some(_)) => return ReplyEffect::Ignored,
-        Some(None)
-            if resp::has_whole_rows(reply.body) && result.bytes + reply.body.len() <= limits.result_bytes => {
-        }
-        _ => return ReplyEffect::ProtocolError,
-    }
-    result.last_page_at = Instant::now();
-    result.bytes += reply.body.len();
-    result.pages[number] = Some(reply.body.to_vec());
-    if result.pages.iter().any(Option::is_none) {
-        return ReplyEffect::Ignored;
+    let effect = result.add(number, reply.body, limits);
+    drop(in_flight);
+    match effect {
+        PageEffect::Duplicate | PageEffect::Incomplete => ReplyEffect::Ignored,
+        PageEffect::Complete => end_with_result(connection, reply.id, limits),
+        PageEffect::Invalid => ReplyEffect::ProtocolError,
     }
-    if result.pages.len() > 1 {
-        connection.outbox.push(resp::command(&["shut", reply.id]), limits);
+}
+
+/// Asks for all pages after the first.
+fn request_further_pages(connection: &Connection, name: &str, count: usize, limits: &Limits) {
+    for page in 1..count {
+        connection.outbox.push(resp::command(&["turn", name, &page.to_string()]), limits);
     }
-    drop(in_flight);
-    let Some(InFlight { id, result: Some(result), .. }) = connection.end_attempt(reply.id) else {
+}
+
+/// Ends an attempt whose result is complete. An engine that sent several pages is told to release them.
+fn end_with_result(connection: &Connection, name: &str, limits: &Limits) -> ReplyEffect {
+    let Some(InFlight { id, result: Some(result), .. }) = connection.end_attempt(name) else {
         return ReplyEffect::Ignored;
     };
-    let rows = Rows { parts: result.pages.into_iter().flatten().collect(), headers: Vec::new() };
-    ReplyEffect::Event(Event::Ended(id, End { rows, ..result.end }))
+    if result.pages.len() > 1 {
+        connection.outbox.push(resp::command(&["shut", name]), limits);
+    }
+    ReplyEffect::Event(Event::Ended(id, result.into_end()))
+}
+
+/// The value of a field that is a whole number from 1 to `most`.
+fn positive_integer(reply: &Reply<'_>, field: &str, most: usize) -> Option<usize> {
+    let value = reply.number(field)?;
+    let is_valid = value.fract() == 0.0 && (1.0..=most as f64).contains(&value);
+    is_valid.then_some(value as usize)
 }
