Runtime: one module for each job around a short loop

Change: net/runtime/ holds startup, listeners, inputs (signals, events, calls and timers, told to the loop as a `Wake`), cycle, effects, calls, peers, reload and shutdown; mod.rs keeps the state and the loop. What `serve` held in variables is state of `Runtime`.

Log lines are the same; the module that JSON lines name as target is the new one.

--- /dev/null
+++ b/src/net/runtime/calls.rs
@@ -0,0 +1,60 @@
+//! Operators' calls, and what they change.
+
+use crate::core::Event;
+use crate::net::handover::Refused;
+use crate::net::runtime::Runtime;
+use starlingplank_operation::calls::{Call, Reply};
+use starlingplank_operation::figures::Now;
+use starlingplank_operation::hand::{Hand, No};
+
+impl Runtime {
+    /// Answers a call of staff. What it changes is news for the reducer.
+    pub fn call(&mut self, call: Call, events: &mut Vec<Event>) -> Reply {
+        match call {
+            Call::Ready if self.terminated.is_some() => Reply::line(503, "ending"),
+            Call::Ready if !self.listening || self.core.awaits_list() => {
+                Reply::line(503, "starting: the list of engines is awaited")
+            }
+            Call::Ready => Reply::line(200, "ready"),
+            Call::Telemetry => {
+                let names: Vec<_> = self.desk.settings.classes.iter().map(|c| c.name.as_str()).collect();
+                let (cluster_size, cluster_unhealthy) = self.core.engines();
+                let now = Now { current: self.desk.current(), cluster_size, cluster_unhealthy };
+                Reply { status: 200, text: self.desk.common.figures.text(&names, now) }
+            }
+            Call::Exclude(id) => {
+                let (listed, now) = (self.core.lists(&id), self.desk.clock.now());
+                self.change(&id, "out", events, |hand| hand.exclude(&id, listed, now))
+            }
+            Call::Include(id) => {
+                let (listed, now) = (self.core.lists(&id), self.desk.clock.now());
+                self.change(&id, "in use", events, |hand| hand.include(&id, listed, now))
+            }
+        }
+    }
+
+    fn change(
+        &mut self,
+        id: &str,
+        what: &str,
+        events: &mut Vec<Event>,
+        change: impl FnOnce(&mut Hand) -> Result<bool, No>,
+    ) -> Reply {
+        let Some(h) = &mut self.handover else {
+            return Reply::line(503, "the call cannot be kept for the next version: no folder is open");
+        };
+        match h.change(change) {
+            Ok(changed) => {
+                tracing::info!("by hand: {id} is {what}{}", if changed.is_some() { "" } else { " already" });
+                events.extend(changed.map(Event::Hand));
+                Reply::line(200, format_args!("{id} is {what}"))
+            }
+            Err(Refused::No(why @ No::Unknown)) => Reply::line(404, format_args!("{id}: {why}")),
+            Err(Refused::No(why)) => Reply::line(503, format_args!("{id}: {why}")),
+            Err(Refused::Disk(why)) => {
+                tracing::error!("by hand: {id} is not {what}: {why}");
+                Reply::line(503, format_args!("{id}: the call cannot be kept for the next version: {why}"))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/runtime/effects.rs
@@ -0,0 +1,77 @@
+//! Performs the effects that the reducer asks for.
+
+use crate::core::{Answer, Effect, End, Event, Send};
+use crate::interface::{Outcome, Repeat};
+use crate::net::runtime::Runtime;
+use starlingplank_knowledge::gate::{self, Sent};
+
+impl Runtime {
+    /// Performs one effect. Events that arise at once are pushed to `news`.
+    pub fn perform(&mut self, effect: Effect, news: &mut Vec<Event>) {
+        trace_effect(&effect);
+        match effect {
+            Effect::Send(send) if self.record(&send) => self.engines.send(send, news),
+            Effect::Send(send) => news.push(Event::Ended(send.id, End::plain(Outcome::Moot))),
+            Effect::GiveUp(id, _, outcome) => self.engines.give_up(id, outcome == Outcome::Timeout),
+            Effect::Hurry(id, _, priority) => self.engines.hurry(id, priority),
+            Effect::Probe(tag, engine, address) => self.engines.probe(tag, &engine, address, news),
+            Effect::Shut(engine) => self.engines.shut(&engine, news),
+            Effect::Begin(id, rows) => self.desk.begin(id, rows),
+            Effect::Part(id, bytes) => self.desk.part(id, bytes),
+            Effect::Answer(id, answer) => self.desk.answer(id, answer),
+            Effect::Refused(id, class, why, waited) => tracing::debug!(
+                "request {} of {} was refused after {waited:.1} ms: {why}",
+                id.0,
+                self.desk.settings.classes[class.0].name
+            ),
+            Effect::Record(number, key, sent) => {
+                if !self.keep.record(number, key, sent) {
+                    news.push(Event::RecordsFailed(vec![number]));
+                }
+            }
+            // One that does not fit is not there: the log then is trusted for less long.
+            Effect::Mark(at, shut_until) => drop(self.keep.mark((at, shut_until))),
+            Effect::Rewrite(rewrite) => {
+                if !self.keep.rewrite(rewrite) {
+                    news.push(Event::RecordsFailed(Vec::new()));
+                }
+            }
+            Effect::Exit => self.exit = true,
+        }
+    }
+
+    /// Records a keyed send for other processes of this gateway; false: it is not recorded, and must not leave.
+    fn record(&mut self, send: &Send) -> bool {
+        let (Some(h), Some(key)) = (&mut self.handover, &send.statement.key) else { return true };
+        let Repeat::Keyed { window, .. } = self.desk.settings.classes[send.class.0].repeat else {
+            return true;
+        };
+        let recorded = h.record(gate::key(key), Sent { at: self.desk.clock.now(), window });
+        if let Err(e) = &recorded {
+            tracing::error!("a keyed request was not sent, as other versions would not hear of it: {e}");
+        }
+        recorded.is_ok()
+    }
+}
+
+/// What is asked for, a line each, at the level `trace`.
+fn trace_effect(effect: &Effect) {
+    match effect {
+        Effect::Send(s) => {
+            tracing::trace!("send {}.{} to {} for {:.0} ms", s.id.0 .0, s.id.1, s.engine.0, s.budget)
+        }
+        Effect::GiveUp((id, n), engine, _) => tracing::trace!("give up {}.{n} on {}", id.0, engine.0),
+        Effect::Probe(tag, engine, _) => tracing::trace!("probe {tag} to {}", engine.0),
+        Effect::Shut(engine) => tracing::trace!("shut {}", engine.0),
+        Effect::Answer(id, answer) => {
+            let kind = match answer {
+                Answer::Served(_) | Answer::Finished => "served",
+                Answer::Refused(_) => "refused",
+                Answer::Cut | Answer::Failed(_) => "failed",
+                Answer::Expired => "expired",
+            };
+            tracing::trace!("answer {} {kind}", id.0);
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/src/net/runtime/inputs.rs
@@ -0,0 +1,131 @@
+//! Everything that the loop waits for: signals, events, operators' calls and timers.
+
+use crate::config::KnowledgeSettings;
+use crate::core::Event;
+use crate::limits::Limits;
+use crate::net::operate::Asked;
+use std::io;
+use std::time::Duration;
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::mpsc::Receiver;
+use tokio::time::{interval, interval_at, sleep_until, Instant, Interval, MissedTickBehavior};
+
+/// What wakes the loop.
+pub enum Wake {
+    /// An event for the reducer.
+    Event(Option<Event>),
+    /// A timer of the reducer is due.
+    Due,
+    /// The maintenance tick of the connections to engines.
+    MaintainEngines,
+    /// It is time to look at other processes of this gateway.
+    Look,
+    /// An operator calls.
+    Call(Asked),
+    /// The maintenance tick of what is kept through restarts.
+    Tend,
+    /// It is time for a snapshot.
+    Snapshot,
+    /// SIGHUP.
+    Reload,
+    /// SIGTERM.
+    Terminate,
+}
+
+/// The signals that the program handles.
+pub struct Signals {
+    terminate: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    /// Registers the handlers.
+    ///
+    /// # Errors
+    /// The system does not take a handler.
+    pub fn register() -> io::Result<Self> {
+        let terminate = signal(SignalKind::terminate())?;
+        let hangup = signal(SignalKind::hangup())?;
+        Ok(Self { terminate, hangup })
+    }
+}
+
+/// The timers of the loop. A tick that comes late delays those after it.
+pub struct Timers {
+    maintain: Interval,
+    tend: Interval,
+    snapshots: Interval,
+    look: Interval,
+}
+
+impl Timers {
+    /// Starts all timers. All but the one for snapshots tick at once.
+    pub fn start(limits: &Limits, knowledge: Option<&KnowledgeSettings>) -> Self {
+        let every = knowledge.map_or(limits.tend, |k| Duration::from_secs_f64(k.every / 1000.0));
+        Self {
+            maintain: delayed(interval(limits.sweep)),
+            tend: delayed(interval(limits.tend)),
+            snapshots: delayed(interval_at(Instant::now() + every, every)),
+            look: delayed(interval(limits.look)),
+        }
+    }
+}
+
+fn delayed(mut timer: Interval) -> Interval {
+    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    timer
+}
+
+/// Inputs that are waited for only in some gateways.
+#[derive(Debug, Clone, Copy)]
+pub struct Optional {
+    /// It matters what other processes of this gateway do.
+    pub peers: bool,
+    /// Knowledge is kept through restarts.
+    pub knowledge: bool,
+}
+
+/// Everything that the loop waits for.
+pub struct Inputs {
+    /// Signals.
+    pub signals: Signals,
+    /// Events for the reducer.
+    pub events: Receiver<Event>,
+    /// Operators' calls.
+    pub calls: Receiver<Asked>,
+    /// Timers.
+    pub timers: Timers,
+}
+
+impl Inputs {
+    /// Waits for the next input, until `due` at the longest.
+    pub async fn next(&mut self, due: Instant, optional: Optional) -> Wake {
+        let (signals, timers) = (&mut self.signals, &mut self.timers);
+        tokio::select! {
+            event = self.events.recv() => Wake::Event(event),
+            () = sleep_until(due) => Wake::Due,
+            _ = timers.maintain.tick() => Wake::MaintainEngines,
+            _ = timers.look.tick(), if optional.peers => Wake::Look,
+            Some(asked) = self.calls.recv() => Wake::Call(asked),
+            _ = timers.tend.tick(), if optional.knowledge => Wake::Tend,
+            _ = timers.snapshots.tick(), if optional.knowledge => Wake::Snapshot,
+            _ = signals.hangup.recv() => Wake::Reload,
+            _ = signals.terminate.recv() => Wake::Terminate,
+        }
+    }
+
+    /// Takes the events that wait, until there are so many.
+    pub fn drain_events(&mut self, events: &mut Vec<Event>, most: usize) {
+        while let Ok(event) = self.events.try_recv() {
+            events.push(event);
+            if events.len() >= most {
+                break;
+            }
+        }
+    }
+
+    /// A call that waits, if there is one.
+    pub fn next_waiting_call(&mut self) -> Option<Asked> {
+        self.calls.try_recv().ok()
+    }
+}
--- /dev/null
+++ b/src/net/runtime/listeners.rs
@@ -0,0 +1,141 @@
+//! Listeners for clients: each connection is served by a task of its own, as long as there is room for it.
+
+use crate::config::Config;
+use crate::net::front::{clickhouse, thrift, Desk, Listens, Seat};
+use crate::net::log;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{AcquireError, OwnedSemaphorePermit};
+use tokio::time::{sleep, timeout_at, Instant};
+
+/// Connections that may wait to be accepted: as many as the library's own listener takes.
+const BACKLOG: u32 = 1024;
+
+/// A place among the connections that wait for room.
+type WaitingPlace = Result<OwnedSemaphorePermit, AcquireError>;
+
+/// Listens for clients. Where a new version may take over, both listen at the same address.
+///
+/// # Errors
+/// An address cannot be listened at.
+pub async fn listen_to_clients(config: &Config, desk: &Rc<Desk>) -> io::Result<()> {
+    let shared = config.operator.is_some();
+    let listener = bind(config.listen, shared).await?;
+    tracing::info!("{} listens at {}", config.name, listener.local_addr()?);
+    let thrift_desk = desk.clone();
+    accept(listener, desk, move |stream, seat| thrift::serve(stream, seat, thrift_desk.clone()));
+    if let Some((at, rules)) = &config.clickhouse {
+        let listener = bind(*at, shared).await?;
+        tracing::info!("{} listens at {} for ClickHouse HTTP", config.name, listener.local_addr()?);
+        let (http_desk, rules) = (desk.clone(), Rc::new(rules.clone()));
+        accept(listener, desk, move |stream, seat| {
+            clickhouse::serve(stream, seat, http_desk.clone(), rules.clone())
+        });
+    }
+    Ok(())
+}
+
+async fn bind(at: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    if !shared {
+        return TcpListener::bind(at).await;
+    }
+    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
+    socket.bind(at)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts connections in a task of its own.
+fn accept<S, F>(listener: TcpListener, desk: &Rc<Desk>, serve: S)
+where
+    S: Fn(TcpStream, Rc<Seat>) -> F + Clone + 'static,
+    F: Future<Output = ()> + 'static,
+{
+    let acceptor = Acceptor { desk: desk.clone(), serve, listens: desk.listens() };
+    tokio::task::spawn_local(acceptor.run(listener));
+}
+
+/// Accepts the connections of one listener.
+struct Acceptor<S> {
+    desk: Rc<Desk>,
+    /// The front that serves a connection.
+    serve: S,
+    /// Held while further connections may come.
+    listens: Listens,
+}
+
+impl<S, F> Acceptor<S>
+where
+    S: Fn(TcpStream, Rc<Seat>) -> F + Clone + 'static,
+    F: Future<Output = ()> + 'static,
+{
+    async fn run(self, listener: TcpListener) {
+        self.accept_until_closing(&listener).await;
+        self.empty_backlog(listener).await;
+    }
+
+    /// Accepts connections until another process takes over or this one is about to end. A few may wait for room at once,
+    /// so that one client that waits keeps out nobody for whom there is some.
+    async fn accept_until_closing(&self, listener: &TcpListener) {
+        let mut closing = self.desk.closing.subscribe();
+        let waiting = self.desk.waiting_places.clone();
+        loop {
+            let accepted = tokio::select! {
+                biased;
+                _ = closing.wait_for(|closing| *closing) => return,
+                accepted = async { (waiting.clone().acquire_owned().await, listener.accept().await) } => accepted,
+            };
+            match accepted {
+                (place, Ok((stream, _))) => self.spawn(stream, place),
+                // Out of descriptors, or the client left again: others may still be served.
+                (_, Err(e)) => {
+                    tracing::error!("accept: {e}");
+                    sleep(self.desk.limits.names_poll).await;
+                }
+            }
+        }
+    }
+
+    /// Accepts what lies in the queue of the listener: as the listener is closed, it would be reset. The listener is
+    /// closed in the call after the one that found the queue empty.
+    async fn empty_backlog(&self, listener: TcpListener) {
+        let until = Instant::now() + self.desk.limits.front_wait;
+        let waiting = self.desk.waiting_places.clone();
+        let Ok(queue) = listener.into_std() else { return };
+        loop {
+            let Ok(place) = timeout_at(until, waiting.clone().acquire_owned()).await else {
+                tracing::warn!(
+                    "more connections came than could be taken before this process stopped listening"
+                );
+                return;
+            };
+            let Ok((stream, _)) = queue.accept() else { return };
+            if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
+                self.spawn(stream, place);
+            }
+        }
+    }
+
+    fn spawn(&self, stream: TcpStream, place: WaitingPlace) {
+        let (desk, serve, listens) = (self.desk.clone(), self.serve.clone(), self.listens.clone());
+        tokio::task::spawn_local(seat(stream, desk, serve, place, listens));
+    }
+}
+
+/// Serves a connection, once there is room for it.
+async fn seat<S, F>(stream: TcpStream, desk: Rc<Desk>, serve: S, place: WaitingPlace, _listens: Listens)
+where
+    S: Fn(TcpStream, Rc<Seat>) -> F,
+    F: Future<Output = ()>,
+{
+    let Some(seat) = desk.connect().await else {
+        return log::seldom(&desk.limits, "a connection was closed: all others have requests open");
+    };
+    drop(place);
+    serve(stream, seat.clone()).await;
+    desk.disconnect(&seat);
+}
--- /dev/null
+++ b/src/net/runtime/mod.rs
@@ -0,0 +1,215 @@
+//! The event loop around the reducer: one thread, as the machine has one core.
+//!
+//! The parts stand in the order in which they take part: `startup` opens and recovers everything; `listeners` take
+//! clients' connections; `inputs` tells what happens next; `cycle` hands it to the reducer and `effects` performs what
+//! the reducer asks for; `peers`, `calls` and `reload` deal with other processes of this gateway, operators and SIGHUP;
+//! `shutdown` ends the process.
+
+mod startup;
+
+mod listeners;
+
+mod inputs;
+
+mod cycle;
+mod effects;
+
+mod calls;
+mod peers;
+mod reload;
+
+mod shutdown;
+
+use crate::config::Config;
+use crate::core::{Core, Event};
+use crate::interface::Ms;
+use crate::net::engine::Engines;
+use crate::net::front::{Desk, Leaving};
+use crate::net::handover::Handover;
+use crate::net::keep::Keep;
+use inputs::{Inputs, Optional, Signals, Timers, Wake};
+use starlingplank_operation::lives::Stage;
+use startup::Started;
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+
+/// Serves until SIGTERM, then until all requests that were accepted are answered. At SIGHUP `reload` reads the
+/// configuration again: the address of the name service may change, while connections, requests and all that was learned
+/// stay.
+///
+/// # Errors
+/// An address cannot be listened at, or the settings contradict themselves.
+pub async fn serve(config: Config, reload: impl Fn() -> Result<Config, String>) -> io::Result<()> {
+    // Before anything else: a signal without a handler would end the program.
+    let signals = Signals::register()?;
+    let Started { events, calls, mut gateway } = startup::start(config).await?;
+    let timers = Timers::start(&gateway.desk.limits, gateway.config.knowledge.as_ref());
+    let mut inputs = Inputs { signals, events, calls, timers };
+    gateway.run(&mut inputs, &reload).await?;
+    gateway.shut_down(inputs).await;
+    Ok(())
+}
+
+/// The gateway around its reducer.
+struct Runtime {
+    config: Config,
+    core: Core,
+    engines: Box<dyn Engines>,
+    desk: Rc<Desk>,
+    /// What is shared with other processes of this gateway, if anything.
+    handover: Option<Handover>,
+    /// What is kept through restarts.
+    keep: Keep,
+    /// The queue of events for the reducer.
+    events: mpsc::Sender<Event>,
+    /// Where the name service is, for the task that polls it.
+    names: watch::Sender<Option<SocketAddr>>,
+    /// Operators' connections that are open.
+    callers: Rc<Cell<usize>>,
+    /// When it began to wait for the list of engines.
+    started: Instant,
+    /// It listens to clients.
+    listening: bool,
+    /// When SIGTERM came.
+    terminated: Option<Instant>,
+    /// All that was taken is answered, and the window is over.
+    exit: bool,
+    /// The name service has answered.
+    heard_list: bool,
+    statistics: LoopStatistics,
+}
+
+/// How well the loop kept its times.
+#[derive(Debug, Default)]
+struct LoopStatistics {
+    /// The longest that it was busy without a break.
+    longest_turn: Duration,
+    /// The most by which a timer of the reducer was late, in milliseconds.
+    most_late: Ms,
+}
+
+impl LoopStatistics {
+    fn count_turn(&mut self, begun: Instant) {
+        self.longest_turn = self.longest_turn.max(begun.elapsed());
+    }
+
+    fn count_delay(&mut self, late: Ms) {
+        self.most_late = self.most_late.max(late);
+    }
+}
+
+impl Runtime {
+    /// Runs the loop until the process may end.
+    async fn run(
+        &mut self,
+        inputs: &mut Inputs,
+        reload: &impl Fn() -> Result<Config, String>,
+    ) -> io::Result<()> {
+        loop {
+            if !self.listening && self.may_listen(self.started.elapsed()) {
+                self.listen_to_clients().await?;
+            }
+            if self.terminated.is_some_and(|at| self.has_left(at)) {
+                return Ok(());
+            }
+            let due_at = self.core.next_due();
+            let wake = inputs.next(self.wake_by(due_at), self.optional_inputs()).await;
+            let mut events = Vec::new();
+            self.handle_wake(wake, reload, &mut events);
+            inputs.drain_events(&mut events, self.desk.limits.queue);
+            let late = self.check_delay(due_at);
+            while let Some((call, reply_to)) = inputs.next_waiting_call() {
+                drop(reply_to.send(self.call(call, &mut events)));
+            }
+            let begun = Instant::now();
+            self.exit = false;
+            self.handle(events);
+            self.statistics.count_turn(begun);
+            self.statistics.count_delay(late);
+        }
+    }
+
+    /// Begins to listen to clients, and says so to other processes of this gateway.
+    async fn listen_to_clients(&mut self) -> io::Result<()> {
+        listeners::listen_to_clients(&self.config, &self.desk).await?;
+        self.listening = true;
+        self.say(Stage::Listening);
+        Ok(())
+    }
+
+    /// When the loop goes on at the latest.
+    fn wake_by(&self, due_at: Option<Ms>) -> Instant {
+        match due_at {
+            Some(at) => self.desk.clock.instant(at).into(),
+            None => Instant::now() + self.desk.limits.sweep,
+        }
+    }
+
+    fn optional_inputs(&self) -> Optional {
+        Optional { peers: self.handover.is_some() || self.keep.waits(), knowledge: self.keep.is_on() }
+    }
+
+    /// Turns what has woken the loop into events for the reducer.
+    fn handle_wake(
+        &mut self,
+        wake: Wake,
+        reload: &impl Fn() -> Result<Config, String>,
+        events: &mut Vec<Event>,
+    ) {
+        match wake {
+            Wake::Event(event) => events.extend(event),
+            Wake::Due => {}
+            Wake::MaintainEngines => self.engines.maintain(events),
+            Wake::Look => self.watch_handover(events),
+            Wake::Call((call, reply_to)) => drop(reply_to.send(self.call(call, events))),
+            Wake::Tend => events.push(Event::Tend),
+            Wake::Snapshot => self.write_snapshot(),
+            Wake::Reload => self.reload(reload()),
+            Wake::Terminate => self.begin_termination(events),
+        }
+    }
+
+    /// Looks at other processes of this gateway, and takes the folder of knowledge over once its owner has ended.
+    fn watch_handover(&mut self, events: &mut Vec<Event>) {
+        events.extend(self.look());
+        if self.keep.waits() && self.take_over_knowledge() {
+            events.push(Event::Tend);
+        }
+    }
+
+    fn take_over_knowledge(&mut self) -> bool {
+        let now = self.desk.clock.now();
+        self.keep.take_over(&self.config, &mut self.core, now, &self.events)
+    }
+
+    fn write_snapshot(&mut self) {
+        let begun = Instant::now();
+        self.keep.snapshot(&self.core, self.desk.clock.now());
+        self.keep.list(&self.core, &self.desk.settings);
+        self.statistics.count_turn(begun);
+    }
+
+    fn begin_termination(&mut self, events: &mut Vec<Event>) {
+        tracing::info!("SIGTERM: answering what was taken");
+        self.terminated = Some(Instant::now());
+        self.desk.leave_by(Leaving::Alone);
+        events.push(Event::Terminate);
+        events.extend(self.look());
+        self.keep.snapshot(&self.core, self.desk.clock.now());
+    }
+
+    /// By how much a timer of the reducer is late. Answers that were due in a pause of the process are late through no
+    /// decision, so the log tells of it.
+    fn check_delay(&self, due_at: Option<Ms>) -> Ms {
+        let late = due_at.map_or(0.0, |at| self.desk.clock.now() - at);
+        if late > self.desk.limits.stall {
+            tracing::warn!("stood still for {late:.0} ms");
+        }
+        late
+    }
+}
--- /dev/null
+++ b/src/net/runtime/peers.rs
@@ -0,0 +1,48 @@
+//! Other processes of this gateway: when this one may listen, and when it hands over to a newer one.
+
+use crate::core::Event;
+use crate::net::front::Leaving;
+use crate::net::runtime::Runtime;
+use starlingplank_operation::lives::{self, Stage};
+use std::time::Duration;
+
+impl Runtime {
+    /// Whether clients may come.
+    pub fn may_listen(&self, waited: Duration) -> bool {
+        let Some(h) = &self.handover else { return true };
+        lives::may_listen(h.own(), &h.others(), self.heard_list, !self.core.awaits_list(), waited)
+    }
+
+    pub fn say(&self, stage: Stage) {
+        if let Some(Err(e)) = self.handover.as_ref().map(|h| h.say(stage)) {
+            tracing::error!("other versions cannot see how far this one is: {e}");
+        }
+    }
+
+    /// Looks at what other processes of this gateway do, and goes by it.
+    pub fn look(&mut self) -> Vec<Event> {
+        let now = self.desk.clock.now();
+        let Some(h) = &mut self.handover else { return Vec::new() };
+        let seen = h.look(now);
+        for to in seen.newcomers {
+            h.pass_on(to, &self.config.name, &self.core, now, &self.desk.limits);
+        }
+        let (own, others) = (h.own(), h.others());
+        let mut events = Vec::new();
+        events.extend(seen.hand.map(Event::Hand));
+        if !seen.keys.is_empty() {
+            events.push(Event::Heard(seen.keys));
+        }
+        let processes = lives::processes(&others);
+        if self.desk.common.processes.replace(processes) != processes {
+            events.push(Event::Processes(processes));
+        }
+        if self.desk.leaving() == Leaving::Alone && lives::hands_over(own, &others) {
+            tracing::info!("a new version listens: what is open is answered, and the rest is for it");
+            self.desk.leave_by(Leaving::AfterAnswer);
+            self.say(Stage::Leaving);
+            events.push(Event::HandOver);
+        }
+        events
+    }
+}
--- /dev/null
+++ b/src/net/runtime/startup.rs
@@ -0,0 +1,199 @@
+//! Everything that is opened and recovered before the loop begins.
+
+use crate::config::{Config, EngineWire};
+use crate::core::{Core, Event, Listed};
+use crate::limits::Limits;
+use crate::net::conn::Common;
+use crate::net::engine::clickhouse::HttpEngines;
+use crate::net::engine::pool::RespEngines;
+use crate::net::engine::Engines;
+use crate::net::front::Desk;
+use crate::net::handover::{self, Handover};
+use crate::net::keep::{self, Keep};
+use crate::net::names;
+use crate::net::operate::{self, Asked};
+use crate::net::runtime::{LoopStatistics, Runtime};
+use starlingplank_knowledge::list::KeptList;
+use starlingplank_knowledge::recall;
+use starlingplank_operation::heard::Heard;
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{self, Receiver, Sender};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// A gateway that is ready for its loop.
+pub struct Started {
+    /// Events for the reducer.
+    pub events: Receiver<Event>,
+    /// Operators' calls.
+    pub calls: Receiver<Asked>,
+    /// The gateway.
+    pub gateway: Runtime,
+}
+
+/// Opens everything, recovers what earlier processes of this gateway left, and begins with the first list of engines.
+///
+/// # Errors
+/// An address cannot be listened at, the settings contradict themselves, or the folder of knowledge is required and
+/// cannot be used.
+pub async fn start(config: Config) -> io::Result<Started> {
+    let limits = Rc::new(config.limits.clone());
+    let settings = Rc::new(config.settings.clone());
+    let (sender, events) = mpsc::channel(limits.queue);
+    let desk = Desk::new(settings, limits.clone(), sender.clone());
+    let core = Core::new(config.settings.clone(), config.limits.clone(), desk.clock.now());
+    let mut core = core.map_err(io::Error::other)?;
+    let keep = Keep::open(&config, &mut core, desk.clock.now(), &sender)?;
+    let engines = open_engines(config.engines, limits.clone(), desk.common.clone(), sender.clone());
+    let (call_sender, calls) = mpsc::channel(limits.callers);
+    let callers = Rc::new(Cell::new(0));
+    let mut handover = None;
+    if let Some(at) = config.operator {
+        listen_to_operators(at, &config.name, &desk, call_sender, callers.clone()).await?;
+        handover = open_handover(&config, &desk);
+    }
+    let mut gateway = Runtime {
+        names: watch::Sender::new(config.names),
+        config,
+        core,
+        engines,
+        desk,
+        handover,
+        keep,
+        events: sender,
+        callers,
+        started: Instant::now(),
+        listening: false,
+        terminated: None,
+        exit: false,
+        heard_list: false,
+        statistics: LoopStatistics::default(),
+    };
+    let inherited = gateway.inherit_from_peers().await;
+    gateway.claim_knowledge()?;
+    gateway.started = Instant::now();
+    gateway.begin(inherited);
+    gateway.poll_names();
+    Ok(Started { events, calls, gateway })
+}
+
+fn open_engines(
+    wire: EngineWire,
+    limits: Rc<Limits>,
+    common: Rc<Common>,
+    events: Sender<Event>,
+) -> Box<dyn Engines> {
+    match wire {
+        EngineWire::Resp => Box::new(RespEngines::new(limits, common, events)),
+        EngineWire::ClickHouse => Box::new(HttpEngines::new(limits, common, events)),
+    }
+}
+
+/// Listens at the second address, where operators call.
+async fn listen_to_operators(
+    at: SocketAddr,
+    name: &str,
+    desk: &Desk,
+    calls: Sender<Asked>,
+    callers: Rc<Cell<usize>>,
+) -> io::Result<()> {
+    let listener = TcpListener::bind(at).await?;
+    tracing::info!("{name} listens at {} for its operators", listener.local_addr()?);
+    let (limits, common) = (desk.limits.clone(), desk.common.clone());
+    tokio::task::spawn_local(operate::listen(listener, limits, common, calls, callers));
+    Ok(())
+}
+
+/// Opens the folder that the processes of this gateway share. Without it the gateway serves on its own.
+fn open_handover(config: &Config, desk: &Desk) -> Option<Handover> {
+    let folder = handover::folder(&std::env::temp_dir(), &config.name, config.listen);
+    match Handover::open(&folder, desk.clock.now()) {
+        Ok(opened) => {
+            tracing::info!("{}", opened.describe());
+            Some(opened)
+        }
+        Err(e) => {
+            tracing::error!("nothing is shared with other versions: {}: {e}", folder.display());
+            None
+        }
+    }
+}
+
+impl Runtime {
+    /// Takes over what other processes of this gateway know: keys that were sent, operators' exclusions, what was learned
+    /// and what was heard of the list service.
+    async fn inherit_from_peers(&mut self) -> Vec<Event> {
+        let Some(handover) = &mut self.handover else { return Vec::new() };
+        let (config, clock, limits) = (&self.config, &self.desk.clock, &self.desk.limits);
+        let mut inherited = vec![Event::Heard(handover.look(clock.now()).keys)];
+        // A folder of knowledge that an earlier process of this gateway holds is followed; one that another gateway holds
+        // is not.
+        if !handover.others().is_empty() {
+            self.keep.follow(config, &mut self.core, clock.now());
+        }
+        inherited.push(Event::Hand(handover.hand().clone()));
+        let rules = recall::Rules { tip_after: config.settings.tip_after, ..recall::DEFAULT };
+        if let Some(recall) = handover.learned(clock.now(), rules, limits).await {
+            self.core.remember(recall);
+        }
+        // Without a list service the list at the start is the list.
+        let heard = handover.heard().filter(|_| config.names.is_some());
+        inherited.extend(heard.map(Event::Earlier));
+        inherited
+    }
+
+    /// Takes the folder of knowledge where no other process of this gateway has it.
+    fn claim_knowledge(&mut self) -> io::Result<()> {
+        let shared = self.handover.as_ref().is_some_and(|handover| !handover.others().is_empty());
+        if self.keep.waits() && !shared && !self.take_over_knowledge() {
+            self.keep.refuse(&self.config)?;
+        }
+        Ok(())
+    }
+
+    /// Hands the reducer its first events: what was inherited and the list of engines at the start.
+    fn begin(&mut self, mut inherited: Vec<Event>) {
+        let observed = self.look();
+        let known = self.initial_list(&mut inherited);
+        let first = [Event::List(self.config.serial, known), Event::Tend];
+        self.handle(inherited.into_iter().chain(first).chain(observed));
+        if self.config.names.is_some() {
+            self.core.await_list(self.desk.clock.now());
+            self.desk.awaits_list.set(self.core.awaits_list());
+        }
+        // Without a name service the list at the start is the list.
+        self.heard_list = self.config.names.is_none();
+    }
+
+    /// The list of engines at the start. Where the configuration names none, it is the one that an earlier process kept;
+    /// else the drains and removals of the kept list bind until the name service answers.
+    fn initial_list(&self, inherited: &mut Vec<Event>) -> Vec<Listed> {
+        let known = self.config.known.clone();
+        let Some(kept) = self.keep.found_list().filter(|_| self.config.names.is_some()) else { return known };
+        if !known.is_empty() {
+            inherited.push(Event::Earlier(out_of_service(kept)));
+            return known;
+        }
+        let age = (self.desk.clock.now() - kept.heard) / 1000.0;
+        let known = keep::listed(kept, &self.config.settings);
+        tracing::info!("starting with the list of {age:.1} s ago: {} engines", known.len());
+        known
+    }
+
+    fn poll_names(&self) {
+        let (asked, known) = (self.names.subscribe(), self.config.serial);
+        let (settings, limits, events) =
+            (self.desk.settings.clone(), self.desk.limits.clone(), self.events.clone());
+        tokio::task::spawn_local(async move { names::poll(asked, known, &settings, &limits, &events).await });
+    }
+}
+
+/// The engines that drain in a kept list, or were removed from it.
+fn out_of_service(kept: &KeptList) -> Heard {
+    let draining = kept.engines.iter().filter(|engine| !engine.live).map(|engine| engine.id.clone());
+    Heard::new(kept.heard, draining.chain(kept.gone.iter().cloned()))
+}
