Runtime: names that say what a step does

Need: look, say, call, change, handle, record, exit and heard_list were to be understood from their bodies.

Change: names alone: observe_peers, publish_stage, answer_call, change_exclusion, run_decision_cycles, record_for_peers, settled, list_received; has_left is has_drained, seat serve_when_admitted, longest_turn longest_cycle. The timers and what they wake the loop for bear the same names.

Result: no statement changed.

--- a/src/net/runtime/calls.rs
+++ b/src/net/runtime/calls.rs
@@ -9,7 +9,7 @@
 
 impl Runtime {
     /// Answers a call of staff. What it changes is news for the reducer.
-    pub fn call(&mut self, call: Call, events: &mut Vec<Event>) -> Reply {
+    pub fn answer_call(&mut self, call: Call, events: &mut Vec<Event>) -> Reply {
         match call {
             Call::Ready if self.terminated.is_some() => Reply::line(503, "ending"),
             Call::Ready if !self.listening || self.core.awaits_list() => {
@@ -24,26 +24,26 @@
             }
             Call::Exclude(id) => {
                 let (listed, now) = (self.core.lists(&id), self.desk.clock.now());
-                self.change(&id, "out", events, |hand| hand.exclude(&id, listed, now))
+                self.change_exclusion(&id, "out", events, |hand| hand.exclude(&id, listed, now))
             }
             Call::Include(id) => {
                 let (listed, now) = (self.core.lists(&id), self.desk.clock.now());
-                self.change(&id, "in use", events, |hand| hand.include(&id, listed, now))
+                self.change_exclusion(&id, "in use", events, |hand| hand.include(&id, listed, now))
             }
         }
     }
 
-    fn change(
+    fn change_exclusion(
         &mut self,
         id: &str,
         what: &str,
         events: &mut Vec<Event>,
         change: impl FnOnce(&mut Hand) -> Result<bool, No>,
     ) -> Reply {
-        let Some(h) = &mut self.handover else {
+        let Some(handover) = &mut self.handover else {
             return Reply::line(503, "the call cannot be kept for the next version: no folder is open");
         };
-        match h.change(change) {
+        match handover.change(change) {
             Ok(changed) => {
                 tracing::info!("by hand: {id} is {what}{}", if changed.is_some() { "" } else { " already" });
                 events.extend(changed.map(Event::Hand));
--- a/src/net/runtime/cycle.rs
+++ b/src/net/runtime/cycle.rs
@@ -5,16 +5,16 @@
 
 impl Runtime {
     /// Hands events to the reducer, lets it decide, and performs what it asks for, until that brings no news.
-    pub fn handle(&mut self, events: impl IntoIterator<Item = Event>) {
+    pub fn run_decision_cycles(&mut self, events: impl IntoIterator<Item = Event>) {
         let mut effects = Vec::new();
         let serial = self.core.serial();
-        let mut news: Vec<Event> = events.into_iter().collect();
+        let mut new_events: Vec<Event> = events.into_iter().collect();
         loop {
             let now = self.desk.clock.now();
-            for event in news.drain(..).chain([Event::Clock, Event::Turn]) {
-                trace(&event);
+            for event in new_events.drain(..).chain([Event::Clock, Event::Turn]) {
+                trace_event(&event);
                 match &event {
-                    Event::List(..) => self.heard_list = true,
+                    Event::List(..) => self.list_received = true,
                     // What another process has just sent under this key counts.
                     Event::Taken(ask) if ask.statement.key.is_some() => {
                         let heard = self.handover.as_mut().map(|h| h.peer_keys(now)).unwrap_or_default();
@@ -29,9 +29,9 @@
             self.core.spent(self.desk.clock.now() - now);
             self.desk.awaits_list.set(self.core.awaits_list());
             for effect in effects.drain(..) {
-                self.perform(effect, &mut news);
+                self.perform(effect, &mut new_events);
             }
-            if news.is_empty() {
+            if new_events.is_empty() {
                 break;
             }
         }
@@ -43,7 +43,7 @@
 }
 
 /// What comes in, a line each, at the level `trace`; where that is off, a test of one flag.
-fn trace(event: &Event) {
+fn trace_event(event: &Event) {
     match event {
         Event::Ended((id, n), end) => {
             tracing::trace!("end {}.{n} {:?} work {:?} {:?}", id.0, end.outcome, end.work, end.report);
--- a/src/net/runtime/effects.rs
+++ b/src/net/runtime/effects.rs
@@ -6,16 +6,16 @@
 use starlingplank_knowledge::gate::{self, Sent};
 
 impl Runtime {
-    /// Performs one effect. Events that arise at once are pushed to `news`.
-    pub fn perform(&mut self, effect: Effect, news: &mut Vec<Event>) {
+    /// Performs one effect. Events that arise at once are pushed to `new_events`.
+    pub fn perform(&mut self, effect: Effect, new_events: &mut Vec<Event>) {
         trace_effect(&effect);
         match effect {
-            Effect::Send(send) if self.record(&send) => self.engines.send(send, news),
-            Effect::Send(send) => news.push(Event::Ended(send.id, End::plain(Outcome::Moot))),
+            Effect::Send(send) if self.record_for_peers(&send) => self.engines.send(send, new_events),
+            Effect::Send(send) => new_events.push(Event::Ended(send.id, End::plain(Outcome::Moot))),
             Effect::GiveUp(id, _, outcome) => self.engines.give_up(id, outcome == Outcome::Timeout),
             Effect::Hurry(id, _, priority) => self.engines.hurry(id, priority),
-            Effect::Probe(tag, engine, address) => self.engines.probe(tag, &engine, address, news),
-            Effect::Shut(engine) => self.engines.shut(&engine, news),
+            Effect::Probe(tag, engine, address) => self.engines.probe(tag, &engine, address, new_events),
+            Effect::Shut(engine) => self.engines.shut(&engine, new_events),
             Effect::Begin(id, rows) => self.desk.begin(id, rows),
             Effect::Part(id, bytes) => self.desk.part(id, bytes),
             Effect::Answer(id, answer) => self.desk.answer(id, answer),
@@ -26,27 +26,27 @@
             ),
             Effect::Record(number, key, sent) => {
                 if !self.keep.record(number, key, sent) {
-                    news.push(Event::RecordsFailed(vec![number]));
+                    new_events.push(Event::RecordsFailed(vec![number]));
                 }
             }
             // One that does not fit is not there: the log then is trusted for less long.
             Effect::Mark(at, shut_until) => drop(self.keep.mark((at, shut_until))),
             Effect::Rewrite(rewrite) => {
                 if !self.keep.rewrite(rewrite) {
-                    news.push(Event::RecordsFailed(Vec::new()));
+                    new_events.push(Event::RecordsFailed(Vec::new()));
                 }
             }
-            Effect::Exit => self.exit = true,
+            Effect::Exit => self.settled = true,
         }
     }
 
     /// Records a keyed send for other processes of this gateway; false: it is not recorded, and must not leave.
-    fn record(&mut self, send: &Send) -> bool {
-        let (Some(h), Some(key)) = (&mut self.handover, &send.statement.key) else { return true };
+    fn record_for_peers(&mut self, send: &Send) -> bool {
+        let (Some(handover), Some(key)) = (&mut self.handover, &send.statement.key) else { return true };
         let Repeat::Keyed { window, .. } = self.desk.settings.classes[send.class.0].repeat else {
             return true;
         };
-        let recorded = h.record(gate::key(key), Sent { at: self.desk.clock.now(), window });
+        let recorded = handover.record(gate::key(key), Sent { at: self.desk.clock.now(), window });
         if let Err(e) = &recorded {
             tracing::error!("a keyed request was not sent, as other versions would not hear of it: {e}");
         }
--- a/src/net/runtime/inputs.rs
+++ b/src/net/runtime/inputs.rs
@@ -19,11 +19,11 @@
     /// The maintenance tick of the connections to engines.
     MaintainEngines,
     /// It is time to look at other processes of this gateway.
-    Look,
+    ObservePeers,
     /// An operator calls.
     Call(Asked),
     /// The maintenance tick of what is kept through restarts.
-    Tend,
+    MaintainKnowledge,
     /// It is time for a snapshot.
     Snapshot,
     /// SIGHUP.
@@ -52,10 +52,10 @@
 
 /// The timers of the loop. A tick that comes late delays those after it.
 pub struct Timers {
-    maintain: Interval,
-    tend: Interval,
+    maintain_engines: Interval,
+    maintain_knowledge: Interval,
     snapshots: Interval,
-    look: Interval,
+    observe_peers: Interval,
 }
 
 impl Timers {
@@ -63,10 +63,10 @@
     pub fn start(limits: &Limits, knowledge: Option<&KnowledgeSettings>) -> Self {
         let every = knowledge.map_or(limits.tend, |k| Duration::from_secs_f64(k.every / 1000.0));
         Self {
-            maintain: delayed(interval(limits.sweep)),
-            tend: delayed(interval(limits.tend)),
+            maintain_engines: delayed(interval(limits.sweep)),
+            maintain_knowledge: delayed(interval(limits.tend)),
             snapshots: delayed(interval_at(Instant::now() + every, every)),
-            look: delayed(interval(limits.look)),
+            observe_peers: delayed(interval(limits.look)),
         }
     }
 }
@@ -104,10 +104,10 @@
         tokio::select! {
             event = self.events.recv() => Wake::Event(event),
             () = sleep_until(due) => Wake::Due,
-            _ = timers.maintain.tick() => Wake::MaintainEngines,
-            _ = timers.look.tick(), if optional.peers => Wake::Look,
+            _ = timers.maintain_engines.tick() => Wake::MaintainEngines,
+            _ = timers.observe_peers.tick(), if optional.peers => Wake::ObservePeers,
             Some(asked) = self.calls.recv() => Wake::Call(asked),
-            _ = timers.tend.tick(), if optional.knowledge => Wake::Tend,
+            _ = timers.maintain_knowledge.tick(), if optional.knowledge => Wake::MaintainKnowledge,
             _ = timers.snapshots.tick(), if optional.knowledge => Wake::Snapshot,
             _ = signals.hangup.recv() => Wake::Reload,
             _ = signals.terminate.recv() => Wake::Terminate,
--- a/src/net/runtime/listeners.rs
+++ b/src/net/runtime/listeners.rs
@@ -122,13 +122,18 @@
 
     fn spawn(&self, stream: TcpStream, place: WaitingPlace) {
         let (desk, serve, listens) = (self.desk.clone(), self.serve.clone(), self.listens.clone());
-        tokio::task::spawn_local(seat(stream, desk, serve, place, listens));
+        tokio::task::spawn_local(serve_when_admitted(stream, desk, serve, place, listens));
     }
 }
 
 /// Serves a connection, once there is room for it.
-async fn seat<S, F>(stream: TcpStream, desk: Rc<Desk>, serve: S, place: WaitingPlace, _listens: Listens)
-where
+async fn serve_when_admitted<S, F>(
+    stream: TcpStream,
+    desk: Rc<Desk>,
+    serve: S,
+    place: WaitingPlace,
+    _listens: Listens,
+) where
     S: Fn(TcpStream, Rc<Seat>) -> F,
     F: Future<Output = ()>,
 {
--- a/src/net/runtime/mod.rs
+++ b/src/net/runtime/mod.rs
@@ -78,9 +78,9 @@
     /// When SIGTERM came.
     terminated: Option<Instant>,
     /// All that was taken is answered, and the window is over.
-    exit: bool,
+    settled: bool,
     /// The name service has answered.
-    heard_list: bool,
+    list_received: bool,
     statistics: LoopStatistics,
 }
 
@@ -88,14 +88,14 @@
 #[derive(Debug, Default)]
 struct LoopStatistics {
     /// The longest that it was busy without a break.
-    longest_turn: Duration,
+    longest_cycle: Duration,
     /// The most by which a timer of the reducer was late, in milliseconds.
     most_late: Ms,
 }
 
 impl LoopStatistics {
-    fn count_turn(&mut self, begun: Instant) {
-        self.longest_turn = self.longest_turn.max(begun.elapsed());
+    fn count_cycle(&mut self, begun: Instant) {
+        self.longest_cycle = self.longest_cycle.max(begun.elapsed());
     }
 
     fn count_delay(&mut self, late: Ms) {
@@ -114,7 +114,7 @@
             if !self.listening && self.may_listen(self.started.elapsed()) {
                 self.listen_to_clients().await?;
             }
-            if self.terminated.is_some_and(|at| self.has_left(at)) {
+            if self.terminated.is_some_and(|at| self.has_drained(at)) {
                 return Ok(());
             }
             let due_at = self.core.next_due();
@@ -124,12 +124,12 @@
             inputs.drain_events(&mut events, self.desk.limits.queue);
             let late = self.check_delay(due_at);
             while let Some((call, reply_to)) = inputs.next_waiting_call() {
-                drop(reply_to.send(self.call(call, &mut events)));
+                drop(reply_to.send(self.answer_call(call, &mut events)));
             }
             let begun = Instant::now();
-            self.exit = false;
-            self.handle(events);
-            self.statistics.count_turn(begun);
+            self.settled = false;
+            self.run_decision_cycles(events);
+            self.statistics.count_cycle(begun);
             self.statistics.count_delay(late);
         }
     }
@@ -138,7 +138,7 @@
     async fn listen_to_clients(&mut self) -> io::Result<()> {
         listeners::listen_to_clients(&self.config, &self.desk).await?;
         self.listening = true;
-        self.say(Stage::Listening);
+        self.publish_stage(Stage::Listening);
         Ok(())
     }
 
@@ -165,9 +165,9 @@
             Wake::Event(event) => events.extend(event),
             Wake::Due => {}
             Wake::MaintainEngines => self.engines.maintain(events),
-            Wake::Look => self.watch_handover(events),
-            Wake::Call((call, reply_to)) => drop(reply_to.send(self.call(call, events))),
-            Wake::Tend => events.push(Event::Tend),
+            Wake::ObservePeers => self.observe_handover(events),
+            Wake::Call((call, reply_to)) => drop(reply_to.send(self.answer_call(call, events))),
+            Wake::MaintainKnowledge => events.push(Event::Tend),
             Wake::Snapshot => self.write_snapshot(),
             Wake::Reload => self.reload(reload()),
             Wake::Terminate => self.begin_termination(events),
@@ -175,8 +175,8 @@
     }
 
     /// Looks at other processes of this gateway, and takes the folder of knowledge over once its owner has ended.
-    fn watch_handover(&mut self, events: &mut Vec<Event>) {
-        events.extend(self.look());
+    fn observe_handover(&mut self, events: &mut Vec<Event>) {
+        events.extend(self.observe_peers());
         if self.keep.waits() && self.take_over_knowledge() {
             events.push(Event::Tend);
         }
@@ -191,7 +191,7 @@
         let begun = Instant::now();
         self.keep.snapshot(&self.core, self.desk.clock.now());
         self.keep.list(&self.core, &self.desk.settings);
-        self.statistics.count_turn(begun);
+        self.statistics.count_cycle(begun);
     }
 
     fn begin_termination(&mut self, events: &mut Vec<Event>) {
@@ -199,7 +199,7 @@
         self.terminated = Some(Instant::now());
         self.desk.leave_by(Leaving::Alone);
         events.push(Event::Terminate);
-        events.extend(self.look());
+        events.extend(self.observe_peers());
         self.keep.snapshot(&self.core, self.desk.clock.now());
     }
 
--- a/src/net/runtime/peers.rs
+++ b/src/net/runtime/peers.rs
@@ -9,25 +9,31 @@
 impl Runtime {
     /// Whether clients may come.
     pub fn may_listen(&self, waited: Duration) -> bool {
-        let Some(h) = &self.handover else { return true };
-        lives::may_listen(h.own(), &h.others(), self.heard_list, !self.core.awaits_list(), waited)
+        let Some(handover) = &self.handover else { return true };
+        lives::may_listen(
+            handover.own(),
+            &handover.others(),
+            self.list_received,
+            !self.core.awaits_list(),
+            waited,
+        )
     }
 
-    pub fn say(&self, stage: Stage) {
-        if let Some(Err(e)) = self.handover.as_ref().map(|h| h.say(stage)) {
+    pub fn publish_stage(&self, stage: Stage) {
+        if let Some(Err(e)) = self.handover.as_ref().map(|handover| handover.say(stage)) {
             tracing::error!("other versions cannot see how far this one is: {e}");
         }
     }
 
     /// Looks at what other processes of this gateway do, and goes by it.
-    pub fn look(&mut self) -> Vec<Event> {
+    pub fn observe_peers(&mut self) -> Vec<Event> {
         let now = self.desk.clock.now();
-        let Some(h) = &mut self.handover else { return Vec::new() };
-        let seen = h.look(now);
+        let Some(handover) = &mut self.handover else { return Vec::new() };
+        let seen = handover.look(now);
         for to in seen.newcomers {
-            h.pass_on(to, &self.config.name, &self.core, now, &self.desk.limits);
+            handover.pass_on(to, &self.config.name, &self.core, now, &self.desk.limits);
         }
-        let (own, others) = (h.own(), h.others());
+        let (own, others) = (handover.own(), handover.others());
         let mut events = Vec::new();
         events.extend(seen.hand.map(Event::Hand));
         if !seen.keys.is_empty() {
@@ -40,7 +46,7 @@
         if self.desk.leaving() == Leaving::Alone && lives::hands_over(own, &others) {
             tracing::info!("a new version listens: what is open is answered, and the rest is for it");
             self.desk.leave_by(Leaving::AfterAnswer);
-            self.say(Stage::Leaving);
+            self.publish_stage(Stage::Leaving);
             events.push(Event::HandOver);
         }
         events
--- a/src/net/runtime/shutdown.rs
+++ b/src/net/runtime/shutdown.rs
@@ -16,7 +16,7 @@
 impl Runtime {
     /// Whether one that was told to end then has nothing more to do: no more connections are taken, what waited to be
     /// accepted has been, and each connection was closed once nothing was open on it and nothing was left to read.
-    pub fn has_left(&mut self, told: Instant) -> bool {
+    pub fn has_drained(&mut self, told: Instant) -> bool {
         let (limits, leaving) = (self.desk.limits.clone(), self.desk.leaving());
         let handed = matches!(leaving, Leaving::AfterAnswer | Leaving::Idle);
         let (waited, last) = (told.elapsed(), if handed { limits.leave_answer } else { limits.term_answer });
@@ -26,12 +26,12 @@
         let awaited =
             || self.handover.as_ref().is_some_and(|h| lives::awaited(h.own(), &h.others(), waited, most));
         match leaving {
-            Leaving::Alone if self.exit && !awaited() => self.desk.leave_by(Leaving::Last),
+            Leaving::Alone if self.settled && !awaited() => self.desk.leave_by(Leaving::Last),
             Leaving::AfterAnswer if waited >= limits.leave_idle => self.desk.leave_by(Leaving::Idle),
             _ => {}
         }
         let closes = matches!(self.desk.leaving(), Leaving::Idle | Leaving::Last);
-        self.exit && (last || closes && self.desk.empty())
+        self.settled && (last || closes && self.desk.empty())
     }
 
     /// Ends the process: operators hear of it, what was done is reported, and the last snapshot is written.
@@ -62,7 +62,7 @@
     }
 
     fn report_loop(&self) {
-        let longest = self.statistics.longest_turn.as_secs_f64() * 1000.0;
+        let longest = self.statistics.longest_cycle.as_secs_f64() * 1000.0;
         let latest = self.statistics.most_late;
         tracing::info!("loop: longest turn {longest:.3} ms, latest {latest:.3} ms");
     }
--- a/src/net/runtime/startup.rs
+++ b/src/net/runtime/startup.rs
@@ -69,8 +69,8 @@
         started: Instant::now(),
         listening: false,
         terminated: None,
-        exit: false,
-        heard_list: false,
+        settled: false,
+        list_received: false,
         statistics: LoopStatistics::default(),
     };
     let inherited = gateway.inherit_from_peers().await;
@@ -157,16 +157,16 @@
 
     /// Hands the reducer its first events: what was inherited and the list of engines at the start.
     fn begin(&mut self, mut inherited: Vec<Event>) {
-        let observed = self.look();
+        let observed = self.observe_peers();
         let known = self.initial_list(&mut inherited);
         let first = [Event::List(self.config.serial, known), Event::Tend];
-        self.handle(inherited.into_iter().chain(first).chain(observed));
+        self.run_decision_cycles(inherited.into_iter().chain(first).chain(observed));
         if self.config.names.is_some() {
             self.core.await_list(self.desk.clock.now());
             self.desk.awaits_list.set(self.core.awaits_list());
         }
         // Without a name service the list at the start is the list.
-        self.heard_list = self.config.names.is_none();
+        self.list_received = self.config.names.is_none();
     }
 
     /// The list of engines at the start. Where the configuration names none, it is the one that an earlier process kept;
