Runtime: the decision cycle, the look at peers and the drain in short steps

Need: three functions of the runtime still did several things each, and their comments had to be guessed at.

Change: one decision cycle is `decide`, with what precedes an event in `prepare`; sharing limits and handing over are steps of `observe_peers`; the drain's window, its advance and the wait for a successor have names of their own. Comments are plain statements. Behaviour is the same.

--- a/src/net/runtime/calls.rs
+++ b/src/net/runtime/calls.rs
@@ -8,7 +8,7 @@
 use starlingplank_operation::hand::{Hand, No};
 
 impl Runtime {
-    /// Answers a call of staff. What it changes is news for the reducer.
+    /// Answers an operator's call. Changes that it makes are events for the reducer.
     pub fn answer_call(&mut self, call: Call, events: &mut Vec<Event>) -> Reply {
         match call {
             Call::Ready if self.terminated.is_some() => Reply::line(503, "ending"),
@@ -33,6 +33,7 @@
         }
     }
 
+    /// Excludes an engine or includes it again, and records that for other processes of this gateway.
     fn change_exclusion(
         &mut self,
         id: &str,
--- a/src/net/runtime/cycle.rs
+++ b/src/net/runtime/cycle.rs
@@ -1,33 +1,18 @@
-//! The decision cycle: events go to the reducer, and its effects are performed until that brings no further events.
+//! The decision cycle: events go to the reducer, its effects are performed, and the events that arise from them start the
+//! next cycle.
 
-use crate::core::Event;
+use crate::core::{Effect, Event};
+use crate::interface::Ms;
 use crate::net::runtime::Runtime;
 
 impl Runtime {
-    /// Hands events to the reducer, lets it decide, and performs what it asks for, until that brings no news.
+    /// Hands events to the reducer and performs its effects, until no further events arise from them.
     pub fn run_decision_cycles(&mut self, events: impl IntoIterator<Item = Event>) {
-        let mut effects = Vec::new();
         let serial = self.core.serial();
+        let mut effects = Vec::new();
         let mut new_events: Vec<Event> = events.into_iter().collect();
         loop {
-            let now = self.desk.clock.now();
-            for event in new_events.drain(..).chain([Event::Clock, Event::Turn]) {
-                trace_event(&event);
-                match &event {
-                    Event::List(..) => self.list_received = true,
-                    // What another process has just sent under this key counts.
-                    Event::Taken(ask) if ask.statement.key.is_some() => {
-                        let heard = self.handover.as_mut().map(|h| h.peer_keys(now)).unwrap_or_default();
-                        if !heard.is_empty() {
-                            self.core.handle(now, Event::Heard(heard), &mut effects);
-                        }
-                    }
-                    _ => {}
-                }
-                self.core.handle(now, event, &mut effects);
-            }
-            self.core.spent(self.desk.clock.now() - now);
-            self.desk.awaits_list.set(self.core.awaits_list());
+            self.decide(new_events.drain(..), &mut effects);
             for effect in effects.drain(..) {
                 self.perform(effect, &mut new_events);
             }
@@ -35,14 +20,44 @@
                 break;
             }
         }
-        // A drain that was heard is heard by the next life as well.
+        // The next process starts from the list as this one has last received it.
         if self.core.serial() != serial {
             self.keep.list(&self.core, &self.desk.settings);
         }
     }
+
+    /// One cycle: the reducer takes the events, and decides once.
+    fn decide(&mut self, events: impl Iterator<Item = Event>, effects: &mut Vec<Effect>) {
+        let now = self.desk.clock.now();
+        for event in events.chain([Event::Clock, Event::Turn]) {
+            trace_event(&event);
+            self.prepare(now, &event, effects);
+            self.core.handle(now, event, effects);
+        }
+        self.core.spent(self.desk.clock.now() - now);
+        self.desk.awaits_list.set(self.core.awaits_list());
+    }
+
+    /// Does what has to be done before the reducer takes an event.
+    fn prepare(&mut self, now: Ms, event: &Event, effects: &mut Vec<Effect>) {
+        match event {
+            Event::List(..) => self.list_received = true,
+            Event::Taken(ask) if ask.statement.key.is_some() => self.read_peer_keys(now, effects),
+            _ => {}
+        }
+    }
+
+    /// Tells the reducer of the keys that other processes have just sent: a request with one of them is a repeat.
+    fn read_peer_keys(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+        let Some(handover) = &mut self.handover else { return };
+        let keys = handover.peer_keys(now);
+        if !keys.is_empty() {
+            self.core.handle(now, Event::Heard(keys), effects);
+        }
+    }
 }
 
-/// What comes in, a line each, at the level `trace`; where that is off, a test of one flag.
+/// Logs an event in one line at the level `trace`; where that is off, it costs a test of one flag.
 fn trace_event(event: &Event) {
     match event {
         Event::Ended((id, n), end) => {
--- a/src/net/runtime/effects.rs
+++ b/src/net/runtime/effects.rs
@@ -29,7 +29,7 @@
                     new_events.push(Event::RecordsFailed(vec![number]));
                 }
             }
-            // One that does not fit is not there: the log then is trusted for less long.
+            // A mark that cannot be queued is left out: the log is then trusted for a shorter time.
             Effect::Mark(at, shut_until) => drop(self.keep.mark((at, shut_until))),
             Effect::Rewrite(rewrite) => {
                 if !self.keep.rewrite(rewrite) {
@@ -40,7 +40,7 @@
         }
     }
 
-    /// Records a keyed send for other processes of this gateway; false: it is not recorded, and must not leave.
+    /// Records a keyed send for other processes of this gateway. False: it is not recorded, and must not leave.
     fn record_for_peers(&mut self, send: &Send) -> bool {
         let (Some(handover), Some(key)) = (&mut self.handover, &send.statement.key) else { return true };
         let Repeat::Keyed { window, .. } = self.desk.settings.classes[send.class.0].repeat else {
@@ -54,7 +54,7 @@
     }
 }
 
-/// What is asked for, a line each, at the level `trace`.
+/// Logs an effect in one line at the level `trace`.
 fn trace_effect(effect: &Effect) {
     match effect {
         Effect::Send(s) => {
--- a/src/net/runtime/mod.rs
+++ b/src/net/runtime/mod.rs
@@ -77,7 +77,7 @@
     listening: bool,
     /// When SIGTERM came.
     terminated: Option<Instant>,
-    /// All that was taken is answered, and the window is over.
+    /// All requests that were accepted are answered, and the window for that is over.
     settled: bool,
     /// The name service has answered.
     list_received: bool,
@@ -134,7 +134,7 @@
         }
     }
 
-    /// Begins to listen to clients, and says so to other processes of this gateway.
+    /// Begins to listen to clients, and tells that to other processes of this gateway.
     async fn listen_to_clients(&mut self) -> io::Result<()> {
         listeners::listen_to_clients(&self.config, &self.desk).await?;
         self.listening = true;
--- a/src/net/runtime/peers.rs
+++ b/src/net/runtime/peers.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 impl Runtime {
-    /// Whether clients may come.
+    /// Whether it may begin to listen to clients.
     pub fn may_listen(&self, waited: Duration) -> bool {
         let Some(handover) = &self.handover else { return true };
         lives::may_listen(
@@ -19,19 +19,21 @@
         )
     }
 
+    /// Tells other processes of this gateway how far this one is.
     pub fn publish_stage(&self, stage: Stage) {
-        if let Some(Err(e)) = self.handover.as_ref().map(|handover| handover.say(stage)) {
+        let Some(handover) = &self.handover else { return };
+        if let Err(e) = handover.say(stage) {
             tracing::error!("other versions cannot see how far this one is: {e}");
         }
     }
 
-    /// Looks at what other processes of this gateway do, and goes by it.
+    /// Looks at what other processes of this gateway do, and acts on it.
     pub fn observe_peers(&mut self) -> Vec<Event> {
         let now = self.desk.clock.now();
         let Some(handover) = &mut self.handover else { return Vec::new() };
         let seen = handover.look(now);
-        for to in seen.newcomers {
-            handover.pass_on(to, &self.config.name, &self.core, now, &self.desk.limits);
+        for newcomer in seen.newcomers {
+            handover.pass_on(newcomer, &self.config.name, &self.core, now, &self.desk.limits);
         }
         let (own, others) = (handover.own(), handover.others());
         let mut events = Vec::new();
@@ -39,16 +41,25 @@
         if !seen.keys.is_empty() {
             events.push(Event::Heard(seen.keys));
         }
-        let processes = lives::processes(&others);
-        if self.desk.common.processes.replace(processes) != processes {
-            events.push(Event::Processes(processes));
-        }
+        self.share_limits(lives::processes(&others), &mut events);
         if self.desk.leaving() == Leaving::Alone && lives::hands_over(own, &others) {
-            tracing::info!("a new version listens: what is open is answered, and the rest is for it");
-            self.desk.leave_by(Leaving::AfterAnswer);
-            self.publish_stage(Stage::Leaving);
-            events.push(Event::HandOver);
+            self.hand_over(&mut events);
         }
         events
     }
+
+    /// Divides what one process may use among all processes of this gateway.
+    fn share_limits(&self, processes: usize, events: &mut Vec<Event>) {
+        if self.desk.common.processes.replace(processes) != processes {
+            events.push(Event::Processes(processes));
+        }
+    }
+
+    /// Begins to hand over to a newer process: each connection ends after its next answer.
+    fn hand_over(&self, events: &mut Vec<Event>) {
+        tracing::info!("a new version listens: what is open is answered, and the rest is for it");
+        self.desk.leave_by(Leaving::AfterAnswer);
+        self.publish_stage(Stage::Leaving);
+        events.push(Event::HandOver);
+    }
 }
--- a/src/net/runtime/shutdown.rs
+++ b/src/net/runtime/shutdown.rs
@@ -14,24 +14,43 @@
 const CALLER_CHECKS: u32 = 10;
 
 impl Runtime {
-    /// Whether one that was told to end then has nothing more to do: no more connections are taken, what waited to be
-    /// accepted has been, and each connection was closed once nothing was open on it and nothing was left to read.
-    pub fn has_drained(&mut self, told: Instant) -> bool {
-        let (limits, leaving) = (self.desk.limits.clone(), self.desk.leaving());
-        let handed = matches!(leaving, Leaving::AfterAnswer | Leaving::Idle);
-        let (waited, last) = (told.elapsed(), if handed { limits.leave_answer } else { limits.term_answer });
-        let most = Duration::from_secs_f64(last / 1000.0);
+    /// Whether the process may end: all requests are answered, and either no connection is open and none can come, or the
+    /// time for that is over.
+    pub fn has_drained(&mut self, terminated: Instant) -> bool {
+        let window = self.drain_window();
+        let waited = terminated.elapsed();
+        self.advance_leaving(waited, window);
+        let closes_idle = matches!(self.desk.leaving(), Leaving::Idle | Leaving::Last);
         // Connections that are in use to the end are answered and closed before the program ends.
-        let last = waited >= most + limits.leave_close;
-        let awaited =
-            || self.handover.as_ref().is_some_and(|h| lives::awaited(h.own(), &h.others(), waited, most));
-        match leaving {
-            Leaving::Alone if self.settled && !awaited() => self.desk.leave_by(Leaving::Last),
-            Leaving::AfterAnswer if waited >= limits.leave_idle => self.desk.leave_by(Leaving::Idle),
+        let is_over = waited >= window + self.desk.limits.leave_close;
+        self.settled && (is_over || closes_idle && self.desk.empty())
+    }
+
+    /// How long requests are answered after SIGTERM.
+    fn drain_window(&self) -> Duration {
+        let hands_over = matches!(self.desk.leaving(), Leaving::AfterAnswer | Leaving::Idle);
+        let limits = &self.desk.limits;
+        let window = if hands_over { limits.leave_answer } else { limits.term_answer };
+        Duration::from_secs_f64(window / 1000.0)
+    }
+
+    /// Goes a step further in closing clients' connections once its time has come.
+    fn advance_leaving(&self, waited: Duration, window: Duration) {
+        match self.desk.leaving() {
+            Leaving::Alone if self.settled && !self.awaits_successor(waited, window) => {
+                self.desk.leave_by(Leaving::Last);
+            }
+            Leaving::AfterAnswer if waited >= self.desk.limits.leave_idle => {
+                self.desk.leave_by(Leaving::Idle);
+            }
             _ => {}
         }
-        let closes = matches!(self.desk.leaving(), Leaving::Idle | Leaving::Last);
-        self.settled && (last || closes && self.desk.empty())
+    }
+
+    /// Whether another process of this gateway may still begin to listen and take over.
+    fn awaits_successor(&self, waited: Duration, window: Duration) -> bool {
+        let Some(handover) = &self.handover else { return false };
+        lives::awaited(handover.own(), &handover.others(), waited, window)
     }
 
     /// Ends the process: operators hear of it, what was done is reported, and the last snapshot is written.
