--- a/src/net/engine/clickhouse.rs
+++ b/src/net/engine/clickhouse.rs
@@ -5,8 +5,8 @@
 use crate::interface::{EngineId, Outcome};
 use crate::limits::Limits;
 use crate::net::conn::{Close, Common, Frame, Inbox, Outbox, Part};
-use crate::net::engine::pool::Engines;
 use crate::net::engine::resp::sending;
+use crate::net::engine::Engines;
 use crate::net::http::{self, Length, Read};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -137,7 +137,7 @@
         }
     }
 
-    fn sweep(&mut self, _: &mut Vec<Event>) {
+    fn maintain(&mut self, _: &mut Vec<Event>) {
         // A probe that nobody answers would keep its connection for ever.
         let probes = |c: &Conn| matches!(&*c.job.borrow(), Some(Job::Probe(_)));
         for conn in self.pools.values().flatten().filter(|c| probes(c)) {
--- /dev/null
+++ b/src/net/runtime/cycle.rs
@@ -0,0 +1,74 @@
+//! The decision cycle: events go to the reducer, its effects are performed, and the events that arise from them start the
+//! next cycle.
+
+use crate::core::{Effect, Event};
+use crate::interface::Ms;
+use crate::net::runtime::Runtime;
+
+impl Runtime {
+    /// Hands events to the reducer and performs its effects, until no further events arise from them.
+    pub fn run_decision_cycles(&mut self, events: impl IntoIterator<Item = Event>) {
+        let serial = self.core.serial();
+        let mut effects = Vec::new();
+        let mut new_events: Vec<Event> = events.into_iter().collect();
+        loop {
+            self.decide(new_events.drain(..), &mut effects);
+            for effect in effects.drain(..) {
+                self.perform(effect, &mut new_events);
+            }
+            if new_events.is_empty() {
+                break;
+            }
+        }
+        // The next process starts from the list as this one has last received it.
+        if self.core.serial() != serial {
+            self.keep.list(&self.core, &self.desk.settings);
+        }
+    }
+
+    /// One cycle: the reducer takes the events, and decides once.
+    fn decide(&mut self, events: impl Iterator<Item = Event>, effects: &mut Vec<Effect>) {
+        let now = self.desk.clock.now();
+        for event in events.chain([Event::Clock, Event::Turn]) {
+            trace_event(&event);
+            self.prepare(now, &event, effects);
+            self.core.handle(now, event, effects);
+        }
+        self.core.spent(self.desk.clock.now() - now);
+        self.desk.awaits_list.set(self.core.awaits_list());
+    }
+
+    /// Does what has to be done before the reducer takes an event.
+    fn prepare(&mut self, now: Ms, event: &Event, effects: &mut Vec<Effect>) {
+        match event {
+            Event::List(..) => self.list_received = true,
+            Event::Taken(ask) if ask.statement.key.is_some() => self.read_peer_keys(now, effects),
+            _ => {}
+        }
+    }
+
+    /// Tells the reducer of the keys that other processes have just sent: a request with one of them is a repeat.
+    fn read_peer_keys(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+        let Some(handover) = &mut self.handover else { return };
+        let keys = handover.peer_keys(now);
+        if !keys.is_empty() {
+            self.core.handle(now, Event::Heard(keys), effects);
+        }
+    }
+}
+
+/// Logs an event in one line at the level `trace`; where that is off, it costs a test of one flag.
+fn trace_event(event: &Event) {
+    match event {
+        Event::Ended((id, n), end) => {
+            tracing::trace!("end {}.{n} {:?} work {:?} {:?}", id.0, end.outcome, end.work, end.report);
+        }
+        Event::Probed(tag, ok, report) => tracing::trace!("probed {tag} {ok} {report:?}"),
+        Event::List(serial, list) => tracing::trace!("list {serial} of {}", list.len()),
+        Event::Taken(ask) => {
+            tracing::trace!("taken {} class {} work {:?}", ask.asked.id.0, ask.asked.class.0, ask.asked.work);
+        }
+        Event::Left(id) => tracing::trace!("left {}", id.0),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/src/net/runtime/shutdown.rs
@@ -0,0 +1,108 @@
+//! The end of the process: when it may end, and its last report.
+
+use crate::interface::Why;
+use crate::net::front::Leaving;
+use crate::net::runtime::inputs::Inputs;
+use crate::net::runtime::Runtime;
+use starlingplank_operation::figures::Count;
+use starlingplank_operation::lives;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::time::{sleep, timeout, Instant};
+
+/// How often it is checked, within the wait for operators, whether they have all been told.
+const CALLER_CHECKS: u32 = 10;
+
+impl Runtime {
+    /// Whether the process may end: all requests are answered, and either no connection is open and none can come, or the
+    /// time for that is over.
+    pub fn has_drained(&mut self, terminated: Instant) -> bool {
+        let window = self.drain_window();
+        let waited = terminated.elapsed();
+        self.advance_leaving(waited, window);
+        let closes_idle = matches!(self.desk.leaving(), Leaving::Idle | Leaving::Last);
+        // Connections that are in use to the end are answered and closed before the program ends.
+        let is_over = waited >= window + self.desk.limits.leave_close;
+        self.settled && (is_over || closes_idle && self.desk.empty())
+    }
+
+    /// How long requests are answered after SIGTERM.
+    fn drain_window(&self) -> Duration {
+        let hands_over = matches!(self.desk.leaving(), Leaving::AfterAnswer | Leaving::Idle);
+        let limits = &self.desk.limits;
+        let window = if hands_over { limits.leave_answer } else { limits.term_answer };
+        Duration::from_secs_f64(window / 1000.0)
+    }
+
+    /// Goes a step further in closing clients' connections once its time has come.
+    fn advance_leaving(&self, waited: Duration, window: Duration) {
+        match self.desk.leaving() {
+            Leaving::Alone if self.settled && !self.awaits_successor(waited, window) => {
+                self.desk.leave_by(Leaving::Last);
+            }
+            Leaving::AfterAnswer if waited >= self.desk.limits.leave_idle => {
+                self.desk.leave_by(Leaving::Idle);
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether another process of this gateway may still begin to listen and take over.
+    fn awaits_successor(&self, waited: Duration, window: Duration) -> bool {
+        let Some(handover) = &self.handover else { return false };
+        lives::awaited(handover.own(), &handover.others(), waited, window)
+    }
+
+    /// Ends the process: operators hear of it, what was done is reported, and the last snapshot is written.
+    pub async fn shut_down(&mut self, inputs: Inputs) {
+        // Operators whose call is under way are told that it ends; one who says nothing is not waited for.
+        drop(inputs.calls);
+        if self.config.operator.is_some() {
+            let _ = timeout(self.desk.limits.look, self.callers_end()).await;
+        }
+        self.report_loop();
+        // What the last answers taught is in the last snapshot, if the disk takes it in time.
+        self.keep.snapshot(&self.core, self.desk.clock.now());
+        self.report_classes();
+        if self.keep.is_on() {
+            let _ = timeout(self.desk.limits.term_snapshot, self.keep.finish()).await;
+            self.keep.say(self.core.gate().refused());
+        }
+    }
+
+    /// Waits until no operator's connection is open.
+    async fn callers_end(&self) {
+        loop {
+            sleep(self.desk.limits.look / CALLER_CHECKS).await;
+            if self.callers.get() == 0 {
+                break;
+            }
+        }
+    }
+
+    fn report_loop(&self) {
+        let longest = self.statistics.longest_cycle.as_secs_f64() * 1000.0;
+        let latest = self.statistics.most_late;
+        tracing::info!("loop: longest turn {longest:.3} ms, latest {latest:.3} ms");
+    }
+
+    /// Reports what became of the requests of each class.
+    fn report_classes(&self) {
+        let classes = self.desk.settings.classes.iter();
+        let by_class = classes.zip(self.core.counts()).zip(self.core.waits());
+        for (i, ((class, counts), waits)) in by_class.enumerate() {
+            let figure = |count| self.desk.common.figures.get(i, count);
+            tracing::info!(
+                "{}: {} taken, {} attempts, ended {:?}, answered {:?}",
+                class.name,
+                counts.taken,
+                figure(Count::Sends),
+                counts.outcomes,
+                [figure(Count::Answered), figure(Count::Deferred), figure(Count::Errored), counts.left]
+            );
+            let waits = Why::ALL.iter().map(|why| (why.name(), waits[*why as usize])).filter(|(_, n)| *n > 0);
+            let waits: BTreeMap<_, _> = waits.collect();
+            tracing::info!("{}: refused for {:?}, waited for {waits:?}", class.name, counts.refusals);
+        }
+    }
+}
