Slowness that shows while few threads run is no sign of a full fleet

Cause: `part` takes slowness for threads a core wherever it is more than what is measured. Where the engine alone grants memory half of the queries spill, and readers stand still behind loads: they are slow with no load, so a gateway's part fell to a third.

What slowness is at under three quarters of a thread a core is learned (`unloaded_slow`, at most 1.5) and divided out. The test in tests/decide.rs sends 16 of 30 without the change.

--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -47,6 +47,8 @@
 const PATIENCE_LEAST: Ms = 200.0;
 const SLOW_SPAN: Ms = 5000.0; // over which slowness is learned ...
 const SLOW_PRIOR: Ms = 500.0; // ... with so much time of a thread taken to be as usual
+const UNLOADED: f64 = 0.05; // weight of a step's slowness in that without load ...
+const UNLOADED_MOST: f64 = 1.5; // ... past which an engine is ill, whatever slows it
 const CRAWL: f64 = 4.0; // times slower, past which idle cores mean that all wait for disks
 const STUCK: f64 = 3.0; // times its time alone past which one attempt in three still ends in time
 const SLOW_MOST: f64 = 10.0;
@@ -556,6 +558,11 @@
         // Who sends little has seen little, and goes by what engines report.
         self.fleet.slow = (all.out + SLOW_PRIOR * self.fleet.usual_load.min(1.0)) / (all.alone + SLOW_PRIOR);
         self.fleet.stuck = jammed / (jammed + all.alone + SLOW_PRIOR);
+        // Spills and locks slow queries down while few threads run: that much of slowness is no sign of load.
+        let f = &mut self.fleet;
+        if f.load() < LEVELS[BEST_LEVEL] || f.slow < f.unloaded_slow {
+            f.unloaded_slow += UNLOADED * (f.slow.clamp(1.0, UNLOADED_MOST) - f.unloaded_slow);
+        }
     }
 
     /// Attempts out past their patience count as latency already, but for those on an engine that is ill.
@@ -672,7 +679,7 @@
     /// old report shows room; also catches bursts and retries. Could refuse where a share has just risen.
     fn part(&self) -> f64 {
         let (f, bound) = (&self.fleet, LEVELS[self.bound]);
-        let load = (f.usual_load + f.own / f.cores).max(f.slow).max(LEVELS[0]);
+        let load = f.load().max(f.slow / f.unloaded_slow).max(LEVELS[0]);
         f.share * bound * f.cores * (1.0 - f.jammed.max(f.stuck)) * (bound / load).powi(PART_GAIN)
     }
 
@@ -680,23 +687,16 @@
     fn gate(&self, r: &Request, e: &Engine) -> bool {
         let c = &self.s.classes[r.asked.class.0];
         let m = &e.member;
-        let placed = c.kinds.as_ref().is_none_or(|k| m.kind.is_some_and(|x| k.contains(&x)))
-            && c.zones.as_ref().is_none_or(|z| m.zone.is_some_and(|x| z.contains(&x)));
         let repeat = match c.repeat {
             Repeat::Safe => true,
             Repeat::Unsafe => r.may_have_run().count() == 0,
-            Repeat::Keyed { scope, window } => r.may_have_run().all(|a| {
-                let same = match scope {
-                    Scope::All => true,
-                    Scope::Zone => a.place.0 == m.zone,
-                    Scope::Cell => a.place.1 == m.cell,
-                };
-                same && self.now < a.sent + window - self.s.tick
-            }),
+            Repeat::Keyed { scope, window } => r
+                .may_have_run()
+                .all(|a| scope.covers(a.place, (m.zone, m.cell)) && self.now < a.sent + window - self.s.tick),
         };
         !r.over
             && m.availability == Availability::Live
-            && placed
+            && c.may_run_on(m)
             && repeat
             && (self.s.may_copy || r.out() == 0)
             && r.attempts.len() < self.s.send_cap as usize
@@ -754,8 +754,7 @@
 
     /// More than half ejected means a shared cause: using them beats having none.
     fn shared(&self) -> bool {
-        let live = |e: &&Engine| e.member.availability == Availability::Live && e.met > 0.0;
-        let live = self.engines.values().filter(live);
+        let live = self.engines.values().filter(|e| e.is_met());
         live.clone().filter(|e| e.ejected.is_some() && e.lost.is_none()).count() * 2 > live.count()
     }
 
@@ -784,11 +783,9 @@
             }
             // Loads of one set stand still behind each other, and so does what waits for them: not there.
             let of = &self.s.classes[r.asked.class.0];
-            let held = r.asked.data.is_some_and(|d| {
-                e.loading.contains_key(&d) || e.held_for.get(&d).is_some_and(|t| self.now < *t)
-            });
-            let held = f64::from(held && (of.is_load || of.waits_for_loads));
-            let room = self.free_room(e) - LEVELS[LEVELS.len() - 1] * held;
+            let area = r.asked.data.filter(|_| of.is_load || of.waits_for_loads);
+            let held = area.is_some_and(|d| e.holds(d, self.now));
+            let room = self.free_room(e) - LEVELS[LEVELS.len() - 1] * f64::from(held);
             let near = 1.0 + NEAR * f64::from(e.member.zone == self.s.zone);
             // Who is not met comes after all that are and have room.
             let (met, away) = if e.met > 0.0 { (e.met, 0.0) } else { (1.0, NO_ROOM / 2.0) };
@@ -810,7 +807,7 @@
     /// of gateways that all send to the one engine whose old report showed most room.
     fn free_room(&self, e: &Engine) -> f64 {
         let f = &self.fleet;
-        let mean = (f.usual_load + f.own / f.cores).max(LEVELS[0]);
+        let mean = f.load().max(LEVELS[0]);
         let turnover = |age: Ms| (REPORT_LAG + age) / f.residence.max(1.0);
         let own = e.threads / self.cores(e).max(0.1);
         let others = e.others / self.cores(e).max(0.1);
@@ -1015,10 +1012,7 @@
     /// The one place that gives final answers: a refusal where a retry is harmless, else a failure.
     fn answer(&mut self, id: RequestId, come_back: Ms, why: Why, actions: &mut Vec<Action>) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
-        let harmless = match self.s.classes[r.asked.class.0].repeat {
-            Repeat::Safe | Repeat::Keyed { scope: Scope::All, .. } => true,
-            _ => r.may_have_run().count() == 0,
-        };
+        let harmless = self.s.classes[r.asked.class.0].repeat.anywhere() || r.may_have_run().count() == 0;
         r.over = true;
         if harmless {
             let retry_after = come_back.max(WAIT_LEAST).min(self.s.max_retry_after.max(0.0));
@@ -1044,8 +1038,7 @@
             return;
         }
         let asked = |e: &Engine| e.probed.max(e.heard.unwrap_or(NEVER));
-        let live = |e: &Engine| e.member.availability == Availability::Live && e.met > 0.0;
-        let quiet = |(_, e): &(_, &mut Engine)| live(e) && self.now - asked(e) > PROBE_EVERY;
+        let quiet = |(_, e): &(_, &mut Engine)| e.is_met() && self.now - asked(e) > PROBE_EVERY;
         let mut line: Vec<_> = self.engines.iter_mut().filter(quiet).collect();
         line.sort_by(|(_, a), (_, b)| asked(a).total_cmp(&asked(b)).then(a.jitter.total_cmp(&b.jitter)));
         for (id, e) in line.into_iter().take(self.probes_paid as usize) {
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -50,6 +50,17 @@
     Cell,
 }
 
+impl Scope {
+    /// Whether an engine in the second zone and cell recognises what one in the first was sent.
+    pub fn covers(self, first: (Option<ZoneId>, u64), second: (Option<ZoneId>, u64)) -> bool {
+        match self {
+            Scope::All => true,
+            Scope::Zone => first.0 == second.0,
+            Scope::Cell => first.1 == second.1,
+        }
+    }
+}
+
 /// What a second execution of a request would do.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Repeat {
@@ -66,6 +77,13 @@
     Unsafe,
 }
 
+impl Repeat {
+    /// Whether a client may repeat a request that may have run, whichever engine takes the repeat.
+    pub fn anywhere(self) -> bool {
+        matches!(self, Repeat::Safe | Repeat::Keyed { scope: Scope::All, .. })
+    }
+}
+
 /// One class of requests.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Class {
@@ -97,6 +115,15 @@
     pub waits_for_loads: bool,
 }
 
+impl Class {
+    /// Whether its placement allows that engine.
+    pub fn may_run_on(&self, engine: &Member) -> bool {
+        let among_kinds = self.kinds.as_ref().is_none_or(|k| engine.kind.is_some_and(|x| k.contains(&x)));
+        let among_zones = self.zones.as_ref().is_none_or(|z| engine.zone.is_some_and(|x| z.contains(&x)));
+        among_kinds && among_zones
+    }
+}
+
 /// One kind of machine.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Kind {
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -99,6 +99,8 @@
     pub usual_slow: f64,
     /// Time over time alone, on engines that are not stuck.
     pub slow: f64,
+    /// The same while few threads run: what spills and locks cost without any load.
+    pub unloaded_slow: f64,
     /// Share of our work that is on engines from which it does not come back.
     pub stuck: f64,
     /// Age of the latest news of an engine.
@@ -240,6 +242,16 @@
         }
     }
 
+    /// Whether a load is known or thought to hold that data set here.
+    pub fn holds(&self, data: DataSet, now: Ms) -> bool {
+        self.loading.contains_key(&data) || self.held_for.get(&data).is_some_and(|until| now < *until)
+    }
+
+    /// Whether this gateway sends it work as a rule.
+    pub fn is_met(&self) -> bool {
+        self.member.availability == Availability::Live && self.met > 0.0
+    }
+
     /// A new process took its place: what was held against the old one is void.
     pub fn restart(&mut self, started: Ms) {
         let kind = Kind { name: String::new(), cores: self.cores, memory_mb: self.memory_mb };
@@ -287,6 +299,11 @@
 }
 
 impl Fleet {
+    /// Threads a core that run on all engines: others' by the latest reports, and our own.
+    pub fn load(&self) -> f64 {
+        self.usual_load + self.own / self.cores
+    }
+
     /// Nothing seen yet, and that share.
     pub fn new(share: f64) -> Self {
         let (own, own_seen, all_seen, usual_load) = (0.0, 0.0, 0.0, 0.0);
@@ -303,6 +320,7 @@
             jammed,
             usual_slow,
             slow: 1.0,
+            unloaded_slow: 1.0,
             stuck: 0.0,
             age,
             residence,
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -855,6 +855,34 @@
     assert!(lookups(&mut bed).contains(&loading), "the load has ended");
 }
 
+/// Queries that spill took three times their time alone while few threads ran. That was taken for a full fleet, and half
+/// of what it could take was refused.
+#[test]
+fn what_slows_queries_down_without_load_leaves_a_fleet_its_room() {
+    let mut s = settings();
+    s.gateways = 1;
+    s.classes[0].aim = 2_000.0;
+    let mut bed = Bed::new(s, 4);
+    for _ in 0..400 {
+        let (id, to) = bed.ask(0);
+        bed.pass(300.0);
+        let to = to.expect("few threads run");
+        let ended = Event::Outcome {
+            id: RequestId(id),
+            attempt: 0,
+            engine: to,
+            outcome: Outcome::Ok,
+            took: 300.0,
+            over: true,
+            work: Some(100.0),
+            report: None,
+        };
+        bed.turn(&[ended]);
+    }
+    let sent = (0..30).filter(|_| bed.ask(0).1.is_some()).count();
+    assert_eq!(sent, 30, "on 24 cores, at a bound of one and a half threads a core");
+}
+
 /// Engines are replaced all day long: what is remembered of them must not add up.
 #[test]
 fn engines_that_have_gone_are_forgotten() {
