Readers of a subject area and its loads prefer opposite engines, by a hash all gateways share

Cause: `route` spread loads and readers alike; `loading` and `held_for` know of this gateway's own loads, one in 285.

Each area orders the engines by a hash (`areas.rs`); classes that wait for loads prefer one end, loads the other, as a weight in the draw that routing makes. In tests/decide.rs 52 of 400 lookups met another gateway's load without it, under 24 with it.

--- a/crates/decision/src/aperture.rs
+++ b/crates/decision/src/aperture.rs
@@ -94,7 +94,7 @@
 }
 
 /// The same number for the same id on every gateway.
-fn spread(id: &EngineId) -> u64 {
+pub fn spread(id: &EngineId) -> u64 {
     id.0.bytes().fold(0, |h: u64, b| fastrand::Rng::with_seed(h ^ u64::from(b)).u64(..))
 }
 
--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -3,6 +3,7 @@
 //! All sends pass `gate` and `send`; all final answers pass `answer`. Times are milliseconds.
 
 use crate::aperture::Aperture;
+use crate::areas;
 use crate::interface::*;
 use crate::state::{Attempt, ClassState, Engine, Fleet, Key, Request, Stat, Times, NEVER};
 use std::collections::{BTreeMap, VecDeque};
@@ -786,13 +787,17 @@
             let area = r.asked.data.filter(|_| of.is_load || of.waits_for_loads);
             let held = area.is_some_and(|d| e.holds(d, self.now));
             let room = self.free_room(e) - LEVELS[LEVELS.len() - 1] * f64::from(held);
+            let apart = area.map_or(1.0, |d| areas::preference(d, e.spread, of.is_load));
             let near = 1.0 + NEAR * f64::from(e.member.zone == self.s.zone);
             // Who is not met comes after all that are and have room.
             let (met, away) = if e.met > 0.0 { (e.met, 0.0) } else { (1.0, NO_ROOM / 2.0) };
             // The largest of ln(u)/w is each engine's by chance in proportion to w.
             let u = fastrand::Rng::with_seed(r.chance.to_bits() ^ e.jitter.to_bits().rotate_left(32)).f64();
             let score = match room > 0.0 {
-                true => u.max(f64::MIN_POSITIVE).ln() / (room * self.cores(e).max(0.1) * near * met) - away,
+                true => {
+                    u.max(f64::MIN_POSITIVE).ln() / (room * self.cores(e).max(0.1) * near * met * apart)
+                        - away
+                }
                 false => room - NO_ROOM,
             };
             if top.is_none_or(|(best, _)| score > best) {
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 mod aperture;
+mod areas;
 pub mod decide;
 pub mod interface;
 mod state;
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -1,5 +1,6 @@
 //! What the decision module remembers: plain records and sums. No decision and no tuned value lives here.
 
+use crate::aperture::spread;
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -114,6 +115,8 @@
 /// What is known of an engine.
 pub struct Engine {
     pub member: Member,
+    /// Its number for hashing, the same on every gateway.
+    pub spread: u64,
     pub cores: f64,
     pub memory_mb: f64,
     /// The share in which this gateway meets it, from 0 to 1.
@@ -205,6 +208,7 @@
     /// An engine of which nothing is known yet.
     pub fn new(member: Member, kind: &Kind, now: Ms, jitter: f64) -> Self {
         Self {
+            spread: spread(&member.engine),
             member,
             cores: kind.cores,
             memory_mb: kind.memory_mb.max(1.0),
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -883,6 +883,30 @@
     assert_eq!(sent, 30, "on 24 cores, at a bound of one and a half threads a core");
 }
 
+/// A gateway knows of no loads but its own: one in eight lookups of another gateway went to stand behind one.
+#[test]
+fn readers_of_an_area_stay_clear_of_loads_that_other_gateways_sent() {
+    const AREAS: u64 = 400;
+    let mut s = settings();
+    s.classes[0].waits_for_loads = true;
+    s.classes[1].is_load = true;
+    let sent_to = |seed: u64, class: usize| -> Vec<EngineId> {
+        let mut bed = Bed::new(Settings { seed, ..s.clone() }, 8);
+        let one = |area: u64| {
+            bed.next += 1;
+            let asked =
+                Incoming { data: Some(DataSet(area)), ..incoming(bed.next, class, bed.now + 20_000.0) };
+            let (id, to) = sends(&bed.turn(&[Event::Request(asked)]))[0].clone();
+            bed.now += 20.0;
+            bed.turn(&[outcome(id, 0, &to, Outcome::Ok, 20.0)]);
+            to
+        };
+        (0..AREAS).map(one).collect()
+    };
+    let met = sent_to(1, 0).iter().zip(sent_to(2, 1)).filter(|(reader, load)| **reader == *load).count();
+    assert!(met < 24, "{met} of {AREAS} lookups met the load of their area, 50 by chance");
+}
+
 /// Engines are replaced all day long: what is remembered of them must not add up.
 #[test]
 fn engines_that_have_gone_are_forgotten() {
