Load told by cores in use is read against the slowness that shows without load

Ruled out: engines that were full (none), late answers (0 to 1 in 100). Cause: `learn_report` reads cores in use times slowness as threads a core.

It is divided by `unloaded_slow` as well.

--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -281,7 +281,8 @@
         let all = match (sane(report.inflight), sane(report.util), sane(probe)) {
             (Some(n), ..) => own + (n - e.usual_count).max(0.0) * f.width / e.cores,
             (_, Some(util), _) => {
-                let (util, slow) = (util.min(1.0), f.slow.max(e.slow).clamp(1.0, SLOW_MOST));
+                let slow = (f.slow.max(e.slow) / f.unloaded_slow).clamp(1.0, SLOW_MOST);
+                let util = util.min(1.0);
                 util * slow + (1.0 - util) * (slow - CRAWL).max(0.0)
             }
             (.., Some(took)) if self.stood == 0.0 => {
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -855,34 +855,51 @@
     assert!(lookups(&mut bed).contains(&loading), "the load has ended");
 }
 
-/// Queries that spill took three times their time alone while few threads ran. That was taken for a full fleet, and half
-/// of what it could take was refused.
-#[test]
-fn what_slows_queries_down_without_load_leaves_a_fleet_its_room() {
+/// A gateway before 24 idle cores, whose queries spill: one after another takes so long for 100 ms of work.
+fn spilling(took: Ms) -> Bed {
     let mut s = settings();
     s.gateways = 1;
     s.classes[0].aim = 2_000.0;
     let mut bed = Bed::new(s, 4);
     for _ in 0..400 {
         let (id, to) = bed.ask(0);
-        bed.pass(300.0);
-        let to = to.expect("few threads run");
+        bed.pass(took);
         let ended = Event::Outcome {
             id: RequestId(id),
             attempt: 0,
-            engine: to,
+            engine: to.expect("few threads run"),
             outcome: Outcome::Ok,
-            took: 300.0,
+            took,
             over: true,
             work: Some(100.0),
             report: None,
         };
         bed.turn(&[ended]);
     }
+    bed
+}
+
+/// Queries that spill took three times their time alone while few threads ran. That was taken for a full fleet, and half
+/// of what it could take was refused.
+#[test]
+fn what_slows_queries_down_without_load_leaves_a_fleet_its_room() {
+    let mut bed = spilling(300.0);
     let sent = (0..30).filter(|_| bed.ask(0).1.is_some()).count();
     assert_eq!(sent, 30, "on 24 cores, at a bound of one and a half threads a core");
 }
 
+/// Cores in use were taken for as many threads a core as queries take longer than alone, spills and all.
+#[test]
+fn what_slows_queries_down_without_load_makes_no_crowd_of_cores_in_use() {
+    let mut bed = spilling(200.0);
+    for n in 0..4 {
+        let report = Report { util: Some(0.9), ..Report::default() };
+        bed.turn(&[Event::Probed { engine: engine(n), ok: true, took: 1.0, report: Some(report) }]);
+    }
+    let sent = (0..8).filter(|_| bed.ask(0).1.is_some()).count();
+    assert_eq!(sent, 8, "nine cores of ten in use, one thread each");
+}
+
 /// A gateway knows of no loads but its own: one in eight lookups of another gateway went to stand behind one.
 #[test]
 fn readers_of_an_area_stay_clear_of_loads_that_other_gateways_sent() {
