A client's mark of its own retry reaches the module from the platform's calls

Need: a deployment's clients may mark a retry with `second` = `1`. The simulator's `again_by_client` reached the module, the field of a real call did not: net/front/mod.rs set `repeat: false`, so a storm of retries counted as arrivals.

The Thrift front reads the mark for every class. It goes by the call alone, as the simulator's reader does: where clients do not mark their retries the field is absent. Any value but `1` marks nothing and costs nothing: the mark is a hint for what is learned of traffic, and a request is as good without it. ClickHouse HTTP has no such mark.

--- a/src/net/front/clickhouse.rs
+++ b/src/net/front/clickhouse.rs
@@ -420,7 +420,9 @@
         params: request.params,
         flow: request.parts.then(|| -> Rc<dyn Flow> { session.seat.out.clone() }),
     };
-    let asked = Asked { class, tenant: None, arrived, limit, work: None, memory_mb: None, statement };
+    // The interface has no word for a client's retry.
+    let repeat = false;
+    let asked = Asked { class, tenant: None, arrived, limit, work: None, memory_mb: None, repeat, statement };
     session.seat.asked();
     desk.take(id, Box::new(Caller { session: session.clone(), name, class }), asked).await;
     Some(id)
--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -319,7 +319,7 @@
             work: asked.work.filter(|w| *w > 0.0),
             memory_mb: asked.memory_mb.filter(|m| *m > 0.0),
             data,
-            repeat: false,
+            repeat: asked.repeat,
         };
         let statement = Rc::new(asked.statement);
         self.names.borrow_mut().insert(statement.name.clone(), id);
@@ -387,6 +387,8 @@
     pub work: Option<Ms>,
     /// Guess of its memory.
     pub memory_mb: Option<f64>,
+    /// The client marks it as its own retry.
+    pub repeat: bool,
     /// What is to be run.
     pub statement: Statement,
 }
--- a/src/net/front/thrift.rs
+++ b/src/net/front/thrift.rs
@@ -32,6 +32,8 @@
 const PROTOCOL_ERROR: i32 = 7;
 /// No time, work or memory is more: weeks in milliseconds, petabytes in megabytes.
 const MOST: f64 = 1e10;
+/// The one value of `second` that marks a client's retry.
+const MARKED: &str = "1";
 
 /// A message, its parts still in the buffer.
 #[derive(Debug, PartialEq)]
@@ -432,6 +434,8 @@
         limit,
         work: number("cpu")?,
         memory_mb: number("mem")?,
+        // Any other value marks nothing: a mark is a hint, and the request is as good without it.
+        repeat: fields.get("second").is_some_and(|mark| *mark == MARKED),
         statement: Statement {
             name: txn.to_owned(),
             class: verb.to_owned(),
