A refusal over ClickHouse HTTP gives no advice where the deployment gives none

Need: `limits.retry_after` may be off; then clients get no advice on when to come back. The HTTP front sent `Retry-After: 1` all the same, as it rounds up to a whole second at least.

The header is left out where there is no advice; the text and the status stay. tests/deployments.rs is new and also holds, for settings in which deployments differ: connection limits, attempts a connection carries, memory grants heeded or the engine's alone, attempts up to the cap without a retry budget, load reports in probes and in answers.

Seen to fail: `refusal_over_http_advises_only_where_advice_is_given` with the header always sent; `limits_of_connections_are_the_settings` with the connect time-out fixed.

--- a/src/net/front/clickhouse.rs
+++ b/src/net/front/clickhouse.rs
@@ -135,8 +135,11 @@
                 s.seat.out.common().figures.add(tally);
             }
             Answer::Refused(later) => {
-                let seconds = (later / 1000.0).ceil().max(1.0).to_string();
-                s.fail(TOO_MANY, "Too many simultaneous queries", &[("Retry-After", &seconds), id]);
+                // The header has whole seconds alone. Where the deployment gives no advice there is none.
+                let seconds = (later / 1000.0).ceil().to_string();
+                let advice = (later > 0.0).then_some(("Retry-After", &*seconds));
+                let headers: Vec<_> = advice.into_iter().chain([id]).collect();
+                s.fail(TOO_MANY, "Too many simultaneous queries", &headers);
             }
             Answer::Expired => s.fail(TIMEOUT, "Timeout exceeded", &[id]),
             Answer::Failed(None) => s.fail(NETWORK, "The query failed at its engine and may have run", &[id]),
--- /dev/null
+++ b/tests/deployments.rs
@@ -0,0 +1,192 @@
+//! What a deployment's settings say is what the program does, on every deployment.
+
+mod stand;
+
+use rstest::rstest;
+use stand::*;
+use starlingplank::config::Config;
+use starlingplank::core::{Event, Send, Statement};
+use starlingplank::interface::*;
+use starlingplank::limits::Limits;
+use starlingplank::net::conn::Common;
+use starlingplank::net::engine::pool::{Engines, RespEngines};
+use starlingplank::wire::Fields;
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+const ID: &str = "00000000000000a1";
+
+/// Two classes, two kinds and two zones, with all that may contradict.
+const SETTINGS: &str = r#"{"listen":"127.0.0.1:0","seed":"7","limits":{"cores":1.0,"memory_mb":192,"sockets":256},
+ "settings":{"balancers":2,"rank":1,"zones":["east","west"],"locality":"west","skus":["std","big"],"tick":1.0,
+  "classes":[
+   {"name":"lookup","on_time":500,"give_up":5000,"idempotency":"idempotent","worth":1,"late_worth":0.1,
+    "allowed_on":null,"allowed_in":["east"]},
+   {"name":"load","on_time":900,"give_up":5000,"idempotency":"deduplicated","dedup_scope":"all","window":12000}],
+  "tenants":[{"name":"docks","quota_per_s":5},{"name":"yards","quota_per_s":5}],
+  "specifics":{"cpu_of_kind":[8,4],"memory_by_kind_mb":[8192,4096],"width_by_class":[1,2],"is_load":[false,true],
+   "class_waits":[true,false],"grants_count":true,"takes_priority":true,"most_grant":0.4},
+  "charges":{"probe":0.01},
+  "limits":{"send_cap":3,"retry_after":true,"max_retry_after":1000,"connect_timeout":250},
+  "rules":{"answer_slack":20,"drain_grace":2000,"extra_free":2,"extra_per_request":0.2,"ratio_span":10000}}}"#;
+
+/// Connections are kept by the deployment's own figures.
+#[rstest]
+#[case::one(r#"{"streams_per_conn":32,"connect_timeout":250,"idle_close":15000,"max_open":20000}"#, (32, 250, 12_000, 20_000))]
+#[case::other(r#"{"streams_per_conn":8,"connect_timeout":180,"idle_close":5000,"max_open":500}"#, (8, 180, 4_000, 500))]
+fn limits_of_connections_are_the_settings(#[case] limits: &str, #[case] expected: (usize, u64, u64, usize)) {
+    let own = r#"{"send_cap":3,"retry_after":true,"max_retry_after":1000,"connect_timeout":250}"#;
+    let l = Config::read(&changed(SETTINGS, own, limits)).expect("it can be used").limits;
+    let ms = |d: Duration| d.as_millis() as u64;
+    assert_eq!((l.streams, ms(l.connect), ms(l.idle), l.max_open), expected);
+}
+
+/// Attempts that one connection may carry at once, as the stand-in counts them.
+#[test]
+fn connection_to_an_engine_carries_no_more_attempts_than_the_settings_allow() {
+    let open: Arc<Mutex<BTreeMap<u16, usize>>> = Arc::default();
+    let released = Arc::new(AtomicBool::new(false));
+    let (counts, goes_on) = (open.clone(), released.clone());
+    let (at, log) = resp_engine_that(move |parts, stream| {
+        let from = stream.peer_addr().expect("connected").port();
+        match parts[0].as_str() {
+            // Nothing is answered, so all stay open.
+            "want" => *counts.lock().expect("counts").entry(from).or_default() += 1,
+            _ if goes_on.load(Ordering::SeqCst) => return false,
+            _ => {}
+        }
+        true
+    });
+    let text = changed(
+        &config(&[at], "resp", 60_000),
+        r#""connect_timeout":250"#,
+        r#""connect_timeout":250,"streams_per_conn":2"#,
+    );
+    let text = changed(&text, r#""on_time":500"#, r#""on_time":60000"#);
+    let gateway = Gateway::start(&text);
+    let mut client = gateway.client();
+    for seq in 1..=6 {
+        let fields = [("verb", "lookup"), ("txn", &*format!("{seq:016x}")), ("limit", "60000")];
+        client.write_all(&call(seq, &fields, "select 1")).expect("sent");
+    }
+    until(&log, |l| l.iter().filter(|p| p[0] == "want").count() == 6);
+    released.store(true, Ordering::SeqCst);
+    let open = open.lock().expect("counts");
+    assert!(open.values().all(|n| *n <= 2), "{open:?}");
+}
+
+/// Where the engine alone grants memory, the gateway asks for none, whatever the estimate.
+#[rstest]
+#[case::heeded(true, Some("mem=154"))]
+#[case::engine_s_alone(false, None)]
+fn memory_is_granted_only_where_grants_are_heeded(#[case] heeded: bool, #[case] granted: Option<&str>) {
+    let (at, log) = resp_engine(served);
+    let text = config(&[at], "resp", 60_000);
+    let text = changed(&text, r#""grants_count":true"#, &format!(r#""grants_count":{heeded}"#));
+    let gateway = Gateway::start(&text);
+    let mut client = gateway.client();
+    let fields = [("verb", "lookup"), ("txn", ID), ("limit", "60000"), ("cpu", "820.0"), ("mem", "96")];
+    client.write_all(&call(1, &fields, "select 1")).expect("sent");
+    assert_eq!(answer(&mut client).1, "served");
+    let log = log.lock().expect("log");
+    let want = log.iter().find(|p| p[0] == "want").expect("sent");
+    assert_eq!(want[2].split(',').find(|field| field.starts_with("mem=")), granted, "{want:?}");
+}
+
+fn served(parts: &[String]) -> Option<String> {
+    Some(match parts[0].as_str() {
+        "want" => reply(&[&parts[1], "served", "pages=1,cost=5,need=8", "a\tb\tc\n"]),
+        "busy" => reply(&[&parts[1], "green", "use=util:0.1", ""]),
+        _ => String::new(),
+    })
+}
+
+/// Without a retry budget the cap on attempts alone binds; with one, whichever is less.
+#[rstest]
+#[case::five_without_budget(5, false, 5)]
+#[case::two_without_budget(2, false, 2)]
+#[case::five_within_a_budget_of_two(5, true, 3)]
+fn attempts_end_at_the_cap_or_the_budget(
+    #[case] cap: u32,
+    #[case] budget: bool,
+    #[case] attempts: usize,
+    #[values("lookup", "load")] class: &str,
+) {
+    let (at, log) = resp_engine(|parts| match parts[0].as_str() {
+        "want" => Some(reply(&[&parts[1], "nobody", "-", ""])),
+        _ => served(parts),
+    });
+    let text = at_most_once(&config(&[at], "resp", 60_000));
+    let text = match budget {
+        true => changed(&text, r#""send_cap":3"#, &format!(r#""send_cap":{cap}"#)),
+        false => without_retry_budget(&text, cap),
+    };
+    let gateway = Gateway::start(&text);
+    let mut client = gateway.client();
+    let fields = [("verb", class), ("txn", ID), ("limit", "60000")];
+    client.write_all(&call(1, &fields, "select 1")).expect("sent");
+    assert_eq!(answer(&mut client).1, "overloaded", "nothing ran");
+    assert_eq!(log.lock().expect("log").iter().filter(|p| p[0] == "want").count(), attempts);
+}
+
+/// Load reports come with probes alone on one deployment, with answers as well on another; each field that is there is
+/// read, and one that is not is not made up.
+#[rstest]
+#[case::queue_and_util("queue:3;util:0.61", Report { queue: Some(3.0), util: Some(0.61), ..Report::default() })]
+#[case::inflight("inflight:7", Report { inflight: Some(7.0), ..Report::default() })]
+#[case::memory_and_disks("x0:0.4;x1:0.9", Report { memory: Some(0.4), disks: Some(0.9), ..Report::default() })]
+#[case::unknown("latency_ms:5;util:0.5", Report { util: Some(0.5), ..Report::default() })]
+fn load_reports_are_read_from_probes_and_from_answers(#[case] text: &'static str, #[case] expected: Report) {
+    let (at, _) = resp_engine(move |parts| {
+        let with = |fields: &str| format!("{fields}use={text}");
+        Some(match parts[0].as_str() {
+            "want" => reply(&[&parts[1], "served", &with("pages=1,cost=5,need=8,"), "a\tb\tc\n"]),
+            "busy" => reply(&[&parts[1], "green", &with(""), ""]),
+            _ => String::new(),
+        })
+    });
+    let limits = Rc::new(Limits::read(&Fields::new("settings", BTreeMap::new())).expect("defaults"));
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    rt.block_on(tokio::task::LocalSet::new().run_until(async {
+        let (sender, mut events) = tokio::sync::mpsc::channel(8);
+        let mut engines = RespEngines::new(limits, Common::new(1), sender);
+        let (engine, mut at_once) = (EngineId("s-0".into()), Vec::new());
+        engines.probe(1, &engine, at, &mut at_once);
+        let Some(Event::Probed(1, true, Some(probed))) = events.recv().await else { panic!("a report") };
+        let statement = Statement { name: ID.into(), class: "lookup".into(), ..Statement::default() };
+        let send = Send {
+            id: (RequestId(1), 0),
+            engine,
+            address: at,
+            class: ClassId(0),
+            statement: Rc::new(statement),
+            budget: 60_000.0,
+            leave_within: None,
+            memory_mb: 0.0,
+            priority: 1,
+        };
+        engines.send(send, &mut at_once);
+        let Some(Event::Ended(_, end)) = events.recv().await else { panic!("an end") };
+        assert_eq!((probed, end.report, end.work), (expected, Some(expected), Some(5.0)));
+        assert!(at_once.is_empty());
+    }));
+}
+
+/// Advice on when to come back goes to clients only where the deployment gives any.
+#[rstest]
+#[case::given(true, Some("Retry-After: 1"))]
+#[case::not_given(false, None)]
+fn refusal_over_http_advises_only_where_advice_is_given(#[case] given: bool, #[case] advice: Option<&str>) {
+    let (_held, at) = refusing();
+    let text =
+        changed(&config(&[at], "resp", 5_000), r#""retry_after":true"#, &format!(r#""retry_after":{given}"#));
+    let gateway = Gateway::start(&text);
+    let mut client = gateway.web();
+    let (head, _) = ask(&mut client, "POST / HTTP/1.1\r\nContent-Length: 8\r\n\r\nselect 1");
+    assert!(head.starts_with("HTTP/1.1 503"), "{head}");
+    assert_eq!(head.lines().find(|line| line.starts_with("Retry-After")), advice);
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -47,7 +47,34 @@
     )
 }
 
+/// The text with one part of it changed; that part is there.
+pub fn changed(text: &str, from: &str, to: &str) -> String {
+    assert!(text.contains(from), "{from} is in the text");
+    text.replacen(from, to, 1)
+}
+
+/// The class `load` must not run twice.
+pub fn at_most_once(config: &str) -> String {
+    let keyed = r#""idempotency":"deduplicated","dedup_scope":"all","window":12000"#;
+    changed(config, keyed, r#""idempotency":"at_most_once""#)
+}
+
+/// No retry budget, and so many attempts for a request at most.
+pub fn without_retry_budget(config: &str, send_cap: u32) -> String {
+    let text = changed(config, r#","extra_free":2,"extra_per_request":0.2,"ratio_span":10000"#, "");
+    changed(&text, r#""send_cap":3"#, &format!(r#""send_cap":{send_cap}"#))
+}
+
 impl Gateway {
+    /// With a folder that its processes share.
+    pub fn start_in(config: &str, folder: &std::path::Path) -> Self {
+        let file = folder.join("config.json");
+        std::fs::write(&file, config).expect("a file");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_starlingplank"));
+        command.env("TMPDIR", folder).arg("serve");
+        Self::spawn(command, file)
+    }
+
     pub fn start(config: &str) -> Self {
         Self::start_with(config, None)
     }
@@ -285,17 +312,31 @@
 
 /// A platform engine that answers each command by `act`; none closes the connection.
 pub fn resp_engine(act: impl Fn(&[String]) -> Option<String> + Send + Sync + 'static) -> (SocketAddr, Log) {
-    serve(move |stream, log| {
+    resp_engine_that(said(act))
+}
+
+/// A platform engine that does as it likes with each command's connection; false closes it.
+pub fn resp_engine_that(
+    act: impl Fn(&[String], &mut TcpStream) -> bool + Send + Sync + 'static,
+) -> (SocketAddr, Log) {
+    serve(commands(act))
+}
+
+fn said(act: impl Fn(&[String]) -> Option<String>) -> impl Fn(&[String], &mut TcpStream) -> bool {
+    move |parts, stream| act(parts).is_some_and(|said| stream.write_all(said.as_bytes()).is_ok())
+}
+
+fn commands(act: impl Fn(&[String], &mut TcpStream) -> bool) -> impl Fn(&mut TcpStream, &Log) {
+    move |stream, log| {
         let mut reader = BufReader::new(stream.try_clone().expect("cloned"));
         while let Some(parts) = command(&mut reader) {
             log.lock().expect("log").push(parts.clone());
-            let Some(said) = act(&parts) else { return };
-            if stream.write_all(said.as_bytes()).is_err() {
+            if !act(&parts, stream) {
                 return;
             }
         }
         log.lock().expect("log").push(vec!["closed".into()]);
-    })
+    }
 }
 
 /// A ClickHouse engine that answers each request, its target and body, by `act`; none closes the connection.
@@ -316,7 +357,12 @@
 
 fn serve(each: impl Fn(&mut TcpStream, &Log) + Send + Sync + 'static) -> (SocketAddr, Log) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let (at, log) = (listener.local_addr().expect("bound"), Log::default());
+    let at = listener.local_addr().expect("bound");
+    (at, serve_at(listener, each))
+}
+
+fn serve_at(listener: TcpListener, each: impl Fn(&mut TcpStream, &Log) + Send + Sync + 'static) -> Log {
+    let log = Log::default();
     let (each, seen) = (Arc::new(each), log.clone());
     thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
@@ -324,7 +370,7 @@
             thread::spawn(move || each(&mut stream, &seen));
         }
     });
-    (at, log)
+    log
 }
 
 /// Head lines and body of an HTTP message; a body cut short ends where the stream does.
@@ -392,3 +438,52 @@
     }
     panic!("never came: {:?}", log.lock().expect("log"));
 }
+
+/// A listener whose queue is full: connections to it come up once there is room, at the system's next try a second later.
+/// With what fills it.
+pub fn full_listener() -> (TcpListener, Vec<std::io::Result<TcpStream>>) {
+    let socket = rustix::net::socket(rustix::net::AddressFamily::INET, rustix::net::SocketType::STREAM, None);
+    let socket = socket.expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    rustix::net::bind(&socket, &any).expect("bound");
+    rustix::net::listen(&socket, 0).expect("listens");
+    let listener = TcpListener::from(socket);
+    let at = listener.local_addr().expect("bound");
+    let filling: Vec<_> =
+        (0..2).map(|_| TcpStream::connect_timeout(&at, Duration::from_millis(100))).collect();
+    assert!(filling[1].is_err(), "the queue is full");
+    (listener, filling)
+}
+
+/// Waits until a connection to that address is on its way and not up yet.
+pub fn until_coming_up(at: SocketAddr) {
+    let (to, syn_sent) = (format!("0100007F:{:04X}", at.port()), "02");
+    let of = |line: &str| {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        words.get(2) == Some(&to.as_str()) && words.get(3) == Some(&syn_sent)
+    };
+    for _ in 0..30_000 {
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("the system's table");
+        if table.lines().any(of) {
+            return;
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+    panic!("no connection to {at} is ever on its way");
+}
+
+/// An address at which nothing listens and nothing will: connections are refused for as long as the socket is held.
+pub fn refusing() -> (tokio::net::TcpSocket, SocketAddr) {
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let at = socket.local_addr().expect("bound");
+    (socket, at)
+}
+
+/// A platform engine at a listener that stands already.
+pub fn resp_engine_at(
+    listener: TcpListener,
+    act: impl Fn(&[String]) -> Option<String> + Send + Sync + 'static,
+) -> Log {
+    serve_at(listener, commands(said(act)))
+}
