Settings that contradict themselves are refused at the start, with file and key

Need: settings were read key by key and hardly held against each other.

config/consistency.rs holds them against each other after they are read. The message names the file and the key, also where an operator's file stands alone. A flag in a list is read as any other flag; a key whose value is null is absent.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -2,6 +2,7 @@
 //! [`wire`](crate::wire) reads, so that the simulator's first message and the files at start are read by one reader
 //! into one [`Settings`].
 
+pub mod consistency;
 pub mod operator;
 pub mod schema;
 
@@ -34,6 +35,14 @@
     /// All that is wrong with an operator's file, a line each.
     #[error("{}", .0.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))]
     Operator(Vec<operator::Problem>),
+    /// What an operator's file says contradicts itself.
+    #[error("{file}: {error}")]
+    Contradiction {
+        /// The file.
+        file: String,
+        /// What is wrong with it.
+        error: Box<ConfigError>,
+    },
 }
 
 /// How the log is written.
@@ -160,7 +169,12 @@
                     raw.pairs.extend(more.pairs);
                     raw
                 }
-                None => more,
+                None => {
+                    return Self::from_raw(more).map_err(|error| ConfigError::Contradiction {
+                        file: file.to_owned(),
+                        error: Box::new(error),
+                    });
+                }
             });
         }
         Self::from_raw(raw.ok_or(ConfigError::Key("configuration", "is missing: neither file was named"))?)
@@ -173,6 +187,7 @@
         pairs.insert("entropy".into(), seed.to_string());
         let fields = Fields::new("settings", pairs);
         let settings = wire::settings(&fields)?;
+        consistency::check(&fields)?;
         settings.check()?;
         let longest = settings.classes.iter().map(|c| c.give_up).fold(0.0, f64::max);
         let limits = Limits::read(&fields)?.ending(longest);
@@ -312,6 +327,8 @@
                 list.iter().enumerate().for_each(|(i, v)| flatten(&under(&i.to_string()), v, pairs));
             }
         },
+        // A key without a value is a key that is not there.
+        Value::Null => {}
         value => drop(plain(value).map(|text| pairs.insert(path.to_owned(), text))),
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -182,11 +182,12 @@
     }
 
     fn flag(&self, field: &str) -> Result<bool, WireError> {
-        match self.opt(field) {
-            None | Some("0" | "false") => Ok(false),
-            Some("1" | "true") => Ok(true),
-            Some(_) => Err(self.bad(field, "is neither 0 nor 1")),
-        }
+        self.opt(field).map_or(Some(false), flag).ok_or_else(|| self.bad(field, "is neither 0 nor 1"))
+    }
+
+    fn flags(&self, field: &str) -> Result<Vec<bool>, WireError> {
+        let all: Option<Vec<bool>> = self.list(field).into_iter().map(flag).collect();
+        all.ok_or_else(|| self.bad(field, "holds what is neither 0 nor 1"))
     }
 
     fn front(&self) -> Result<Front, WireError> {
@@ -225,6 +226,15 @@
     }
 }
 
+/// A flag as either side writes it.
+fn flag(text: &str) -> Option<bool> {
+    match text {
+        "0" | "false" => Some(false),
+        "1" | "true" => Some(true),
+        _ => None,
+    }
+}
+
 /// Reads one line.
 pub fn parse(line: &str) -> Result<Line, WireError> {
     let f = Fields::parse(line)?;
@@ -387,8 +397,8 @@
     let cores = numbers("specifics.cpu_of_kind")?;
     let memory = numbers("specifics.memory_by_kind_mb")?;
     let threads = numbers("specifics.width_by_class")?;
-    let loads = f.list("specifics.is_load");
-    let waits = f.list("specifics.class_waits");
+    let loads = f.flags("specifics.is_load")?;
+    let waits = f.flags("specifics.class_waits")?;
     let at = |list: &[f64], i: usize| list.get(i).copied().unwrap_or(0.0);
     let kinds: Vec<Kind> = names
         .iter()
@@ -426,8 +436,8 @@
             }),
             zones: allowed("allowed_in").map(|list| list.iter().filter_map(|n| zone_of(&zones, n)).collect()),
             threads: threads.get(i).copied().unwrap_or(1.0),
-            is_load: loads.get(i) == Some(&"true"),
-            waits_for_loads: waits.get(i) == Some(&"true"),
+            is_load: loads.get(i) == Some(&true),
+            waits_for_loads: waits.get(i) == Some(&true),
         });
     }
     let mut tenants = Vec::new();
--- a/tests/deployments.rs
+++ b/tests/deployments.rs
@@ -1,4 +1,5 @@
-//! What a deployment's settings say is what the program does, on every deployment.
+//! What a deployment's settings say is what the program does, on every deployment; settings that contradict themselves
+//! are refused at the start.
 
 mod stand;
 
@@ -13,6 +14,7 @@
 use starlingplank::wire::Fields;
 use std::collections::BTreeMap;
 use std::io::Write;
+use std::process::Command;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -34,6 +36,96 @@
   "limits":{"send_cap":3,"retry_after":true,"max_retry_after":1000,"connect_timeout":250},
   "rules":{"answer_slack":20,"drain_grace":2000,"extra_free":2,"extra_per_request":0.2,"ratio_span":10000}}}"#;
 
+#[test]
+fn settings_without_contradiction_are_taken() {
+    let s = Config::read(SETTINGS).expect("it can be used").settings;
+    assert_eq!(s.zone, Some(ZoneId(1)));
+    // A key whose value is null is absent: the class may run on every kind.
+    assert_eq!((s.classes[0].kinds.clone(), s.classes[0].zones.clone()), (None, Some(vec![ZoneId(0)])));
+    assert!(s.classes[1].is_load && s.classes[0].waits_for_loads);
+}
+
+#[rstest]
+#[case::cores_of_one_kind("[8,4]", "[8]", "specifics.cpu_of_kind")]
+#[case::memory_of_one_kind("[8192,4096]", "[8192]", "specifics.memory_by_kind_mb")]
+#[case::threads_of_three_classes("[1,2]", "[1,2,3]", "specifics.width_by_class")]
+#[case::loads_of_one_class("[false,true]", "[true]", "specifics.is_load")]
+#[case::load_that_is_no_flag("[false,true]", "[false,\"yes\"]", "specifics.is_load")]
+#[case::waits_of_one_class("[true,false]", "[true]", "specifics.class_waits")]
+#[case::zone_twice(r#"["east","west"]"#, r#"["east","west","east"]"#, "zones")]
+#[case::kind_twice(r#"["std","big"]"#, r#"["std","std"]"#, "skus")]
+#[case::class_twice(r#""name":"load""#, r#""name":"lookup""#, "classes.1.name")]
+#[case::tenant_twice(r#""name":"yards""#, r#""name":"docks""#, "tenants.1.name")]
+#[case::unknown_zone(r#""locality":"west""#, r#""locality":"north""#, "locality")]
+#[case::class_in_an_unknown_zone(
+    r#""allowed_in":["east"]"#,
+    r#""allowed_in":["north"]"#,
+    "classes.0.allowed_in"
+)]
+#[case::class_in_no_zone(r#""allowed_in":["east"]"#, r#""allowed_in":[]"#, "classes.0.allowed_in")]
+#[case::class_on_an_unknown_kind(r#""allowed_on":null"#, r#""allowed_on":["tiny"]"#, "classes.0.allowed_on")]
+#[case::key_without_window(r#","window":12000"#, "", "classes.1.window")]
+#[case::key_of_no_time(r#""window":12000"#, r#""window":0"#, "classes.1.window")]
+#[case::worth_below_nothing(r#""worth":1"#, r#""worth":-1"#, "classes.0.worth")]
+#[case::late_worth_past_all(r#""late_worth":0.1"#, r#""late_worth":1.5"#, "classes.0.late_worth")]
+#[case::aim_past_the_deadline(r#""on_time":900"#, r#""on_time":6000"#, "classes.on_time")]
+#[case::retries_of_no_span(r#","ratio_span":10000"#, "", "rules.extra_free")]
+#[case::retries_of_an_empty_span(r#""ratio_span":10000"#, r#""ratio_span":0"#, "rules.ratio_span")]
+#[case::retries_below_none(r#""extra_free":2"#, r#""extra_free":-2"#, "rules.extra_free")]
+#[case::grant_of_nothing(r#""most_grant":0.4"#, r#""most_grant":0"#, "specifics.most_grant")]
+#[case::grant_past_all(r#""most_grant":0.4"#, r#""most_grant":1.4"#, "specifics.most_grant")]
+#[case::advice_below_nothing(
+    r#""max_retry_after":1000"#,
+    r#""max_retry_after":-1"#,
+    "limits.max_retry_after"
+)]
+#[case::connected_before_begun(
+    r#""connect_timeout":250"#,
+    r#""connect_timeout":-250"#,
+    "limits.connect_timeout"
+)]
+#[case::no_attempt(r#""send_cap":3"#, r#""send_cap":0"#, "limits.send_cap")]
+#[case::probe_that_earns(r#""probe":0.01"#, r#""probe":-0.01"#, "charges.probe")]
+#[case::no_memory(r#""memory_mb":192"#, r#""memory_mb":0"#, "machine.memory_mb")]
+#[case::no_descriptors(r#""sockets":256"#, r#""sockets":0"#, "machine.sockets")]
+fn settings_that_contradict_themselves_are_refused_with_their_key(
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] key: &str,
+) {
+    let error = Config::read(&changed(SETTINGS, from, to)).expect_err("it cannot be used").to_string();
+    assert!(error.contains(key), "{error}");
+}
+
+/// What the program says at its start of a file that cannot be used.
+fn said_of(kind: &str, flag: &str, text: &str) -> String {
+    let mut file = tempfile::Builder::new().suffix(kind).tempfile().expect("a file");
+    file.write_all(text.as_bytes()).expect("written");
+    let run = Command::new(env!("CARGO_BIN_EXE_starlingplank"))
+        .args(["check-config", flag])
+        .arg(file.path())
+        .env_remove("PROXY_CONFIG")
+        .env_remove("STARLINGPLANK_OPERATOR")
+        .output()
+        .expect("it runs");
+    let said = String::from_utf8_lossy(&run.stderr).into_owned();
+    assert_eq!(run.status.code(), Some(1), "{said}");
+    assert!(said.contains(&file.path().display().to_string()), "{said}");
+    said
+}
+
+/// The message names the file and the key, of the platform's configuration and of an operator's.
+#[test]
+fn program_does_not_start_by_settings_that_contradict_themselves() {
+    let platform = changed(SETTINGS, r#","window":12000"#, "");
+    let said = said_of(".json", "--config", &platform);
+    assert!(said.contains("classes.1.window") && !said.contains("panic"), "{said}");
+    let whole = include_str!("../deploy/clickhouse.hcl");
+    let twice = r#"["room-a", "room-b", "room-a"]"#;
+    let said = said_of(".hcl", "--operator", &changed(whole, r#"["room-a", "room-b"]"#, twice));
+    assert!(said.contains("zones") && said.contains("twice") && !said.contains("panic"), "{said}");
+}
+
 /// Connections are kept by the deployment's own figures.
 #[rstest]
 #[case::one(r#"{"streams_per_conn":32,"connect_timeout":250,"idle_close":15000,"max_open":20000}"#, (32, 250, 12_000, 20_000))]
