--- a/tests/deployments.rs
+++ b/tests/deployments.rs
@@ -10,7 +10,7 @@
 use starlingplank::interface::*;
 use starlingplank::limits::Limits;
 use starlingplank::net::conn::Common;
-use starlingplank::net::engine::pool::{Engines, RespEngines};
+use starlingplank::net::engine::{pool::RespEngines, Engines};
 use starlingplank::wire::Fields;
 use std::collections::BTreeMap;
 use std::io::Write;
