A late copy of an engine's answer no longer ends the next attempt under the same name

Seen in a probe: an engine answers an attempt with `nobody` (or `overload`) twice, the second time after the next attempt of the same request has reached it on the same connection. The copy ended that attempt as never run, and a third went out: a request that must not run twice was sent five times where two are allowed. Ruled out: the module (its gate allows a send after an attempt that never ran) and the reducer (it was told of the second attempt's end). Cause: an attempt is known on its connection by its request's name, and only names of attempts that were given up here were kept from being used there again (`retired_ids`).

Names of attempts that an engine ended without a result are kept from it as well, in `Connection::retire_id`, which also holds the bound that stood in the pool. tests/unsafe_classes.rs, `copy_of_an_answer_...`: both cases fail without it.

--- a/src/net/engine/connection.rs
+++ b/src/net/engine/connection.rs
@@ -109,6 +109,16 @@
         self.in_flight.borrow_mut().remove(name)
     }
 
+    /// Lets no further attempt of that name use this connection: a late or repeated reply to the one that has ended would
+    /// pass for a reply to the next. A connection that has collected very many such names takes no more attempts.
+    pub fn retire_id(&self, name: String, limits: &Limits) {
+        let mut retired_ids = self.retired_ids.borrow_mut();
+        retired_ids.insert(name);
+        if retired_ids.len() > limits.queue {
+            self.retired.set(true);
+        }
+    }
+
     /// Removes an attempt by its id.
     pub fn remove_attempt(&self, id: AttemptId) {
         self.in_flight.borrow_mut().retain(|_, attempt| attempt.id != id);
@@ -127,7 +137,7 @@
         for name in self.stalled_names(limits) {
             let Some(attempt) = self.end_attempt(&name) else { continue };
             self.outbox.push(resp::command(&["shut", &name]), limits);
-            self.retired_ids.borrow_mut().insert(name);
+            self.retire_id(name, limits);
             events.push(Event::Ended(attempt.id, End::plain(Outcome::Error)));
         }
     }
--- a/src/net/engine/pool.rs
+++ b/src/net/engine/pool.rs
@@ -152,10 +152,7 @@
         connection.retire_if_silent(attempt.sent_at, silence);
         let word = if attempt.result.is_some() { "shut" } else { "never_mind" };
         connection.outbox.push(resp::command(&[word, &name]), &self.limits);
-        connection.retired_ids.borrow_mut().insert(name);
-        if connection.retired_ids.borrow().len() > self.limits.queue {
-            connection.retired.set(true);
-        }
+        connection.retire_id(name, &self.limits);
     }
 
     fn hurry(&mut self, id: AttemptId, priority: u8) {
--- a/src/net/engine/replies.rs
+++ b/src/net/engine/replies.rs
@@ -28,9 +28,9 @@
     match reply.word {
         b"served" | b"rows" => handle_page(connection, reply, limits),
         b"update" => handle_progress_update(connection, reply, limits),
-        b"overload" => handle_failure(connection, reply, Outcome::Full),
-        b"nobody" => handle_failure(connection, reply, Outcome::Moot),
-        b"crashed" => handle_failure(connection, reply, Outcome::Error),
+        b"overload" => handle_failure(connection, reply, Outcome::Full, limits),
+        b"nobody" => handle_failure(connection, reply, Outcome::Moot, limits),
+        b"crashed" => handle_failure(connection, reply, Outcome::Error, limits),
         _ => ReplyEffect::ProtocolError,
     }
 }
@@ -49,8 +49,14 @@
 }
 
 /// Ends an attempt that has no result.
-fn handle_failure(connection: &Connection, reply: &Reply<'_>, outcome: Outcome) -> ReplyEffect {
+fn handle_failure(
+    connection: &Connection,
+    reply: &Reply<'_>,
+    outcome: Outcome,
+    limits: &Limits,
+) -> ReplyEffect {
     let Some(attempt) = connection.end_attempt(reply.id) else { return ReplyEffect::Ignored };
+    connection.retire_id(reply.id.to_owned(), limits);
     // An attempt whose result has begun was executed, whatever the reply says.
     let outcome = if attempt.result.is_some() { Outcome::Error } else { outcome };
     let end = End { report: reply.report(), ..End::plain(outcome) };
--- a/tests/unsafe_classes.rs
+++ b/tests/unsafe_classes.rs
@@ -6,9 +6,9 @@
 use rstest::rstest;
 use stand::*;
 use std::io::{Read, Write};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -494,3 +494,34 @@
     until_used(&pair.start(), &log);
     assert_eq!(runs(&log, LOAD), 1);
 }
+
+/// An engine says twice that an attempt never ran, the second time after the next attempt has reached it: the copy answers
+/// the first, not the one that runs.
+#[rstest]
+#[case::nobody("nobody")]
+#[case::overload("overload")]
+fn copy_of_an_answer_does_not_end_the_next_attempt(#[case] word: &'static str) {
+    let first: Arc<Mutex<Option<TcpStream>>> = Arc::default();
+    let (at, log) = resp_engine_that(move |parts, stream| {
+        let never_ran = || reply(&[&parts[1], word, "-", ""]);
+        if parts[0] != "want" || parts[1] != LOAD {
+            return stream.write_all(served(parts).unwrap_or_default().as_bytes()).is_ok();
+        }
+        let mut first = first.lock().expect("first");
+        // The second attempt runs on; what is said again is said where it was said before.
+        let mut says = first.take().unwrap_or_else(|| stream.try_clone().expect("cloned"));
+        let said = says.write_all(never_ran().as_bytes()).is_ok();
+        *first = Some(says);
+        said
+    });
+    let gateway = Gateway::start(&settings(&[at], "resp", LONG));
+    let mut client = gateway.client();
+    client.write_all(&request(1, "load", LOAD, LONG)).expect("sent");
+    until(&log, |l| l.iter().filter(|p| p[0] == "want" && p[1] == LOAD).count() >= 2);
+    // What follows on the same connection is read after the copy.
+    for seq in 2..10 {
+        client.write_all(&request(seq, "lookup", &format!("{seq:016x}"), LONG)).expect("sent");
+        answer(&mut client);
+    }
+    assert_eq!(runs(&log, LOAD), 2, "the second attempt runs, and a third was sent");
+}
