Slowness counts as load again where grants are heeded and no fresh report tells otherwise

Where grants are heeded few queries spill and slowness is the one sign of load that such a gateway has.

So there it is learned from fresh news alone (mean age of reports under 0.5 s). Tests in tests/decide.rs: each part of the condition taken out fails one of four.

--- a/crates/decision/src/areas.rs
+++ b/crates/decision/src/areas.rs
@@ -9,8 +9,11 @@
 
 use crate::interface::DataSet;
 
-/// How sharply the preference falls along the order: with 4, half of all weight lies on an eighth of the engines.
-const SHARPNESS: i32 = 4;
+/// How sharply the readers' preference falls along the order: half of their weight lies on an eighth of the engines.
+const READERS: i32 = 4;
+
+/// The same of loads, which wait for each other on an engine: half of their weight lies on a fifth of the engines.
+const LOADS: i32 = 2;
 
 /// The weight of the least preferred engine. Above 0: where all others are full or away it is used.
 pub const LEAST: f64 = 0.01;
@@ -19,8 +22,8 @@
 /// for hashing, the same on every gateway.
 pub fn preference(area: DataSet, engine: u64, is_load: bool) -> f64 {
     let place = place(area, engine);
-    let place = if is_load { 1.0 - place } else { place };
-    place.powi(SHARPNESS).max(LEAST)
+    let weight = if is_load { (1.0 - place).powi(LOADS) } else { place.powi(READERS) };
+    weight.max(LEAST)
 }
 
 /// The engine's place in the order of that area, evenly from 0 to 1.
--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -49,6 +49,7 @@
 const SLOW_SPAN: Ms = 5000.0; // over which slowness is learned ...
 const SLOW_PRIOR: Ms = 500.0; // ... with so much time of a thread taken to be as usual
 const UNLOADED: f64 = 0.05; // weight of a step's slowness in that without load ...
+const NEWS: Ms = 500.0; // mean age of reports up to which they tell how many threads run
 const UNLOADED_MOST: f64 = 1.5; // ... past which an engine is ill, whatever slows it
 const CRAWL: f64 = 4.0; // times slower, past which idle cores mean that all wait for disks
 const STUCK: f64 = 3.0; // times its time alone past which one attempt in three still ends in time
@@ -278,11 +279,10 @@
         let f = &mut self.fleet;
         let own = e.usual_count * f.width / e.cores;
         let report = report.unwrap_or_default();
-        let all = match (sane(report.inflight), sane(report.util), sane(probe)) {
+        let all = match (sane(report.inflight), sane(report.util).map(|u| u.min(1.0)), sane(probe)) {
             (Some(n), ..) => own + (n - e.usual_count).max(0.0) * f.width / e.cores,
             (_, Some(util), _) => {
                 let slow = (f.slow.max(e.slow) / f.unloaded_slow).clamp(1.0, SLOW_MOST);
-                let util = util.min(1.0);
                 util * slow + (1.0 - util) * (slow - CRAWL).max(0.0)
             }
             (.., Some(took)) if self.stood == 0.0 => {
@@ -560,9 +560,10 @@
         // Who sends little has seen little, and goes by what engines report.
         self.fleet.slow = (all.out + SLOW_PRIOR * self.fleet.usual_load.min(1.0)) / (all.alone + SLOW_PRIOR);
         self.fleet.stuck = jammed / (jammed + all.alone + SLOW_PRIOR);
-        // Spills and locks slow queries down while few threads run: that much of slowness is no sign of load.
+        // Spills and locks slow queries down without load. Where grants are heeded few spill: news decides.
         let f = &mut self.fleet;
-        if f.load() < LEVELS[BEST_LEVEL] || f.slow < f.unloaded_slow {
+        let told = !self.s.grants || f.age < NEWS;
+        if told && f.load() < LEVELS[BEST_LEVEL] || f.slow < f.unloaded_slow {
             f.unloaded_slow += UNLOADED * (f.slow.clamp(1.0, UNLOADED_MOST) - f.unloaded_slow);
         }
     }
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -855,15 +855,22 @@
     assert!(lookups(&mut bed).contains(&loading), "the load has ended");
 }
 
-/// A gateway before 24 idle cores, whose queries spill: one after another takes so long for 100 ms of work.
-fn spilling(took: Ms) -> Bed {
+/// A gateway before 24 idle cores, whose queries spill: one after another takes so long for 100 ms of work. Engines say that
+/// so much of their cores is in use, or nothing, and heed grants of memory or not.
+fn spilling(took: Ms, in_use: Option<f64>, grants: bool) -> Bed {
     let mut s = settings();
+    s.grants = grants;
     s.gateways = 1;
     s.classes[0].aim = 2_000.0;
     let mut bed = Bed::new(s, 4);
     for _ in 0..400 {
         let (id, to) = bed.ask(0);
         bed.pass(took);
+        if let Some(util) = in_use {
+            let report = Some(Report { util: Some(util), ..Report::default() });
+            let probed = |n| Event::Probed { engine: engine(n), ok: true, took: 1.0, report };
+            bed.turn(&(0..4).map(probed).collect::<Vec<_>>());
+        }
         let ended = Event::Outcome {
             id: RequestId(id),
             attempt: 0,
@@ -883,15 +890,33 @@
 /// of what it could take was refused.
 #[test]
 fn what_slows_queries_down_without_load_leaves_a_fleet_its_room() {
-    let mut bed = spilling(300.0);
+    let mut bed = spilling(300.0, None, false);
     let sent = (0..30).filter(|_| bed.ask(0).1.is_some()).count();
     assert_eq!(sent, 30, "on 24 cores, at a bound of one and a half threads a core");
 }
 
+/// Hundreds of gateways hear of each engine too seldom to know how many threads run: there slowness is the sign of load.
+#[test]
+fn slowness_counts_as_load_where_grants_are_heeded_and_no_engine_tells_of_its_load() {
+    let mut bed = spilling(300.0, None, true);
+    let sent = (0..30).filter(|_| bed.ask(0).1.is_some()).count();
+    assert!(sent <= 20, "{sent} of 30 sent into a fleet that takes three times as long as alone");
+}
+
+/// Where news is fresh it tells that few threads run, whether grants are heeded or not.
+#[test]
+fn fresh_reports_tell_that_slowness_is_no_load() {
+    let mut bed = spilling(300.0, Some(0.0), true);
+    let sent = (0..30).filter(|_| bed.ask(0).1.is_some()).count();
+    assert_eq!(sent, 30, "on 24 cores that report to be idle");
+}
+
 /// Cores in use were taken for as many threads a core as queries take longer than alone, spills and all.
 #[test]
 fn what_slows_queries_down_without_load_makes_no_crowd_of_cores_in_use() {
-    let mut bed = spilling(200.0);
+    let mut bed = spilling(200.0, Some(0.0), false);
+    // What is reported next is not smoothed with what was.
+    bed.pass(1_000.0);
     for n in 0..4 {
         let report = Report { util: Some(0.9), ..Report::default() };
         bed.turn(&[Event::Probed { engine: engine(n), ok: true, took: 1.0, report: Some(report) }]);
