Tests of connections on their way count those of the gateway, each once

Cause: the tests counted lines of /proc/net/tcp. Under load the table was seen to hold one connection twice (same inode, as it is read in pieces), and one that was not the gateway's: the connection that `full_listener` had given up, older than the gateway's by its time-out of 100 ms. It was still open, most likely in a child between fork and exec. So `probes_of_an_engine_that_takes_no_connection_open_one_at_a_time` met 4 connections and `attempt_whose_connection_is_not_up_yet_...` met 2 where the gateway's log tells of one attempt on one connection.

Change: `Gateway::connections_coming_up` takes inodes of the table, each once, that the gateway's process has open after the table was read. The bounds stay as they were.

--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -175,33 +175,6 @@
     assert_eq!(wants(&log, name), before);
 }
 
-/// A listener whose queue is full: connections to it come up once there is room, at the system's next try a second later.
-/// With what fills it.
-fn full_listener() -> (TcpListener, Vec<std::io::Result<TcpStream>>) {
-    let socket = rustix::net::socket(rustix::net::AddressFamily::INET, rustix::net::SocketType::STREAM, None);
-    let socket = socket.expect("a socket");
-    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-    rustix::net::bind(&socket, &any).expect("bound");
-    rustix::net::listen(&socket, 0).expect("listens");
-    let listener = TcpListener::from(socket);
-    let at = listener.local_addr().expect("bound");
-    let filling: Vec<_> =
-        (0..2).map(|_| TcpStream::connect_timeout(&at, Duration::from_millis(100))).collect();
-    assert!(filling[1].is_err(), "the queue is full");
-    (listener, filling)
-}
-
-/// Connections to that address that are not up yet, of all processes of this machine.
-fn coming_up(at: SocketAddr) -> usize {
-    let table = std::fs::read_to_string("/proc/net/tcp").expect("the system's table");
-    let (to, syn_sent) = (format!("0100007F:{:04X}", at.port()), "02");
-    let of = |line: &&str| {
-        let words: Vec<&str> = line.split_whitespace().collect();
-        words.get(2) == Some(&to.as_str()) && words.get(3) == Some(&syn_sent)
-    };
-    table.lines().filter(of).count()
-}
-
 /// Answers each `want` that comes on any connection, and notes all that does.
 fn answering(listener: TcpListener) -> Arc<Mutex<String>> {
     let seen = Arc::new(Mutex::new(String::new()));
@@ -257,7 +230,7 @@
     let head = format!("POST /?query_id={name} HTTP/1.1\r\nContent-Length: 8\r\n\r\nselect 1");
     first.write_all(&if thrift { lookup(name, 60_000) } else { head.into_bytes() }).expect("sent");
     // Its attempt is out, and waits.
-    assert!((0..1_000_000).any(|_| coming_up(at) == 1), "a connection is on its way");
+    until_true(|| gateway.connections_coming_up(at) == 1);
     if says_so {
         first.write_all(&cancel(1)).expect("sent");
     } else {
@@ -267,7 +240,7 @@
     let mut client = gateway.client();
     client.write_all(&health(1)).expect("sent");
     assert_eq!(answer(&mut client).0, 1);
-    assert_eq!(coming_up(at), 1, "it is not up yet");
+    assert_eq!(gateway.connections_coming_up(at), 1, "it is not up yet");
     // Now it may come up, and brings the next request alone.
     let seen = answering(listener);
     drop(filling);
@@ -291,7 +264,7 @@
     let mut client = gateway.client();
     let fields = [("verb", "load"), ("txn", "abcdef00000000a1"), ("limit", "60000"), ("unique", "k1")];
     client.write_all(&call(1, &fields, "insert into s_1.t")).expect("sent");
-    assert!((0..1_000_000).any(|_| coming_up(at) == 1), "a connection is on its way");
+    until_true(|| gateway.connections_coming_up(at) == 1);
     // The system tries again a second after the first time, long after the window.
     let seen = answering(listener);
     drop(filling);
@@ -320,7 +293,7 @@
         client.write_all(&call(seq, &fields, "select 1")).expect("sent");
         assert_eq!(answer(&mut client).0, seq);
         // Two probes may be out, and an attempt.
-        let most = coming_up(at);
+        let most = gateway.connections_coming_up(at);
         assert!(most <= 3, "{most} connections on their way");
     }
 }
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -1,12 +1,14 @@
 //! The program on loopback, and stand-ins for what it speaks with.
 #![allow(dead_code)]
 
-use std::collections::BTreeMap;
+use rustix::process::{kill_process, Pid, Signal};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Barrier, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -16,6 +18,8 @@
     pub file: PathBuf,
     pub thrift: SocketAddr,
     pub http: Option<SocketAddr>,
+    /// Where it listens for its operators, if it does.
+    pub operator: Option<SocketAddr>,
     said: Option<thread::JoinHandle<Vec<String>>>,
 }
 
@@ -59,6 +63,12 @@
     changed(config, keyed, r#""idempotency":"at_most_once""#)
 }
 
+/// No request is late before its own limit, so that nothing but what the test does ends an attempt.
+pub fn never_late(config: &str) -> String {
+    let text = changed(config, r#""on_time":500"#, r#""on_time":60000"#);
+    changed(&text, r#""on_time":900"#, r#""on_time":60000"#)
+}
+
 /// No retry budget, and so many attempts for a request at most.
 pub fn without_retry_budget(config: &str, send_cap: u32) -> String {
     let text = changed(config, r#","extra_free":2,"extra_per_request":0.2,"ratio_span":10000"#, "");
@@ -111,20 +121,23 @@
         command.env("PROXY_CONFIG", &dir).stdout(Stdio::piped());
         let mut child = command.spawn().expect("the program starts");
         let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
+        let mut operator = None;
         let mut address = || {
             let at = lines.by_ref().map_while(Result::ok).find_map(|line| {
+                let (_, rest) = line.split_once(" listens at ")?;
+                let at = rest.split(' ').next()?.parse::<SocketAddr>().ok();
                 if line.ends_with("for its operators") {
+                    operator = at;
                     return None;
                 }
-                let (_, rest) = line.split_once(" listens at ")?;
-                rest.split(' ').next().map(str::to_owned)
+                at
             });
-            at.and_then(|a| a.parse().ok()).expect("an address")
+            at.expect("an address")
         };
         let (thrift, http) = (address(), Some(address()));
         // Whatever else it says is read as it comes, so that it never waits for a reader.
         let said = Some(thread::spawn(move || lines.map_while(Result::ok).collect()));
-        Self { child, file: dir, thrift, http, said }
+        Self { child, file: dir, thrift, http, operator, said }
     }
 
     pub fn signal(&self, which: &str) {
@@ -133,7 +146,59 @@
     }
 
     pub fn terminate(&self) {
-        self.signal("-TERM");
+        self.send_signal(Signal::TERM);
+    }
+
+    /// Stops the process; returns once none of its threads runs.
+    pub fn stop(&self) {
+        self.send_signal(Signal::STOP);
+        until_true(|| self.has_stopped());
+    }
+
+    /// Lets a stopped process go on.
+    pub fn resume(&self) {
+        self.send_signal(Signal::CONT);
+    }
+
+    fn send_signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).expect("it runs");
+    }
+
+    /// Whether every thread is in the state `T`, which follows the program's name in parentheses.
+    fn has_stopped(&self) -> bool {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("its threads");
+        tasks.flatten().all(|task| {
+            let stat = std::fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+            stat.rsplit_once(") ").is_some_and(|(_, state)| state.starts_with('T'))
+        })
+    }
+
+    /// Connections of this process to that address that are not up yet.
+    ///
+    /// The system's table is read in pieces, so that it may tell of one connection twice, and it holds those of all
+    /// processes: each counts once, and only if this process still has it open after the table was read.
+    pub fn connections_coming_up(&self, at: SocketAddr) -> usize {
+        let (to, syn_sent) = (table_address(at), "02");
+        let inodes = table_inodes(|words| words.get(2) == Some(&&*to) && words.get(3) == Some(&syn_sent));
+        inodes.intersection(&self.open_sockets()).count()
+    }
+
+    /// Inodes of the sockets that this process has open.
+    fn open_sockets(&self) -> BTreeSet<String> {
+        let files = std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("its descriptors");
+        let links = files.flatten().filter_map(|file| std::fs::read_link(file.path()).ok());
+        let inode = |link: PathBuf| {
+            let text = link.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?;
+            Some(text.to_owned())
+        };
+        links.filter_map(inode).collect()
+    }
+
+    /// Waits until the end of that client's stream lies at the process, behind all that the client sent.
+    pub fn until_stream_end_arrived(&self, client: SocketAddr) {
+        let (from, close_wait) = (table_address(client), "08");
+        let arrived = |words: &[&str]| words.get(2) == Some(&&*from) && words.get(3) == Some(&close_wait);
+        until_true(|| !table_inodes(arrived).is_empty());
     }
 
     /// Writes a new configuration and has it read.
@@ -439,6 +504,31 @@
     panic!("never came: {:?}", log.lock().expect("log"));
 }
 
+/// Waits until something has become so: an event, not a time.
+pub fn until_true(is_so: impl Fn() -> bool) {
+    for _ in 0..30_000 {
+        if is_so() {
+            return;
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+    panic!("it never becomes so");
+}
+
+/// An IPv4 address as the system's table of connections writes it.
+fn table_address(at: SocketAddr) -> String {
+    let SocketAddr::V4(at) = at else { panic!("IPv4") };
+    format!("{:08X}:{:04X}", u32::from_le_bytes(at.ip().octets()), at.port())
+}
+
+/// Inodes of the connections in the system's table whose columns fit.
+fn table_inodes(fits: impl Fn(&[&str]) -> bool) -> BTreeSet<String> {
+    const INODE_COLUMN: usize = 9;
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the system's table");
+    let lines = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    lines.filter(|words| fits(words)).filter_map(|w| w.get(INODE_COLUMN).map(|i| (*i).to_owned())).collect()
+}
+
 /// A listener whose queue is full: connections to it come up once there is room, at the system's next try a second later.
 /// With what fills it.
 pub fn full_listener() -> (TcpListener, Vec<std::io::Result<TcpStream>>) {
@@ -487,3 +577,25 @@
 ) -> Log {
     serve_at(listener, commands(said(act)))
 }
+
+/// A platform engine that keeps its first answer to the command `want` of that name back: after the first
+/// [`Barrier::wait`] it sends the answer, and joins the second once the answer is sent. All else is answered by `act`.
+pub fn resp_engine_that_holds(
+    name: &'static str,
+    held_answer: String,
+    act: impl Fn(&[String]) -> Option<String> + Send + Sync + 'static,
+) -> (SocketAddr, Log, Arc<Barrier>) {
+    let barrier = Arc::new(Barrier::new(2));
+    let (joined, is_first, act) = (barrier.clone(), AtomicBool::new(true), said(act));
+    let (at, log) = resp_engine_that(move |parts, stream| {
+        let is_held = parts[0] == "want" && parts[1] == name && is_first.swap(false, Ordering::SeqCst);
+        if !is_held {
+            return act(parts, stream);
+        }
+        joined.wait();
+        let is_sent = stream.write_all(held_answer.as_bytes()).is_ok();
+        joined.wait();
+        is_sent
+    });
+    (at, log, barrier)
+}
