Tests of endings wait for what arrives, not for how fast the machine is

Each fault was the test's; the program did what its settings say: - `request_that_waits_for_its_next_attempt_...`: the request is late after 500 ms, is held for 125 ms and has three attempts about 250 ms apart, so on a slow machine it was answered before its withdrawal was sent. Now nothing is late, and the process is stopped until both the engine's answer and the withdrawal (or the end of the stream) lie at it: no attempt can come between. The engine hears of it once, exactly. - `requests_that_arrive_as_the_window_ends_are_answered`: a `kill` command was started for each signal, and SIGSTOP could come before SIGTERM was handled or after the window of 800 ms was over. Now a request that its engine keeps open holds the process, /ping tells that SIGTERM was handled, and SIGSTOP is waited for. - `call_that_arrives_as_the_process_ends_is_answered`: the same signals, and an operator's port that was released and taken by another test; the system now chooses it. Its wait of 1.2 s stays: the window is time. - `client_that_sends_much_and_goes_has_sent_nothing`: 165 KB don't fit what a stopped process is sent, so the close was not there yet. Now 300 requests, and the end of the stream is seen to have arrived before the process goes on. - `http_client_that_pipelines_...`, `probes_that_nobody_answers_...`, `crowd_of_idle_clients_...`: answers later than 500 ms were refused as late; nothing is late there now.

Still bounded by time, as the program is: the whole stop must be shorter than the 3.55 s after which a process ends.

Trials with faults put in: a withdrawal that is ignored, and an exit that closes over what has arrived, fail these tests.

--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -13,9 +13,9 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Barrier, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 fn lookup(txn: &str, limit: u32) -> Vec<u8> {
     call(1, &[("verb", "lookup"), ("txn", txn), ("limit", &limit.to_string())], "select 1")
@@ -45,33 +45,59 @@
     panic!("it is never closed");
 }
 
+/// The least time between SIGTERM and the end of a process that has nothing open.
+const WINDOW: Duration = Duration::from_millis(800);
+
+/// The name of a request that its engine keeps open while the process is told to end.
+const HELD: &str = "00000000000000f1";
+
+fn engine_that_holds_one() -> (SocketAddr, Log, Arc<Barrier>) {
+    let answer = reply(&[HELD, "served", "pages=1,cost=5,need=8", "a\tb\tc\n"]);
+    resp_engine_that_holds(HELD, answer, served)
+}
+
+/// Tells the process to end, and stops it over the end of its window. A request that is open keeps the process from
+/// ending before it is stopped; its answer lies there once the process goes on.
+fn stop_over_the_end_of_the_window(gateway: &Gateway, log: &Log, held: &Barrier) -> TcpStream {
+    let mut client = gateway.client();
+    client.write_all(&lookup(HELD, 60_000)).expect("sent");
+    until(log, |l| l.iter().any(|p| p[0] == "want" && p[1] == HELD));
+    let mut balancer = gateway.web();
+    gateway.terminate();
+    let begun = Instant::now();
+    while !ask(&mut balancer, "GET /ping HTTP/1.1\r\n\r\n").0.starts_with("HTTP/1.1 503") {}
+    gateway.stop();
+    held.wait();
+    held.wait();
+    // Nothing but time tells that the window is over.
+    thread::sleep((WINDOW + Duration::from_millis(100)).saturating_sub(begun.elapsed()));
+    client
+}
+
 /// A process stands still over the end of its window. What arrived meanwhile, on connections that rested and on such as
 /// wait to be accepted, was taken by the machine, and is answered.
 #[test]
 fn requests_that_arrive_as_the_window_ends_are_answered() {
-    let (at, _) = resp_engine(served);
-    let mut gateway = Gateway::start(&config(&[at], "resp", 5000));
+    let (at, log, held) = engine_that_holds_one();
+    let mut gateway = Gateway::start(&never_late(&config(&[at], "resp", 60_000)));
     let mut resting: Vec<_> = (0..8).map(|_| gateway.client()).collect();
     for client in &mut resting {
         client.write_all(&health(1)).expect("sent");
         assert_eq!(answer(client).0, 1);
     }
-    gateway.terminate();
-    // Its last second passes; were it slower, they would be answered all the same.
-    gateway.signal("-STOP");
-    thread::sleep(Duration::from_millis(1_200));
+    let mut open = stop_over_the_end_of_the_window(&gateway, &log, &held);
     let mut new: Vec<_> = (0..8).map(|_| gateway.client()).collect();
     for (i, client) in resting.iter_mut().chain(&mut new).enumerate() {
         let seq = if i < 8 { 2 } else { 1 };
         let fields = [("verb", "lookup"), ("txn", &*format!("{i:016x}")), ("limit", "5000")];
         client.write_all(&call(seq, &fields, "select 1")).expect("sent");
     }
-    gateway.signal("-CONT");
-    for client in resting.iter_mut().chain(&mut new) {
+    gateway.resume();
+    for client in resting.iter_mut().chain(&mut new).chain([&mut open]) {
         let (_, kind, _) = answer(client);
         assert!(matches!(kind, "served" | "overloaded"), "{kind}");
     }
-    drop((resting, new));
+    drop((resting, new, open));
     assert!(gateway.child.wait().expect("it ends").success());
 }
 
@@ -117,7 +143,7 @@
 #[test]
 fn http_client_that_pipelines_much_and_goes_is_gone() {
     let (at, log) = resp_engine(|parts| if parts[0] == "want" { Some(String::new()) } else { served(parts) });
-    let gateway = Gateway::start(&config(&[at], "resp", 60_000));
+    let gateway = Gateway::start(&never_late(&config(&[at], "resp", 60_000)));
     let mut client = gateway.web();
     client.write_all(b"POST / HTTP/1.1\r\nContent-Length: 8\r\n\r\nselect 1").expect("sent");
     until(&log, |l| l.iter().any(|p| p[0] == "want"));
@@ -130,6 +156,8 @@
 }
 
 /// A request that the first engine turned away waits for another chance. Its client goes, or takes it back: it never leaves.
+/// The process stands still until both the engine's answer and what the client says lie there, so that no further
+/// attempt comes between them.
 #[rstest]
 #[case::thrift_cancel(true, true)]
 #[case::thrift_close(true, false)]
@@ -138,41 +166,34 @@
     #[case] thrift: bool,
     #[case] says_so: bool,
 ) {
-    let full = Arc::new(AtomicBool::new(true));
-    let is_full = full.clone();
-    let (at, log) = resp_engine(move |parts| match parts[0].as_str() {
-        "want" if is_full.load(Ordering::SeqCst) => Some(reply(&[&parts[1], "overload", "-", ""])),
-        _ => served(parts),
-    });
-    let gateway = Gateway::start(&config(&[at], "resp", 20_000));
     let name = "00000000000000a1";
+    let turned_away = reply(&[name, "overload", "-", ""]);
+    let (at, log, answer_held) = resp_engine_that_holds(name, turned_away, served);
+    let gateway = Gateway::start(&never_late(&config(&[at], "resp", 60_000)));
     let mut client = if thrift { gateway.client() } else { gateway.web() };
     let head = format!("POST /?query_id={name} HTTP/1.1\r\nContent-Length: 8\r\n\r\nselect 1");
-    client.write_all(&if thrift { lookup(name, 20_000) } else { head.into_bytes() }).expect("sent");
+    client.write_all(&if thrift { lookup(name, 60_000) } else { head.into_bytes() }).expect("sent");
     until(&log, |l| l.iter().any(|p| p[0] == "want"));
+    gateway.stop();
+    answer_held.wait();
+    answer_held.wait();
     if says_so {
-        client.write_all(&cancel(1)).expect("sent");
-        client.write_all(&health(2)).expect("sent");
+        client.write_all(&[cancel(1), health(2)].concat()).expect("sent");
+        gateway.resume();
         assert_eq!(answer(&mut client).0, 2, "the withdrawal was read");
     } else {
+        let address = client.local_addr().expect("connected");
         drop(client);
+        gateway.until_stream_end_arrived(address);
+        gateway.resume();
     }
     // What comes later is read later: once this is answered, the leave was read.
     let mut after = gateway.client();
     after.write_all(&health(1)).expect("sent");
     assert_eq!(answer(&mut after).0, 1);
-    let before = wants(&log, name);
-    full.store(false, Ordering::SeqCst);
     // Others are served by the engine again; what was withdrawn is not.
-    for seq in 2.. {
-        let fields = [("verb", "lookup"), ("txn", &*format!("{seq:016x}")), ("limit", "20000")];
-        after.write_all(&call(seq, &fields, "select 1")).expect("sent");
-        if answer(&mut after).1 == "served" {
-            break;
-        }
-        assert!(seq < 10_000, "the engine is never used again");
-    }
-    assert_eq!(wants(&log, name), before);
+    until_served(&mut after, 2);
+    assert_eq!(wants(&log, name), 1);
 }
 
 /// Answers each `want` that comes on any connection, and notes all that does.
@@ -396,7 +417,7 @@
             });
         }
     });
-    let text = config(&[at], "clickhouse", 5_000);
+    let text = never_late(&config(&[at], "clickhouse", 60_000));
     let gateway = Gateway::start(&text.replace(r#""cancelling":true"#, r#""cancelling":true,"probes":true"#));
     let mut client = gateway.web();
     for _ in 0..200_000 {
@@ -468,11 +489,11 @@
     let names = UdpSocket::bind("127.0.0.1:0").expect("a port");
     let names_at = names.local_addr().expect("bound");
     let (at, _) = resp_engine(served);
-    let operator = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
-    let more = format!(r#"{{"names":"{names_at}","operator":"{operator}","#);
-    let text = config(&[], "resp", 5_000).replacen('{', &more, 1);
+    let more = format!(r#"{{"names":"{names_at}","operator":"127.0.0.1:0","#);
+    let text = never_late(&config(&[], "resp", 60_000)).replacen('{', &more, 1);
     // The configuration promises more than the system gives.
     let gateway = Gateway::start_after(&text, "ulimit -n 64");
+    let operator = gateway.operator.expect("set up");
     let crowd: Vec<_> = (0..150)
         .map(|_| {
             let client = gateway.client();
@@ -508,17 +529,21 @@
 #[test]
 fn client_that_sends_much_and_goes_has_sent_nothing() {
     let (at, log) = resp_engine(served);
-    let gateway = Gateway::start(&config(&[at], "resp", 20_000));
+    let gateway = Gateway::start(&never_late(&config(&[at], "resp", 60_000)));
     let mut client = gateway.client();
     client.write_all(&health(1)).expect("sent");
     assert_eq!(answer(&mut client).0, 1);
-    gateway.signal("-STOP");
-    for seq in 2..1_500 {
+    gateway.stop();
+    // Several reads' worth, and no more than a process that reads nothing is sent whole.
+    let requests = (2..300).flat_map(|seq| {
         let fields = [("verb", "lookup"), ("txn", &*format!("{seq:016x}")), ("limit", "20000")];
-        client.write_all(&call(seq, &fields, "select 1")).expect("sent");
-    }
+        call(seq, &fields, "select 1")
+    });
+    client.write_all(&requests.collect::<Vec<_>>()).expect("sent");
+    let address = client.local_addr().expect("connected");
     drop(client);
-    gateway.signal("-CONT");
+    gateway.until_stream_end_arrived(address);
+    gateway.resume();
     let mut after = gateway.client();
     after.write_all(&lookup("00000000000000a1", 20_000)).expect("sent");
     assert_eq!(answer(&mut after).1, "served");
@@ -530,18 +555,18 @@
 #[test]
 fn call_that_arrives_as_the_process_ends_is_answered() {
     let (at, _) = resp_engine(served);
-    let operator = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
-    let text = config(&[at], "resp", 5_000).replacen('{', &format!(r#"{{"operator":"{operator}","#), 1);
+    let text = config(&[at], "resp", 5_000).replacen('{', r#"{"operator":"127.0.0.1:0","#, 1);
     let mut gateway = Gateway::start(&text);
+    let operator = gateway.operator.expect("set up");
     gateway.terminate();
-    gateway.signal("-STOP");
+    gateway.stop();
     thread::sleep(Duration::from_millis(1_200));
     let mut staff: Vec<_> = (0..4).map(|_| TcpStream::connect(operator).expect("it listens")).collect();
     for caller in &mut staff {
         caller.set_read_timeout(Some(Duration::from_secs(30))).expect("set");
         caller.write_all(b"GET /api/ready HTTP/1.1\r\n\r\n").expect("sent");
     }
-    gateway.signal("-CONT");
+    gateway.resume();
     for caller in staff {
         let (head, _) = web_message(&mut std::io::BufReader::new(caller)).expect("an answer");
         assert!(head[0].starts_with("HTTP/1.1 503"), "{head:?}");
