Tests of pages set no class whose requests are late after half a second

Cause: class `lookup` is late after 500 ms, and what is late is cancelled and refused with a retry-after of 100 ms (`in_vain`). A stand-in that was slower than that got `never_mind` before its first page was read, so `page_that_is_kept_back_ends_its_attempt` never saw `shut`, and `copies_and_answers_to_nobody_change_nothing` met the refusal. On a fast machine the first of them never tested what it says: lateness, not the missing page, ended the attempt.

Change: nothing is late there. The first allows one attempt and asks for exactly `want`, `turn`, `shut`, so the wait for the page alone ends it. What it covered by chance, a given-up attempt whose result has begun, is a test of its own, `withdrawal_between_pages_releases_the_result`.

--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -335,28 +335,50 @@
             _ => return served(parts),
         })
     });
-    let gateway = Gateway::start(&config(&[at], "resp", 5000));
+    let gateway = Gateway::start(&never_late(&config(&[at], "resp", 60_000)));
     let mut client = gateway.client();
-    client.write_all(&call(1, &LOOKUP, "select 1")).expect("sent");
+    let fields = [("verb", "lookup"), ("txn", ID), ("limit", "60000")];
+    client.write_all(&call(1, &fields, "select 1")).expect("sent");
     assert_eq!(answer(&mut client), (1, "served", "a\tb\tc\nd\te\tf\n".into()));
     client.write_all(&health(2)).expect("sent");
     assert_eq!(answer(&mut client).0, 2);
     assert!(log.lock().expect("log").iter().all(|p| p[0] != "closed"));
 }
 
-/// A page that never came kept its request waiting to its deadline.
+/// An engine that sends the first page of two, and no other.
+fn first_page_alone(parts: &[String]) -> Option<String> {
+    Some(match parts[0].as_str() {
+        "want" => reply(&[&parts[1], "served", "pages=2,cost=5", "a\tb\tc\n"]),
+        _ => String::new(),
+    })
+}
+
+/// A page that never came kept its request waiting to its deadline. Nothing but the wait for that page ends the attempt.
 #[test]
 fn page_that_is_kept_back_ends_its_attempt() {
-    let (at, log) = resp_engine(|parts| {
-        Some(match parts[0].as_str() {
-            "want" => reply(&[&parts[1], "served", "pages=2,cost=5", "a\tb\tc\n"]),
-            _ => String::new(),
-        })
-    });
-    let gateway = Gateway::start(&config(&[at], "resp", 60_000));
+    let (at, log) = resp_engine(first_page_alone);
+    let text = without_retry_budget(&never_late(&config(&[at], "resp", 60_000)), 1);
+    let gateway = Gateway::start(&text);
     let mut client = gateway.client();
     let fields = [("verb", "lookup"), ("txn", ID), ("limit", "60000")];
     client.write_all(&call(1, &fields, "select 1")).expect("sent");
     assert_eq!(answer(&mut client).1, "overloaded");
     until(&log, |l| l.iter().any(|p| p[0] == "shut"));
+    let log = log.lock().expect("log");
+    let words: Vec<&str> = log.iter().map(|parts| parts[0].as_str()).collect();
+    assert_eq!(words, ["want", "turn", "shut"]);
+}
+
+/// A request is withdrawn after its first page has come: the engine is told to release the pages, not to stop the query.
+#[test]
+fn withdrawal_between_pages_releases_the_result() {
+    let (at, log) = resp_engine(first_page_alone);
+    let gateway = Gateway::start(&never_late(&config(&[at], "resp", 60_000)));
+    let mut client = gateway.client();
+    let fields = [("verb", "lookup"), ("txn", ID), ("limit", "60000")];
+    client.write_all(&call(1, &fields, "select 1")).expect("sent");
+    until(&log, |l| l.iter().any(|p| p[0] == "turn"));
+    client.write_all(&cancel(1)).expect("sent");
+    until(&log, |l| l.iter().any(|p| p[0] == "shut" && p[1] == ID));
+    assert!(log.lock().expect("log").iter().all(|p| p[0] != "never_mind"));
 }
