--- /dev/null
+++ b/crates/faults/src/calls.rs
@@ -0,0 +1,178 @@
+//! The functions that stand before the C library's.
+//!
+//! # Safety
+//! Each has the signature of the C library's function and passes its arguments on unchanged, or with a smaller length.
+
+#![allow(clippy::missing_safety_doc)]
+
+use crate::original;
+use crate::plan::{fail, one_of, plan};
+use libc::{c_int, c_void, iovec, off64_t, sockaddr, socklen_t, ssize_t, timespec};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+const ACCEPT_ERRORS: [c_int; 4] = [libc::ECONNABORTED, libc::ENFILE, libc::ENOBUFS, libc::EINTR];
+const SOCKET_ERRORS: [c_int; 3] = [libc::ENFILE, libc::EMFILE, libc::ENOBUFS];
+const CONNECT_ERRORS: [c_int; 3] = [libc::EADDRNOTAVAIL, libc::ENETUNREACH, libc::EINTR];
+const DISK_ERRORS: [c_int; 2] = [libc::ENOSPC, libc::EIO];
+const NANOSECONDS: i64 = 1_000_000_000;
+const KIND_MASK: c_int = 0xf;
+
+fn file_kind(fd: c_int) -> u32 {
+    // SAFETY: all zeros is a valid value of this plain structure, and the call writes only to it.
+    unsafe {
+        let mut status: libc::stat = std::mem::zeroed();
+        match libc::fstat(fd, &mut status) {
+            0 => status.st_mode & libc::S_IFMT,
+            _ => 0,
+        }
+    }
+}
+
+fn is_socket(fd: c_int) -> bool {
+    file_kind(fd) == libc::S_IFSOCK
+}
+
+fn is_regular(fd: c_int) -> bool {
+    file_kind(fd) == libc::S_IFREG
+}
+
+fn is_log(fd: c_int) -> bool {
+    fd == libc::STDOUT_FILENO || fd == libc::STDERR_FILENO
+}
+
+/// How much of a transfer on a socket is tried: all, one byte, or none as the call is interrupted.
+fn transfer(len: usize) -> Option<usize> {
+    if plan().strikes(plan().interrupt) {
+        return None;
+    }
+    Some(if len > 1 && plan().strikes(plan().short) { 1 } else { len })
+}
+
+/// The error with which a write to a file or to the log fails, if it does.
+fn write_error(fd: c_int) -> Option<c_int> {
+    if is_log(fd) {
+        return plan().strikes(plan().log).then_some(libc::ENOSPC);
+    }
+    (plan().disk > 0.0 && is_regular(fd) && plan().strikes(plan().disk)).then(|| one_of(&DISK_ERRORS))
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn recv(fd: c_int, buffer: *mut c_void, len: usize, flags: c_int) -> ssize_t {
+    match transfer(len) {
+        Some(len) => unsafe { original::recv(fd, buffer, len, flags) },
+        None => fail(libc::EINTR),
+    }
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn send(fd: c_int, buffer: *const c_void, len: usize, flags: c_int) -> ssize_t {
+    match transfer(len) {
+        Some(len) => unsafe { original::send(fd, buffer, len, flags) },
+        None => fail(libc::EINTR),
+    }
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn read(fd: c_int, buffer: *mut c_void, len: usize) -> ssize_t {
+    if plan().interrupt + plan().short == 0.0 || !is_socket(fd) {
+        return unsafe { original::read(fd, buffer, len) };
+    }
+    match transfer(len) {
+        Some(len) => unsafe { original::read(fd, buffer, len) },
+        None => fail(libc::EINTR),
+    }
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn write(fd: c_int, buffer: *const c_void, len: usize) -> ssize_t {
+    if let Some(error) = write_error(fd) {
+        return fail(error);
+    }
+    unsafe { original::write(fd, buffer, len) }
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn pwrite64(fd: c_int, buffer: *const c_void, len: usize, at: off64_t) -> ssize_t {
+    if let Some(error) = write_error(fd) {
+        return fail(error);
+    }
+    unsafe { original::pwrite64(fd, buffer, len, at) }
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn writev(fd: c_int, parts: *const iovec, count: c_int) -> ssize_t {
+    if let Some(error) = write_error(fd) {
+        return fail(error);
+    }
+    if plan().interrupt + plan().short == 0.0 || !is_socket(fd) {
+        return unsafe { original::writev(fd, parts, count) };
+    }
+    // SAFETY: the caller hands over as many parts as it says.
+    let parts_given = unsafe { std::slice::from_raw_parts(parts, count.max(0) as usize) };
+    let first = parts_given.iter().find(|part| part.iov_len > 0);
+    match (transfer(2), first) {
+        (None, _) => fail(libc::EINTR),
+        (Some(1), Some(part)) => unsafe { original::write(fd, part.iov_base, 1) },
+        _ => unsafe { original::writev(fd, parts, count) },
+    }
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn accept4(fd: c_int, from: *mut sockaddr, len: *mut socklen_t, flags: c_int) -> c_int {
+    if plan().strikes(plan().accept) {
+        return fail(one_of(&ACCEPT_ERRORS)) as c_int;
+    }
+    unsafe { original::accept4(fd, from, len, flags) }
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
+    static STREAMS: AtomicU64 = AtomicU64::new(0);
+    let is_stream = domain == libc::AF_INET && kind & KIND_MASK == libc::SOCK_STREAM;
+    if is_stream && STREAMS.fetch_add(1, Ordering::Relaxed) < plan().socket_first {
+        return fail(libc::ENFILE) as c_int;
+    }
+    if domain == libc::AF_INET && plan().strikes(plan().socket) {
+        return fail(one_of(&SOCKET_ERRORS)) as c_int;
+    }
+    unsafe { original::socket(domain, kind, protocol) }
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn connect(fd: c_int, to: *const sockaddr, len: socklen_t) -> c_int {
+    if plan().strikes(plan().connect) {
+        return fail(one_of(&CONNECT_ERRORS)) as c_int;
+    }
+    unsafe { original::connect(fd, to, len) }
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn fsync(fd: c_int) -> c_int {
+    if plan().strikes(plan().disk) {
+        return fail(libc::EIO) as c_int;
+    }
+    unsafe { original::fsync(fd) }
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn fdatasync(fd: c_int) -> c_int {
+    if plan().strikes(plan().disk) {
+        return fail(libc::EIO) as c_int;
+    }
+    unsafe { original::fdatasync(fd) }
+}
+
+#[no_mangle]
+pub unsafe extern "C" fn clock_gettime(clock: c_int, now: *mut timespec) -> c_int {
+    let result = unsafe { original::clock_gettime(clock, now) };
+    // The plan reads the monotonic clock, and is not asked about it.
+    if result != 0 || clock != libc::CLOCK_REALTIME || plan().wall_step_ms == 0 || !plan().is_on() {
+        return result;
+    }
+    // SAFETY: the call has just written to it.
+    let now = unsafe { &mut *now };
+    let nanoseconds = now.tv_sec * NANOSECONDS + now.tv_nsec + plan().wall_step_ms * 1_000_000;
+    now.tv_sec = nanoseconds.div_euclid(NANOSECONDS);
+    now.tv_nsec = nanoseconds.rem_euclid(NANOSECONDS);
+    result
+}
--- /dev/null
+++ b/crates/faults/src/plan.rs
@@ -0,0 +1,128 @@
+//! What fails, how often, and when: read once from the environment.
+
+use std::ffi::CString;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::OnceLock;
+
+/// The environment variable that holds the plan: `name=value` pairs, separated by commas.
+pub const VARIABLE: &str = "STARLINGPLANK_FAULTS";
+
+/// Probabilities per call, 0 to 1, and the times between which faults happen.
+#[derive(Debug, Default)]
+pub struct Plan {
+    /// Reads and writes on sockets return `EINTR`.
+    pub interrupt: f64,
+    /// Reads and writes on sockets transfer one byte.
+    pub short: f64,
+    /// `accept` fails for a moment.
+    pub accept: f64,
+    /// `socket` fails for a moment.
+    pub socket: f64,
+    /// The first so many calls of `socket` for a stream fail.
+    pub socket_first: u64,
+    /// `connect` fails for a moment.
+    pub connect: f64,
+    /// Writes and syncs of regular files fail with `ENOSPC` or `EIO`.
+    pub disk: f64,
+    /// Writes to standard output and standard error fail with `ENOSPC`.
+    pub log: f64,
+    /// By how much the wall clock is stepped, in milliseconds.
+    pub wall_step_ms: i64,
+    /// Faults happen from then on, in milliseconds since the first call.
+    pub from_ms: u64,
+    /// And until then; 0 for ever.
+    pub until_ms: u64,
+    /// Faults happen only while this file exists.
+    pub switch: Option<CString>,
+}
+
+static PLAN: OnceLock<Plan> = OnceLock::new();
+static STARTED_MS: AtomicU64 = AtomicU64::new(0);
+static RANDOM: AtomicU64 = AtomicU64::new(0);
+
+/// The plan of this process.
+pub fn plan() -> &'static Plan {
+    PLAN.get_or_init(|| {
+        STARTED_MS.store(monotonic_ms(), Ordering::Relaxed);
+        read(&std::env::var(VARIABLE).unwrap_or_default())
+    })
+}
+
+fn read(text: &str) -> Plan {
+    let mut plan = Plan::default();
+    let mut seed = 1u64;
+    for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
+        let number = value.parse::<f64>().unwrap_or(0.0);
+        match name {
+            "seed" => seed = number as u64,
+            "interrupt" => plan.interrupt = number,
+            "short" => plan.short = number,
+            "accept" => plan.accept = number,
+            "socket" => plan.socket = number,
+            "socket_first" => plan.socket_first = number as u64,
+            "connect" => plan.connect = number,
+            "disk" => plan.disk = number,
+            "log" => plan.log = number,
+            "wall_step_ms" => plan.wall_step_ms = number as i64,
+            "from_ms" => plan.from_ms = number as u64,
+            "until_ms" => plan.until_ms = number as u64,
+            "switch" => plan.switch = CString::new(value).ok(),
+            _ => {}
+        }
+    }
+    RANDOM.store(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1, Ordering::Relaxed);
+    plan
+}
+
+impl Plan {
+    /// Whether faults happen now.
+    pub fn is_on(&self) -> bool {
+        let age = monotonic_ms().saturating_sub(STARTED_MS.load(Ordering::Relaxed));
+        let in_time = age >= self.from_ms && (self.until_ms == 0 || age < self.until_ms);
+        in_time && self.switch.as_ref().is_none_or(|path| exists(path))
+    }
+
+    /// Whether a fault of this probability happens now.
+    pub fn strikes(&self, probability: f64) -> bool {
+        probability > 0.0 && self.is_on() && unit() < probability
+    }
+}
+
+/// One of these error numbers, by chance.
+pub fn one_of(errors: &[i32]) -> i32 {
+    errors[(next() % errors.len() as u64) as usize]
+}
+
+/// Sets the error number of the calling thread, and returns what a failed call returns.
+pub fn fail(error: i32) -> isize {
+    // SAFETY: the location is the calling thread's own, and valid while the thread lives.
+    unsafe { *libc::__errno_location() = error };
+    -1
+}
+
+fn exists(path: &CString) -> bool {
+    // SAFETY: the path is a string that ends with a zero byte and outlives the call.
+    unsafe { libc::access(path.as_ptr(), libc::F_OK) == 0 }
+}
+
+fn monotonic_ms() -> u64 {
+    let mut now = libc::timespec { tv_sec: 0, tv_nsec: 0 };
+    // SAFETY: the structure is valid for the call to write to.
+    unsafe { libc::syscall(libc::SYS_clock_gettime, libc::CLOCK_MONOTONIC, &mut now) };
+    now.tv_sec as u64 * 1000 + now.tv_nsec as u64 / 1_000_000
+}
+
+/// A xorshift generator: the same seed gives the same draws, whichever thread asks.
+fn next() -> u64 {
+    let step = |mut x: u64| {
+        x ^= x << 13;
+        x ^= x >> 7;
+        x ^ (x << 17)
+    };
+    let before = RANDOM.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |x| Some(step(x)));
+    step(before.unwrap_or(1))
+}
+
+fn unit() -> f64 {
+    (next() >> 11) as f64 / (1u64 << 53) as f64
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -1,6 +1,8 @@
 //! The program on loopback, and stand-ins for what it speaks with.
 #![allow(dead_code)]
 
+pub mod faults;
+
 use rustix::process::{kill_process, Pid, Signal};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -244,6 +246,16 @@
 
 /// The same, of engines that drain or don't.
 pub fn names_answer_of(question: &[u8], serial: u32, engines: &[(&str, SocketAddr, bool)]) -> Vec<u8> {
+    let all: Vec<_> = engines.iter().map(|(id, at, drains)| (*id, *at, *drains, 0)).collect();
+    names_answer_with_starts(question, serial, &all)
+}
+
+/// The same, with the Unix milliseconds of late starts; 0 for a start long ago.
+pub fn names_answer_with_starts(
+    question: &[u8],
+    serial: u32,
+    engines: &[(&str, SocketAddr, bool, u64)],
+) -> Vec<u8> {
     let record = |out: &mut Vec<u8>, owner: &[u8], kind: u8, data: &[u8]| {
         out.extend(owner);
         out.extend([0, kind, 0, 1, 0, 0, 0, 0]);
@@ -251,16 +263,22 @@
         out.extend(data);
     };
     let count = engines.len() as u8;
-    let mut out = [&question[..2], &[0x84, 0, 0, 1, 0, count, 0, 1, 0, count], &question[12..]].concat();
+    let started = engines.iter().filter(|(.., started)| *started > 0).count() as u8;
+    let mut out =
+        [&question[..2], &[0x84, 0, 0, 1, 0, count, 0, 1, 0, count + started], &question[12..]].concat();
     let target = |id: &str| [&[id.len() as u8], id.as_bytes(), b"\x01a\x05hosts\0"].concat();
-    for (id, at, drains) in engines {
+    for (id, at, drains, _) in engines {
         let data = [&[0, u8::from(*drains), 0, 40][..], &at.port().to_be_bytes(), &target(id)].concat();
         record(&mut out, &[0xc0, 12], 33, &data);
     }
     record(&mut out, &[0], 6, &[&[0, 0][..], &serial.to_be_bytes(), &[0; 16]].concat());
-    for (id, at, _) in engines {
+    for (id, at, _, started) in engines {
         let SocketAddr::V4(at) = at else { panic!("IPv4") };
         record(&mut out, &target(id), 1, &at.ip().octets());
+        if *started > 0 {
+            let text = format!("started={started}");
+            record(&mut out, &target(id), 16, &[&[text.len() as u8], text.as_bytes()].concat());
+        }
     }
     out
 }
--- /dev/null
+++ b/tests/wall_clock.rs
@@ -0,0 +1,106 @@
+//! Steps of the wall clock: what is a span of real time stays one.
+
+mod stand;
+
+use rstest::rstest;
+use stand::faults::Faults;
+use stand::*;
+use std::io::Write;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Work of a request, as engines report it, in milliseconds.
+const WORK_MS: usize = 800;
+/// What the settings allow a cold engine of 8 cores: multiple x share x cores x span over the work of a request.
+const BUDGET: f64 = 3.0 * 0.31 * 8.0 * 2_000.0 / WORK_MS as f64;
+/// The span over which it is counted.
+const SPAN: Duration = Duration::from_millis(2_000);
+
+fn with_slow_start(config: &str, names: SocketAddr) -> String {
+    let rules =
+        r#""answer_slack":20,"cold_from":0.31,"warm_within":15000,"fall_multiple":3,"tip_after":2000"#;
+    let config = changed(config, r#""answer_slack":20"#, rules);
+    changed(&config, r#""seed":"7""#, &format!(r#""seed":"7","names":"{names}""#))
+}
+
+/// A list service whose list, with starts, can be changed.
+type Listing = Arc<Mutex<(u32, Vec<(&'static str, SocketAddr, bool, u64)>)>>;
+
+fn list_service_with_starts(first: Vec<(&'static str, SocketAddr, bool, u64)>) -> (SocketAddr, Listing, Log) {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let at = socket.local_addr().expect("bound");
+    let (listing, log) = (Arc::new(Mutex::new((1, first))), Log::default());
+    let (says, seen) = (listing.clone(), log.clone());
+    std::thread::spawn(move || {
+        let mut bytes = [0; 512];
+        while let Ok((len, from)) = socket.recv_from(&mut bytes) {
+            let (serial, list) = says.lock().expect("said").clone();
+            let _ = socket.send_to(&names_answer_with_starts(&bytes[..len], serial, &list), from);
+            seen.lock().expect("log").push(vec![serial.to_string()]);
+        }
+    });
+    (at, listing, log)
+}
+
+/// An engine that serves at once, reports much work, and notes when it was asked.
+fn busy_engine() -> (SocketAddr, Arc<Mutex<Vec<Instant>>>) {
+    let asked = Arc::new(Mutex::new(Vec::new()));
+    let times = asked.clone();
+    let (at, _) = resp_engine(move |parts| {
+        Some(match parts[0].as_str() {
+            "want" => {
+                times.lock().expect("times").push(Instant::now());
+                reply(&[&parts[1], "served", &format!("pages=1,cost={WORK_MS},need=8"), "a\tb\tc\n"])
+            }
+            "busy" => reply(&[&parts[1], "green", "use=util:0.1", ""]),
+            _ => String::new(),
+        })
+    });
+    (at, asked)
+}
+
+/// The most that were asked within any span.
+fn most_within_a_span(times: &[Instant]) -> usize {
+    let from = |i: usize| times[i..].iter().take_while(|t| **t - times[i] <= SPAN).count();
+    (0..times.len()).map(from).max().unwrap_or(0)
+}
+
+fn ask_one_by_one(gateway: &Gateway, from: u32, count: u32) {
+    let mut client = gateway.client();
+    for seq in 1..=count {
+        let txn = format!("{:016x}", from + seq);
+        client
+            .write_all(&call(seq as i32, &[("verb", "lookup"), ("txn", &txn), ("limit", "5000")], "select 1"))
+            .expect("sent");
+        answer(&mut client);
+    }
+}
+
+#[rstest]
+#[case::no_step(0)]
+#[case::an_hour_back(-3_600_000)]
+#[case::an_hour_on(3_600_000)]
+#[case::five_seconds_back(-5_000)]
+#[case::twenty_seconds_back(-20_000)]
+#[case::five_seconds_on(5_000)]
+fn engine_that_joins_after_a_step_of_the_wall_clock_is_in_slow_start(#[case] step_ms: i64) {
+    let (warm, _) = busy_engine();
+    let (cold, asked) = busy_engine();
+    let (names, listing, heard) = list_service_with_starts(vec![("s-0", warm, false, 0)]);
+    let faults = Faults::new(&format!("wall_step_ms={step_ms}"));
+    let config = with_slow_start(&config(&[warm], "resp", 5_000), names);
+    let gateway = Gateway::start_with_faults(&config, &faults);
+    until(&heard, |log| !log.is_empty());
+    // What a request costs is known before the engine joins.
+    ask_one_by_one(&gateway, 0, 60);
+    faults.begin();
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as i64;
+    let started = (unix + step_ms) as u64;
+    *listing.lock().expect("said") = (2, vec![("s-0", warm, false, 0), ("s-1", cold, false, started)]);
+    until(&heard, |log| log.iter().filter(|line| line[0] == "2").count() >= 2);
+    ask_one_by_one(&gateway, 1_000, 300);
+    let most = most_within_a_span(&asked.lock().expect("times"));
+    let allowed = BUDGET + 3.0 * BUDGET.sqrt() + 3.0;
+    assert!(most as f64 <= allowed, "{most} in a span, {allowed:.1} are allowed");
+}
