Slow start counts by this gateway's own clock, whatever wall clocks say

Cause: an engine's start is told by another machine's wall clock, and learn_members compared it with a clock anchored at this process's start: a start in the future was dropped and one that looked old was warm. Ruled out: the cold budget, which is not asked for an engine that counts as warm. Change: StartTimes in crates/decision holds a start between the last list without it and now; a repeated word is the same start, any other word is a restart. decide takes a start in the future as happening now; an operator's include is bounded by now as well.

--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -221,9 +221,10 @@
             let kind = m.kind.and_then(|k| self.s.kinds.get(k.0)).unwrap_or(&self.s.kinds[0]);
             let fresh = || Engine::new(m.clone(), kind, self.now, self.rng.f64());
             let e = self.engines.entry(m.engine.clone()).or_insert_with(fresh);
-            let started = m.started.filter(|t| t.is_finite() && *t <= self.now);
-            if started.is_some_and(|t| e.started.is_none_or(|old| t > old)) {
-                e.restart(started.unwrap_or(self.now));
+            let started = m.started.filter(|t| t.is_finite()).map(|t| t.min(self.now));
+            let told_before = e.started.is_some() && e.member.started == m.started;
+            if let Some(at) = started.filter(|t| !told_before && e.started.is_none_or(|old| *t > old)) {
+                e.restart(at);
             }
             e.member = m.clone();
             (e.cores, e.memory_mb) = (kind.cores, kind.memory_mb.max(1.0));
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -10,6 +10,7 @@
 mod areas;
 pub mod decide;
 pub mod interface;
+pub mod start_times;
 mod state;
 
 pub use decide::learned;
--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -3,7 +3,7 @@
 
 use super::timers::Due;
 use super::{Core, Effect, Listed};
-use crate::interface::{Availability, EngineId, Event as DecisionEvent, Ms};
+use crate::interface::{Availability, EngineId, Event as DecisionEvent, Member, Ms};
 use starlingplank_knowledge::recall::Named;
 use starlingplank_operation::hand::Hand;
 use starlingplank_operation::heard::{Gone, Heard};
@@ -96,11 +96,21 @@
         self.serial = Some(serial);
         let ids = list.iter().map(|l| &*l.member.engine.0).collect();
         self.removed_engines.follow(self.service_members.iter().map(|l| &*l.member.engine.0), &ids);
+        self.learn_starts(now, &list);
         self.service_members = list;
         self.membership_wait = None;
         self.rebuild_engines(now, effects);
     }
 
+    /// Learns when the members started. An empty list tells nothing: a process that begins without members has not been
+    /// told that none has started.
+    fn learn_starts(&mut self, now: Ms, list: &[Listed]) {
+        let starts: Vec<_> = list.iter().map(|l| (l.member.engine.clone(), l.member.started)).collect();
+        if !starts.is_empty() {
+            self.start_times.receive(&starts, now);
+        }
+    }
+
     /// Whether a list of this version changes anything. An older version is a late answer. The known version confirms
     /// the membership, which matters only while an inherited one holds or none is known.
     fn is_news(&mut self, now: Ms, serial: u64) -> bool {
@@ -109,6 +119,9 @@
             return false;
         }
         self.service_heard_at = Some(now);
+        if serial == known && !self.service_members.is_empty() {
+            self.start_times.confirm(now);
+        }
         // An answer to this process ends the inherited membership.
         let inherited = self.inherited_membership.take().is_some();
         inherited || self.membership_wait.is_some() || serial != known
@@ -173,12 +186,22 @@
     fn report_members(&mut self, now: Ms, list: Vec<Listed>) {
         let named: Vec<Named> = list.iter().map(named).collect();
         let recalled = self.recall.as_mut().and_then(|recall| recall.list(&named, now));
-        let members = list.into_iter().map(|l| l.member).collect();
+        // Merging keeps the order of the service's members, which hold the starts as they were told.
+        let told = self.service_members.iter().map(|l| l.member.started);
+        let members = list.into_iter().zip(told).map(|(l, told)| self.with_local_start(now, l.member, told));
+        let members = members.collect();
         self.pending_events.push(DecisionEvent::Members { whole: true, members });
         self.pending_events.extend(recalled.map(|learned| DecisionEvent::Recalled(Box::new(learned))));
         self.recall.take_if(|recall| recall.over(now));
     }
 
+    /// A member as the decision module is told of it: its start is a time of this gateway's clock, and not in the future.
+    fn with_local_start(&self, now: Ms, member: Member, told: Option<Ms>) -> Member {
+        let local = self.start_times.local(&member.engine, told);
+        let started = self.operator_override.started(&member.engine.0, local);
+        Member { started: started.map(|at| at.min(now)), ..member }
+    }
+
     /// The address of an engine, if it takes new work.
     pub(super) fn live_address(&self, engine: &EngineId) -> Option<SocketAddr> {
         let listed = self.engines.get(engine)?;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -29,6 +29,7 @@
 use probes::Probe;
 use requests::Request;
 use starlingplank_decision::learned::Learned;
+use starlingplank_decision::start_times::StartTimes;
 use starlingplank_knowledge::gate::Gate;
 use starlingplank_knowledge::recall::Recall;
 use starlingplank_operation::hand::Hand;
@@ -50,6 +51,8 @@
     serial: Option<u64>,
     /// The membership as the name service last sent it.
     service_members: Vec<Listed>,
+    /// When members started, by this gateway's clock.
+    start_times: StartTimes,
     /// Engines that were members before and are not any more.
     removed_engines: Gone,
     /// When the name service last answered this process.
@@ -114,6 +117,7 @@
             limits,
             serial: None,
             service_members: Vec::new(),
+            start_times: StartTimes::default(),
             removed_engines: Gone::default(),
             service_heard_at: None,
             membership_wait: None,
