--- a/crates/faults/src/calls.rs
+++ b/crates/faults/src/calls.rs
@@ -6,9 +6,9 @@
 #![allow(clippy::missing_safety_doc)]
 
 use crate::original;
-use crate::plan::{fail, one_of, plan};
+use crate::plan::{fail, one_of, plan, tell};
 use libc::{c_int, c_void, iovec, off64_t, sockaddr, socklen_t, ssize_t, timespec};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI32, AtomicU64, Ordering};
 
 const ACCEPT_ERRORS: [c_int; 4] = [libc::ECONNABORTED, libc::ENFILE, libc::ENOBUFS, libc::EINTR];
 const SOCKET_ERRORS: [c_int; 3] = [libc::ENFILE, libc::EMFILE, libc::ENOBUFS];
@@ -16,6 +16,10 @@
 const DISK_ERRORS: [c_int; 2] = [libc::ENOSPC, libc::EIO];
 const NANOSECONDS: i64 = 1_000_000_000;
 const KIND_MASK: c_int = 0xf;
+const NO_FILE: c_int = -1;
+
+/// The file whose last write stopped halfway.
+static TORN: AtomicI32 = AtomicI32::new(NO_FILE);
 
 fn file_kind(fd: c_int) -> u32 {
     // SAFETY: all zeros is a valid value of this plain structure, and the call writes only to it.
@@ -51,11 +55,28 @@
 /// The error with which a write to a file or to the log fails, if it does.
 fn write_error(fd: c_int) -> Option<c_int> {
     if is_log(fd) {
-        return plan().strikes(plan().log).then_some(libc::ENOSPC);
+        let is_full = plan().strikes(plan().log);
+        if is_full {
+            tell("log");
+        }
+        return is_full.then_some(libc::ENOSPC);
+    }
+    if TORN.compare_exchange(fd, NO_FILE, Ordering::Relaxed, Ordering::Relaxed).is_ok() {
+        return Some(libc::ENOSPC);
     }
     (plan().disk > 0.0 && is_regular(fd) && plan().strikes(plan().disk)).then(|| one_of(&DISK_ERRORS))
 }
 
+/// How many bytes of a write are written: half of them where the write is torn.
+fn torn(fd: c_int, len: usize) -> usize {
+    if len < 2 || plan().torn == 0.0 || !is_regular(fd) || !plan().strikes(plan().torn) {
+        return len;
+    }
+    TORN.store(fd, Ordering::Relaxed);
+    tell("torn");
+    len / 2
+}
+
 #[no_mangle]
 pub unsafe extern "C" fn recv(fd: c_int, buffer: *mut c_void, len: usize, flags: c_int) -> ssize_t {
     match transfer(len) {
@@ -88,7 +109,7 @@
     if let Some(error) = write_error(fd) {
         return fail(error);
     }
-    unsafe { original::write(fd, buffer, len) }
+    unsafe { original::write(fd, buffer, torn(fd, len)) }
 }
 
 #[no_mangle]
@@ -120,6 +141,7 @@
 #[no_mangle]
 pub unsafe extern "C" fn accept4(fd: c_int, from: *mut sockaddr, len: *mut socklen_t, flags: c_int) -> c_int {
     if plan().strikes(plan().accept) {
+        tell("accept");
         return fail(one_of(&ACCEPT_ERRORS)) as c_int;
     }
     unsafe { original::accept4(fd, from, len, flags) }
--- a/crates/faults/src/plan.rs
+++ b/crates/faults/src/plan.rs
@@ -24,6 +24,8 @@
     pub connect: f64,
     /// Writes and syncs of regular files fail with `ENOSPC` or `EIO`.
     pub disk: f64,
+    /// Writes of regular files stop halfway, and what is written next to the same file fails with `ENOSPC`.
+    pub torn: f64,
     /// Writes to standard output and standard error fail with `ENOSPC`.
     pub log: f64,
     /// By how much the wall clock is stepped, in milliseconds.
@@ -62,6 +64,7 @@
             "socket_first" => plan.socket_first = number as u64,
             "connect" => plan.connect = number,
             "disk" => plan.disk = number,
+            "torn" => plan.torn = number,
             "log" => plan.log = number,
             "wall_step_ms" => plan.wall_step_ms = number as i64,
             "from_ms" => plan.from_ms = number as u64,
@@ -88,6 +91,19 @@
     }
 }
 
+/// Tells the test that a fault of this name has happened: a file beside the switch, by the fault's name.
+pub fn tell(fault: &str) {
+    let Some(switch) = &plan().switch else { return };
+    let Ok(path) = CString::new([switch.as_bytes(), b".", fault.as_bytes()].concat()) else { return };
+    // SAFETY: the path ends with a zero byte and outlives the call; the descriptor is closed at once.
+    unsafe {
+        let fd = libc::open(path.as_ptr(), libc::O_CREAT | libc::O_WRONLY | libc::O_CLOEXEC, 0o600);
+        if fd >= 0 {
+            libc::close(fd);
+        }
+    }
+}
+
 /// One of these error numbers, by chance.
 pub fn one_of(errors: &[i32]) -> i32 {
     errors[(next() % errors.len() as u64) as usize]
--- a/tests/stand/faults.rs
+++ b/tests/stand/faults.rs
@@ -38,6 +38,12 @@
         std::fs::remove_file(self.switch()).expect("it was on");
     }
 
+    /// Waits until a fault of that name has happened.
+    pub fn until_happened(&self, fault: &str) {
+        let told = self.folder.path().join(format!("on.{fault}"));
+        super::until_true(|| told.exists());
+    }
+
     /// Has a command run with these faults.
     pub fn load_into(&self, command: &mut Command) {
         command.env("LD_PRELOAD", library());
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod faults;
+pub mod requests;
 
 use rustix::process::{kill_process, Pid, Signal};
 use std::collections::{BTreeMap, BTreeSet};
