A log that cannot be written costs its lines, not the process or its listeners

Cause: tracing-subscriber prints its writer's failure with a macro that panics where it cannot print; a panic in the loop ends the process, and one in a listener's, the name service's or the operators' task was noticed by nobody. Ruled out: the folder (none set up), the accept error alone (the listener goes on where the log can be written). Change: the log's writer takes every line, counts lost ones and tells them later; tasks that the process needs are started by net::tasks, and a panic in one ends the process as SIGTERM does, with exit code 1; print macros are gone from the command line; a connection's place is freed however its task ends; a further SIGTERM changes nothing.

--- a/crates/faults/src/plan.rs
+++ b/crates/faults/src/plan.rs
@@ -82,7 +82,7 @@
     pub fn is_on(&self) -> bool {
         let age = monotonic_ms().saturating_sub(STARTED_MS.load(Ordering::Relaxed));
         let in_time = age >= self.from_ms && (self.until_ms == 0 || age < self.until_ms);
-        in_time && self.switch.as_ref().is_none_or(|path| exists(path))
+        in_time && self.switch.as_ref().is_none_or(exists)
     }
 
     /// Whether a fault of this probability happens now.
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,6 +7,7 @@
 use starlingplank::net::{keep, log, runtime};
 use starlingplank_knowledge::{recall, show};
 use std::error::Error;
+use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -71,7 +72,8 @@
     match run(command) {
         Ok(code) => code,
         Err(e) => {
-            eprintln!("starlingplank: {e}");
+            // It ends with its code whether or not this can be told.
+            let _ = writeln!(std::io::stderr(), "starlingplank: {e}");
             ExitCode::FAILURE
         }
     }
@@ -79,15 +81,16 @@
 
 fn run(command: Command) -> Result<ExitCode, Box<dyn Error>> {
     match command {
-        Command::Version => println!("starlingplank {}", env!("CARGO_PKG_VERSION")),
+        Command::Version => writeln!(std::io::stdout(), "starlingplank {}", env!("CARGO_PKG_VERSION"))?,
         Command::CheckConfig(files) => {
             let config = read(&files)?;
-            println!(
+            writeln!(
+                std::io::stdout(),
                 "{}: {} engines, {} classes",
                 config.name,
                 config.known.len(),
                 config.settings.classes.len()
-            );
+            )?;
         }
         Command::Serve(files) => {
             let config = read(&files)?;
@@ -108,23 +111,24 @@
             let shown = show::show(&folder, now, &rules.unwrap_or(recall::DEFAULT))
                 .map_err(|e| format!("{}: {e}", folder.display()))?;
             let Some(shown) = shown else {
-                eprintln!("{}: there is no whole snapshot", folder.display());
+                writeln!(std::io::stderr(), "{}: there is no whole snapshot", folder.display())?;
                 return Ok(ExitCode::from(2));
             };
-            print!("{}", if json { format!("{shown:#}\n") } else { show::text(&shown) });
+            write!(std::io::stdout(), "{}", if json { format!("{shown:#}\n") } else { show::text(&shown) })?;
         }
         Command::Knowledge(Knowledge::Verify { folder }) => {
             let verdict = show::verify(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
             for fault in &verdict.faults {
-                println!("{}/{fault}", folder.display());
+                writeln!(std::io::stdout(), "{}/{fault}", folder.display())?;
             }
             match verdict.code() {
-                0 => println!(
+                0 => writeln!(
+                    std::io::stdout(),
                     "{}: whole; {} bytes at the log's end never came to be",
                     folder.display(),
                     verdict.torn
-                ),
-                2 => println!("{}: there is nothing", folder.display()),
+                )?,
+                2 => writeln!(std::io::stdout(), "{}: there is nothing", folder.display())?,
                 _ => {}
             }
             return Ok(ExitCode::from(verdict.code()));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,3 +11,4 @@
 pub mod operate;
 pub mod runtime;
 pub mod sql;
+pub mod tasks;
--- a/src/net/runtime/inputs.rs
+++ b/src/net/runtime/inputs.rs
@@ -4,6 +4,7 @@
 use crate::core::Event;
 use crate::limits::Limits;
 use crate::net::operate::Asked;
+use crate::net::tasks::TaskName;
 use std::io;
 use std::time::Duration;
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -30,6 +31,8 @@
     Reload,
     /// SIGTERM.
     Terminate,
+    /// A task that the process cannot do without ended by a panic.
+    TaskFailed(TaskName),
 }
 
 /// The signals that the program handles.
@@ -93,6 +96,8 @@
     pub events: Receiver<Event>,
     /// Operators' calls.
     pub calls: Receiver<Asked>,
+    /// Tasks that failed.
+    pub failed_tasks: Receiver<TaskName>,
     /// Timers.
     pub timers: Timers,
 }
@@ -111,6 +116,7 @@
             _ = timers.snapshots.tick(), if optional.knowledge => Wake::Snapshot,
             _ = signals.hangup.recv() => Wake::Reload,
             _ = signals.terminate.recv() => Wake::Terminate,
+            Some(name) = self.failed_tasks.recv() => Wake::TaskFailed(name),
         }
     }
 
--- a/src/net/runtime/listeners.rs
+++ b/src/net/runtime/listeners.rs
@@ -3,6 +3,7 @@
 use crate::config::Config;
 use crate::net::front::{clickhouse, thrift, Desk, Listens, Seat};
 use crate::net::log;
+use crate::net::tasks::{TaskName, Tasks};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -21,17 +22,19 @@
 ///
 /// # Errors
 /// An address cannot be listened at.
-pub async fn listen_to_clients(config: &Config, desk: &Rc<Desk>) -> io::Result<()> {
+pub async fn listen_to_clients(config: &Config, desk: &Rc<Desk>, tasks: &Tasks) -> io::Result<()> {
     let shared = config.operator.is_some();
     let listener = bind(config.listen, shared).await?;
     tracing::info!("{} listens at {}", config.name, listener.local_addr()?);
     let thrift_desk = desk.clone();
-    accept(listener, desk, move |stream, seat| thrift::serve(stream, seat, thrift_desk.clone()));
+    accept("thrift listener", tasks, listener, desk, move |stream, seat| {
+        thrift::serve(stream, seat, thrift_desk.clone())
+    });
     if let Some((at, rules)) = &config.clickhouse {
         let listener = bind(*at, shared).await?;
         tracing::info!("{} listens at {} for ClickHouse HTTP", config.name, listener.local_addr()?);
         let (http_desk, rules) = (desk.clone(), Rc::new(rules.clone()));
-        accept(listener, desk, move |stream, seat| {
+        accept("http listener", tasks, listener, desk, move |stream, seat| {
             clickhouse::serve(stream, seat, http_desk.clone(), rules.clone())
         });
     }
@@ -50,13 +53,13 @@
 }
 
 /// Accepts connections in a task of its own.
-fn accept<S, F>(listener: TcpListener, desk: &Rc<Desk>, serve: S)
+fn accept<S, F>(name: TaskName, tasks: &Tasks, listener: TcpListener, desk: &Rc<Desk>, serve: S)
 where
     S: Fn(TcpStream, Rc<Seat>) -> F + Clone + 'static,
     F: Future<Output = ()> + 'static,
 {
     let acceptor = Acceptor { desk: desk.clone(), serve, listens: desk.listens() };
-    tokio::task::spawn_local(acceptor.run(listener));
+    tasks.spawn(name, acceptor.run(listener));
 }
 
 /// Accepts the connections of one listener.
@@ -141,6 +144,18 @@
         return log::seldom(&desk.limits, "a connection was closed: all others have requests open");
     };
     drop(place);
-    serve(stream, seat.clone()).await;
-    desk.disconnect(&seat);
+    let served = ServedSeat { desk, seat };
+    serve(stream, served.seat.clone()).await;
+}
+
+/// The place of a connection that is served. It is free again however that ends, by a panic as well.
+struct ServedSeat {
+    desk: Rc<Desk>,
+    seat: Rc<Seat>,
+}
+
+impl Drop for ServedSeat {
+    fn drop(&mut self) {
+        self.desk.disconnect(&self.seat);
+    }
 }
--- a/src/net/runtime/mod.rs
+++ b/src/net/runtime/mod.rs
@@ -27,6 +27,8 @@
 use crate::net::front::{Desk, Leaving};
 use crate::net::handover::Handover;
 use crate::net::keep::Keep;
+use crate::net::log;
+use crate::net::tasks::{TaskName, Tasks};
 use inputs::{Inputs, Optional, Signals, Timers, Wake};
 use starlingplank_operation::lives::Stage;
 use startup::Started;
@@ -47,12 +49,15 @@
 pub async fn serve(config: Config, reload: impl Fn() -> Result<Config, String>) -> io::Result<()> {
     // Before anything else: a signal without a handler would end the program.
     let signals = Signals::register()?;
-    let Started { events, calls, mut gateway } = startup::start(config).await?;
+    let Started { events, calls, failed_tasks, mut gateway } = startup::start(config).await?;
     let timers = Timers::start(&gateway.desk.limits, gateway.config.knowledge.as_ref());
-    let mut inputs = Inputs { signals, events, calls, timers };
+    let mut inputs = Inputs { signals, events, calls, failed_tasks, timers };
     gateway.run(&mut inputs, &reload).await?;
     gateway.shut_down(inputs).await;
-    Ok(())
+    match gateway.failed {
+        true => Err(io::Error::other("a task failed")),
+        false => Ok(()),
+    }
 }
 
 /// The gateway around its reducer.
@@ -69,6 +74,10 @@
     events: mpsc::Sender<Event>,
     /// Where the name service is, for the task that polls it.
     names: watch::Sender<Option<SocketAddr>>,
+    /// Starts tasks that the process cannot do without.
+    tasks: Tasks,
+    /// A task that the process cannot do without has failed: it ends, and tells so by its exit code.
+    failed: bool,
     /// Operators' connections that are open.
     callers: Rc<Cell<usize>>,
     /// When it began to wait for the list of engines.
@@ -136,7 +145,7 @@
 
     /// Begins to listen to clients, and tells that to other processes of this gateway.
     async fn listen_to_clients(&mut self) -> io::Result<()> {
-        listeners::listen_to_clients(&self.config, &self.desk).await?;
+        listeners::listen_to_clients(&self.config, &self.desk, &self.tasks).await?;
         self.listening = true;
         self.publish_stage(Stage::Listening);
         Ok(())
@@ -164,13 +173,17 @@
         match wake {
             Wake::Event(event) => events.extend(event),
             Wake::Due => {}
-            Wake::MaintainEngines => self.engines.maintain(events),
+            Wake::MaintainEngines => {
+                self.engines.maintain(events);
+                log::report_lost_lines(&self.desk.limits);
+            }
             Wake::ObservePeers => self.observe_handover(events),
             Wake::Call((call, reply_to)) => drop(reply_to.send(self.answer_call(call, events))),
             Wake::MaintainKnowledge => events.push(Event::Tend),
             Wake::Snapshot => self.write_snapshot(),
             Wake::Reload => self.reload(reload()),
             Wake::Terminate => self.begin_termination(events),
+            Wake::TaskFailed(name) => self.end_after_failure(name, events),
         }
     }
 
@@ -194,7 +207,20 @@
         self.statistics.count_cycle(begun);
     }
 
+    /// Ends the process as SIGTERM does, so that what was taken is answered: without the task it would live on and not do
+    /// its work.
+    fn end_after_failure(&mut self, name: TaskName, events: &mut Vec<Event>) {
+        tracing::error!("the process ends, as it cannot go on without its task {name:?}");
+        self.failed = true;
+        self.begin_termination(events);
+    }
+
+    /// Begins the end. What ends already goes on as it began: a further SIGTERM changes neither the time that is left nor
+    /// how far this process is on its way out.
     fn begin_termination(&mut self, events: &mut Vec<Event>) {
+        if self.terminated.is_some() {
+            return tracing::info!("SIGTERM: this process ends already");
+        }
         tracing::info!("SIGTERM: answering what was taken");
         self.terminated = Some(Instant::now());
         self.desk.leave_by(Leaving::Alone);
--- a/src/net/runtime/startup.rs
+++ b/src/net/runtime/startup.rs
@@ -13,6 +13,7 @@
 use crate::net::names;
 use crate::net::operate::{self, Asked};
 use crate::net::runtime::{LoopStatistics, Runtime};
+use crate::net::tasks::{TaskName, Tasks};
 use starlingplank_knowledge::list::KeptList;
 use starlingplank_knowledge::recall;
 use starlingplank_operation::heard::Heard;
@@ -31,6 +32,8 @@
     pub events: Receiver<Event>,
     /// Operators' calls.
     pub calls: Receiver<Asked>,
+    /// Tasks that failed.
+    pub failed_tasks: Receiver<TaskName>,
     /// The gateway.
     pub gateway: Runtime,
 }
@@ -51,9 +54,10 @@
     let engines = open_engines(config.engines, limits.clone(), desk.common.clone(), sender.clone());
     let (call_sender, calls) = mpsc::channel(limits.callers);
     let callers = Rc::new(Cell::new(0));
+    let (tasks, failed_tasks) = Tasks::new();
     let mut handover = None;
     if let Some(at) = config.operator {
-        listen_to_operators(at, &config.name, &desk, call_sender, callers.clone()).await?;
+        listen_to_operators(at, &config.name, &desk, call_sender, callers.clone(), &tasks).await?;
         handover = open_handover(&config, &desk);
     }
     let mut gateway = Runtime {
@@ -65,6 +69,8 @@
         handover,
         keep,
         events: sender,
+        tasks,
+        failed: false,
         callers,
         started: Instant::now(),
         listening: false,
@@ -78,7 +84,7 @@
     gateway.started = Instant::now();
     gateway.begin(inherited);
     gateway.poll_names();
-    Ok(Started { events, calls, gateway })
+    Ok(Started { events, calls, failed_tasks, gateway })
 }
 
 fn open_engines(
@@ -100,11 +106,12 @@
     desk: &Desk,
     calls: Sender<Asked>,
     callers: Rc<Cell<usize>>,
+    tasks: &Tasks,
 ) -> io::Result<()> {
     let listener = TcpListener::bind(at).await?;
     tracing::info!("{name} listens at {} for its operators", listener.local_addr()?);
     let (limits, common) = (desk.limits.clone(), desk.common.clone());
-    tokio::task::spawn_local(operate::listen(listener, limits, common, calls, callers));
+    tasks.spawn("operators' listener", operate::listen(listener, limits, common, calls, callers));
     Ok(())
 }
 
@@ -188,7 +195,9 @@
         let (asked, known) = (self.names.subscribe(), self.config.serial);
         let (settings, limits, events) =
             (self.desk.settings.clone(), self.desk.limits.clone(), self.events.clone());
-        tokio::task::spawn_local(async move { names::poll(asked, known, &settings, &limits, &events).await });
+        self.tasks.spawn("name service", async move {
+            names::poll(asked, known, &settings, &limits, &events).await;
+        });
     }
 }
 
