Interrupted socket calls are made again, and signals are handled before anything is read

Ruled out: short reads and writes, which pass before and after. Change: one type, Retry, says when a failed socket call is made again, used on each path; signals are marked by signal-hook and wake the loop through a socket pair of our own, so that a lost wake-up only delays them; they are registered before the configuration is read.

--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 use clap::{Parser, Subcommand};
 use starlingplank::config::{Config, ConfigError};
 use starlingplank::net::front::Clock;
+use starlingplank::net::runtime::Signals;
 use starlingplank::net::{keep, log, runtime};
 use starlingplank_knowledge::{recall, show};
 use std::error::Error;
@@ -93,11 +94,13 @@
             )?;
         }
         Command::Serve(files) => {
+            let threads = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+            // Before the configuration is read, which may take long: a signal without a handler would end the program.
+            let signals = threads.block_on(Signals::register())?;
             let config = read(&files)?;
             log::start(&config.log);
-            let threads = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-            tokio::task::LocalSet::new()
-                .block_on(&threads, runtime::serve(config, || read(&files).map_err(|e| e.to_string())))?;
+            let reload = || read(&files).map_err(|e| e.to_string());
+            tokio::task::LocalSet::new().block_on(&threads, runtime::serve(config, signals, reload))?;
         }
         Command::Knowledge(Knowledge::Show { folder, json, operator }) => {
             let rules = match operator {
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -111,6 +111,26 @@
     nudge: Notify,
 }
 
+/// What a call on a socket that has failed asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Retry {
+    /// Nothing is there yet: wait until the socket is ready.
+    WhenReady,
+    /// A signal interrupted the call before it did anything: make it again.
+    AtOnce,
+}
+
+impl Retry {
+    /// Whether and when the call is made again; none where the connection has failed.
+    pub fn after(error: &io::Error) -> Option<Self> {
+        match error.kind() {
+            io::ErrorKind::WouldBlock => Some(Self::WhenReady),
+            io::ErrorKind::Interrupted => Some(Self::AtOnce),
+            _ => None,
+        }
+    }
+}
+
 /// How a connection is to end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Close {
@@ -142,7 +162,7 @@
                 Ok(0) => return Ok(()),
                 Ok(n) if n > left => return Ok(()),
                 Ok(n) => left -= n,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) if Retry::after(&e).is_some() => {}
                 Err(e) => return Err(e),
             }
         }
@@ -322,13 +342,14 @@
             };
             match written {
                 Ok(written) => self.advance(written),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    tokio::select! {
+                Err(e) => match Retry::after(&e) {
+                    Some(Retry::AtOnce) => {}
+                    Some(Retry::WhenReady) => tokio::select! {
                         ready = stream.ready(Interest::WRITABLE) => drop(ready?),
                         () = self.wake.notified() => {}
-                    }
-                }
-                Err(e) => return Err(e),
+                    },
+                    None => return Err(e),
+                },
             }
         }
     }
@@ -407,7 +428,7 @@
                     }
                     return Ok(n > 0);
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) if Retry::after(&e).is_some() => {}
                 Err(e) => return Err(e),
             }
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod http;
 pub mod keep;
 pub mod log;
+pub mod momentary;
 pub mod names;
 pub mod operate;
 pub mod runtime;
--- /dev/null
+++ b/src/net/momentary/tests.rs
@@ -0,0 +1,40 @@
+use super::*;
+use rstest::rstest;
+use rustix::io::Errno;
+
+#[rstest]
+#[case::client_left(Errno::CONNABORTED)]
+#[case::interrupted(Errno::INTR)]
+#[case::protocol(Errno::PROTO)]
+#[case::unreachable(Errno::HOSTUNREACH)]
+fn connection_that_is_gone_delays_no_other(#[case] errno: Errno) {
+    let mut backoff = Backoff::default();
+    for _ in 0..10 {
+        assert_eq!(backoff.wait_to_accept(&errno.into()), Duration::ZERO);
+    }
+}
+
+#[rstest]
+#[case::of_the_process(Errno::MFILE)]
+#[case::of_the_system(Errno::NFILE)]
+#[case::buffers(Errno::NOBUFS)]
+#[case::memory(Errno::NOMEM)]
+fn want_of_something_is_waited_for_briefly_and_longer_while_it_lasts(#[case] errno: Errno) {
+    let mut backoff = Backoff::default();
+    let waits: Vec<_> = (0..8).map(|_| backoff.wait_to_accept(&errno.into()).as_millis()).collect();
+    assert_eq!(waits, [1, 2, 4, 8, 16, 32, 50, 50]);
+    backoff.reset();
+    assert_eq!(backoff.wait_to_accept(&errno.into()), FIRST_WAIT);
+}
+
+#[rstest]
+#[case::refused(Errno::CONNREFUSED, false)]
+#[case::reset(Errno::CONNRESET, false)]
+#[case::timed_out(Errno::TIMEDOUT, false)]
+#[case::no_descriptor(Errno::NFILE, true)]
+#[case::no_port(Errno::ADDRNOTAVAIL, true)]
+#[case::no_route(Errno::NETUNREACH, true)]
+#[case::interrupted(Errno::INTR, true)]
+fn what_the_other_side_did_is_told_from_what_lacks_here(#[case] errno: Errno, #[case] local: bool) {
+    assert_eq!(is_local(&errno.into()), local);
+}
--- a/src/net/names.rs
+++ b/src/net/names.rs
@@ -4,6 +4,7 @@
 use crate::core::{Event, Listed};
 use crate::interface::{Availability, Settings};
 use crate::limits::Limits;
+use crate::net::conn::Retry;
 use starlingplank_pacing::list::{self, ListPace, Rules};
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
@@ -188,6 +189,11 @@
     Ok(socket)
 }
 
+/// Sends a question. One that fails is lost as one that the network drops; a call that was interrupted is made again.
+async fn ask_once(socket: &UdpSocket, question: &[u8]) {
+    while socket.send(question).await.is_err_and(|e| Retry::after(&e) == Some(Retry::AtOnce)) {}
+}
+
 /// A datagram from either.
 async fn receive(socket: &UdpSocket, former: Option<&UdpSocket>, buffer: &mut [u8]) -> io::Result<usize> {
     loop {
@@ -197,7 +203,7 @@
         }
         for socket in std::iter::once(socket).chain(former) {
             match socket.try_recv(buffer) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) if Retry::after(&e).is_some() => {}
                 got => return got,
             }
         }
@@ -254,7 +260,7 @@
                 unanswered += 1;
                 // A lost question is followed by the next one.
                 tracing::trace!("list asked for");
-                let _ = socket.send(&question(id)).await;
+                ask_once(&socket, &question(id)).await;
             }
             got = receive(&socket, former.as_ref(), &mut buffer) => {
                 // A refused datagram shows up here; the next question tries again.
--- a/src/net/operate.rs
+++ b/src/net/operate.rs
@@ -1,11 +1,14 @@
 //! The second address: where staff call. One call on each connection, answered beside the queue that requests wait in.
 
 use crate::limits::Limits;
-use crate::net::conn::{Common, Inbox};
+use crate::net::conn::{Common, Inbox, Retry};
 use crate::net::http::{self, Length, Read};
+use crate::net::log;
+use crate::net::momentary::Backoff;
 use starlingplank_operation::calls::{self, Call, Reply};
 use std::cell::Cell;
 use std::collections::VecDeque;
+use std::io;
 use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -26,14 +29,21 @@
     served: Rc<Cell<usize>>,
 ) {
     let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
+    let mut backoff = Backoff::default();
     loop {
         let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+            Ok((stream, _)) => {
+                backoff.reset();
+                stream
+            }
             // Out of descriptors: who holds one longest gives it up.
             Err(e) => {
-                tracing::warn!("the second address: accept: {e}");
-                callers.pop_front().into_iter().for_each(|c| c.abort());
-                tokio::time::sleep(limits.look).await;
+                log::seldom_error(&limits, "an operator's connection cannot be accepted", &e);
+                let wait = backoff.wait_to_accept(&e);
+                if !wait.is_zero() {
+                    callers.pop_front().into_iter().for_each(|c| c.abort());
+                }
+                tokio::time::sleep(wait).await;
                 continue;
             }
         };
@@ -95,7 +105,7 @@
         reply.reason(),
         reply.text.len()
     );
-    let said = stream.write_all([head.as_bytes(), reply.text.as_bytes()].concat().as_slice()).await;
+    let said = write_whole(&mut stream, &[head.as_bytes(), reply.text.as_bytes()].concat()).await;
     if said.is_err() || stream.shutdown().await.is_err() || whole {
         return;
     }
@@ -110,6 +120,19 @@
     let _ = timeout(limits.call_rest, rest).await;
 }
 
+/// Writes all bytes; a call that was interrupted is made again.
+async fn write_whole(stream: &mut TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        match stream.write(bytes).await {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(n) => bytes = &bytes[n..],
+            Err(e) if Retry::after(&e).is_some() => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
 /// Reads one call. None: the caller has gone.
 async fn read(stream: &TcpStream, inbox: &mut Inbox, limits: &Limits) -> Option<Result<Call, Reply>> {
     let bad = |status, text: &str| Some(Err(Reply::line(status, text)));
--- a/src/net/runtime/inputs.rs
+++ b/src/net/runtime/inputs.rs
@@ -4,10 +4,9 @@
 use crate::core::Event;
 use crate::limits::Limits;
 use crate::net::operate::Asked;
+use crate::net::runtime::signals::{Received, Signals};
 use crate::net::tasks::TaskName;
-use std::io;
 use std::time::Duration;
-use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc::Receiver;
 use tokio::time::{interval, interval_at, sleep_until, Instant, Interval, MissedTickBehavior};
 
@@ -35,24 +34,6 @@
     TaskFailed(TaskName),
 }
 
-/// The signals that the program handles.
-pub struct Signals {
-    terminate: Signal,
-    hangup: Signal,
-}
-
-impl Signals {
-    /// Registers the handlers.
-    ///
-    /// # Errors
-    /// The system does not take a handler.
-    pub fn register() -> io::Result<Self> {
-        let terminate = signal(SignalKind::terminate())?;
-        let hangup = signal(SignalKind::hangup())?;
-        Ok(Self { terminate, hangup })
-    }
-}
-
 /// The timers of the loop. A tick that comes late delays those after it.
 pub struct Timers {
     maintain_engines: Interval,
@@ -105,7 +86,7 @@
 impl Inputs {
     /// Waits for the next input, until `due` at the longest.
     pub async fn next(&mut self, due: Instant, optional: Optional) -> Wake {
-        let (signals, timers) = (&mut self.signals, &mut self.timers);
+        let (signals, timers) = (&self.signals, &mut self.timers);
         tokio::select! {
             event = self.events.recv() => Wake::Event(event),
             () = sleep_until(due) => Wake::Due,
@@ -114,8 +95,10 @@
             Some(asked) = self.calls.recv() => Wake::Call(asked),
             _ = timers.maintain_knowledge.tick(), if optional.knowledge => Wake::MaintainKnowledge,
             _ = timers.snapshots.tick(), if optional.knowledge => Wake::Snapshot,
-            _ = signals.hangup.recv() => Wake::Reload,
-            _ = signals.terminate.recv() => Wake::Terminate,
+            signal = signals.next() => match signal {
+                Received::Reload => Wake::Reload,
+                Received::Terminate => Wake::Terminate,
+            },
             Some(name) = self.failed_tasks.recv() => Wake::TaskFailed(name),
         }
     }
--- a/src/net/runtime/mod.rs
+++ b/src/net/runtime/mod.rs
@@ -10,6 +10,7 @@
 mod listeners;
 
 mod inputs;
+mod signals;
 
 mod cycle;
 mod effects;
@@ -29,7 +30,8 @@
 use crate::net::keep::Keep;
 use crate::net::log;
 use crate::net::tasks::{TaskName, Tasks};
-use inputs::{Inputs, Optional, Signals, Timers, Wake};
+use inputs::{Inputs, Optional, Timers, Wake};
+pub use signals::Signals;
 use starlingplank_operation::lives::Stage;
 use startup::Started;
 use std::cell::Cell;
@@ -46,9 +48,11 @@
 ///
 /// # Errors
 /// An address cannot be listened at, or the settings contradict themselves.
-pub async fn serve(config: Config, reload: impl Fn() -> Result<Config, String>) -> io::Result<()> {
-    // Before anything else: a signal without a handler would end the program.
-    let signals = Signals::register()?;
+pub async fn serve(
+    config: Config,
+    signals: Signals,
+    reload: impl Fn() -> Result<Config, String>,
+) -> io::Result<()> {
     let Started { events, calls, failed_tasks, mut gateway } = startup::start(config).await?;
     let timers = Timers::start(&gateway.desk.limits, gateway.config.knowledge.as_ref());
     let mut inputs = Inputs { signals, events, calls, failed_tasks, timers };
