Listening survives moments without descriptors: at the start, in accept, at the end

Cause: a failed bind ended the start; after each failed accept the loop slept 200 ms, whatever had failed; empty_backlog took any error for an empty queue, so that connections behind it were reset as the listener closed. Change: bind is retried for 3 s for want of descriptors or memory; a failed accept that concerns one connection alone delays nothing, any other waits 1 to 50 ms; the queue is empty at WouldBlock alone. The log tells failed accepts once a second.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -40,6 +40,8 @@
     pub streams_wanted: usize,
     /// An engine that stops inside an answer, or keeps a page back, is waited for no longer than this.
     pub engine_silent: Duration,
+    /// An address that cannot be listened at for want of descriptors or memory is tried again for so long.
+    pub bind_retry: Duration,
     /// A connection that is not up by then has failed.
     pub connect: Duration,
     /// Idle engine connections are closed after this: a little before the engine would.
@@ -158,6 +160,7 @@
             streams: f.number_or("limits.streams_per_conn", 32.0)?.max(1.0) as usize,
             streams_wanted: 4,
             engine_silent: ms(500.0),
+            bind_retry: ms(3_000.0),
             connect: ms(f.number_or("limits.connect_timeout", 250.0)?),
             idle: ms(f.number_or("limits.idle_close", 15_000.0)? * 0.8),
             front_idle: ms(60_000.0),
--- a/src/net/runtime/listeners.rs
+++ b/src/net/runtime/listeners.rs
@@ -3,11 +3,13 @@
 use crate::config::Config;
 use crate::net::front::{clickhouse, thrift, Desk, Listens, Seat};
 use crate::net::log;
+use crate::net::momentary::{self, Backoff};
 use crate::net::tasks::{TaskName, Tasks};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{AcquireError, OwnedSemaphorePermit};
 use tokio::time::{sleep, timeout_at, Instant};
@@ -24,14 +26,15 @@
 /// An address cannot be listened at.
 pub async fn listen_to_clients(config: &Config, desk: &Rc<Desk>, tasks: &Tasks) -> io::Result<()> {
     let shared = config.operator.is_some();
-    let listener = bind(config.listen, shared).await?;
+    let within = desk.limits.bind_retry;
+    let listener = bind(config.listen, shared, within).await?;
     tracing::info!("{} listens at {}", config.name, listener.local_addr()?);
     let thrift_desk = desk.clone();
     accept("thrift listener", tasks, listener, desk, move |stream, seat| {
         thrift::serve(stream, seat, thrift_desk.clone())
     });
     if let Some((at, rules)) = &config.clickhouse {
-        let listener = bind(*at, shared).await?;
+        let listener = bind(*at, shared, within).await?;
         tracing::info!("{} listens at {} for ClickHouse HTTP", config.name, listener.local_addr()?);
         let (http_desk, rules) = (desk.clone(), Rc::new(rules.clone()));
         accept("http listener", tasks, listener, desk, move |stream, seat| {
@@ -41,13 +44,18 @@
     Ok(())
 }
 
-async fn bind(at: SocketAddr, shared: bool) -> io::Result<TcpListener> {
-    if !shared {
-        return TcpListener::bind(at).await;
-    }
+/// Listens at an address; a moment without descriptors or memory does not fail it.
+///
+/// # Errors
+/// It cannot be listened at.
+pub async fn bind(at: SocketAddr, shared: bool, within: Duration) -> io::Result<TcpListener> {
+    momentary::retry(within, || bind_once(at, shared)).await
+}
+
+fn bind_once(at: SocketAddr, shared: bool) -> io::Result<TcpListener> {
     let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
-    socket.set_reuseport(true)?;
+    socket.set_reuseport(shared)?;
     socket.bind(at)?;
     socket.listen(BACKLOG)
 }
@@ -86,6 +94,7 @@
     async fn accept_until_closing(&self, listener: &TcpListener) {
         let mut closing = self.desk.closing.subscribe();
         let waiting = self.desk.waiting_places.clone();
+        let mut backoff = Backoff::default();
         loop {
             let accepted = tokio::select! {
                 biased;
@@ -93,11 +102,14 @@
                 accepted = async { (waiting.clone().acquire_owned().await, listener.accept().await) } => accepted,
             };
             match accepted {
-                (place, Ok((stream, _))) => self.spawn(stream, place),
+                (place, Ok((stream, _))) => {
+                    backoff.reset();
+                    self.spawn(stream, place);
+                }
                 // Out of descriptors, or the client left again: others may still be served.
                 (_, Err(e)) => {
-                    tracing::error!("accept: {e}");
-                    sleep(self.desk.limits.names_poll).await;
+                    log::seldom_error(&self.desk.limits, "a connection cannot be accepted", &e);
+                    sleep(backoff.wait_to_accept(&e)).await;
                 }
             }
         }
@@ -109,6 +121,7 @@
         let until = Instant::now() + self.desk.limits.front_wait;
         let waiting = self.desk.waiting_places.clone();
         let Ok(queue) = listener.into_std() else { return };
+        let mut backoff = Backoff::default();
         loop {
             let Ok(place) = timeout_at(until, waiting.clone().acquire_owned()).await else {
                 tracing::warn!(
@@ -116,9 +129,18 @@
                 );
                 return;
             };
-            let Ok((stream, _)) = queue.accept() else { return };
-            if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
-                self.spawn(stream, place);
+            match queue.accept() {
+                Ok((stream, _)) => {
+                    backoff.reset();
+                    let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+                    if let Ok(stream) = stream {
+                        self.spawn(stream, place);
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                // Connections may still be waiting behind this failure.
+                Err(e) if Instant::now() < until => sleep(backoff.wait_to_accept(&e)).await,
+                Err(e) => return tracing::warn!("connections that waited were not accepted: {e}"),
             }
         }
     }
--- a/src/net/runtime/startup.rs
+++ b/src/net/runtime/startup.rs
@@ -12,6 +12,7 @@
 use crate::net::keep::{self, Keep};
 use crate::net::names;
 use crate::net::operate::{self, Asked};
+use crate::net::runtime::listeners::bind;
 use crate::net::runtime::{LoopStatistics, Runtime};
 use crate::net::tasks::{TaskName, Tasks};
 use starlingplank_knowledge::list::KeptList;
@@ -21,7 +22,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc::{self, Receiver, Sender};
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -108,7 +108,7 @@
     callers: Rc<Cell<usize>>,
     tasks: &Tasks,
 ) -> io::Result<()> {
-    let listener = TcpListener::bind(at).await?;
+    let listener = bind(at, false, desk.limits.bind_retry).await?;
     tracing::info!("{name} listens at {} for its operators", listener.local_addr()?);
     let (limits, common) = (desk.limits.clone(), desk.common.clone());
     tasks.spawn("operators' listener", operate::listen(listener, limits, common, calls, callers));
