--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -4,6 +4,7 @@
 
 use rstest::rstest;
 use rustix::event::{poll, PollFd, PollFlags};
+use stand::faults::Faults;
 use stand::*;
 use starlingplank::limits::Limits;
 use starlingplank::net::conn::{Common, Frame, Outbox};
@@ -101,6 +102,28 @@
     assert!(gateway.child.wait().expect("it ends").success());
 }
 
+/// The same for connections that wait to be accepted, where `accept` fails for a moment before each of them.
+#[test]
+fn connections_that_wait_as_the_window_ends_are_accepted_though_accept_fails_for_moments() {
+    let (at, log, held) = engine_that_holds_one();
+    let faults = Faults::new("seed=9,accept=0.7");
+    let config = never_late(&config(&[at], "resp", 60_000));
+    let mut gateway = Gateway::start_with_faults(&config, &faults);
+    let mut open = stop_over_the_end_of_the_window(&gateway, &log, &held);
+    let mut new: Vec<_> = (0..16).map(|_| gateway.client()).collect();
+    for (i, client) in new.iter_mut().enumerate() {
+        client.write_all(&lookup(&format!("{i:016x}"), 5000)).expect("sent");
+    }
+    faults.begin();
+    gateway.resume();
+    for client in new.iter_mut().chain([&mut open]) {
+        let (_, kind, _) = answer(client);
+        assert!(matches!(kind, "served" | "overloaded"), "{kind}");
+    }
+    drop((new, open));
+    assert!(gateway.child.wait().expect("it ends").success());
+}
+
 /// Some clients rest until the gateway ends their connections. What they say after that is read by nobody, and takes
 /// nothing that was said to them along.
 #[test]
--- a/tests/system_calls.rs
+++ b/tests/system_calls.rs
@@ -50,6 +50,25 @@
     }
 }
 
+/// Connections to engines that cannot be made for a moment are made a moment later, and cost the engine nothing.
+#[test]
+fn engine_is_used_where_sockets_and_connects_fail_for_a_moment() {
+    const REQUESTS: usize = 30;
+    // It closes its connection after each answer, so that each request needs a new one.
+    let (at, log) = resp_engine_that(|parts, stream| {
+        let said = served(parts).unwrap_or_default();
+        stream.write_all(said.as_bytes()).is_ok() && parts[0] != "want"
+    });
+    let faults = Faults::new("seed=5,socket=0.3,connect=0.3");
+    let mut gateway = Gateway::start_with_faults(&never_late(&config(&[at], "resp", 60_000)), &faults);
+    faults.begin();
+    for n in 1..=REQUESTS {
+        is_served(gateway.client(), n);
+    }
+    ends_well(&mut gateway);
+    assert_eq!(attempts(&log).values().sum::<usize>(), REQUESTS);
+}
+
 /// A start may meet a moment without descriptors.
 #[test]
 fn process_starts_where_its_first_sockets_fail() {
