What lacks here for a moment is not held against an engine: connects are made again

Cause: any failure of socket or connect ended the attempt as connect_failed, which counts as the engine's failure and ejects it, also where this process lacked a descriptor, a port or a route (ENFILE, EMFILE, ENOBUFS, EADDRNOTAVAIL, ENETUNREACH, EINTR).

--- a/src/net/engine/clickhouse.rs
+++ b/src/net/engine/clickhouse.rs
@@ -5,6 +5,7 @@
 use crate::interface::{EngineId, Outcome};
 use crate::limits::Limits;
 use crate::net::conn::{Close, Common, Frame, Inbox, Outbox, Part};
+use crate::net::engine::connect::{connect, ConnectError};
 use crate::net::engine::resp::sending;
 use crate::net::engine::Engines;
 use crate::net::http::{self, Length, Read};
@@ -16,7 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::Notify;
-use tokio::time::{timeout, Instant};
+use tokio::time::Instant;
 
 /// The engine turned the query away before it ran.
 const TOO_MANY_SIMULTANEOUS_QUERIES: u32 = 202;
@@ -213,10 +214,10 @@
 
 async fn run(conn: Rc<Conn>, limits: Rc<Limits>, events: Sender<Event>) {
     let stream = tokio::select! {
-        stream = timeout(limits.connect, TcpStream::connect(conn.address)) => stream.ok().and_then(Result::ok),
-        () = conn.out.closed_now() => None,
+        stream = connect(conn.address, &limits) => stream,
+        () = conn.out.closed_now() => Err(ConnectError::GivenUp),
     };
-    if let Some(stream) = &stream {
+    if let Ok(stream) = &stream {
         let _ = stream.set_nodelay(true);
         tokio::select! {
             ended = conn.out.write_all(stream, &limits) => drop(ended),
@@ -233,9 +234,9 @@
         Some(Job::Probe(tag)) => Event::Probed(tag, false, None),
         Some(Job::Attempt(id, _)) => {
             let outcome = match &stream {
-                None => Outcome::ConnectFailed,
-                Some(_) if unsent.contains(&id) => Outcome::Moot,
-                Some(_) => Outcome::Reset,
+                Err(e) => e.outcome(),
+                Ok(_) if unsent.contains(&id) => Outcome::Moot,
+                Ok(_) => Outcome::Reset,
             };
             Event::Ended(id, End::plain(outcome))
         }
--- a/src/net/engine/driver.rs
+++ b/src/net/engine/driver.rs
@@ -4,6 +4,7 @@
 use crate::interface::Outcome;
 use crate::limits::Limits;
 use crate::net::conn::{Close, Inbox};
+use crate::net::engine::connect::{connect, ConnectError};
 use crate::net::engine::connection::Connection;
 use crate::net::engine::replies::{handle_reply, ReplyEffect};
 use crate::net::engine::resp::{self, Read};
@@ -12,38 +13,26 @@
 use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Sender;
-use tokio::time::{sleep_until, timeout, Instant};
+use tokio::time::{sleep_until, Instant};
 
 /// A reply that is longer than so many whole results is not waited for.
 const LONGEST_REPLY_IN_RESULTS: usize = 2;
 
 /// Opens a connection, then writes and reads until it ends, and reports the end of everything that was open on it.
 pub async fn run(connection: Rc<Connection>, limits: Rc<Limits>, events: Sender<Event>) {
-    let stream = connect(&connection, &limits).await;
-    if let Some(stream) = &stream {
-        exchange(&connection, stream, &limits, &events).await;
+    let stream = connect(connection.address, &limits).await;
+    match &stream {
+        Ok(stream) => exchange(&connection, stream, &limits, &events).await,
+        Err(e) => tracing::debug!("no connection to {}: {e}", connection.address),
     }
+    let never_up = stream.as_ref().err().map(ConnectError::outcome);
     connection.closed.set(true);
     let unsent = connection.outbox.unsent();
     connection.outbox.close(Close::Now);
-    report_ended_attempts(&connection, stream.is_some(), &unsent, &events).await;
+    report_ended_attempts(&connection, never_up, &unsent, &events).await;
     report_failed_probes(&connection, &events).await;
 }
 
-async fn connect(connection: &Connection, limits: &Limits) -> Option<TcpStream> {
-    match timeout(limits.connect, TcpStream::connect(connection.address)).await {
-        Ok(Ok(stream)) => Some(stream),
-        Ok(Err(e)) => {
-            tracing::trace!("connection to {} failed: {e}", connection.address);
-            None
-        }
-        Err(_) => {
-            tracing::trace!("connection to {} failed: not up in time", connection.address);
-            None
-        }
-    }
-}
-
 /// Writes and reads until the connection ends.
 async fn exchange(connection: &Connection, stream: &TcpStream, limits: &Limits, events: &Sender<Event>) {
     connection.connected_at.set(Some(Instant::now()));
@@ -141,19 +130,19 @@
     }
 }
 
-/// Reports the attempts that were in flight as the connection ended.
+/// Reports the attempts that were in flight as the connection ended; with that outcome where it was never up.
 async fn report_ended_attempts(
     connection: &Connection,
-    was_connected: bool,
+    never_up: Option<Outcome>,
     unsent: &[AttemptId],
     events: &Sender<Event>,
 ) {
     let in_flight: Vec<_> = connection.in_flight.borrow_mut().drain().collect();
     for (_, attempt) in in_flight {
-        let outcome = match (was_connected, unsent.contains(&attempt.id)) {
-            (false, _) => Outcome::ConnectFailed,
-            (true, true) => Outcome::Moot,
-            (true, false) => Outcome::Reset,
+        let outcome = match never_up {
+            Some(outcome) => outcome,
+            None if unsent.contains(&attempt.id) => Outcome::Moot,
+            None => Outcome::Reset,
         };
         let _ = events.send(Event::Ended(attempt.id, End::plain(outcome))).await;
     }
--- a/src/net/engine/mod.rs
+++ b/src/net/engine/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod pool;
 
+mod connect;
 mod connection;
 mod driver;
 
