A torn key record is written over, and repeated failures are logged once a second

Cause: the shared folder's key file has records of a fixed size and its readers stop at one that is not whole; after a write that stopped halfway further records were appended behind the half. Each keyed request that could not be recorded logged a line of its own. Change: after a failed write the file is begun anew, whole or not at all; a key that was not recorded binds nobody; log::seldom_error tells errors of a request's path once a second with a count, and the gap is the log's own constant.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -58,8 +58,6 @@
     pub close_rest: Duration,
     /// New connections that may wait for room at once; those behind them wait to be accepted.
     pub front_waiting: usize,
-    /// Between two log lines that say the same of what others do wrong.
-    pub log_gap: Duration,
     /// Time between looks for what has gone idle.
     pub sweep: Duration,
     /// Being later than this for what is due is worth a line in the log.
@@ -169,7 +167,6 @@
             front_wait: ms(1_000.0),
             close_rest: ms(250.0),
             front_waiting: (sockets / 20).clamp(2, 64),
-            log_gap: ms(1_000.0),
             sweep: ms(250.0),
             stall: 50.0,
             probe: 300.0,
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -211,7 +211,7 @@
         let len = frame.len();
         let most = self.common.part(limits.held_bytes);
         if self.bytes.get() + len > limits.outbox_bytes || self.common.held.get() + len > most {
-            log::seldom(limits, "a connection was closed: its reader is too slow");
+            log::seldom("a connection was closed: its reader is too slow");
             return self.close(Close::Now);
         }
         self.count(len, 0);
--- a/src/net/engine/clickhouse.rs
+++ b/src/net/engine/clickhouse.rs
@@ -9,6 +9,7 @@
 use crate::net::engine::resp::sending;
 use crate::net::engine::Engines;
 use crate::net::http::{self, Length, Read};
+use crate::net::log;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -103,7 +104,7 @@
         let job = Job::Attempt(send.id, send.statement.flow.clone());
         let frame = request(&send);
         if !self.start(&send.engine, send.address, job, frame) {
-            tracing::warn!("no connection is left for an attempt on {}", send.engine.0);
+            log::seldom_error("no connection is left for an attempt on an engine", &send.engine.0);
             events.push(Event::Ended(send.id, End::plain(Outcome::Moot)));
         }
     }
@@ -358,7 +359,7 @@
                     begun = true;
                     events.send(Event::Begun(id, std::mem::take(&mut rows))).await.ok()?;
                 } else if bytes > limits.message_bytes {
-                    tracing::warn!("a result of more than {bytes} bytes cannot be passed on whole");
+                    log::seldom("a result that is too large cannot be passed on whole");
                     conn.job.borrow_mut().take();
                     events.send(Event::Ended(id, End::plain(Outcome::Error))).await.ok()?;
                     return None;
--- a/src/net/engine/driver.rs
+++ b/src/net/engine/driver.rs
@@ -92,7 +92,7 @@
             }
             // It is not known which attempts the replies after this one belong to.
             ReplyEffect::ProtocolError => {
-                log::seldom(limits, "an engine's answer cannot be used; the connection was closed");
+                log::seldom("an engine's answer cannot be used; the connection was closed");
                 return ControlFlow::Break(());
             }
         }
@@ -116,7 +116,7 @@
             ControlFlow::Continue(())
         }
         () = sleep_until_deadline(complete_by) => {
-            log::seldom(limits, "an engine stopped inside an answer; the connection was closed");
+            log::seldom("an engine stopped inside an answer; the connection was closed");
             ControlFlow::Break(())
         }
     }
--- a/src/net/engine/pool.rs
+++ b/src/net/engine/pool.rs
@@ -7,6 +7,7 @@
 use crate::net::conn::{Close, Common};
 use crate::net::engine::connection::{Connection, InFlight};
 use crate::net::engine::{driver, resp, Engines};
+use crate::net::log;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -128,7 +129,7 @@
     fn send(&mut self, send: Send, events: &mut Vec<Event>) {
         let name = send.statement.name.clone();
         let Some(connection) = self.choose_connection(&send.engine, send.address, &name) else {
-            tracing::warn!("no connection is left for an attempt on {}", send.engine.0);
+            log::seldom_error("no connection is left for an attempt on an engine", &send.engine.0);
             return events.push(Event::Ended(send.id, End::plain(Outcome::Moot)));
         };
         connection.last_used.set(Instant::now());
--- a/src/net/engine/progress.rs
+++ b/src/net/engine/progress.rs
@@ -2,7 +2,6 @@
 
 use crate::core::Event;
 use crate::interface::Note;
-use crate::limits::Limits;
 use crate::net::engine::connection::Connection;
 use crate::net::engine::replies::ReplyEffect;
 use crate::net::engine::resp::Reply;
@@ -43,7 +42,7 @@
 
 /// Passes a progress update on to the reducer. One that cannot be used is dropped; the attempt and the others on its
 /// connection go on.
-pub fn handle_progress_update(connection: &Connection, reply: &Reply<'_>, limits: &Limits) -> ReplyEffect {
+pub fn handle_progress_update(connection: &Connection, reply: &Reply<'_>) -> ReplyEffect {
     let in_flight = connection.in_flight.borrow();
     let Some(attempt) = in_flight.get(reply.id) else { return ReplyEffect::Ignored };
     // The query is over once its result has begun.
@@ -54,7 +53,7 @@
         Ok(Some(note)) => ReplyEffect::Event(Event::Noted(attempt.id, note)),
         Ok(None) => ReplyEffect::Ignored,
         Err(BadNote) => {
-            log::seldom(limits, "an engine's progress update cannot be used; it was dropped");
+            log::seldom("an engine's progress update cannot be used; it was dropped");
             ReplyEffect::Ignored
         }
     }
--- a/src/net/engine/replies.rs
+++ b/src/net/engine/replies.rs
@@ -27,7 +27,7 @@
     }
     match reply.word {
         b"served" | b"rows" => handle_page(connection, reply, limits),
-        b"update" => handle_progress_update(connection, reply, limits),
+        b"update" => handle_progress_update(connection, reply),
         b"overload" => handle_failure(connection, reply, Outcome::Full, limits),
         b"nobody" => handle_failure(connection, reply, Outcome::Moot, limits),
         b"crashed" => handle_failure(connection, reply, Outcome::Error, limits),
--- a/src/net/front/clickhouse.rs
+++ b/src/net/front/clickhouse.rs
@@ -236,7 +236,7 @@
     let limits = &session.limits;
     let bad = |which, what: &str| {
         session.keep.set(false);
-        log::seldom(limits, "an HTTP request that cannot be used was turned away");
+        log::seldom("an HTTP request that cannot be used was turned away");
         session.fail(which, what, &[]);
         None
     };
--- a/src/net/front/thrift.rs
+++ b/src/net/front/thrift.rs
@@ -314,15 +314,14 @@
     loop {
         while let Some(len) = frame_len(inbox.unread()) {
             if len > limits.message_bytes {
-                return log::seldom(limits, "a client's frame is too long; the connection was closed");
+                return log::seldom("a client's frame is too long; the connection was closed");
             }
             let Some(frame) = inbox.unread().get(4..len) else { break };
             let Some(message) = message(frame) else {
-                return log::seldom(limits, "a client's message cannot be read; the connection was closed");
+                return log::seldom("a client's message cannot be read; the connection was closed");
             };
             if !take_message(message, session, desk).await {
                 return log::seldom(
-                    limits,
                     "a client used a number out of turn, or a name twice; the connection was closed",
                 );
             }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -5,6 +5,7 @@
 use crate::core::Core;
 use crate::interface::Ms;
 use crate::limits::Limits;
+use crate::net::log;
 use starlingplank_knowledge::gate::{Key, Sends, Sent};
 use starlingplank_knowledge::keeper::Offset;
 use starlingplank_knowledge::keylog::{self, Record};
@@ -65,6 +66,8 @@
     keys: File,
     /// Records in it.
     recorded: usize,
+    /// It may end inside a record, as a write failed.
+    torn: bool,
     /// All keys that may still matter, by this clock.
     held: HashMap<Key, Sends>,
     offset: Offset,
@@ -129,6 +132,7 @@
             life,
             keys,
             recorded: 0,
+            torn: false,
             held: HashMap::new(),
             offset,
             peers: BTreeMap::new(),
@@ -178,7 +182,7 @@
                 self.peers.insert(life, peer);
             }
             Err(e) if e.kind() == io::ErrorKind::NotFound => {}
-            Err(e) => warn!("{}: {e}", self.path.join(named("life", life)).display()),
+            Err(e) => log::seldom_error("another version cannot be looked at", e),
         }
     }
 
@@ -187,7 +191,7 @@
         let mut seen = Seen::default();
         match lives(&self.path) {
             Ok(lives) => lives.into_iter().rev().take(LIVES).for_each(|life| self.meet(life)),
-            Err(e) => warn!("{}: {e}", self.path.display()),
+            Err(e) => log::seldom_error("the folder that versions share cannot be read", e),
         }
         // Keys before the word that it has ended: what it wrote last is read.
         seen.keys = self.peer_keys(now);
@@ -216,7 +220,7 @@
         self.peers.remove(&life);
         // Its keys are in this one's file before its own goes.
         if let Err(e) = self.begin_keys(now) {
-            return warn!("the keys of an earlier process stay in its own file: {e}");
+            return log::seldom_error("the keys of an earlier process stay in its own file", e);
         }
         // Those that it left half written as well.
         let kinds = ["keys", "learned", "heard", "life"].map(|kind| named(kind, life));
@@ -284,12 +288,27 @@
     /// # Errors
     /// It is not recorded, and must not leave.
     pub fn record(&mut self, key: Key, sent: Sent) -> io::Result<()> {
-        let sends = self.held.get(&key).map_or(Sends::one(sent), |held| held.and(sent));
-        self.held.insert(key, sends);
-        if self.recorded >= REWRITE_AFTER {
+        let before = self.held.get(&key).copied();
+        self.held.insert(key, before.map_or(Sends::one(sent), |held| held.and(sent)));
+        let written = self.write_record(key, sent);
+        if written.is_err() {
+            // It is not sent, and binds nobody.
+            match before {
+                Some(sends) => self.held.insert(key, sends),
+                None => self.held.remove(&key),
+            };
+        }
+        written
+    }
+
+    /// Appends a record, or begins the file anew where it has grown long or may end inside a record: its readers stop there.
+    fn write_record(&mut self, key: Key, sent: Sent) -> io::Result<()> {
+        if self.torn || self.recorded >= REWRITE_AFTER {
             return self.begin_keys(sent.at);
         }
-        self.keys.write_all(&Record::Sent(key, self.offset.sent(sent)).bytes())?;
+        let written = self.keys.write_all(&Record::Sent(key, self.offset.sent(sent)).bytes());
+        self.torn = written.is_err();
+        written?;
         self.recorded += 1;
         Ok(())
     }
@@ -312,6 +331,7 @@
         disk::replace(&mut files, &name, &bytes)?;
         self.keys = OpenOptions::new().append(true).open(self.path.join(name))?;
         self.recorded = 2 * self.held.len();
+        self.torn = false;
         Ok(())
     }
 
@@ -321,7 +341,7 @@
         let bytes = match read {
             Ok(bytes) => bytes,
             Err(e) => {
-                warn!("{}: {e}", self.path.join("hand").display());
+                log::seldom_error("engines out by hand cannot be read", e);
                 return false;
             }
         };
--- a/src/net/log.rs
+++ b/src/net/log.rs
@@ -3,16 +3,18 @@
 //! disk, is counted and lost; nothing waits for it or fails with it.
 
 use crate::config::LogSettings;
-use crate::limits::Limits;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tracing::Level;
 use tracing_subscriber::fmt::writer::MakeWriterExt;
 
+/// Between two lines that say the same of what others do wrong.
+const GAP: Duration = Duration::from_secs(1);
+
 /// Lines that could not be written since the start.
 static LOST_LINES: AtomicU64 = AtomicU64::new(0);
 
@@ -55,10 +57,10 @@
 }
 
 /// Tells of lines that were lost since this was last told. What cannot be written now is told later.
-pub fn report_lost_lines(limits: &Limits) {
+pub fn report_lost_lines() {
     const WHAT: &str = "lines of the log could not be written";
     let lost = lost_lines();
-    if lost > REPORTED.get() && is_due(limits, WHAT).is_some() {
+    if lost > REPORTED.get() && is_due(WHAT).is_some() {
         REPORTED.set(lost);
         tracing::warn!(lost, "{lost} {WHAT} since the start");
     }
@@ -72,8 +74,8 @@
 }
 
 /// Says something once in a while; between two such lines it is counted alone.
-pub fn seldom(limits: &Limits, what: &'static str) {
-    if let Some(more) = is_due(limits, what) {
+pub fn seldom(what: &'static str) {
+    if let Some(more) = is_due(what) {
         match more {
             0 => tracing::warn!("{what}"),
             more => tracing::warn!(more, "{what} (and {more} times more since this was last said)"),
@@ -82,8 +84,8 @@
 }
 
 /// Tells an error once in a while, with its cause; between two such lines it is counted alone.
-pub fn seldom_error(limits: &Limits, what: &'static str, cause: impl Display) {
-    if let Some(more) = is_due(limits, what) {
+pub fn seldom_error(what: &'static str, cause: impl Display) {
+    if let Some(more) = is_due(what) {
         match more {
             0 => tracing::error!("{what}: {cause}"),
             more => tracing::error!(more, "{what}: {cause} (and {more} times more since this was last said)"),
@@ -92,9 +94,9 @@
 }
 
 /// Whether a line of this text is due, and how many were left out since the last one.
-fn is_due(limits: &Limits, what: &'static str) -> Option<u64> {
+fn is_due(what: &'static str) -> Option<u64> {
     SAID.with_borrow_mut(|said| match said.get_mut(what) {
-        Some((at, more)) if at.elapsed() < limits.log_gap => {
+        Some((at, more)) if at.elapsed() < GAP => {
             *more += 1;
             None
         }
--- a/src/net/operate.rs
+++ b/src/net/operate.rs
@@ -38,7 +38,7 @@
             }
             // Out of descriptors: who holds one longest gives it up.
             Err(e) => {
-                log::seldom_error(&limits, "an operator's connection cannot be accepted", &e);
+                log::seldom_error("an operator's connection cannot be accepted", &e);
                 let wait = backoff.wait_to_accept(&e);
                 if !wait.is_zero() {
                     callers.pop_front().into_iter().for_each(|c| c.abort());
--- a/src/net/runtime/effects.rs
+++ b/src/net/runtime/effects.rs
@@ -2,6 +2,7 @@
 
 use crate::core::{Answer, Effect, End, Event, Send};
 use crate::interface::{Outcome, Repeat};
+use crate::net::log;
 use crate::net::runtime::Runtime;
 use starlingplank_knowledge::gate::{self, Sent};
 
@@ -48,7 +49,7 @@
         };
         let recorded = handover.record(gate::key(key), Sent { at: self.desk.clock.now(), window });
         if let Err(e) = &recorded {
-            tracing::error!("a keyed request was not sent, as other versions would not hear of it: {e}");
+            log::seldom_error("a keyed request was not sent, as other versions would not hear of it", e);
         }
         recorded.is_ok()
     }
--- a/src/net/runtime/listeners.rs
+++ b/src/net/runtime/listeners.rs
@@ -108,7 +108,7 @@
                 }
                 // Out of descriptors, or the client left again: others may still be served.
                 (_, Err(e)) => {
-                    log::seldom_error(&self.desk.limits, "a connection cannot be accepted", &e);
+                    log::seldom_error("a connection cannot be accepted", &e);
                     sleep(backoff.wait_to_accept(&e)).await;
                 }
             }
@@ -163,7 +163,7 @@
     F: Future<Output = ()>,
 {
     let Some(seat) = desk.connect().await else {
-        return log::seldom(&desk.limits, "a connection was closed: all others have requests open");
+        return log::seldom("a connection was closed: all others have requests open");
     };
     drop(place);
     let served = ServedSeat { desk, seat };
--- a/src/net/runtime/mod.rs
+++ b/src/net/runtime/mod.rs
@@ -179,7 +179,7 @@
             Wake::Due => {}
             Wake::MaintainEngines => {
                 self.engines.maintain(events);
-                log::report_lost_lines(&self.desk.limits);
+                log::report_lost_lines();
             }
             Wake::ObservePeers => self.observe_handover(events),
             Wake::Call((call, reply_to)) => drop(reply_to.send(self.answer_call(call, events))),
