Failing test: the deadline told to an engine is what was left when the attempt was queued

Evidence: a connection that comes up a second after a request was handed to it: 7.98 s are told to the engine where the client has 6.99 s left (0.15 s of slack are allowed), for the first request and for those behind it.

--- /dev/null
+++ b/tests/deadlines.rs
@@ -0,0 +1,59 @@
+//! The deadline that is told to an engine is at most what the client has left.
+
+mod stand;
+
+use rstest::rstest;
+use stand::requests::*;
+use stand::*;
+use std::io::Write;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// How long the client waits, in milliseconds.
+const LIMIT: u64 = 8_000;
+/// What the deadline told may lie over what is left.
+const SLACK: Duration = Duration::from_millis(150);
+
+/// The budget of a request of the platform, or of one over HTTP, whose deadline is told in whole seconds.
+fn told(parts: &[String]) -> Option<Duration> {
+    let budget = parts.get(2)?.split(',').find_map(|field| field.strip_prefix("budget="))?;
+    budget.parse().ok().map(Duration::from_millis)
+}
+
+/// The connection comes up a second after the request was handed to it.
+#[rstest]
+#[case::first_on_its_connection(1)]
+#[case::behind_others(3)]
+fn deadline_counts_from_when_the_request_leaves(#[case] requests: usize) {
+    let (listener, filling) = full_listener();
+    let at = listener.local_addr().expect("bound");
+    let text = changed(
+        &never_late(&config(&[at], "resp", 60_000)),
+        r#""connect_timeout":250"#,
+        r#""connect_timeout":6000"#,
+    );
+    let gateway = Gateway::start(&text);
+    let mut client = gateway.client();
+    let sent = Instant::now();
+    for n in 1..=requests {
+        let fields = [("verb", "lookup"), ("txn", &*name(n)), ("limit", &*LIMIT.to_string())];
+        client.write_all(&call(n as i32, &fields, "select 1")).expect("sent");
+    }
+    until_coming_up(at);
+    let arrived = Arc::new(Mutex::new(Vec::new()));
+    let seen = arrived.clone();
+    drop(filling);
+    let _log = resp_engine_at(listener, move |parts| {
+        if parts[0] == "want" {
+            seen.lock().expect("seen").push((Instant::now(), told(parts).expect("a budget")));
+        }
+        served(parts)
+    });
+    for _ in 0..requests {
+        assert_eq!(answer(&mut client).1, "served");
+    }
+    for (at, told) in arrived.lock().expect("seen").iter() {
+        let left = Duration::from_millis(LIMIT).saturating_sub(*at - sent);
+        assert!(*told <= left + SLACK, "{told:?} was told, {left:?} were left");
+    }
+}
