Decision rules in modules of their own: sending, repeating, refusing, closing, ending

Need: whether something may be sent, repeated, refused or closed was decided in several places with the same words (decide::gate and answer, core::start_attempt, core::shutdown). Now permission::send, close and process answer these questions as pure functions of plain facts, and RetryBudget holds the retry budget; RuleCounters counts refusals and, apart, violations. decide uses them; its behaviour is unchanged.

--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -5,8 +5,10 @@
 use crate::aperture::Aperture;
 use crate::areas;
 use crate::interface::*;
+use crate::permission::send::{self as permission, EarlierAttempt};
+use crate::retry_budget::RetryBudget;
 use crate::state::{Attempt, ClassState, Engine, Fleet, Key, Request, Stat, Times, NEVER};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 #[path = "learned.rs"]
 pub mod learned;
@@ -93,8 +95,7 @@
     stood: Ms, // how long this gateway just stood still
     stall: Ms, // longest stand-still of late
     probes_paid: f64,
-    extras: VecDeque<Ms>,
-    taken: VecDeque<Ms>,
+    retry_budget: RetryBudget,
     bound: usize,
     fleet: Fleet,
     aperture: Aperture,
@@ -132,9 +133,8 @@
             stood: 0.0,
             stall: 0.0,
             probes_paid: PROBES_SAVED * probe_part(&settings),
+            retry_budget: RetryBudget::new(settings.ration),
             s: settings,
-            extras: VecDeque::new(),
-            taken: VecDeque::new(),
             bound: START_LEVEL,
             behind: None,
             next_step: now,
@@ -252,7 +252,7 @@
         if let Some(key) = asked.key.filter(|_| self.s.classes[asked.class.0].ordered) {
             self.keys.entry(key).or_default().line.push_back(asked.id);
         }
-        self.taken.push_back(self.now - self.stood); // what came meanwhile is as old as that
+        self.retry_budget.receive(self.now - self.stood); // what came meanwhile is as old as that
         self.probes_paid = (self.probes_paid + probe_part(&self.s)).min(PROBES_SAVED.max(self.probes_paid));
         // What came while this gateway stood still is as old as its time left tells.
         let c = &mut self.classes[asked.class.0];
@@ -321,7 +321,7 @@
         let class = r.asked.class;
         let Some(a) = r.attempts.get_mut(no as usize).filter(|a| a.out) else { return };
         a.out = false;
-        a.unseen = matches!(how, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+        a.unseen = permission::never_ran(how);
         let (level, sent, counted, unseen) = (a.level, a.sent, a.counted, a.unseen);
         let engine = a.engine.clone();
         r.held = if r.out() == 0 { now } else { r.held };
@@ -691,13 +691,8 @@
     fn gate(&self, r: &Request, e: &Engine) -> bool {
         let c = &self.s.classes[r.asked.class.0];
         let m = &e.member;
-        let repeat = match c.repeat {
-            Repeat::Safe => true,
-            Repeat::Unsafe => r.may_have_run().count() == 0,
-            Repeat::Keyed { scope, window } => r
-                .may_have_run()
-                .all(|a| scope.covers(a.place, (m.zone, m.cell)) && self.now < a.sent + window - self.s.tick),
-        };
+        let earlier = r.may_have_run().map(|a| EarlierAttempt { sent_at: a.sent, place: a.place });
+        let repeat = permission::may_repeat(c.repeat, earlier, (m.zone, m.cell), self.now + self.s.tick);
         !r.over
             && m.availability == Availability::Live
             && c.may_run_on(m)
@@ -705,20 +700,13 @@
             && (self.s.may_copy || r.out() == 0)
             && r.attempts.len() < self.s.send_cap as usize
             && self.now + 2.0 * self.s.tick < r.asked.deadline
-            && (r.attempts.is_empty() || self.ration_left())
+            && (r.attempts.is_empty() || self.retry_budget_left())
             && self.in_turn(r)
             && self.cold_budget(r, e)
     }
 
-    fn ration_left(&self) -> bool {
-        let Some(ration) = self.s.ration else { return true };
-        // Windows are taken a little long for what was spent and a little short for what was earned.
-        // Both lie in order of time. Every send asks this, so counting them all would cost more with traffic.
-        let since =
-            |q: &VecDeque<Ms>, span: f64| (q.len() - q.partition_point(|t| *t <= self.now - span)) as f64;
-        let spent = since(&self.extras, ration.span + 2.0 * self.s.tick);
-        let earned = since(&self.taken, ration.span - 2.0 * self.s.tick);
-        spent + 1.0 <= ration.free + ration.per_request * earned
+    fn retry_budget_left(&self) -> bool {
+        self.retry_budget.allows(self.now, 2.0 * self.s.tick)
     }
 
     fn in_turn(&self, r: &Request) -> bool {
@@ -836,12 +824,7 @@
         self.probe(actions);
         self.tend_running(actions);
         self.place_held(actions);
-        let from = self.now - STEP - self.s.ration.map_or(0.0, |r| r.span);
-        for line in [&mut self.taken, &mut self.extras] {
-            while line.front().is_some_and(|t| *t < from) {
-                line.pop_front();
-            }
-        }
+        self.retry_budget.forget(self.now, STEP);
         self.keys.retain(|_, k| !k.line.is_empty() || k.rest_until > self.now);
         // An idle gateway's timer is slow: a request that comes with little time left needs one sooner.
         let after = if self.requests.is_empty() { STEP } else { (4.0 * self.s.tick).clamp(1.0, 20.0) };
@@ -962,7 +945,7 @@
         let stuck = self.stood == 0.0 && self.now - a.sent > (STUCK * self.alone(r)).max(PATIENCE_LEAST);
         // Where all take long a move is more work for a full fleet, and moves add up to a storm.
         let stuck = stuck && self.fleet.slow < LEVELS[START_LEVEL];
-        if !(in_time && self.ration_left()) {
+        if !(in_time && self.retry_budget_left()) {
         } else if self.s.may_copy && (ill || overdue && !self.classes[class.0].long) {
             self.route(r).into_iter().for_each(|engine| self.send(id, &engine, actions));
         } else if self.s.may_cancel && (ill && overdue || stuck) {
@@ -1013,14 +996,17 @@
                 *e.loading.entry(d).or_default() += 1;
             }
         }
-        self.extras.extend((!first).then_some(now));
+        if !first {
+            self.retry_budget.retry(now);
+        }
         actions.push(Action::Send { id, engine: engine.clone(), timeout });
     }
 
     /// The one place that gives final answers: a refusal where a retry is harmless, else a failure.
     fn answer(&mut self, id: RequestId, come_back: Ms, why: Why, actions: &mut Vec<Action>) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
-        let harmless = self.s.classes[r.asked.class.0].repeat.anywhere() || r.may_have_run().count() == 0;
+        let may_have_run = r.may_have_run().next().is_some();
+        let harmless = permission::may_refuse(self.s.classes[r.asked.class.0].repeat, may_have_run);
         r.over = true;
         if harmless {
             let retry_after = come_back.max(WAIT_LEAST).min(self.s.max_retry_after.max(0.0));
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -10,6 +10,8 @@
 mod areas;
 pub mod decide;
 pub mod interface;
+pub mod permission;
+pub mod retry_budget;
 pub mod start_times;
 mod state;
 
--- /dev/null
+++ b/crates/decision/src/permission/send.rs
@@ -0,0 +1,160 @@
+//! Whether an attempt may be sent, and whether a request may be refused.
+
+use crate::interface::{Ms, Outcome, Repeat, ZoneId};
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// Zone and cell of an engine: what a key's scope is compared by.
+pub type Place = (Option<ZoneId>, u64);
+
+/// Why an attempt may not be sent now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum SendRefusal {
+    /// The request is answered, or its client has disconnected or cancelled it.
+    RequestOver,
+    /// The engine drains, was removed, or has no address.
+    EngineNotLive,
+    /// Its time is over.
+    DeadlineOver,
+    /// The engines may have forgotten its key by now.
+    WindowOver,
+    /// Another attempt is in flight.
+    AnotherInFlight,
+    /// An earlier attempt may have run, and the class does not allow another.
+    MayNotRepeat,
+    /// The request has had as many attempts as it may have.
+    AttemptsSpent,
+    /// The retry budget of this gateway is spent.
+    RetryBudgetSpent,
+    /// The attempt has ended already, and was still about to be written.
+    Revoked,
+}
+
+impl SendRefusal {
+    /// All reasons, in the order of their numbers.
+    pub const ALL: [Self; 9] = [
+        Self::RequestOver,
+        Self::EngineNotLive,
+        Self::DeadlineOver,
+        Self::WindowOver,
+        Self::AnotherInFlight,
+        Self::MayNotRepeat,
+        Self::AttemptsSpent,
+        Self::RetryBudgetSpent,
+        Self::Revoked,
+    ];
+
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::RequestOver => "request over",
+            Self::EngineNotLive => "engine not live",
+            Self::DeadlineOver => "deadline over",
+            Self::WindowOver => "window over",
+            Self::AnotherInFlight => "another in flight",
+            Self::MayNotRepeat => "may not repeat",
+            Self::AttemptsSpent => "attempts spent",
+            Self::RetryBudgetSpent => "retry budget spent",
+            Self::Revoked => "revoked",
+        }
+    }
+
+    /// Whether nothing that happens outside explains it: the caller should have known.
+    pub fn is_violation(self) -> bool {
+        matches!(self, Self::AnotherInFlight | Self::MayNotRepeat | Self::AttemptsSpent | Self::Revoked)
+    }
+}
+
+/// Whether an outcome proves that an attempt never ran.
+pub fn never_ran(outcome: Outcome) -> bool {
+    matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+}
+
+/// An earlier attempt of the request that may have run, or may run still.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EarlierAttempt {
+    /// When it was sent.
+    pub sent_at: Ms,
+    /// Where its engine stands.
+    pub place: Place,
+}
+
+/// Whether a request may be sent to an engine after these attempts, which may have run. A keyed request is sent again only
+/// where engines recognise it, and only until shortly before the window's end.
+pub fn may_repeat(
+    repeat: Repeat,
+    mut earlier: impl Iterator<Item = EarlierAttempt>,
+    place: Place,
+    now: Ms,
+) -> bool {
+    match repeat {
+        Repeat::Safe => true,
+        Repeat::Unsafe => earlier.next().is_none(),
+        Repeat::Keyed { scope, window } => {
+            earlier.all(|attempt| scope.covers(attempt.place, place) && now < attempt.sent_at + window)
+        }
+    }
+}
+
+/// Whether a refusal, which tells the client that a retry is harmless, is true of a request.
+pub fn may_refuse(repeat: Repeat, may_have_run: bool) -> bool {
+    repeat.anywhere() || !may_have_run
+}
+
+/// What is so of an attempt as it is about to be sent.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SendFacts {
+    /// The request waits for its answer, and its client is there.
+    pub request_open: bool,
+    /// The engine is in the list, takes new work and has an address.
+    pub engine_live: bool,
+    /// Now.
+    pub now: Ms,
+    /// The attempt's deadline.
+    pub deadline: Ms,
+    /// The time by which a keyed request leaves.
+    pub send_by: Ms,
+    /// Further attempts of the request in flight.
+    pub in_flight: usize,
+    /// The settings allow several at once.
+    pub may_copy: bool,
+    /// The class allows it after the earlier attempts, see [`may_repeat`].
+    pub may_repeat: bool,
+    /// Attempts of the request before this one.
+    pub attempts: usize,
+    /// Attempts that a request may have.
+    pub send_cap: usize,
+}
+
+/// Whether an attempt may be sent now.
+///
+/// # Errors
+/// The first reason against it.
+pub fn may_send(facts: &SendFacts) -> Result<(), SendRefusal> {
+    let against = [
+        (!facts.request_open, SendRefusal::RequestOver),
+        (!facts.engine_live, SendRefusal::EngineNotLive),
+        (facts.now >= facts.deadline, SendRefusal::DeadlineOver),
+        (facts.now >= facts.send_by, SendRefusal::WindowOver),
+        (facts.in_flight > 0 && !facts.may_copy, SendRefusal::AnotherInFlight),
+        (!facts.may_repeat, SendRefusal::MayNotRepeat),
+        (facts.attempts >= facts.send_cap, SendRefusal::AttemptsSpent),
+    ];
+    against.iter().find(|(holds, _)| *holds).map_or(Ok(()), |(_, refusal)| Err(*refusal))
+}
+
+/// Permission for one attempt to be written, which ends with the attempt. The writer looks at it as the first byte leaves.
+#[derive(Debug, Clone, Default)]
+pub struct SendPermit(Rc<Cell<bool>>);
+
+impl SendPermit {
+    /// The attempt has ended: nothing of it is written any more.
+    pub fn revoke(&self) {
+        self.0.set(true);
+    }
+
+    /// Whether the attempt has ended.
+    pub fn is_revoked(&self) -> bool {
+        self.0.get()
+    }
+}
--- /dev/null
+++ b/crates/decision/src/permission/tests.rs
@@ -0,0 +1,106 @@
+use super::close::*;
+use super::counters::RuleCounters;
+use super::process::*;
+use super::send::*;
+use crate::interface::{Outcome, Repeat, Scope};
+use rstest::rstest;
+
+const FACTS: SendFacts = SendFacts {
+    request_open: true,
+    engine_live: true,
+    now: 1_000.0,
+    deadline: 2_000.0,
+    send_by: f64::INFINITY,
+    in_flight: 0,
+    may_copy: false,
+    may_repeat: true,
+    attempts: 0,
+    send_cap: 3,
+};
+
+#[test]
+fn attempt_with_nothing_against_it_is_sent() {
+    assert_eq!(may_send(&FACTS), Ok(()));
+}
+
+#[rstest]
+#[case::client_gone(SendFacts { request_open: false, ..FACTS }, SendRefusal::RequestOver)]
+#[case::draining(SendFacts { engine_live: false, ..FACTS }, SendRefusal::EngineNotLive)]
+#[case::at_its_deadline(SendFacts { deadline: 1_000.0, ..FACTS }, SendRefusal::DeadlineOver)]
+#[case::past_its_window(SendFacts { send_by: 999.0, ..FACTS }, SendRefusal::WindowOver)]
+#[case::second_copy(SendFacts { in_flight: 1, ..FACTS }, SendRefusal::AnotherInFlight)]
+#[case::may_have_run(SendFacts { may_repeat: false, ..FACTS }, SendRefusal::MayNotRepeat)]
+#[case::at_the_cap(SendFacts { attempts: 3, ..FACTS }, SendRefusal::AttemptsSpent)]
+fn each_reason_is_enough(#[case] facts: SendFacts, #[case] refusal: SendRefusal) {
+    assert_eq!(may_send(&facts), Err(refusal));
+}
+
+#[rstest]
+#[case::safe(Repeat::Safe, (None, 2), 9_999.0, true)]
+#[case::must_not_run_twice(Repeat::Unsafe, (None, 1), 1_001.0, false)]
+#[case::same_cell(Repeat::Keyed { scope: Scope::Cell, window: 500.0 }, (None, 1), 1_499.0, true)]
+#[case::other_cell(Repeat::Keyed { scope: Scope::Cell, window: 500.0 }, (None, 2), 1_001.0, false)]
+#[case::past_the_window(Repeat::Keyed { scope: Scope::All, window: 500.0 }, (None, 1), 1_500.0, false)]
+fn what_may_have_run_is_sent_again_where_the_class_allows_it(
+    #[case] repeat: Repeat,
+    #[case] place: Place,
+    #[case] now: f64,
+    #[case] allowed: bool,
+) {
+    let earlier = EarlierAttempt { sent_at: 1_000.0, place: (None, 1) };
+    assert_eq!(may_repeat(repeat, [earlier].into_iter(), place, now), allowed);
+    assert!(may_repeat(repeat, std::iter::empty(), place, now), "nothing has run");
+}
+
+#[test]
+fn only_what_proves_it_counts_as_never_run() {
+    use Outcome::*;
+    let proofs = [Ok, Error, Full, Timeout, ConnectFailed, Reset, Cancelled, Moot].map(never_ran);
+    assert_eq!(proofs, [false, false, true, false, true, false, false, true]);
+}
+
+#[test]
+fn refusal_of_what_may_have_run_is_for_classes_that_any_engine_recognises() {
+    assert!(may_refuse(Repeat::Unsafe, false) && !may_refuse(Repeat::Unsafe, true));
+    assert!(may_refuse(Repeat::Safe, true));
+    assert!(may_refuse(Repeat::Keyed { scope: Scope::All, window: 1.0 }, true));
+    assert!(!may_refuse(Repeat::Keyed { scope: Scope::Zone, window: 1.0 }, true));
+}
+
+#[rstest]
+#[case::resting(ConnectionFacts::default(), Ok(()))]
+#[case::open(ConnectionFacts { open_requests: 1, ..Default::default() }, Err(KeepReason::RequestOpen))]
+#[case::unwritten(ConnectionFacts { unwritten: 1, ..Default::default() }, Err(KeepReason::Unwritten))]
+#[case::begun(ConnectionFacts { incomplete: 1, ..Default::default() }, Err(KeepReason::Incomplete))]
+#[case::arrived(ConnectionFacts { unread: 1, ..Default::default() }, Err(KeepReason::Unread))]
+fn resting_connection_is_closed_with_nothing_pending(
+    #[case] facts: ConnectionFacts,
+    #[case] verdict: Result<(), KeepReason>,
+) {
+    assert_eq!(may_close(&facts), verdict);
+}
+
+#[test]
+fn client_that_stops_inside_a_message_is_cut_off_unless_more_has_arrived() {
+    let stopped = ConnectionFacts { incomplete: 9, ..Default::default() };
+    assert_eq!(may_cut_off(&stopped), Ok(()));
+    assert_eq!(may_cut_off(&ConnectionFacts { unread: 1, ..stopped }), Err(KeepReason::Unread));
+}
+
+#[test]
+fn process_with_an_open_request_does_not_end() {
+    let open = EndFacts { settled: false, unconnected: true, overdue: true };
+    assert!(!may_end(&open));
+    assert!(may_end(&EndFacts { settled: true, overdue: false, ..open }));
+    assert!(!may_end(&EndFacts { settled: true, unconnected: false, overdue: false }));
+}
+
+#[test]
+fn violations_are_counted_apart_from_refusals() {
+    let counters = RuleCounters::default();
+    counters.count(SendRefusal::RequestOver);
+    assert_eq!(counters.violations(), 0);
+    counters.count(SendRefusal::Revoked);
+    assert_eq!((counters.violations(), counters.refused(SendRefusal::Revoked)), (1, 1));
+    assert_eq!(counters.by_name().into_iter().collect::<Vec<_>>(), [("request over", 1), ("revoked", 1)]);
+}
