Rules are asked again as the first byte leaves; the deadline told is what is left then

Cause: the budget of an attempt was worded when it was queued. Where its connection came up a second later, the engine was told 7.98 s with 6.99 s left (0.15 s of slack are allowed). Over HTTP whole seconds were rounded up, 1.3 s to 2 s. Change: the reducer asks permission::send when an attempt starts and after its record is durable, the writer as the first byte leaves: an attempt that ended, is past its deadline or key window, or that the retry budget (requests as read, further attempts as written) does not allow is taken back and told as never sent. Refusals are counted; what should never have been asked for is logged and counted as a violation, and told at the end. A request is handed in without a wait in between, so that a connection that ends meanwhile leaves nothing half-taken.

--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -5,6 +5,9 @@
 use super::timers::Due;
 use super::{Answer, AttemptId, Core, Effect, End, EngineError, Rows, Send};
 use crate::interface::{EngineId, Event as DecisionEvent, Ms, Note, Outcome, RequestId};
+use starlingplank_decision::permission::send::{
+    may_repeat, may_send, never_ran, EarlierAttempt, Place, SendFacts, SendPermit,
+};
 use starlingplank_knowledge::gate::Leave;
 
 /// One attempt to execute a request on an engine.
@@ -14,6 +17,29 @@
     pub(super) in_flight: bool,
     /// The record that must be durable before it is transmitted.
     pub(super) record: Option<PendingRecord>,
+    /// Zone and cell of its engine.
+    place: Place,
+    /// How it ended.
+    outcome: Option<Outcome>,
+    /// Ends with it: its message is not written afterwards.
+    permit: SendPermit,
+}
+
+impl Attempt {
+    fn new(engine: EngineId, place: Place, now: Ms) -> Self {
+        let permit = SendPermit::default();
+        Self { engine, sent_at: now, in_flight: true, record: None, place, outcome: None, permit }
+    }
+
+    /// Whether it may have run, or may run still.
+    pub(super) fn may_have_run(&self) -> bool {
+        !self.outcome.is_some_and(never_ran)
+    }
+
+    /// Whether it was sent as far as anybody knows.
+    fn was_sent(&self) -> bool {
+        self.outcome != Some(Outcome::Moot)
+    }
 }
 
 impl Request {
@@ -67,13 +93,13 @@
         timeout: Ms,
         effects: &mut Vec<Effect>,
     ) {
-        let live = self.live_address(&engine).is_some();
+        let place = self.place(&engine);
         let Some(r) = self.requests.get_mut(&id) else { return };
         let attempt = (id, r.attempts.len() as u32);
-        let lone = r.attempts.iter().all(|a| !a.in_flight) || self.settings.may_copy;
-        r.attempts.push(Attempt { engine, sent_at: now, in_flight: true, record: None });
+        r.attempts.push(Attempt::new(engine, place, now));
         let deadline = r.attempt_deadline(now, timeout, self.limits.answer_margin);
-        let may = live && lone && !r.closed && now < r.send_by && now < deadline;
+        let may = self.may_send(now, attempt, deadline, effects);
+        let Some(r) = self.requests.get(&id) else { return };
         let leave = match r.key.filter(|_| may) {
             Some(RequestKey { key, window }) => self.gate.leave(&key, window, now),
             None if may => Leave::Now,
@@ -88,13 +114,52 @@
         }
     }
 
-    /// Transmits an attempt, if its engine still takes work.
+    /// Whether an attempt may be sent now. What is refused is counted; what should not have been asked for is logged.
+    fn may_send(&self, now: Ms, id: AttemptId, deadline: Ms, effects: &mut Vec<Effect>) -> bool {
+        let Some(facts) = self.send_facts(now, id, deadline) else { return false };
+        let Err(refusal) = may_send(&facts) else { return true };
+        self.rules.count(refusal);
+        if refusal.is_violation() {
+            effects.push(Effect::Violation(id, refusal));
+        }
+        false
+    }
+
+    fn send_facts(&self, now: Ms, id: AttemptId, deadline: Ms) -> Option<SendFacts> {
+        let r = self.requests.get(&id.0)?;
+        let own = r.attempts.get(id.1 as usize)?;
+        let others = || r.numbered().filter(|(n, _)| *n != id.1).map(|(_, a)| a);
+        let may_have_run = others().filter(|a| a.may_have_run());
+        let earlier = may_have_run.map(|a| EarlierAttempt { sent_at: a.sent_at, place: a.place });
+        let repeat = self.settings.classes[r.class.0].repeat;
+        Some(SendFacts {
+            request_open: !r.closed,
+            engine_live: self.live_address(&own.engine).is_some(),
+            now,
+            deadline,
+            send_by: r.send_by,
+            in_flight: others().filter(|a| a.in_flight).count(),
+            may_copy: self.settings.may_copy,
+            may_repeat: may_repeat(repeat, earlier, own.place, now),
+            attempts: id.1 as usize,
+            send_cap: self.settings.send_cap as usize,
+        })
+    }
+
+    /// Zone and cell of an engine.
+    fn place(&self, engine: &EngineId) -> Place {
+        self.engines.get(engine).map_or((None, 0), |listed| (listed.member.zone, listed.member.cell))
+    }
+
+    /// Transmits an attempt, if it may still be sent.
     pub(super) fn transmit(&mut self, now: Ms, id: AttemptId, deadline: Ms, effects: &mut Vec<Effect>) {
-        let Some(engine) = self.find_attempt(id).map(|a| a.engine.clone()) else { return };
-        let Some(r) = self.requests.get(&id.0) else { return };
-        let Some(address) = self.live_address(&engine).filter(|_| now < deadline) else {
+        if !self.may_send(now, id, deadline, effects) {
             return self.end_attempt(now, id, End::plain(Outcome::Moot), effects);
-        };
+        }
+        let Some(r) = self.requests.get(&id.0) else { return };
+        let Some(attempt) = r.attempts.get(id.1 as usize) else { return };
+        let engine = attempt.engine.clone();
+        let Some(address) = self.live_address(&engine) else { return };
         effects.push(Effect::Send(Send {
             id,
             engine,
@@ -105,6 +170,8 @@
             leave_within: Some(r.send_by - now).filter(|t| t.is_finite()),
             memory_mb: r.terms.memory_mb,
             priority: r.terms.priority,
+            is_retry: r.numbered().any(|(n, a)| n < id.1 && a.was_sent()),
+            permit: attempt.permit.clone(),
         }));
         self.set_timer(deadline, Due::AttemptTimeout(id));
     }
@@ -132,6 +199,8 @@
         let Some(r) = self.requests.get_mut(&id.0) else { return };
         let Some(a) = r.attempts.get_mut(id.1 as usize).filter(|a| a.in_flight) else { return };
         a.in_flight = false;
+        a.outcome = Some(end.outcome);
+        a.permit.revoke();
         let (engine, took) = (a.engine.clone(), now - a.sent_at);
         let End { outcome, work, report, rows, error } = end;
         self.counts[r.class.0].outcomes[outcome as usize] += 1;
--- a/src/core/messages.rs
+++ b/src/core/messages.rs
@@ -2,6 +2,7 @@
 
 use super::types::{Answer, Ask, AttemptId, End, Listed, Rows, Statement};
 use crate::interface::{ClassId, EngineId, Ms, Note, Outcome, Report, RequestId};
+use starlingplank_decision::permission::send::{SendPermit, SendRefusal};
 use starlingplank_knowledge::gate::{Key, Rewrite, Sends, Sent};
 use starlingplank_operation::hand::Hand;
 use starlingplank_operation::heard::Heard;
@@ -74,6 +75,10 @@
     pub memory_mb: f64,
     /// Priority, 0 to 3.
     pub priority: u8,
+    /// Another attempt of the request was sent before.
+    pub is_retry: bool,
+    /// Ends with the attempt.
+    pub permit: SendPermit,
 }
 
 /// Output of the reducer, performed by the runtime.
@@ -97,6 +102,8 @@
     Answer(RequestId, Answer),
     /// Log why a request was rejected, and how long it had waited.
     Refused(RequestId, ClassId, &'static str, Ms),
+    /// Log that an attempt was asked for which the rules do not allow. It was not sent.
+    Violation(AttemptId, SendRefusal),
     /// Write a record of a keyed send; [`Event::Recorded`] reports its number.
     Record(u64, Key, Sent),
     /// Write a mark that the log is complete: the time, and until when no keyed request may be transmitted.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -29,6 +29,7 @@
 use probes::Probe;
 use requests::Request;
 use starlingplank_decision::learned::Learned;
+use starlingplank_decision::permission::counters::RuleCounters;
 use starlingplank_decision::start_times::StartTimes;
 use starlingplank_knowledge::gate::Gate;
 use starlingplank_knowledge::recall::Recall;
@@ -37,6 +38,7 @@
 use starlingplank_pacing::come_back::ComeBack;
 use starlingplank_pacing::start::FirstProbes;
 use std::collections::{BTreeMap, BinaryHeap};
+use std::rc::Rc;
 use timers::Timer;
 
 pub use messages::{Effect, Event, Send};
@@ -83,6 +85,8 @@
     held_bytes: usize,
     /// Requests without a final answer.
     open_requests: usize,
+    /// What the rules refused.
+    rules: Rc<RuleCounters>,
     /// Counts by class.
     counts: Vec<Counts>,
     /// Events for the next decision cycle.
@@ -118,6 +122,7 @@
             serial: None,
             service_members: Vec::new(),
             start_times: StartTimes::default(),
+            rules: Rc::default(),
             removed_engines: Gone::default(),
             service_heard_at: None,
             membership_wait: None,
@@ -149,6 +154,11 @@
         (self.gate, self.recall) = (gate, recall);
     }
 
+    /// Has what the rules refuse counted there. To be called before the first event.
+    pub fn count_refusals_in(&mut self, rules: Rc<RuleCounters>) {
+        self.rules = rules;
+    }
+
     /// What the decision module has learned so far.
     pub fn learned(&self, now: Ms) -> Learned {
         Learned { at: now, ..self.module.learned() }
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -78,7 +78,7 @@
         if !a.in_flight {
             return;
         }
-        if in_time && !r.closed && now < r.send_by {
+        if in_time {
             self.transmit(now, id, deadline, effects);
         } else {
             self.end_attempt(now, id, End::plain(Outcome::Moot), effects);
--- a/src/core/shutdown.rs
+++ b/src/core/shutdown.rs
@@ -3,7 +3,8 @@
 use super::requests::Request;
 use super::timers::Due;
 use super::{Answer, Core, Effect};
-use crate::interface::{Event as DecisionEvent, Ms, Outcome, Repeat, Scope};
+use crate::interface::{Event as DecisionEvent, Ms, Outcome};
+use starlingplank_decision::permission::send::may_refuse;
 
 impl Core {
     /// Whether the shutdown was requested.
@@ -57,10 +58,8 @@
 
     /// Whether the client can send the request again without harm.
     fn may_be_repeated(&self, request: &Request) -> bool {
-        match self.settings.classes[request.class.0].repeat {
-            Repeat::Safe | Repeat::Keyed { scope: Scope::All, .. } => true,
-            _ => request.attempts.is_empty(),
-        }
+        let may_have_run = request.attempts.iter().any(|a| a.may_have_run());
+        may_refuse(self.settings.classes[request.class.0].repeat, may_have_run)
     }
 
     /// Exits once the termination window is over and no request is open.
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -1,9 +1,14 @@
 //! One connection: what waits to be written, in frames that go out by gathered writes, and what was read.
 
-use crate::core::{AttemptId, Flow, Statement};
+use crate::core::{AttemptId, Flow};
 use crate::limits::Limits;
+use crate::net::frame::Frame;
 use crate::net::log;
-use starlingplank_operation::figures::{Figures, Tally};
+use starlingplank_decision::interface::Ration;
+use starlingplank_decision::permission::counters::RuleCounters;
+use starlingplank_decision::permission::send::SendRefusal;
+use starlingplank_decision::retry_budget::RetryBudget;
+use starlingplank_operation::figures::Figures;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::future::Future;
@@ -24,72 +29,57 @@
     pub figures: Figures,
     /// Processes of this gateway that run now: together they keep to what one may use.
     pub processes: Cell<usize>,
+    /// What the rules refused.
+    pub rules: Rc<RuleCounters>,
+    /// Requests as they are read, and further attempts as they are written.
+    retry_budget: RefCell<RetryBudget>,
+    started: Instant,
 }
 
 impl Common {
     /// Nothing is held, and this process is the only one.
     pub fn new(classes: usize) -> Rc<Self> {
-        Rc::new(Self { held: Cell::new(0), figures: Figures::new(classes), processes: Cell::new(1) })
-    }
-
-    /// This process's part of what one may use.
-    pub fn part(&self, of: usize) -> usize {
-        of / self.processes.get().max(1)
-    }
-}
-
-/// A part of a frame: a head written for it, or a body shared with its owner.
-#[derive(Debug, Clone)]
-pub enum Part {
-    /// Bytes of its own.
-    Own(Vec<u8>),
-    /// The text of a statement.
-    Text(Rc<Statement>),
-    /// The data of a statement.
-    Data(Rc<Statement>),
-}
-
-impl Part {
-    fn bytes(&self) -> &[u8] {
-        match self {
-            Part::Own(bytes) => bytes,
-            Part::Text(statement) => &statement.text,
-            Part::Data(statement) => &statement.data,
-        }
+        Self::with_retry_budget(classes, None)
+    }
+
+    /// The same, and further attempts are bounded.
+    pub fn with_retry_budget(classes: usize, ration: Option<Ration>) -> Rc<Self> {
+        Rc::new(Self {
+            held: Cell::new(0),
+            figures: Figures::new(classes),
+            processes: Cell::new(1),
+            rules: Rc::default(),
+            retry_budget: RefCell::new(RetryBudget::new(ration)),
+            started: Instant::now(),
+        })
     }
-}
-
-/// A message to be written whole, unless it is withdrawn before its first byte leaves.
-#[derive(Debug)]
-pub struct Frame {
-    /// The attempt that it sends, if it does.
-    pub attempt: Option<AttemptId>,
-    /// Its bytes.
-    pub parts: Vec<Part>,
-    /// What is counted once the last of them has left.
-    pub tally: Option<Tally>,
-    /// Its first byte leaves by then, or never.
-    pub by: Option<Instant>,
-}
 
-impl Frame {
-    /// A message that sends no attempt.
-    pub fn plain(bytes: Vec<u8>) -> Self {
-        Self::of(vec![bytes])
+    fn milliseconds(&self) -> f64 {
+        self.started.elapsed().as_secs_f64() * 1000.0
     }
 
-    /// The same, in parts.
-    pub fn of(parts: Vec<Vec<u8>>) -> Self {
-        Self { attempt: None, parts: parts.into_iter().map(Part::Own).collect(), tally: None, by: None }
+    /// A request was read.
+    pub fn count_request(&self) {
+        let now = self.milliseconds();
+        let mut budget = self.retry_budget.borrow_mut();
+        budget.receive(now);
+        budget.forget(now, 0.0);
     }
 
-    /// Counts that, once it is written.
-    pub fn counted(self, tally: Tally) -> Self {
-        Self { tally: Some(tally), ..self }
+    /// Whether a further attempt may be written now; if so it counts as written.
+    fn take_from_retry_budget(&self) -> bool {
+        let now = self.milliseconds();
+        let mut budget = self.retry_budget.borrow_mut();
+        let allowed = budget.allows(now, 0.0);
+        if allowed {
+            budget.retry(now);
+        }
+        allowed
     }
 
-    fn len(&self) -> usize {
-        self.parts.iter().map(|p| p.bytes().len()).sum()
+    /// This process's part of what one may use.
+    pub fn part(&self, of: usize) -> usize {
+        of / self.processes.get().max(1)
     }
 }
 
@@ -104,7 +94,7 @@
     closing: Cell<Option<Close>>,
     wake: Notify,
     drained: Notify,
-    /// Attempts whose time to leave is over.
+    /// Attempts that were taken back as they were about to leave.
     overdue: RefCell<Vec<AttemptId>>,
     late: Notify,
     /// All that waited is written, or the connection should look again at whether it goes on.
@@ -269,20 +259,40 @@
         waiting.chain(self.overdue.borrow().iter().copied()).collect()
     }
 
-    /// Takes back what was to leave by now and has not begun to.
-    fn drop_overdue(&self) {
-        let now = Instant::now();
-        let from = usize::from(self.begun.get() > 0);
-        loop {
-            let mut frames = self.frames.borrow_mut();
-            let over = |f: &Frame| f.by.is_some_and(|by| by <= now);
-            let Some(at) = (from..frames.len()).find(|i| over(&frames[*i])) else { return };
-            let Some(frame) = frames.remove(at) else { return };
-            drop(frames);
-            self.count(0, frame.len());
-            self.overdue.borrow_mut().extend(frame.attempt);
-            self.late.notify_one();
+    /// Asks of each attempt that the next write may begin whether it may still be sent, and takes back what may not. Those
+    /// that have waited are worded anew: the engine is told what is left of their time now.
+    fn admit_frames(&self, limits: &Limits) {
+        let begun = usize::from(self.begun.get() > 0);
+        let mut at = begun;
+        while at < limits.gather.min(self.frames.borrow().len()) {
+            match self.admit(at) {
+                Ok(()) => at += 1,
+                Err(refusal) => self.take_back(at, refusal),
+            }
+        }
+    }
+
+    fn admit(&self, at: usize) -> Result<(), SendRefusal> {
+        let mut frames = self.frames.borrow_mut();
+        let Some(frame) = frames.get_mut(at) else { return Ok(()) };
+        frame.may_leave(|| self.common.take_from_retry_budget())?;
+        let before = frame.len();
+        frame.refresh();
+        let after = frame.len();
+        drop(frames);
+        self.count(after, before);
+        Ok(())
+    }
+
+    fn take_back(&self, at: usize, refusal: SendRefusal) {
+        let Some(frame) = self.frames.borrow_mut().remove(at) else { return };
+        self.count(0, frame.len());
+        self.common.rules.count(refusal);
+        if refusal.is_violation() {
+            log::seldom_error("an attempt was about to be written against the rules", refusal.name());
         }
+        self.overdue.borrow_mut().extend(frame.attempt);
+        self.late.notify_one();
     }
 
     /// Waits for an attempt whose time to leave is over; it never left.
@@ -315,7 +325,7 @@
             if self.closing.get() == Some(Close::Now) {
                 return Ok(());
             }
-            self.drop_overdue();
+            self.admit_frames(limits);
             if self.frames.borrow().is_empty() {
                 if self.closing.get().is_some() {
                     return Ok(());
@@ -328,7 +338,7 @@
                 let frames = self.frames.borrow();
                 let mut skip = self.begun.get();
                 let mut slices = Vec::new();
-                for bytes in frames.iter().flat_map(|f| &f.parts).map(Part::bytes) {
+                for bytes in frames.iter().flat_map(Frame::bytes) {
                     let from = skip.min(bytes.len());
                     skip -= from;
                     if from < bytes.len() {
--- a/src/net/engine/clickhouse.rs
+++ b/src/net/engine/clickhouse.rs
@@ -2,12 +2,12 @@
 //! An attempt given up ends its connection, as that is how such an engine hears of it.
 
 use crate::core::{AttemptId, End, EngineError, Event, Flow, Rows, Send};
-use crate::interface::{EngineId, Outcome};
+use crate::interface::{EngineId, Ms, Outcome};
 use crate::limits::Limits;
-use crate::net::conn::{Close, Common, Frame, Inbox, Outbox, Part};
+use crate::net::conn::{Close, Common, Inbox, Outbox};
 use crate::net::engine::connect::{connect, ConnectError};
-use crate::net::engine::resp::sending;
 use crate::net::engine::Engines;
+use crate::net::frame::{Frame, Part};
 use crate::net::http::{self, Length, Read};
 use crate::net::log;
 use std::cell::{Cell, RefCell};
@@ -23,6 +23,11 @@
 /// The engine turned the query away before it ran.
 const TOO_MANY_SIMULTANEOUS_QUERIES: u32 = 202;
 
+/// The shortest time that is told, in seconds.
+const LEAST_EXECUTION_TIME: f64 = 0.001;
+/// By how much the time that is told may be rounded up to a whole second.
+const ROUNDED_UP_AT_MOST: f64 = 0.05;
+
 #[derive(Clone)]
 enum Job {
     Attempt(AttemptId, Option<Rc<dyn Flow>>),
@@ -102,10 +107,10 @@
 impl Engines for HttpEngines {
     fn send(&mut self, send: Send, events: &mut Vec<Event>) {
         let job = Job::Attempt(send.id, send.statement.flow.clone());
-        let frame = request(&send);
-        if !self.start(&send.engine, send.address, job, frame) {
-            log::seldom_error("no connection is left for an attempt on an engine", &send.engine.0);
-            events.push(Event::Ended(send.id, End::plain(Outcome::Moot)));
+        let (id, engine, address) = (send.id, send.engine.clone(), send.address);
+        if !self.start(&engine, address, job, Frame::sending(send, encode_request)) {
+            log::seldom_error("no connection is left for an attempt on an engine", &engine.0);
+            events.push(Event::Ended(id, End::plain(Outcome::Moot)));
         }
     }
 
@@ -161,12 +166,12 @@
 }
 
 /// The request of an attempt: terms and key as the interface's own settings, credentials as headers.
-fn request(send: &Send) -> Frame {
+fn encode_request(send: &Send) -> Vec<Part> {
     let s = &send.statement;
     // A second attempt must not meet the name of the first where that may run still.
     let name = if send.id.1 == 0 { s.name.clone() } else { format!("{}-{}", s.name, send.id.1) };
     let mut target = format!("/?query_id={}", http::encode(&name));
-    let _ = write!(target, "&max_execution_time={:.0}", (send.budget / 1000.0).ceil().max(1.0));
+    let _ = write!(target, "&max_execution_time={}", execution_time(send.budget));
     // 0 is no priority at all, 1 the highest.
     let _ = write!(target, "&priority={}", 4 - send.priority.min(3));
     target += "&cancel_http_readonly_queries_on_client_close=1";
@@ -209,8 +214,17 @@
         "POST {target} HTTP/1.1\r\nHost: {}\r\n{headers}Content-Length: {length}\r\n\r\n",
         send.address
     );
-    let parts = vec![Part::Own(head.into_bytes()), body];
-    sending(send, parts)
+    vec![Part::Own(head.into_bytes()), body]
+}
+
+/// The time that is left, in seconds: whole ones where the next is close, else with milliseconds, as more than what the
+/// client has left may not be told. 0 would stand for no limit.
+fn execution_time(budget: Ms) -> String {
+    let seconds = (budget / 1000.0).max(LEAST_EXECUTION_TIME);
+    if seconds.ceil() - seconds <= ROUNDED_UP_AT_MOST {
+        return format!("{:.0}", seconds.ceil());
+    }
+    format!("{seconds:.3}")
 }
 
 async fn run(conn: Rc<Conn>, limits: Rc<Limits>, events: Sender<Event>) {
--- a/src/net/engine/pool.rs
+++ b/src/net/engine/pool.rs
@@ -134,8 +134,9 @@
         };
         connection.last_used.set(Instant::now());
         connection.in_flight.borrow_mut().insert(name.clone(), InFlight::new(send.id));
-        connection.outbox.push(resp::want_command(&send), &self.limits);
-        self.placements.insert(send.id, Placement { connection, name });
+        let id = send.id;
+        connection.outbox.push(resp::want_command(send), &self.limits);
+        self.placements.insert(id, Placement { connection, name });
     }
 
     fn give_up(&mut self, id: AttemptId, out_of_time: bool) {
--- a/src/net/engine/resp.rs
+++ b/src/net/engine/resp.rs
@@ -2,12 +2,9 @@
 
 use crate::core::Send;
 use crate::interface::Report;
-use crate::net::conn::{Frame, Part};
 pub use crate::net::engine::progress::BadNote;
-use starlingplank_operation::figures::Count;
+use crate::net::frame::{Frame, Part};
 use std::io::Write;
-use std::time::Duration;
-use tokio::time::Instant;
 use winnow::ascii::{crlf, dec_uint};
 use winnow::combinator::{delimited, preceded, terminated};
 use winnow::error::{EmptyError, ErrMode};
@@ -134,20 +131,19 @@
     out
 }
 
-/// The frame of an attempt.
-pub fn sending(send: &Send, parts: Vec<Part>) -> Frame {
-    let by = send.leave_within.map(|ms| Instant::now() + Duration::from_secs_f64(ms.max(0.0) / 1000.0));
-    Frame { attempt: Some(send.id), parts, tally: Some((send.class.0, Count::Sends)), by }
-}
-
 /// A command without a body.
 pub fn command(parts: &[&str]) -> Frame {
     let parts: Vec<&[u8]> = parts.iter().map(|p| p.as_bytes()).collect();
     Frame::plain(encode_command(&parts, None))
 }
 
-/// The command `want`: the statement goes out as it came in, shared by all attempts.
-pub fn want_command(send: &Send) -> Frame {
+/// The message of an attempt: the command `want`.
+pub fn want_command(send: Send) -> Frame {
+    Frame::sending(send, encode_want)
+}
+
+/// The statement goes out as it came in, shared by all attempts.
+fn encode_want(send: &Send) -> Vec<Part> {
     let statement = &send.statement;
     let mut fields = format!("queue={},budget={:.0}", statement.class, send.budget.max(1.0));
     if let Some(key) = &statement.key {
@@ -161,11 +157,10 @@
         &[b"want", statement.name.as_bytes(), fields.as_bytes()],
         Some(statement.text.len() + statement.data.len()),
     );
-    let parts = vec![
+    vec![
         Part::Own(head),
         Part::Text(statement.clone()),
         Part::Data(statement.clone()),
         Part::Own(b"\r\n".to_vec()),
-    ];
-    sending(send, parts)
+    ]
 }
--- a/src/net/front/clickhouse.rs
+++ b/src/net/front/clickhouse.rs
@@ -4,7 +4,8 @@
 use crate::core::{Answer, EngineError, Flow, Rows, Statement};
 use crate::interface::{ClassId, Repeat, RequestId};
 use crate::limits::Limits;
-use crate::net::conn::{finish, Close, Frame, Inbox};
+use crate::net::conn::{finish, Close, Inbox};
+use crate::net::frame::Frame;
 use crate::net::front::rules::ClassRules;
 use crate::net::front::{count_of, Asked, Client, Desk, Seat};
 use crate::net::http::{self, Head, Length, Read};
--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -7,7 +7,8 @@
 use crate::core::{Answer, Ask, Event, Rows, Statement};
 use crate::interface::{ClassId, DataSet, Incoming, Ms, RequestId, Settings, TenantId};
 use crate::limits::Limits;
-use crate::net::conn::{Close, Common, Frame, Inbox, Outbox};
+use crate::net::conn::{Close, Common, Inbox, Outbox};
+use crate::net::frame::Frame;
 use crate::net::sql;
 use starlingplank_operation::figures::Count;
 use std::cell::{Cell, RefCell};
@@ -208,7 +209,7 @@
     /// Nobody waits yet.
     pub fn new(settings: Rc<Settings>, limits: Rc<Limits>, events: Sender<Event>) -> Rc<Self> {
         Rc::new(Self {
-            common: Common::new(settings.classes.len()),
+            common: Common::with_retry_budget(settings.classes.len(), settings.ration),
             settings,
             waiting_places: Arc::new(Semaphore::new(limits.front_waiting)),
             limits,
@@ -322,10 +323,13 @@
             repeat: asked.repeat,
         };
         let statement = Rc::new(asked.statement);
+        // From here on nothing is waited for: a connection that ends meanwhile leaves no half-taken request behind.
+        let Ok(event) = self.events.reserve().await else { return };
+        self.common.count_request();
         self.names.borrow_mut().insert(statement.name.clone(), id);
         self.waiting.borrow_mut().insert(id, (client, statement.clone()));
         let ask = Ask { asked: asked_of_module, statement };
-        let _ = self.events.send(Event::Taken(ask)).await;
+        event.send(Event::Taken(ask));
     }
 
     /// The open request with that name. Two under one name could not be told apart at their engines.
--- a/src/net/front/thrift.rs
+++ b/src/net/front/thrift.rs
@@ -3,7 +3,8 @@
 use crate::core::{Answer, Rows, Statement};
 use crate::interface::{ClassId, Repeat, RequestId, TenantId};
 use crate::limits::Limits;
-use crate::net::conn::{finish, Close, Frame, Inbox};
+use crate::net::conn::{finish, Close, Inbox};
+use crate::net::frame::Frame;
 use crate::net::front::{count_of, Asked, Client, Desk, Seat};
 use crate::net::log;
 use starlingplank_operation::figures::Count;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod conn;
 pub mod engine;
+pub mod frame;
 pub mod front;
 pub mod handover;
 pub mod http;
--- a/src/net/runtime/effects.rs
+++ b/src/net/runtime/effects.rs
@@ -25,6 +25,10 @@
                 id.0,
                 self.desk.settings.classes[class.0].name
             ),
+            Effect::Violation((id, n), refusal) => log::seldom_error(
+                "an attempt was asked for against the rules",
+                format_args!("{}.{n}: {}", id.0, refusal.name()),
+            ),
             Effect::Record(number, key, sent) => {
                 if !self.keep.record(number, key, sent) {
                     new_events.push(Event::RecordsFailed(vec![number]));
--- a/src/net/runtime/shutdown.rs
+++ b/src/net/runtime/shutdown.rs
@@ -4,6 +4,7 @@
 use crate::net::front::Leaving;
 use crate::net::runtime::inputs::Inputs;
 use crate::net::runtime::Runtime;
+use starlingplank_decision::permission::process::{may_end, EndFacts};
 use starlingplank_operation::figures::Count;
 use starlingplank_operation::lives;
 use std::collections::BTreeMap;
@@ -22,8 +23,11 @@
         self.advance_leaving(waited, window);
         let closes_idle = matches!(self.desk.leaving(), Leaving::Idle | Leaving::Last);
         // Connections that are in use to the end are answered and closed before the program ends.
-        let is_over = waited >= window + self.desk.limits.leave_close;
-        self.settled && (is_over || closes_idle && self.desk.empty())
+        may_end(&EndFacts {
+            settled: self.settled,
+            unconnected: closes_idle && self.desk.empty(),
+            overdue: waited >= window + self.desk.limits.leave_close,
+        })
     }
 
     /// How long requests are answered after SIGTERM.
@@ -64,6 +68,7 @@
         // What the last answers taught is in the last snapshot, if the disk takes it in time.
         self.keep.snapshot(&self.core, self.desk.clock.now());
         self.report_classes();
+        self.report_rules();
         if self.keep.is_on() {
             let _ = timeout(self.desk.limits.term_snapshot, self.keep.finish()).await;
             self.keep.say(self.core.gate().refused());
@@ -86,6 +91,12 @@
         tracing::info!("loop: longest turn {longest:.3} ms, latest {latest:.3} ms");
     }
 
+    /// Reports which attempts the rules kept back, and how many of them should never have been asked for.
+    fn report_rules(&self) {
+        let rules = &self.desk.common.rules;
+        tracing::info!("rules: attempts kept back {:?}, violations {}", rules.by_name(), rules.violations());
+    }
+
     /// Reports what became of the requests of each class.
     fn report_classes(&self) {
         let classes = self.desk.settings.classes.iter();
--- a/src/net/runtime/startup.rs
+++ b/src/net/runtime/startup.rs
@@ -50,6 +50,7 @@
     let desk = Desk::new(settings, limits.clone(), sender.clone());
     let core = Core::new(config.settings.clone(), config.limits.clone(), desk.clock.now());
     let mut core = core.map_err(io::Error::other)?;
+    core.count_refusals_in(desk.common.rules.clone());
     let keep = Keep::open(&config, &mut core, desk.clock.now(), &sender)?;
     let engines = open_engines(config.engines, limits.clone(), desk.common.clone(), sender.clone());
     let (call_sender, calls) = mpsc::channel(limits.callers);
--- a/tests/deadlines.rs
+++ b/tests/deadlines.rs
@@ -57,3 +57,22 @@
         assert!(*told <= left + SLACK, "{told:?} was told, {left:?} were left");
     }
 }
+
+/// Over HTTP the time is told in seconds, and not rounded up past the slack.
+#[rstest]
+#[case::between_two_seconds("1.3")]
+#[case::under_a_second("0.4")]
+#[case::whole("2")]
+fn deadline_over_http_is_not_rounded_up_past_what_is_left(#[case] limit: &str) {
+    let (at, log) = http_engine(|_, _| Some(web_answer("200 OK", "", "a\tb\tc\n")));
+    let gateway = Gateway::start(&never_late(&config(&[at], "clickhouse", 60_000)));
+    let head = format!("POST /?max_execution_time={limit} HTTP/1.1\r\nContent-Length: 8\r\n\r\nselect 1");
+    let (status, _) = ask(&mut gateway.web(), &head);
+    assert!(status.starts_with("HTTP/1.1 200"), "{status}");
+    let log = log.lock().expect("log");
+    let target = &log.iter().find(|l| l[0].contains("query_id")).expect("sent")[0];
+    let (_, rest) = target.split_once("max_execution_time=").expect("told");
+    let told: f64 = rest.split('&').next().and_then(|t| t.parse().ok()).expect("a number");
+    let limit: f64 = limit.parse().expect("a number");
+    assert!(told > 0.0 && told <= limit + SLACK.as_secs_f64(), "{told} s of {limit} s");
+}
--- a/tests/deployments.rs
+++ b/tests/deployments.rs
@@ -260,6 +260,8 @@
             leave_within: None,
             memory_mb: 0.0,
             priority: 1,
+            is_retry: false,
+            permit: Default::default(),
         };
         engines.send(send, &mut at_once);
         let Some(Event::Ended(_, end)) = events.recv().await else { panic!("an end") };
