Soak: real gateways under overlapping troubles from a seed, with an oracle; a first find

Need: faults where two or three rare events meet. starlingplank-lab run soak plays real gateways between stand-in engines, clients and a name service; the schedule of troubles (SIGTERM, SIGKILL, SIGHUP, SIGSTOP, system calls that fail, engines that drain, crash, hang, refuse, reset or close idle connections, a silent list, clients that leave) follows from the seed. The oracle reads what clients and engines saw; each of its checks is seen to fail with a ledger in which its rule is broken.

--- a/crates/lab/src/bed.rs
+++ b/crates/lab/src/bed.rs
@@ -28,6 +28,8 @@
     pub kills: u32,
     pub queries: usize,
     pub gateways: usize,
+    pub seconds: f64,
+    pub without: Vec<usize>,
     pub baseline: Option<PathBuf>,
     pub only: Vec<String>,
     pub dir: tempfile::TempDir,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod ledger;
 pub mod report;
 pub mod scenario;
+pub mod soak;
 mod turns;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -46,6 +46,15 @@
     /// Gateways, in `cold-start`
     #[arg(long, default_value_t = 300)]
     gateways: usize,
+    /// Gateways, in `soak`
+    #[arg(long)]
+    processes: Option<usize>,
+    /// Seconds in which troubles begin, in `soak`
+    #[arg(long, default_value_t = 12.0)]
+    seconds: f64,
+    /// Troubles to leave out, by their numbers in the schedule, in `soak`
+    #[arg(long, value_delimiter = ',')]
+    without: Vec<usize>,
     /// Plays, in `cold-start`: names of scenarios, or files of one's own; all that are kept by default
     #[arg(long, value_delimiter = ',')]
     only: Vec<String>,
@@ -87,7 +96,9 @@
         seed: run.seed,
         kills: run.kills,
         queries: run.queries,
-        gateways: run.gateways.clamp(1, 1_000),
+        gateways: run.processes.unwrap_or(run.gateways).clamp(1, 1_000),
+        seconds: run.seconds.clamp(2.0, 600.0),
+        without: run.without.clone(),
         baseline: run.baseline.clone(),
         only: run.only.clone(),
         dir: tempfile::tempdir()?,
--- /dev/null
+++ b/crates/lab/src/soak/oracle/tests.rs
@@ -0,0 +1,151 @@
+//! Each check is seen to fail with a ledger in which its rule is broken, and to pass with one in which it is kept.
+
+use super::*;
+use crate::soak::ledger::{Answer, AttemptEnd, EngineRecord};
+use rstest::rstest;
+
+fn terms() -> Terms {
+    crate::soak::terms()
+}
+
+fn request() -> RequestRecord {
+    RequestRecord {
+        gateway: 0,
+        incarnation: 0,
+        class: Class::Unsafe,
+        sent: 10.0,
+        limit: 2.0,
+        end: RequestEnd::Answered(10.5, Answer::Served),
+        further_answers: 0,
+        on_used_connection: false,
+    }
+}
+
+fn attempt(arrived: f64, ended: f64) -> AttemptRecord {
+    AttemptRecord { engine: 0, arrived, budget: 1.5, end: Some((ended, AttemptEnd::Served)) }
+}
+
+fn ledger() -> Ledger {
+    let life = ProcessRecord {
+        events: vec![
+            (0.0, ProcessEvent::Started),
+            (0.1, ProcessEvent::Listening),
+            (20.0, ProcessEvent::Terminated),
+            (21.0, ProcessEvent::Exited(Some(0))),
+        ],
+        log_lines: 10,
+        violations: Some(0),
+    };
+    Ledger {
+        requests: BTreeMap::from([("a".into(), request())]),
+        attempts: BTreeMap::from([("a".into(), vec![attempt(10.1, 10.4)])]),
+        processes: vec![vec![life]],
+        engines: vec![EngineRecord { cold_since: None, drained: None }],
+        recovered: vec![(5, 5)],
+        ..Ledger::default()
+    }
+}
+
+fn with_request(change: impl FnOnce(&mut RequestRecord)) -> Ledger {
+    let mut ledger = ledger();
+    change(ledger.requests.get_mut("a").expect("there"));
+    ledger
+}
+
+fn with_attempts(attempts: Vec<AttemptRecord>) -> Ledger {
+    let mut ledger = ledger();
+    ledger.attempts.insert("a".into(), attempts);
+    ledger
+}
+
+fn with_life(change: impl FnOnce(&mut ProcessRecord)) -> Ledger {
+    let mut ledger = ledger();
+    change(&mut ledger.processes[0][0]);
+    ledger
+}
+
+#[test]
+fn sound_play_breaks_nothing() {
+    assert_eq!(breaks(&ledger(), &terms()), [""; 0]);
+}
+
+#[rstest]
+#[case::late(with_request(|r| r.end = RequestEnd::Answered(12.2, Answer::Served)))]
+#[case::twice(with_request(|r| r.further_answers = 1))]
+#[case::lost(with_request(|r| r.end = RequestEnd::ConnectionLost(10.2)))]
+#[case::nothing(with_request(|r| r.end = RequestEnd::Nothing(14.0)))]
+#[case::overlap(with_attempts(vec![attempt(10.0, 10.4), attempt(10.2, 10.3)]))]
+#[case::run_twice(with_attempts(vec![attempt(10.0, 10.1), attempt(10.2, 10.3)]))]
+#[case::told_too_much(with_attempts(vec![AttemptRecord { budget: 2.2, ..attempt(10.1, 10.2) }]))]
+#[case::killed_itself(with_life(|l| l.events[2] = (20.0, ProcessEvent::Exited(Some(101)))))]
+#[case::bad_code(with_life(|l| l.events[3] = (21.0, ProcessEvent::Exited(Some(1)))))]
+#[case::ended_late(with_life(|l| l.events[3] = (29.0, ProcessEvent::Exited(Some(0)))))]
+#[case::never_ended(with_life(|l| drop(l.events.pop())))]
+#[case::listened_late(with_life(|l| l.events[1].0 = 15.0))]
+#[case::never_listened(with_life(|l| drop(l.events.remove(1))))]
+#[case::violation(with_life(|l| l.violations = Some(1)))]
+#[case::log_flood(with_life(|l| l.log_lines = 100_000))]
+fn each_break_is_found(#[case] ledger: Ledger) {
+    assert_eq!(breaks(&ledger, &terms()).len(), 1, "{:?}", breaks(&ledger, &terms()));
+}
+
+#[test]
+fn attempt_after_its_client_has_gone_is_found() {
+    let gone = |at| with_request(|r| r.end = RequestEnd::Gone(at));
+    assert_eq!(gone_clients(&gone(10.05), &terms()).len(), 0);
+    assert_eq!(gone_clients(&gone(9.9), &terms()).len(), 1);
+}
+
+#[test]
+fn keyed_request_past_its_window_is_found() {
+    let mut ledger = with_attempts(vec![attempt(10.0, 10.1), attempt(10.0 + terms().key_window + 0.1, 14.0)]);
+    ledger.requests.get_mut("a").expect("there").class = Class::Keyed;
+    assert_eq!(repeats(&ledger, &terms()).len(), 1);
+    ledger.attempts.get_mut("a").expect("there")[1].arrived = 10.5;
+    assert_eq!(repeats(&ledger, &terms()).len(), 0);
+}
+
+#[test]
+fn attempt_at_a_drained_engine_is_found_unless_nobody_could_hear_of_it() {
+    let mut ledger = ledger();
+    ledger.engines[0].drained = Some(5.0);
+    assert_eq!(drains(&ledger, &terms()).len(), 1);
+    ledger.list_silent.push((4.0, 9.0));
+    assert_eq!(drains(&ledger, &terms()).len(), 0);
+}
+
+#[test]
+fn crowd_at_a_cold_engine_is_found() {
+    let mut ledger = with_attempts((0..1_000).map(|_| attempt(10.0, 10.1)).collect());
+    assert_eq!(slow_starts(&ledger, &terms()).len(), 0, "it is warm");
+    ledger.engines[0].cold_since = Some(9.9);
+    assert_eq!(slow_starts(&ledger, &terms()).len(), 1);
+}
+
+#[test]
+fn further_attempts_past_the_budget_are_found() {
+    let few = with_attempts((0..3).map(|_| attempt(10.0, 10.1)).collect());
+    assert_eq!(rations(&few, &terms()).len(), 0);
+    let many = with_attempts((0..8).map(|_| attempt(10.0, 10.1)).collect());
+    assert_eq!(rations(&many, &terms()).len(), 1);
+}
+
+#[test]
+fn process_that_does_not_serve_in_the_end_is_found() {
+    let mut ledger = ledger();
+    ledger.recovered = vec![(5, 5), (1, 5)];
+    assert_eq!(recoveries(&ledger, &terms()).len(), 1);
+}
+
+#[test]
+fn time_in_which_a_process_was_stopped_is_no_delay_of_its_own() {
+    let life = ProcessRecord {
+        events: vec![
+            (1.0, ProcessEvent::Stopped),
+            (3.0, ProcessEvent::Continued),
+            (5.0, ProcessEvent::Stopped),
+        ],
+        ..ProcessRecord::default()
+    };
+    assert_eq!(life.stopped_within(2.0, 6.0), 2.0);
+}
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -40,7 +40,7 @@
 }
 
 /// A `call` in the strict binary protocol, framed.
-fn call(seq: i32, fields: &[(&str, &str)], body: &str) -> Vec<u8> {
+pub fn call(seq: i32, fields: &[(&str, &str)], body: &str) -> Vec<u8> {
     let mut out = vec![0x80, 1, 0, 1];
     text(&mut out, b"call");
     out.extend(seq.to_be_bytes());
@@ -57,7 +57,7 @@
 }
 
 /// Number and end of an answer.
-fn read(frame: &[u8]) -> Option<(i32, Answer)> {
+pub fn read(frame: &[u8]) -> Option<(i32, Answer)> {
     let name = u32::from_be_bytes(frame.get(4..8)?.try_into().ok()?) as usize;
     let rest = frame.get(8 + name..)?;
     let seq = i32::from_be_bytes(rest.get(..4)?.try_into().ok()?);
--- a/tests/deadlines.rs
+++ b/tests/deadlines.rs
@@ -58,6 +58,40 @@
     }
 }
 
+/// What arrived while the process stood still is as old as that.
+#[rstest]
+#[case::on_a_connection_that_rests(true)]
+#[case::on_a_new_connection(false)]
+fn deadline_counts_from_when_the_request_arrived_and_not_from_when_it_was_read(#[case] rests: bool) {
+    const PAUSE: Duration = Duration::from_millis(600);
+    let arrived = Arc::new(Mutex::new(None));
+    let seen = arrived.clone();
+    let (at, _log) = resp_engine(move |parts| {
+        if parts[0] == "want" {
+            *seen.lock().expect("seen") = Some((Instant::now(), told(parts).expect("a budget")));
+        }
+        served(parts)
+    });
+    let gateway = Gateway::start(&never_late(&config(&[at], "resp", 60_000)));
+    let mut resting = rests.then(|| gateway.client());
+    if let Some(client) = &mut resting {
+        client.write_all(&health(1)).expect("sent");
+        assert_eq!(answer(client).0, 1);
+    }
+    gateway.stop();
+    let mut client = resting.unwrap_or_else(|| gateway.client());
+    let seq = if rests { 2 } else { 1 };
+    let fields = [("verb", "lookup"), ("txn", &*name(1)), ("limit", &*LIMIT.to_string())];
+    let sent = Instant::now();
+    client.write_all(&call(seq, &fields, "select 1")).expect("sent");
+    std::thread::sleep(PAUSE);
+    gateway.resume();
+    assert_eq!(answer(&mut client).1, "served");
+    let (at, told) = arrived.lock().expect("seen").expect("it arrived");
+    let left = Duration::from_millis(LIMIT).saturating_sub(at - sent);
+    assert!(told <= left + SLACK, "{told:?} was told, {left:?} were left");
+}
+
 /// Over HTTP the time is told in seconds, and not rounded up past the slack.
 #[rstest]
 #[case::between_two_seconds("1.3")]
