What arrives while the process stands still counts from when it may have arrived

Cause: a request's time counted from when it was read; after a SIGSTOP or a stall that is up to the whole pause too late, and the engine was told that much more than its client had left. Change: PauseDetector notices gaps of over 140 ms between turns of the loop (it runs every 100 ms with nothing to do); what is read within 50 ms after one counts as arrived when it began, the earliest that it can be.

--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -9,6 +9,7 @@
 use crate::limits::Limits;
 use crate::net::conn::{Close, Common, Inbox, Outbox};
 use crate::net::frame::Frame;
+use crate::net::pause::PauseDetector;
 use crate::net::sql;
 use starlingplank_operation::figures::Count;
 use std::cell::{Cell, RefCell};
@@ -64,6 +65,8 @@
     pub limits: Rc<Limits>,
     /// The clock.
     pub clock: Clock,
+    /// Pauses of the process.
+    pub pauses: PauseDetector,
     /// To the reducer.
     pub events: Sender<Event>,
     /// What all connections have in common.
@@ -214,6 +217,7 @@
             waiting_places: Arc::new(Semaphore::new(limits.front_waiting)),
             limits,
             clock: Clock::start(),
+            pauses: PauseDetector::new(Instant::now()),
             events,
             end: Rc::default(),
             awaits_list: Cell::new(false),
@@ -301,6 +305,13 @@
         self.waiting.borrow().len()
     }
 
+    /// When what is read now arrived, at the earliest.
+    pub fn arrival_time(&self) -> Ms {
+        let now = Instant::now();
+        let age = now.saturating_duration_since(self.pauses.arrived(now));
+        self.clock.now() - age.as_secs_f64() * 1000.0
+    }
+
     /// An id for a request that is about to be taken.
     pub fn number(&self) -> RequestId {
         let id = self.next.get();
--- a/src/net/front/thrift.rs
+++ b/src/net/front/thrift.rs
@@ -401,7 +401,7 @@
 }
 
 fn asked(fields: &BTreeMap<&str, &str>, body: &[u8], desk: &Desk) -> Result<Asked, &'static str> {
-    let arrived = desk.clock.now();
+    let arrived = desk.arrival_time();
     // A figure that is none, or past all sense, makes the request unfit: what it would do is not what was asked.
     let number = |name: &str| match fields.get(name).map(|v| v.parse::<f64>()) {
         None => Ok(None),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 pub mod momentary;
 pub mod names;
 pub mod operate;
+pub mod pause;
 pub mod runtime;
 pub mod sql;
 pub mod tasks;
--- a/src/net/runtime/mod.rs
+++ b/src/net/runtime/mod.rs
@@ -132,6 +132,7 @@
             }
             let due_at = self.core.next_due();
             let wake = inputs.next(self.wake_by(due_at), self.optional_inputs()).await;
+            self.desk.pauses.alive(Instant::now());
             let mut events = Vec::new();
             self.handle_wake(wake, reload, &mut events);
             inputs.drain_events(&mut events, self.desk.limits.queue);
