Soak: datagrams are never cut short, and the list stand-in ignores what is no question

The list stand-in had ended: the library of faults cut a question to one byte, which Linux does not do with datagrams, and the stand-in's parser panicked on it. Change: only streams are cut; a question shorter than its head is ignored.

--- a/crates/faults/src/calls.rs
+++ b/crates/faults/src/calls.rs
@@ -44,12 +44,24 @@
     fd == libc::STDOUT_FILENO || fd == libc::STDERR_FILENO
 }
 
+/// Whether a socket carries a stream: datagrams are never cut.
+fn is_stream(fd: c_int) -> bool {
+    let mut kind: c_int = 0;
+    let mut len = size_of::<c_int>() as socklen_t;
+    let to = (&raw mut kind).cast();
+    // SAFETY: both are valid for the call to write to, and the length is that of the first.
+    unsafe {
+        libc::getsockopt(fd, libc::SOL_SOCKET, libc::SO_TYPE, to, &mut len) == 0 && kind == libc::SOCK_STREAM
+    }
+}
+
 /// How much of a transfer on a socket is tried: all, one byte, or none as the call is interrupted.
-fn transfer(len: usize) -> Option<usize> {
+fn transfer(fd: c_int, len: usize) -> Option<usize> {
     if plan().strikes(plan().interrupt) {
         return None;
     }
-    Some(if len > 1 && plan().strikes(plan().short) { 1 } else { len })
+    let is_short = len > 1 && plan().strikes(plan().short) && is_stream(fd);
+    Some(if is_short { 1 } else { len })
 }
 
 /// The error with which a write to a file or to the log fails, if it does.
@@ -79,7 +91,7 @@
 
 #[no_mangle]
 pub unsafe extern "C" fn recv(fd: c_int, buffer: *mut c_void, len: usize, flags: c_int) -> ssize_t {
-    match transfer(len) {
+    match transfer(fd, len) {
         Some(len) => unsafe { original::recv(fd, buffer, len, flags) },
         None => fail(libc::EINTR),
     }
@@ -87,7 +99,7 @@
 
 #[no_mangle]
 pub unsafe extern "C" fn send(fd: c_int, buffer: *const c_void, len: usize, flags: c_int) -> ssize_t {
-    match transfer(len) {
+    match transfer(fd, len) {
         Some(len) => unsafe { original::send(fd, buffer, len, flags) },
         None => fail(libc::EINTR),
     }
@@ -98,7 +110,7 @@
     if plan().interrupt + plan().short == 0.0 || !is_socket(fd) {
         return unsafe { original::read(fd, buffer, len) };
     }
-    match transfer(len) {
+    match transfer(fd, len) {
         Some(len) => unsafe { original::read(fd, buffer, len) },
         None => fail(libc::EINTR),
     }
@@ -131,7 +143,7 @@
     // SAFETY: the caller hands over as many parts as it says.
     let parts_given = unsafe { std::slice::from_raw_parts(parts, count.max(0) as usize) };
     let first = parts_given.iter().find(|part| part.iov_len > 0);
-    match (transfer(2), first) {
+    match (transfer(fd, 2), first) {
         (None, _) => fail(libc::EINTR),
         (Some(1), Some(part)) => unsafe { original::write(fd, part.iov_base, 1) },
         _ => unsafe { original::writev(fd, parts, count) },
--- a/crates/lab/src/soak/run.rs
+++ b/crates/lab/src/soak/run.rs
@@ -19,6 +19,8 @@
 use tokio::net::UdpSocket;
 use tokio::time::{interval, sleep, timeout};
 
+/// Bytes of the head of a question.
+const QUESTION_HEAD: usize = 12;
 /// Engines of a play.
 const ENGINES: usize = 6;
 /// Clients of each gateway.
@@ -157,7 +159,8 @@
         let mut question = [0; 512];
         loop {
             let Ok((len, from)) = socket.recv_from(&mut question).await else { continue };
-            if self.silent_since.get().is_none() {
+            // Less than a head is no question.
+            if len >= QUESTION_HEAD && self.silent_since.get().is_none() {
                 let said = answer(&question[..len], self.serial.get(), &self.entries.borrow());
                 let _ = socket.send_to(&said, from).await;
             }
