A connection is closed only after a look at what has arrived on it

Need: three paths that close a client's connection (idle or silent for too long, room for another client, the end of the process) asked different questions; two of them did not look at what lay unread in the socket, where it may be a whole request. Change: all ask permission::close.

--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -11,6 +11,7 @@
 use crate::net::frame::Frame;
 use crate::net::pause::PauseDetector;
 use crate::net::sql;
+use starlingplank_decision::permission::close::{may_close, may_cut_off, ConnectionFacts};
 use starlingplank_operation::figures::Count;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -115,6 +116,8 @@
     /// It was answered since this process began to leave.
     done: Cell<bool>,
     opened: Instant,
+    /// Another client waits for its place.
+    give_way: Cell<bool>,
     /// Its client closed the connection, or it broke.
     left: Cell<bool>,
     open: Cell<usize>,
@@ -148,7 +151,7 @@
     /// inside a message, or ask for nothing that has an answer: they are told so by a close, and soon.
     pub async fn read(&self, inbox: &mut Inbox, stream: &TcpStream, limits: &Limits) -> bool {
         loop {
-            if self.is_over(inbox, stream) {
+            if self.is_over(inbox, stream) || self.gives_way(inbox, stream) {
                 return false;
             }
             let unanswered = Some(self.opened).filter(|_| !self.answered.get());
@@ -156,7 +159,11 @@
             let until = silent.unwrap_or(self.active.get() + limits.front_idle);
             // What is open is waited for, whatever else the client does.
             let until = match self.open.get() {
-                0 if until <= Instant::now() => return false,
+                0 if until <= Instant::now() => match may_cut_off(&self.written_facts(inbox, stream)) {
+                    Ok(()) => return false,
+                    // What has arrived may be the rest of a request, or a whole one.
+                    Err(_) => Instant::now() + limits.front_grace,
+                },
                 0 => until,
                 _ => Instant::now() + limits.front_silent,
             };
@@ -196,9 +203,31 @@
             Leaving::AfterAnswer => self.done.get(),
             Leaving::Idle | Leaving::Last => true,
         };
-        due && self.idle().is_some()
-            && inbox.unread().is_empty()
-            && rustix::io::ioctl_fionread(stream).is_ok_and(|waiting| waiting == 0)
+        due && !self.out.closing() && may_close(&self.facts(inbox, stream)).is_ok()
+    }
+
+    /// Whether it ends now, as another client waits for its place. One at which something has arrived does not.
+    fn gives_way(&self, inbox: &Inbox, stream: &TcpStream) -> bool {
+        let gives_way = self.give_way.take() && may_close(&self.facts(inbox, stream)).is_ok();
+        if gives_way {
+            self.out.close(Close::Now);
+        }
+        gives_way
+    }
+
+    fn facts(&self, inbox: &Inbox, stream: &TcpStream) -> ConnectionFacts {
+        ConnectionFacts {
+            open_requests: self.open.get(),
+            unwritten: self.out.waiting(),
+            incomplete: inbox.unread().len(),
+            // Where the system does not tell, something may have arrived.
+            unread: rustix::io::ioctl_fionread(stream).map_or(1, |bytes| bytes as usize),
+        }
+    }
+
+    /// The same, where what waits to be written does not keep it: it is written as the connection ends.
+    fn written_facts(&self, inbox: &Inbox, stream: &TcpStream) -> ConnectionFacts {
+        ConnectionFacts { unwritten: 0, ..self.facts(inbox, stream) }
     }
 
     /// Since when nothing has been open and nothing has waited to be written.
@@ -241,15 +270,19 @@
                 .seats
                 .borrow()
                 .iter()
+                .filter(|s| !s.give_way.get())
                 .filter_map(|s| s.idle().map(|at| (at, s.clone())))
                 .min_by_key(|x| x.0);
             let again = match longest {
                 Some((at, seat)) if at.elapsed() >= self.limits.front_grace => {
-                    seat.out.close(Close::Now);
-                    until
+                    // It looks first whether something has arrived; if so another one is asked.
+                    seat.give_way.set(true);
+                    seat.out.nudge();
+                    Instant::now() + self.limits.front_grace
                 }
                 Some((at, _)) => at + self.limits.front_grace,
-                None => until,
+                // One may come to rest meanwhile.
+                None => Instant::now() + self.limits.front_grace,
             };
             if timeout_at(again.min(until), self.freed.notified()).await.is_err() && Instant::now() >= until {
                 return None;
@@ -258,8 +291,8 @@
         let out = Rc::new(Outbox::new(self.common.clone()));
         let (open, answered, opened) = (Cell::new(0), Cell::new(false), Instant::now());
         let (end, done, active) = (self.end.clone(), Cell::new(false), Cell::new(opened));
-        let left = Cell::new(false);
-        let seat = Rc::new(Seat { out, end, done, opened, left, open, answered, active });
+        let (left, give_way) = (Cell::new(false), Cell::new(false));
+        let seat = Rc::new(Seat { out, end, done, opened, give_way, left, open, answered, active });
         self.seats.borrow_mut().push(seat.clone());
         Some(seat)
     }
