--- a/crates/lab/src/soak/process.rs
+++ b/crates/lab/src/soak/process.rs
@@ -99,6 +99,11 @@
         };
     }
 
+    /// Whether it listens.
+    pub fn listens(&self) -> bool {
+        self.listened
+    }
+
     /// Looks at what it does; true once it has ended.
     pub fn look(&mut self) -> bool {
         let listens = self.said.lock().unwrap_or_else(PoisonError::into_inner).listens;
--- a/tests/deadlines.rs
+++ b/tests/deadlines.rs
@@ -92,6 +92,45 @@
     assert!(told <= left + SLACK, "{told:?} was told, {left:?} were left");
 }
 
+/// A new client waits until there is room for its connection; its request lies there meanwhile.
+#[test]
+fn deadline_counts_from_when_the_request_arrived_though_there_was_no_room() {
+    const WAIT: Duration = Duration::from_millis(600);
+    // Of 64 descriptors 24 are kept back, and clients have three fifths of the rest.
+    const ROOM: usize = 24;
+    let arrived = Arc::new(Mutex::new(None));
+    let seen = arrived.clone();
+    let last = name(ROOM + 1);
+    let awaited = last.clone();
+    let (at, log) = resp_engine(move |parts| {
+        if parts[0] == "want" && parts[1] != awaited {
+            return Some(String::new());
+        }
+        if parts[0] == "want" {
+            *seen.lock().expect("seen") = Some((Instant::now(), told(parts).expect("a budget")));
+        }
+        served(parts)
+    });
+    let text = changed(&never_late(&config(&[at], "resp", 60_000)), r#""sockets":256"#, r#""sockets":64"#);
+    let text = changed(&text, r#""cpu_of_kind":[8]"#, r#""cpu_of_kind":[64]"#);
+    let gateway = Gateway::start(&text);
+    let mut crowd: Vec<_> = (1..=ROOM).map(|_| gateway.client()).collect();
+    for (n, client) in crowd.iter_mut().enumerate() {
+        client.write_all(&lookup(1, n + 1)).expect("sent");
+    }
+    until(&log, |log| log.iter().filter(|p| p[0] == "want").count() == ROOM);
+    let mut client = gateway.client();
+    let fields = [("verb", "lookup"), ("txn", last.as_str()), ("limit", &*LIMIT.to_string())];
+    let sent = Instant::now();
+    client.write_all(&call(1, &fields, "select 1")).expect("sent");
+    std::thread::sleep(WAIT);
+    crowd.pop();
+    assert_eq!(answer(&mut client).1, "served");
+    let (at, told) = arrived.lock().expect("seen").expect("it arrived");
+    let left = Duration::from_millis(LIMIT).saturating_sub(at - sent);
+    assert!(told <= left + SLACK, "{told:?} was told, {left:?} were left");
+}
+
 /// Over HTTP the time is told in seconds, and not rounded up past the slack.
 #[rstest]
 #[case::between_two_seconds("1.3")]
