What a new connection brings counts from when it may have come, not from its first read

Cause: a connection may lie in the listener's queue while accept fails or places are taken, and wait up to a second for room; its first request counted from when it was read. Change: the listener remembers since when its queue may hold connections; what the first read of a connection brings counts from then, at the end of the window as well.

--- a/src/net/front/clickhouse.rs
+++ b/src/net/front/clickhouse.rs
@@ -385,7 +385,7 @@
     desk: &Rc<Desk>,
     rules: &ClassRules,
 ) -> Option<RequestId> {
-    let arrived = desk.arrival_time();
+    let arrived = desk.arrival_time(&session.seat);
     // With a query in the target, the body is its data; else the body is the query.
     let (text, data) = match query {
         Some(query) => (query.into_bytes(), body),
--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -116,6 +116,10 @@
     /// It was answered since this process began to leave.
     done: Cell<bool>,
     opened: Instant,
+    /// When it came, at the earliest, until what came with it is read: it may have waited for room.
+    came: Cell<Option<Instant>>,
+    /// It was read from.
+    read: Cell<bool>,
     /// Another client waits for its place.
     give_way: Cell<bool>,
     /// Its client closed the connection, or it broke.
@@ -127,6 +131,11 @@
 }
 
 impl Seat {
+    /// It came at that time, at the earliest.
+    pub fn came(&self, at: Instant) {
+        self.came.set(Some(at));
+    }
+
     /// A request was taken from it.
     pub fn asked(&self) {
         self.open.set(self.open.get() + 1);
@@ -150,6 +159,10 @@
     /// Reads more; false once the connection is of no more use. Guards against clients that say nothing, stop
     /// inside a message, or ask for nothing that has an answer: they are told so by a close, and soon.
     pub async fn read(&self, inbox: &mut Inbox, stream: &TcpStream, limits: &Limits) -> bool {
+        if self.read.replace(true) {
+            // What came with the connection is used.
+            self.came.set(None);
+        }
         loop {
             if self.is_over(inbox, stream) || self.gives_way(inbox, stream) {
                 return false;
@@ -291,8 +304,9 @@
         let out = Rc::new(Outbox::new(self.common.clone()));
         let (open, answered, opened) = (Cell::new(0), Cell::new(false), Instant::now());
         let (end, done, active) = (self.end.clone(), Cell::new(false), Cell::new(opened));
-        let (left, give_way) = (Cell::new(false), Cell::new(false));
-        let seat = Rc::new(Seat { out, end, done, opened, give_way, left, open, answered, active });
+        let (left, give_way, read, came) = Default::default();
+        let seat =
+            Rc::new(Seat { out, end, done, opened, came, read, give_way, left, open, answered, active });
         self.seats.borrow_mut().push(seat.clone());
         Some(seat)
     }
@@ -338,10 +352,11 @@
         self.waiting.borrow().len()
     }
 
-    /// When what is read now arrived, at the earliest.
-    pub fn arrival_time(&self) -> Ms {
+    /// When what is read now from a connection arrived, at the earliest.
+    pub fn arrival_time(&self, seat: &Seat) -> Ms {
         let now = Instant::now();
-        let age = now.saturating_duration_since(self.pauses.arrived(now));
+        let arrived = self.pauses.arrived(now).min(seat.came.get().unwrap_or(now));
+        let age = now.saturating_duration_since(arrived);
         self.clock.now() - age.as_secs_f64() * 1000.0
     }
 
--- a/src/net/front/thrift.rs
+++ b/src/net/front/thrift.rs
@@ -368,7 +368,7 @@
             if named.is_some_and(|id| session.open.borrow().values().any(|open| *open == id)) {
                 return false;
             }
-            match asked(&fields, body, desk) {
+            match asked(&fields, body, session, desk) {
                 Ok(asked) if named.is_some() => {
                     let frame = internal(seq, "txn is that of another open request");
                     say(counted(frame, Some(asked.class), Count::Errored));
@@ -400,8 +400,13 @@
     desk.settings.classes.iter().position(|c| c.name == *verb).map(ClassId)
 }
 
-fn asked(fields: &BTreeMap<&str, &str>, body: &[u8], desk: &Desk) -> Result<Asked, &'static str> {
-    let arrived = desk.arrival_time();
+fn asked(
+    fields: &BTreeMap<&str, &str>,
+    body: &[u8],
+    session: &Session,
+    desk: &Desk,
+) -> Result<Asked, &'static str> {
+    let arrived = desk.arrival_time(&session.seat);
     // A figure that is none, or past all sense, makes the request unfit: what it would do is not what was asked.
     let number = |name: &str| match fields.get(name).map(|v| v.parse::<f64>()) {
         None => Ok(None),
--- a/src/net/runtime/listeners.rs
+++ b/src/net/runtime/listeners.rs
@@ -70,6 +70,30 @@
     tasks.spawn(name, acceptor.run(listener));
 }
 
+/// Since when connections may lie in the listener's queue: what they send arrives meanwhile.
+#[derive(Debug, Default)]
+struct ListenerQueue {
+    behind_since: Option<Instant>,
+    backoff: Backoff,
+}
+
+impl ListenerQueue {
+    /// Connections are not taken for the moment.
+    fn is_behind(&mut self) {
+        self.behind_since.get_or_insert_with(Instant::now);
+    }
+
+    /// None is waiting.
+    fn is_empty(&mut self) {
+        self.behind_since = None;
+    }
+
+    /// When a connection that is accepted now came, at the earliest.
+    fn arrived(&self) -> Instant {
+        self.behind_since.unwrap_or_else(Instant::now)
+    }
+}
+
 /// Accepts the connections of one listener.
 struct Acceptor<S> {
     desk: Rc<Desk>,
@@ -85,39 +109,69 @@
     F: Future<Output = ()> + 'static,
 {
     async fn run(self, listener: TcpListener) {
-        self.accept_until_closing(&listener).await;
-        self.empty_backlog(listener).await;
+        let arrived = self.accept_until_closing(&listener).await;
+        self.empty_backlog(listener, arrived).await;
     }
 
     /// Accepts connections until another process takes over or this one is about to end. A few may wait for room at once,
-    /// so that one client that waits keeps out nobody for whom there is some.
-    async fn accept_until_closing(&self, listener: &TcpListener) {
+    /// so that one client that waits keeps out nobody for whom there is some. When those that wait now came, at the
+    /// earliest.
+    async fn accept_until_closing(&self, listener: &TcpListener) -> Instant {
         let mut closing = self.desk.closing.subscribe();
-        let waiting = self.desk.waiting_places.clone();
-        let mut backoff = Backoff::default();
+        let mut queue = ListenerQueue::default();
         loop {
             let accepted = tokio::select! {
                 biased;
-                _ = closing.wait_for(|closing| *closing) => return,
-                accepted = async { (waiting.clone().acquire_owned().await, listener.accept().await) } => accepted,
+                _ = closing.wait_for(|closing| *closing) => return queue.arrived(),
+                accepted = self.accept_one(listener, &mut queue) => accepted,
             };
             match accepted {
-                (place, Ok((stream, _))) => {
-                    backoff.reset();
-                    self.spawn(stream, place);
-                }
+                (place, Ok(stream)) => self.spawn(stream, place, queue.arrived()),
                 // Out of descriptors, or the client left again: others may still be served.
                 (_, Err(e)) => {
                     log::seldom_error("a connection cannot be accepted", &e);
-                    sleep(backoff.wait_to_accept(&e)).await;
+                    sleep(queue.backoff.wait_to_accept(&e)).await;
                 }
             }
         }
     }
 
+    async fn accept_one(
+        &self,
+        listener: &TcpListener,
+        queue: &mut ListenerQueue,
+    ) -> (WaitingPlace, io::Result<TcpStream>) {
+        let places = self.desk.waiting_places.clone();
+        let place = match places.clone().try_acquire_owned() {
+            Ok(place) => Ok(place),
+            Err(_) => {
+                queue.is_behind();
+                places.acquire_owned().await
+            }
+        };
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = std::future::ready(()) => {
+                queue.is_empty();
+                listener.accept().await
+            }
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                queue.backoff.reset();
+                (place, Ok(stream))
+            }
+            Err(e) => {
+                queue.is_behind();
+                (place, Err(e))
+            }
+        }
+    }
+
     /// Accepts what lies in the queue of the listener: as the listener is closed, it would be reset. The listener is
     /// closed in the call after the one that found the queue empty.
-    async fn empty_backlog(&self, listener: TcpListener) {
+    async fn empty_backlog(&self, listener: TcpListener, arrived: Instant) {
         let until = Instant::now() + self.desk.limits.front_wait;
         let waiting = self.desk.waiting_places.clone();
         let Ok(queue) = listener.into_std() else { return };
@@ -134,7 +188,7 @@
                     backoff.reset();
                     let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
                     if let Ok(stream) = stream {
-                        self.spawn(stream, place);
+                        self.spawn(stream, place, arrived);
                     }
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
@@ -145,15 +199,17 @@
         }
     }
 
-    fn spawn(&self, stream: TcpStream, place: WaitingPlace) {
+    /// Serves a connection that came at that time at the earliest.
+    fn spawn(&self, stream: TcpStream, place: WaitingPlace, arrived: Instant) {
         let (desk, serve, listens) = (self.desk.clone(), self.serve.clone(), self.listens.clone());
-        tokio::task::spawn_local(serve_when_admitted(stream, desk, serve, place, listens));
+        tokio::task::spawn_local(serve_when_admitted(stream, arrived, desk, serve, place, listens));
     }
 }
 
 /// Serves a connection, once there is room for it.
 async fn serve_when_admitted<S, F>(
     stream: TcpStream,
+    arrived: Instant,
     desk: Rc<Desk>,
     serve: S,
     place: WaitingPlace,
@@ -166,6 +222,7 @@
         return log::seldom("a connection was closed: all others have requests open");
     };
     drop(place);
+    seat.came(arrived);
     let served = ServedSeat { desk, seat };
     serve(stream, served.seat.clone()).await;
 }
