Failing test: a list of hundreds of engines is never heard

Evidence: an answer of the name service with 300 and with 800 engines in one datagram (20 and 56 KB) is never used, and the log has no line on it.

--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -263,10 +263,10 @@
         out.extend((data.len() as u16).to_be_bytes());
         out.extend(data);
     };
-    let count = engines.len() as u8;
-    let started = engines.iter().filter(|(.., started)| *started > 0).count() as u8;
-    let mut out =
-        [&question[..2], &[0x84, 0, 0, 1, 0, count, 0, 1, 0, count + started], &question[12..]].concat();
+    let count = engines.len() as u16;
+    let started = engines.iter().filter(|(.., started)| *started > 0).count() as u16;
+    let counts = [1, count, 1, count + started].map(u16::to_be_bytes).concat();
+    let mut out = [&question[..2], &[0x84, 0], &counts, &question[12..]].concat();
     let target = |id: &str| [&[id.len() as u8], id.as_bytes(), b"\x01a\x05hosts\0"].concat();
     for (id, at, drains, _) in engines {
         let data = [&[0, u8::from(*drains), 0, 40][..], &at.port().to_be_bytes(), &target(id)].concat();
