Whole datagrams of the name service are read, and answers that are not used are logged

Cause: the buffer held 16 KiB; a longer answer was cut by the system, could not be read, and was dropped without a word. Change: the buffer holds the largest datagram of IPv4; an answer that is cut short (its own flag) or cannot be read is logged once a second.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -123,6 +123,9 @@
 /// name service's sockets (two while one takes over from the other), files of keys and of other processes.
 const KEPT_BACK: usize = 24;
 
+/// The most that a datagram over IPv4 can carry.
+const MOST_DATAGRAM_BYTES: usize = 65_507;
+
 impl Limits {
     /// SIGKILL follows SIGTERM by the longest deadline, but no more than 3 s (5 s where another process takes over), and
     /// 0.7 s: what is still open is answered before that.
@@ -180,7 +183,7 @@
             names_slowest: f.number_or("pacing.list_slowest", list::STEADY)?,
             names_open: 16,
             names_quiet: 3,
-            names_bytes: 16 << 10,
+            names_bytes: MOST_DATAGRAM_BYTES,
             term_window: 800.0,
             term_answer: 3_300.0,
             record: f.number_or("knowledge.key_wait", 250.0)?.clamp(1.0, 250.0),
--- a/src/net/names.rs
+++ b/src/net/names.rs
@@ -5,6 +5,7 @@
 use crate::interface::{Availability, Settings};
 use crate::limits::Limits;
 use crate::net::conn::Retry;
+use crate::net::log;
 use starlingplank_pacing::list::{self, ListPace, Rules};
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
@@ -142,6 +143,12 @@
     Ok((id, records))
 }
 
+/// Whether an answer says of itself that it does not hold all (the truncation flag of RFC 1035).
+fn is_cut_short(bytes: &[u8]) -> bool {
+    const TRUNCATED: u8 = 0x02;
+    bytes.get(2).is_some_and(|flags| flags & TRUNCATED != 0)
+}
+
 /// Reads an answer. None: it is damaged, cut short or an error, and the list held stays.
 pub fn read(bytes: &[u8], settings: &Settings) -> Option<Answered> {
     let (id, records) = message(bytes).ok()?;
@@ -265,7 +272,13 @@
             got = receive(&socket, former.as_ref(), &mut buffer) => {
                 // A refused datagram shows up here; the next question tries again.
                 let Ok(len) = got else { continue };
-                let Some(answered) = read(&buffer[..len], settings) else { continue };
+                let Some(answered) = read(&buffer[..len], settings) else {
+                    log::seldom(match is_cut_short(&buffer[..len]) {
+                        true => "an answer of the name service says that it is cut short; the list in use stays",
+                        false => "an answer of the name service cannot be read; the list in use stays",
+                    });
+                    continue;
+                };
                 let asked = open.iter().position(|id| *id == answered.id);
                 if asked.and_then(|at| open.remove(at)).is_none() {
                     continue;
