The shared folder is tried again at a start, and a process's stage is told again

Cause: Handover::open was tried once; a disk that takes no writes for a moment at the start left the process without the folder for its life, so that keys that it sent were known to no other. A stage that could not be written was never written again. Change: the folder is tried for 3 s while its failure is one of the disk's or of descriptors; an untold stage is told with the next look at the other processes.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -42,6 +42,8 @@
     pub engine_silent: Duration,
     /// An address that cannot be listened at for want of descriptors or memory is tried again for so long.
     pub bind_retry: Duration,
+    /// A folder that takes no writes at the start is tried again for so long.
+    pub disk_retry: Duration,
     /// A connection that is not up by then has failed.
     pub connect: Duration,
     /// Idle engine connections are closed after this: a little before the engine would.
@@ -162,6 +164,7 @@
             streams_wanted: 4,
             engine_silent: ms(500.0),
             bind_retry: ms(3_000.0),
+            disk_retry: ms(3_000.0),
             connect: ms(f.number_or("limits.connect_timeout", 250.0)?),
             idle: ms(f.number_or("limits.idle_close", 15_000.0)? * 0.8),
             front_idle: ms(60_000.0),
--- a/src/net/momentary.rs
+++ b/src/net/momentary.rs
@@ -26,6 +26,13 @@
     Errno::from_io_error(error).is_some_and(|errno| LOCAL.contains(&errno))
 }
 
+/// Whether a disk takes no writes for the moment, or what [`is_local`] tells.
+pub fn is_of_disk(error: &io::Error) -> bool {
+    use rustix::io::Errno;
+    const OF_DISK: [Errno; 3] = [Errno::NOSPC, Errno::DQUOT, Errno::IO];
+    is_local(error) || Errno::from_io_error(error).is_some_and(|errno| OF_DISK.contains(&errno))
+}
+
 /// Whether a failed `accept` says something of one connection alone, which is gone: the next one may be accepted at once.
 fn is_of_one_connection(error: &io::Error) -> bool {
     use rustix::io::Errno;
@@ -49,12 +56,24 @@
 ///
 /// # Errors
 /// It fails for another reason, or still fails at the end of that time.
-pub async fn retry<T>(within: Duration, mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+pub async fn retry<T>(within: Duration, call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    retry_while(is_local, within, call).await
+}
+
+/// Makes a call again while its failure is of that kind, for so long at most.
+///
+/// # Errors
+/// It fails for another reason, or still fails at the end of that time.
+pub async fn retry_while<T>(
+    passes: impl Fn(&io::Error) -> bool,
+    within: Duration,
+    mut call: impl FnMut() -> io::Result<T>,
+) -> io::Result<T> {
     let until = Instant::now() + within;
     let mut backoff = Backoff::default();
     loop {
         match call() {
-            Err(e) if is_local(&e) && Instant::now() < until => sleep(backoff.wait()).await,
+            Err(e) if passes(&e) && Instant::now() < until => sleep(backoff.wait()).await,
             result => return result,
         }
     }
--- a/src/net/runtime/mod.rs
+++ b/src/net/runtime/mod.rs
@@ -94,6 +94,8 @@
     settled: bool,
     /// The name service has answered.
     list_received: bool,
+    /// How far this process is, where the others could not be told.
+    unpublished: Cell<Option<Stage>>,
     statistics: LoopStatistics,
 }
 
--- a/src/net/runtime/peers.rs
+++ b/src/net/runtime/peers.rs
@@ -2,6 +2,7 @@
 
 use crate::core::Event;
 use crate::net::front::Leaving;
+use crate::net::log;
 use crate::net::runtime::Runtime;
 use starlingplank_operation::lives::{self, Stage};
 use std::time::Duration;
@@ -19,17 +20,23 @@
         )
     }
 
-    /// Tells other processes of this gateway how far this one is.
+    /// Tells other processes of this gateway how far this one is. Where that fails it is tried again with the next look at
+    /// them.
     pub fn publish_stage(&self, stage: Stage) {
         let Some(handover) = &self.handover else { return };
-        if let Err(e) = handover.say(stage) {
-            tracing::error!("other versions cannot see how far this one is: {e}");
+        let said = handover.say(stage);
+        self.unpublished.set(said.is_err().then_some(stage));
+        if let Err(e) = said {
+            log::seldom_error("other versions cannot see how far this one is", e);
         }
     }
 
     /// Looks at what other processes of this gateway do, and acts on it.
     pub fn observe_peers(&mut self) -> Vec<Event> {
         let now = self.desk.clock.now();
+        if let Some(stage) = self.unpublished.get() {
+            self.publish_stage(stage);
+        }
         let Some(handover) = &mut self.handover else { return Vec::new() };
         let seen = handover.look(now);
         for newcomer in seen.newcomers {
--- a/src/net/runtime/startup.rs
+++ b/src/net/runtime/startup.rs
@@ -10,6 +10,7 @@
 use crate::net::front::Desk;
 use crate::net::handover::{self, Handover};
 use crate::net::keep::{self, Keep};
+use crate::net::momentary;
 use crate::net::names;
 use crate::net::operate::{self, Asked};
 use crate::net::runtime::listeners::bind;
@@ -59,7 +60,7 @@
     let mut handover = None;
     if let Some(at) = config.operator {
         listen_to_operators(at, &config.name, &desk, call_sender, callers.clone(), &tasks).await?;
-        handover = open_handover(&config, &desk);
+        handover = open_handover(&config, &desk).await;
     }
     let mut gateway = Runtime {
         names: watch::Sender::new(config.names),
@@ -78,6 +79,7 @@
         terminated: None,
         settled: false,
         list_received: false,
+        unpublished: Cell::new(None),
         statistics: LoopStatistics::default(),
     };
     let inherited = gateway.inherit_from_peers().await;
@@ -116,10 +118,12 @@
     Ok(())
 }
 
-/// Opens the folder that the processes of this gateway share. Without it the gateway serves on its own.
-fn open_handover(config: &Config, desk: &Desk) -> Option<Handover> {
+/// Opens the folder that the processes of this gateway share. A disk that takes no writes for a moment is waited for: what
+/// this process sends must be known to the next. Without the folder the gateway serves on its own.
+async fn open_handover(config: &Config, desk: &Desk) -> Option<Handover> {
     let folder = handover::folder(&std::env::temp_dir(), &config.name, config.listen);
-    match Handover::open(&folder, desk.clock.now()) {
+    let open = || Handover::open(&folder, desk.clock.now());
+    match momentary::retry_while(momentary::is_of_disk, desk.limits.disk_retry, open).await {
         Ok(opened) => {
             tracing::info!("{}", opened.describe());
             Some(opened)
