--- /dev/null
+++ b/crates/lab/tests/soak.rs
@@ -0,0 +1,56 @@
+//! A small soak with fixed seeds. Its verdict hangs on counts: on answers, attempts, exits and violations, with terms so wide
+//! that a slow machine breaks none of them.
+
+use rstest::rstest;
+use starlingplank_lab::soak::oracle::{self, Terms};
+use starlingplank_lab::soak::{self, play, Plan};
+use std::path::PathBuf;
+
+/// What was built beside these tests.
+fn built(name: &str) -> PathBuf {
+    let own = std::env::current_exe().expect("a path");
+    let folder = own.ancestors().nth(2).expect("the folder of builds");
+    // A library that is built as a dependency lies beside the tests.
+    let places = [folder.join(name), folder.join("deps").join(name)];
+    let found = places.iter().find(|path| path.is_file());
+    found.unwrap_or_else(|| panic!("{name}: build the whole workspace first")).clone()
+}
+
+/// The rules that count, without times.
+fn terms_without_times() -> Terms {
+    const LONG: f64 = 60.0;
+    Terms {
+        answer_slack: LONG,
+        gone_slack: LONG,
+        budget_slack: LONG,
+        key_window: LONG,
+        drain_grace: LONG,
+        cold_budget: (f64::INFINITY, 1.0),
+        ready_by: LONG,
+        ended_by: LONG,
+        log_lines: 1_000.0,
+        ..soak::terms()
+    }
+}
+
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn rules_hold_under_overlapping_troubles(#[case] seed: u64) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let plan = Plan {
+        program: built("starlingplank"),
+        faults_library: built("libstarlingplank_faults.so"),
+        folder: folder.path().to_owned(),
+        seed,
+        gateways: 4,
+        seconds: 5.0,
+        without: Vec::new(),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let played = tokio::task::LocalSet::new().block_on(&runtime, play(&plan)).expect("it is played");
+    let breaks = oracle::breaks(&played.ledger, &terms_without_times());
+    assert!(breaks.is_empty(), "{breaks:#?}\n{:#?}\n{:#?}", played.schedule, played.errors);
+    assert!(played.ledger.requests.len() > 20, "{} requests", played.ledger.requests.len());
+}
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -353,7 +353,8 @@
             match written {
                 Ok(written) => self.advance(written),
                 Err(e) => match Retry::after(&e) {
-                    Some(Retry::AtOnce) => {}
+                    // Others have their turn, however often it happens.
+                    Some(Retry::AtOnce) => tokio::task::yield_now().await,
                     Some(Retry::WhenReady) => tokio::select! {
                         ready = stream.ready(Interest::WRITABLE) => drop(ready?),
                         () = self.wake.notified() => {}
