Log why attempts are kept back or repeated, why connections close, and each step of an end

At the level debug: each further attempt with its engine, each attempt that is not written with its reason, each client connection that this side closes with its reason; at info: each step of a process on its way out.

--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -288,6 +288,9 @@
         let Some(frame) = self.frames.borrow_mut().remove(at) else { return };
         self.count(0, frame.len());
         self.common.rules.count(refusal);
+        if let Some((request, number)) = frame.attempt {
+            tracing::debug!("attempt {}.{number} is not written: {}", request.0, refusal.name());
+        }
         if refusal.is_violation() {
             log::seldom_error("an attempt was about to be written against the rules", refusal.name());
         }
--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -164,7 +164,15 @@
             self.came.set(None);
         }
         loop {
-            if self.is_over(inbox, stream) || self.gives_way(inbox, stream) {
+            if self.is_over(inbox, stream) {
+                tracing::debug!(
+                    "a client's connection is closed: this process leaves ({:?})",
+                    self.end.get()
+                );
+                return false;
+            }
+            if self.gives_way(inbox, stream) {
+                tracing::debug!("a client's connection is closed: another client needs its place");
                 return false;
             }
             let unanswered = Some(self.opened).filter(|_| !self.answered.get());
@@ -173,7 +181,11 @@
             // What is open is waited for, whatever else the client does.
             let until = match self.open.get() {
                 0 if until <= Instant::now() => match may_cut_off(&self.written_facts(inbox, stream)) {
-                    Ok(()) => return false,
+                    Ok(()) => {
+                        let kind = if silent.is_some() { "it is silent" } else { "it is idle" };
+                        tracing::debug!("a client's connection is closed: {kind}");
+                        return false;
+                    }
                     // What has arrived may be the rest of a request, or a whole one.
                     Err(_) => Instant::now() + limits.front_grace,
                 },
@@ -319,7 +331,8 @@
 
     /// This process goes one step further on its way out.
     pub fn leave_by(&self, how: Leaving) {
-        self.end.set(how);
+        let before = self.end.replace(how);
+        tracing::info!("on its way out: {before:?}, now {how:?}");
         if !matches!(how, Leaving::Not | Leaving::Alone) {
             self.closing.send_replace(true);
         }
--- a/src/net/runtime/effects.rs
+++ b/src/net/runtime/effects.rs
@@ -59,10 +59,13 @@
     }
 }
 
-/// Logs an effect in one line at the level `trace`.
+/// Logs an effect in one line at the level `trace`, and each further attempt at the level `debug`.
 fn trace_effect(effect: &Effect) {
     match effect {
         Effect::Send(s) => {
+            if s.is_retry {
+                tracing::debug!("request {} goes out again, attempt {} to {}", s.id.0 .0, s.id.1, s.engine.0);
+            }
             tracing::trace!("send {}.{} to {} for {:.0} ms", s.id.0 .0, s.id.1, s.engine.0, s.budget)
         }
         Effect::GiveUp((id, n), engine, _) => tracing::trace!("give up {}.{n} on {}", id.0, engine.0),
