A reload whose file cannot be used is tried again for five seconds

Cause: SIGHUP read the file once; where that failed for a moment (no descriptor, a file that is being replaced) the signal was forgotten, and the gateway asked the old name service for ever. Change: the file is read again every 200 ms, 25 times at most; the log tells the first failure and that it is given up.

--- a/src/net/runtime/mod.rs
+++ b/src/net/runtime/mod.rs
@@ -31,6 +31,7 @@
 use crate::net::log;
 use crate::net::tasks::{TaskName, Tasks};
 use inputs::{Inputs, Optional, Timers, Wake};
+use reload::PendingReload;
 pub use signals::Signals;
 use starlingplank_operation::lives::Stage;
 use startup::Started;
@@ -94,6 +95,8 @@
     settled: bool,
     /// The name service has answered.
     list_received: bool,
+    /// A reload whose file could not be used yet.
+    pending_reload: Option<PendingReload>,
     /// How far this process is, where the others could not be told.
     unpublished: Cell<Option<Stage>>,
     statistics: LoopStatistics,
@@ -135,6 +138,9 @@
             let due_at = self.core.next_due();
             let wake = inputs.next(self.wake_by(due_at), self.optional_inputs()).await;
             self.desk.pauses.alive(Instant::now());
+            if self.reload_is_due() {
+                self.reload(reload());
+            }
             let mut events = Vec::new();
             self.handle_wake(wake, reload, &mut events);
             inputs.drain_events(&mut events, self.desk.limits.queue);
@@ -160,10 +166,11 @@
 
     /// When the loop goes on at the latest.
     fn wake_by(&self, due_at: Option<Ms>) -> Instant {
-        match due_at {
+        let due: Instant = match due_at {
             Some(at) => self.desk.clock.instant(at).into(),
             None => Instant::now() + self.desk.limits.sweep,
-        }
+        };
+        self.pending_reload.map_or(due, |pending| pending.due().min(due))
     }
 
     fn optional_inputs(&self) -> Optional {
@@ -188,7 +195,7 @@
             Wake::Call((call, reply_to)) => drop(reply_to.send(self.answer_call(call, events))),
             Wake::MaintainKnowledge => events.push(Event::Tend),
             Wake::Snapshot => self.write_snapshot(),
-            Wake::Reload => self.reload(reload()),
+            Wake::Reload => self.begin_reload(reload()),
             Wake::Terminate => self.begin_termination(events),
             Wake::TaskFailed(name) => self.end_after_failure(name, events),
         }
--- a/src/net/runtime/startup.rs
+++ b/src/net/runtime/startup.rs
@@ -80,6 +80,7 @@
         settled: false,
         list_received: false,
         unpublished: Cell::new(None),
+        pending_reload: None,
         statistics: LoopStatistics::default(),
     };
     let inherited = gateway.inherit_from_peers().await;
