Soak starts gateways as the deploy file does

The deploy file's shell ignores SIGHUP until the program handles it; the soak started the program without that shell. Change: it uses the same line.

--- a/crates/lab/src/soak/process.rs
+++ b/crates/lab/src/soak/process.rs
@@ -19,6 +19,8 @@
     errors: Vec<String>,
 }
 
+/// As the deploy file starts it: SIGHUP does nothing until the program handles it.
+const RUN_LINE: &str = "trap '' HUP; exec \"$0\" serve";
 /// Lines of errors that are kept.
 const ERRORS: usize = 20;
 
@@ -43,8 +45,9 @@
         let folder = stage.folder.join(format!("g{gateway}"));
         std::fs::create_dir_all(&folder)?;
         let switch = folder.join("faults");
-        let mut child = Command::new(&stage.program)
-            .arg("serve")
+        let mut child = Command::new("sh")
+            .args(["-c", RUN_LINE])
+            .arg(&stage.program)
             .env("PROXY_CONFIG", folder.join("config.json"))
             .env("TMPDIR", &folder)
             .env("LD_PRELOAD", &stage.faults_library)
