What one process of a gateway heard or was told counts by the clock of the next

Cause (read, no failing play): drains that a process heard and operators' calls back are written as Unix times of the writer's clock, which is anchored at its start. After a step of the wall clock between two starts, drains would bind for ever or not at all, and an engine called back would restart its slow start with each list, for as long as the step. Change: what is taken over from a running process binds from now; calls are never later than now.

--- a/crates/operation/src/hand.rs
+++ b/crates/operation/src/hand.rs
@@ -73,6 +73,14 @@
         }
     }
 
+    /// The same by a clock that shows this time: nothing was called out or back later. Another process of the gateway may
+    /// have written it, whose clock differs by a step of the wall clock.
+    pub fn not_after(mut self, now: Ms) -> Self {
+        self.out.values_mut().for_each(|at| *at = at.min(now));
+        self.back.values_mut().for_each(|(out, back)| (*out, *back) = (out.min(now), back.min(now)));
+        self
+    }
+
     /// Whether it is out.
     pub fn is_out(&self, id: &str) -> bool {
         self.out.contains_key(id)
--- a/crates/operation/src/hand/tests.rs
+++ b/crates/operation/src/hand/tests.rs
@@ -51,6 +51,15 @@
     assert_eq!(Hand::decode(&newer), Err(FrameError::Newer(2, 1)));
 }
 
+#[test]
+fn call_back_by_a_clock_that_was_ahead_is_one_of_now() {
+    let mut hand = Hand::default();
+    hand.exclude("s-1", true, 3_600_000.0).expect("listed");
+    hand.include("s-1", true, 3_600_001.0).expect("out");
+    let hand = hand.not_after(1_000.0);
+    assert_eq!(hand.started("s-1", None), Some(1_000.0));
+}
+
 /// These bytes were written down by hand: the file's form is a promise.
 #[test]
 fn file_form_stays() {
--- a/crates/operation/src/heard.rs
+++ b/crates/operation/src/heard.rs
@@ -64,6 +64,12 @@
         Self { at, out: out.into_iter().collect() }
     }
 
+    /// As a process that starts now takes it over from one that still runs. Their clocks may differ by any step of the wall
+    /// clock, so that it binds from now.
+    pub fn taken_over(self, now: Ms) -> Self {
+        Self { at: now, ..self }
+    }
+
     /// Until when it binds, unless the service is heard before.
     pub fn until(&self) -> Ms {
         self.at + BINDS
--- a/crates/operation/src/heard/tests.rs
+++ b/crates/operation/src/heard/tests.rs
@@ -41,6 +41,15 @@
     assert!(matches!(many.encode(), Err(FrameError::TooLarge(..))));
 }
 
+#[test]
+fn what_is_taken_over_binds_for_its_time_whatever_the_clock_of_the_other_process_shows() {
+    for step in [-3_600_000.0, 0.0, 3_600_000.0] {
+        let now = 5_000_000.0;
+        let heard = Heard::new(now + step, ["s-1".to_owned()]).taken_over(now);
+        assert!(heard.keeps_out("s-1", now + BINDS - 1.0) && !heard.keeps_out("s-1", now + BINDS));
+    }
+}
+
 /// These bytes were written down by hand: the file's form is a promise.
 #[test]
 fn file_form_stays() {
--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -129,7 +129,7 @@
 
     /// Replaces the operator override.
     pub(super) fn override_membership(&mut self, now: Ms, hand: Hand, effects: &mut Vec<Effect>) {
-        self.operator_override = hand;
+        self.operator_override = hand.not_after(now);
         self.rebuild_engines(now, effects);
     }
 
--- a/src/net/runtime/startup.rs
+++ b/src/net/runtime/startup.rs
@@ -155,7 +155,7 @@
         }
         // Without a list service the list at the start is the list.
         let heard = handover.heard().filter(|_| config.names.is_some());
-        inherited.extend(heard.map(Event::Earlier));
+        inherited.extend(heard.map(|heard| Event::Earlier(heard.taken_over(clock.now()))));
         inherited
     }
 
