--- a/tests/deadlines.rs
+++ b/tests/deadlines.rs
@@ -3,6 +3,7 @@
 mod stand;
 
 use rstest::rstest;
+use stand::faults::Faults;
 use stand::requests::*;
 use stand::*;
 use std::io::Write;
@@ -131,6 +132,39 @@
     assert!(told <= left + SLACK, "{told:?} was told, {left:?} were left");
 }
 
+/// Three at once: the process stands still, a connection comes, and as it goes on `accept` fails for a while.
+#[test]
+fn deadline_counts_from_the_pause_though_the_connection_is_accepted_long_after_it() {
+    const PAUSE: Duration = Duration::from_millis(600);
+    const FAILING: Duration = Duration::from_millis(120);
+    let arrived = Arc::new(Mutex::new(None));
+    let seen = arrived.clone();
+    let (at, _log) = resp_engine(move |parts| {
+        if parts[0] == "want" {
+            *seen.lock().expect("seen") = Some((Instant::now(), told(parts).expect("a budget")));
+        }
+        served(parts)
+    });
+    let faults = Faults::new("accept=1");
+    let config = never_late(&config(&[at], "resp", 60_000));
+    let gateway = Gateway::start_with_faults(&config, &faults);
+    gateway.stop();
+    faults.begin();
+    let mut client = gateway.client();
+    let fields = [("verb", "lookup"), ("txn", &*name(1)), ("limit", &*LIMIT.to_string())];
+    let sent = Instant::now();
+    client.write_all(&call(1, &fields, "select 1")).expect("sent");
+    std::thread::sleep(PAUSE);
+    gateway.resume();
+    faults.until_happened("accept");
+    std::thread::sleep(FAILING);
+    faults.end();
+    assert_eq!(answer(&mut client).1, "served");
+    let (at, told) = arrived.lock().expect("seen").expect("it arrived");
+    let left = Duration::from_millis(LIMIT).saturating_sub(at - sent);
+    assert!(told <= left + SLACK, "{told:?} was told, {left:?} were left");
+}
+
 /// Over HTTP the time is told in seconds, and not rounded up past the slack.
 #[rstest]
 #[case::between_two_seconds("1.3")]
