The listener's queue remembers a pause for as long as connections wait in it

Cause: a pause of the process counted for what is read within 50 ms after it; a connection that waited through the pause and then through failing accepts counted from the first failure. Change: the time since when the queue may hold connections is asked of the pause detector as well.

--- a/src/net/runtime/listeners.rs
+++ b/src/net/runtime/listeners.rs
@@ -78,9 +78,9 @@
 }
 
 impl ListenerQueue {
-    /// Connections are not taken for the moment.
-    fn is_behind(&mut self) {
-        self.behind_since.get_or_insert_with(Instant::now);
+    /// Connections are not taken for the moment; those that wait came at that time, at the earliest.
+    fn is_behind(&mut self, earliest: Instant) {
+        self.behind_since.get_or_insert(earliest);
     }
 
     /// None is waiting.
@@ -89,8 +89,8 @@
     }
 
     /// When a connection that is accepted now came, at the earliest.
-    fn arrived(&self) -> Instant {
-        self.behind_since.unwrap_or_else(Instant::now)
+    fn arrived(&self, earliest: Instant) -> Instant {
+        self.behind_since.unwrap_or(earliest)
     }
 }
 
@@ -122,11 +122,11 @@
         loop {
             let accepted = tokio::select! {
                 biased;
-                _ = closing.wait_for(|closing| *closing) => return queue.arrived(),
+                _ = closing.wait_for(|closing| *closing) => return queue.arrived(self.earliest()),
                 accepted = self.accept_one(listener, &mut queue) => accepted,
             };
             match accepted {
-                (place, Ok(stream)) => self.spawn(stream, place, queue.arrived()),
+                (place, Ok(stream)) => self.spawn(stream, place, queue.arrived(self.earliest())),
                 // Out of descriptors, or the client left again: others may still be served.
                 (_, Err(e)) => {
                     log::seldom_error("a connection cannot be accepted", &e);
@@ -136,6 +136,11 @@
         }
     }
 
+    /// When what arrives now came, at the earliest: it may have come in a pause of the process.
+    fn earliest(&self) -> Instant {
+        self.desk.pauses.arrived(Instant::now())
+    }
+
     async fn accept_one(
         &self,
         listener: &TcpListener,
@@ -145,7 +150,7 @@
         let place = match places.clone().try_acquire_owned() {
             Ok(place) => Ok(place),
             Err(_) => {
-                queue.is_behind();
+                queue.is_behind(self.earliest());
                 places.acquire_owned().await
             }
         };
@@ -163,7 +168,7 @@
                 (place, Ok(stream))
             }
             Err(e) => {
-                queue.is_behind();
+                queue.is_behind(self.earliest());
                 (place, Err(e))
             }
         }
