A client's connection stands in a file of its own

front/mod.rs held the desk and the connection; the connection is front/seat.rs now, with words for what the desk asks of it. No behaviour changes.

--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -2,23 +2,23 @@
 
 pub mod clickhouse;
 pub mod rules;
+mod seat;
 pub mod thrift;
 
+pub use seat::Seat;
+
 use crate::core::{Answer, Ask, Event, Rows, Statement};
 use crate::interface::{ClassId, DataSet, Incoming, Ms, RequestId, Settings, TenantId};
 use crate::limits::Limits;
-use crate::net::conn::{Close, Common, Inbox, Outbox};
-use crate::net::frame::Frame;
+use crate::net::conn::{Common, Outbox};
 use crate::net::pause::PauseDetector;
 use crate::net::sql;
-use starlingplank_decision::permission::close::{may_close, may_cut_off, ConnectionFacts};
 use starlingplank_operation::figures::Count;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
-use tokio::net::TcpStream;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::{watch, Notify, Semaphore};
 use tokio::time::{timeout_at, Instant};
@@ -108,160 +108,6 @@
     Last,
 }
 
-/// A client's connection.
-pub struct Seat {
-    /// What waits to be written.
-    pub out: Rc<Outbox>,
-    end: Rc<Cell<Leaving>>,
-    /// It was answered since this process began to leave.
-    done: Cell<bool>,
-    opened: Instant,
-    /// When it came, at the earliest, until what came with it is read: it may have waited for room.
-    came: Cell<Option<Instant>>,
-    /// It was read from.
-    read: Cell<bool>,
-    /// Another client waits for its place.
-    give_way: Cell<bool>,
-    /// Its client closed the connection, or it broke.
-    left: Cell<bool>,
-    open: Cell<usize>,
-    answered: Cell<bool>,
-    /// When it connected, asked or was answered last.
-    active: Cell<Instant>,
-}
-
-impl Seat {
-    /// It came at that time, at the earliest.
-    pub fn came(&self, at: Instant) {
-        self.came.set(Some(at));
-    }
-
-    /// A request was taken from it.
-    pub fn asked(&self) {
-        self.open.set(self.open.get() + 1);
-        self.active.set(Instant::now());
-    }
-
-    /// A request that was taken from it has ended.
-    pub fn ended(&self) {
-        self.open.set(self.open.get().saturating_sub(1));
-        self.active.set(Instant::now());
-    }
-
-    /// Says something to the client.
-    pub fn say(&self, frame: Frame, limits: &Limits) {
-        self.answered.set(true);
-        self.done.set(self.leaving());
-        self.active.set(Instant::now());
-        self.out.push(frame, limits);
-    }
-
-    /// Reads more; false once the connection is of no more use. Guards against clients that say nothing, stop
-    /// inside a message, or ask for nothing that has an answer: they are told so by a close, and soon.
-    pub async fn read(&self, inbox: &mut Inbox, stream: &TcpStream, limits: &Limits) -> bool {
-        if self.read.replace(true) {
-            // What came with the connection is used.
-            self.came.set(None);
-        }
-        loop {
-            if self.is_over(inbox, stream) {
-                tracing::debug!(
-                    "a client's connection is closed: this process leaves ({:?})",
-                    self.end.get()
-                );
-                return false;
-            }
-            if self.gives_way(inbox, stream) {
-                tracing::debug!("a client's connection is closed: another client needs its place");
-                return false;
-            }
-            let unanswered = Some(self.opened).filter(|_| !self.answered.get());
-            let silent = unanswered.into_iter().chain(inbox.since()).min().map(|at| at + limits.front_silent);
-            let until = silent.unwrap_or(self.active.get() + limits.front_idle);
-            // What is open is waited for, whatever else the client does.
-            let until = match self.open.get() {
-                0 if until <= Instant::now() => match may_cut_off(&self.written_facts(inbox, stream)) {
-                    Ok(()) => {
-                        let kind = if silent.is_some() { "it is silent" } else { "it is idle" };
-                        tracing::debug!("a client's connection is closed: {kind}");
-                        return false;
-                    }
-                    // What has arrived may be the rest of a request, or a whole one.
-                    Err(_) => Instant::now() + limits.front_grace,
-                },
-                0 => until,
-                _ => Instant::now() + limits.front_silent,
-            };
-            tokio::select! {
-                filled = timeout_at(until, inbox.fill(stream, limits)) => {
-                    if let Ok(filled) = filled {
-                        let more = matches!(filled, Ok(true));
-                        self.left.set(!more);
-                        return more;
-                    }
-                }
-                () = self.out.nudged() => {}
-            }
-        }
-    }
-
-    /// Its client has closed the connection, or it broke.
-    pub fn has_gone(&self) {
-        self.left.set(true);
-    }
-
-    /// Whether its client has closed the connection, or it broke.
-    pub fn gone(&self) -> bool {
-        self.left.get()
-    }
-
-    /// Whether what this client asks next is for another process.
-    pub fn leaving(&self) -> bool {
-        !matches!(self.end.get(), Leaving::Not | Leaving::Alone)
-    }
-
-    /// Whether it ends now, as this process is leaving. What has just arrived is answered first: a request that
-    /// meets a closed connection has to be sent again.
-    fn is_over(&self, inbox: &Inbox, stream: &TcpStream) -> bool {
-        let due = match self.end.get() {
-            Leaving::Not | Leaving::Alone => false,
-            Leaving::AfterAnswer => self.done.get(),
-            Leaving::Idle | Leaving::Last => true,
-        };
-        due && !self.out.closing() && may_close(&self.facts(inbox, stream)).is_ok()
-    }
-
-    /// Whether it ends now, as another client waits for its place. One at which something has arrived does not.
-    fn gives_way(&self, inbox: &Inbox, stream: &TcpStream) -> bool {
-        let gives_way = self.give_way.take() && may_close(&self.facts(inbox, stream)).is_ok();
-        if gives_way {
-            self.out.close(Close::Now);
-        }
-        gives_way
-    }
-
-    fn facts(&self, inbox: &Inbox, stream: &TcpStream) -> ConnectionFacts {
-        ConnectionFacts {
-            open_requests: self.open.get(),
-            unwritten: self.out.waiting(),
-            incomplete: inbox.unread().len(),
-            // Where the system does not tell, something may have arrived.
-            unread: rustix::io::ioctl_fionread(stream).map_or(1, |bytes| bytes as usize),
-        }
-    }
-
-    /// The same, where what waits to be written does not keep it: it is written as the connection ends.
-    fn written_facts(&self, inbox: &Inbox, stream: &TcpStream) -> ConnectionFacts {
-        ConnectionFacts { unwritten: 0, ..self.facts(inbox, stream) }
-    }
-
-    /// Since when nothing has been open and nothing has waited to be written.
-    fn idle(&self) -> Option<Instant> {
-        let idle = self.open.get() == 0 && self.out.waiting() == 0 && !self.out.closing();
-        idle.then_some(self.active.get())
-    }
-}
-
 impl Desk {
     /// Nobody waits yet.
     pub fn new(settings: Rc<Settings>, limits: Rc<Limits>, events: Sender<Event>) -> Rc<Self> {
@@ -295,14 +141,13 @@
                 .seats
                 .borrow()
                 .iter()
-                .filter(|s| !s.give_way.get())
+                .filter(|s| !s.is_asked_for_place())
                 .filter_map(|s| s.idle().map(|at| (at, s.clone())))
                 .min_by_key(|x| x.0);
             let again = match longest {
                 Some((at, seat)) if at.elapsed() >= self.limits.front_grace => {
                     // It looks first whether something has arrived; if so another one is asked.
-                    seat.give_way.set(true);
-                    seat.out.nudge();
+                    seat.ask_for_place();
                     Instant::now() + self.limits.front_grace
                 }
                 Some((at, _)) => at + self.limits.front_grace,
@@ -314,11 +159,7 @@
             }
         }
         let out = Rc::new(Outbox::new(self.common.clone()));
-        let (open, answered, opened) = (Cell::new(0), Cell::new(false), Instant::now());
-        let (end, done, active) = (self.end.clone(), Cell::new(false), Cell::new(opened));
-        let (left, give_way, read, came) = Default::default();
-        let seat =
-            Rc::new(Seat { out, end, done, opened, came, read, give_way, left, open, answered, active });
+        let seat = Rc::new(Seat::new(out, self.end.clone()));
         self.seats.borrow_mut().push(seat.clone());
         Some(seat)
     }
@@ -368,7 +209,7 @@
     /// When what is read now from a connection arrived, at the earliest.
     pub fn arrival_time(&self, seat: &Seat) -> Ms {
         let now = Instant::now();
-        let arrived = self.pauses.arrived(now).min(seat.came.get().unwrap_or(now));
+        let arrived = self.pauses.arrived(now).min(seat.earliest_arrival().unwrap_or(now));
         let age = now.saturating_duration_since(arrived);
         self.clock.now() - age.as_secs_f64() * 1000.0
     }
--- /dev/null
+++ b/src/net/front/seat.rs
@@ -0,0 +1,189 @@
+//! A client's connection as a front holds it: what is open on it, and when it ends.
+
+use crate::limits::Limits;
+use crate::net::conn::{Close, Inbox, Outbox};
+use crate::net::frame::Frame;
+use crate::net::front::Leaving;
+use starlingplank_decision::permission::close::{may_close, may_cut_off, ConnectionFacts};
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::time::{timeout_at, Instant};
+
+/// A client's connection.
+pub struct Seat {
+    /// What waits to be written.
+    pub out: Rc<Outbox>,
+    end: Rc<Cell<Leaving>>,
+    /// It was answered since this process began to leave.
+    done: Cell<bool>,
+    opened: Instant,
+    /// When it came, at the earliest, until what came with it is read: it may have waited for room.
+    came: Cell<Option<Instant>>,
+    /// It was read from.
+    read: Cell<bool>,
+    /// Another client waits for its place.
+    give_way: Cell<bool>,
+    /// Its client closed the connection, or it broke.
+    left: Cell<bool>,
+    open: Cell<usize>,
+    answered: Cell<bool>,
+    /// When it connected, asked or was answered last.
+    active: Cell<Instant>,
+}
+
+impl Seat {
+    /// A connection that has just been taken.
+    pub fn new(out: Rc<Outbox>, end: Rc<Cell<Leaving>>) -> Self {
+        let opened = Instant::now();
+        let (done, left, give_way, read, came, open, answered) = Default::default();
+        let active = Cell::new(opened);
+        Self { out, end, done, opened, came, read, give_way, left, open, answered, active }
+    }
+
+    /// Another client waits for its place. It looks first whether something has arrived.
+    pub fn ask_for_place(&self) {
+        self.give_way.set(true);
+        self.out.nudge();
+    }
+
+    /// Whether it was asked for its place, and has not looked yet.
+    pub fn is_asked_for_place(&self) -> bool {
+        self.give_way.get()
+    }
+
+    /// When what is read now may have come with the connection; none: it came later.
+    pub fn earliest_arrival(&self) -> Option<Instant> {
+        self.came.get()
+    }
+
+    /// It came at that time, at the earliest.
+    pub fn came(&self, at: Instant) {
+        self.came.set(Some(at));
+    }
+
+    /// A request was taken from it.
+    pub fn asked(&self) {
+        self.open.set(self.open.get() + 1);
+        self.active.set(Instant::now());
+    }
+
+    /// A request that was taken from it has ended.
+    pub fn ended(&self) {
+        self.open.set(self.open.get().saturating_sub(1));
+        self.active.set(Instant::now());
+    }
+
+    /// Says something to the client.
+    pub fn say(&self, frame: Frame, limits: &Limits) {
+        self.answered.set(true);
+        self.done.set(self.leaving());
+        self.active.set(Instant::now());
+        self.out.push(frame, limits);
+    }
+
+    /// Reads more; false once the connection is of no more use. Guards against clients that say nothing, stop
+    /// inside a message, or ask for nothing that has an answer: they are told so by a close, and soon.
+    pub async fn read(&self, inbox: &mut Inbox, stream: &TcpStream, limits: &Limits) -> bool {
+        if self.read.replace(true) {
+            // What came with the connection is used.
+            self.came.set(None);
+        }
+        loop {
+            if self.is_over(inbox, stream) {
+                tracing::debug!(
+                    "a client's connection is closed: this process leaves ({:?})",
+                    self.end.get()
+                );
+                return false;
+            }
+            if self.gives_way(inbox, stream) {
+                tracing::debug!("a client's connection is closed: another client needs its place");
+                return false;
+            }
+            let unanswered = Some(self.opened).filter(|_| !self.answered.get());
+            let silent = unanswered.into_iter().chain(inbox.since()).min().map(|at| at + limits.front_silent);
+            let until = silent.unwrap_or(self.active.get() + limits.front_idle);
+            // What is open is waited for, whatever else the client does.
+            let until = match self.open.get() {
+                0 if until <= Instant::now() => match may_cut_off(&self.written_facts(inbox, stream)) {
+                    Ok(()) => {
+                        let kind = if silent.is_some() { "it is silent" } else { "it is idle" };
+                        tracing::debug!("a client's connection is closed: {kind}");
+                        return false;
+                    }
+                    // What has arrived may be the rest of a request, or a whole one.
+                    Err(_) => Instant::now() + limits.front_grace,
+                },
+                0 => until,
+                _ => Instant::now() + limits.front_silent,
+            };
+            tokio::select! {
+                filled = timeout_at(until, inbox.fill(stream, limits)) => {
+                    if let Ok(filled) = filled {
+                        let more = matches!(filled, Ok(true));
+                        self.left.set(!more);
+                        return more;
+                    }
+                }
+                () = self.out.nudged() => {}
+            }
+        }
+    }
+
+    /// Its client has closed the connection, or it broke.
+    pub fn has_gone(&self) {
+        self.left.set(true);
+    }
+
+    /// Whether its client has closed the connection, or it broke.
+    pub fn gone(&self) -> bool {
+        self.left.get()
+    }
+
+    /// Whether what this client asks next is for another process.
+    pub fn leaving(&self) -> bool {
+        !matches!(self.end.get(), Leaving::Not | Leaving::Alone)
+    }
+
+    /// Whether it ends now, as this process is leaving. What has just arrived is answered first: a request that
+    /// meets a closed connection has to be sent again.
+    fn is_over(&self, inbox: &Inbox, stream: &TcpStream) -> bool {
+        let due = match self.end.get() {
+            Leaving::Not | Leaving::Alone => false,
+            Leaving::AfterAnswer => self.done.get(),
+            Leaving::Idle | Leaving::Last => true,
+        };
+        due && !self.out.closing() && may_close(&self.facts(inbox, stream)).is_ok()
+    }
+
+    /// Whether it ends now, as another client waits for its place. One at which something has arrived does not.
+    fn gives_way(&self, inbox: &Inbox, stream: &TcpStream) -> bool {
+        let gives_way = self.give_way.take() && may_close(&self.facts(inbox, stream)).is_ok();
+        if gives_way {
+            self.out.close(Close::Now);
+        }
+        gives_way
+    }
+
+    fn facts(&self, inbox: &Inbox, stream: &TcpStream) -> ConnectionFacts {
+        ConnectionFacts {
+            open_requests: self.open.get(),
+            unwritten: self.out.waiting(),
+            incomplete: inbox.unread().len(),
+            // Where the system does not tell, something may have arrived.
+            unread: rustix::io::ioctl_fionread(stream).map_or(1, |bytes| bytes as usize),
+        }
+    }
+
+    /// The same, where what waits to be written does not keep it: it is written as the connection ends.
+    fn written_facts(&self, inbox: &Inbox, stream: &TcpStream) -> ConnectionFacts {
+        ConnectionFacts { unwritten: 0, ..self.facts(inbox, stream) }
+    }
+
+    /// Since when nothing has been open and nothing has waited to be written.
+    pub fn idle(&self) -> Option<Instant> {
+        let idle = self.open.get() == 0 && self.out.waiting() == 0 && !self.out.closing();
+        idle.then_some(self.active.get())
+    }
+}
