--- a/tests/deadlines.rs
+++ b/tests/deadlines.rs
@@ -7,6 +7,7 @@
 use stand::requests::*;
 use stand::*;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -21,6 +22,28 @@
     budget.parse().ok().map(Duration::from_millis)
 }
 
+/// When a request arrived at its engine, and what that was told.
+type Arrival = (Instant, Duration);
+
+/// What was told is at most what was left of the client's time.
+fn assert_not_over(sent: Instant, (at, told): Arrival) {
+    let left = Duration::from_millis(LIMIT).saturating_sub(at - sent);
+    assert!(told <= left + SLACK, "{told:?} was told, {left:?} were left");
+}
+
+/// An engine that serves everything and notes the last arrival.
+fn engine_that_notes() -> (SocketAddr, Arc<Mutex<Option<Arrival>>>) {
+    let arrived = Arc::new(Mutex::new(None));
+    let seen = arrived.clone();
+    let (at, _) = resp_engine(move |parts| {
+        if parts[0] == "want" {
+            *seen.lock().expect("seen") = Some((Instant::now(), told(parts).expect("a budget")));
+        }
+        served(parts)
+    });
+    (at, arrived)
+}
+
 /// The connection comes up a second after the request was handed to it.
 #[rstest]
 #[case::first_on_its_connection(1)]
@@ -53,9 +76,8 @@
     for _ in 0..requests {
         assert_eq!(answer(&mut client).1, "served");
     }
-    for (at, told) in arrived.lock().expect("seen").iter() {
-        let left = Duration::from_millis(LIMIT).saturating_sub(*at - sent);
-        assert!(*told <= left + SLACK, "{told:?} was told, {left:?} were left");
+    for arrival in arrived.lock().expect("seen").iter() {
+        assert_not_over(sent, *arrival);
     }
 }
 
@@ -65,14 +87,7 @@
 #[case::on_a_new_connection(false)]
 fn deadline_counts_from_when_the_request_arrived_and_not_from_when_it_was_read(#[case] rests: bool) {
     const PAUSE: Duration = Duration::from_millis(600);
-    let arrived = Arc::new(Mutex::new(None));
-    let seen = arrived.clone();
-    let (at, _log) = resp_engine(move |parts| {
-        if parts[0] == "want" {
-            *seen.lock().expect("seen") = Some((Instant::now(), told(parts).expect("a budget")));
-        }
-        served(parts)
-    });
+    let (at, arrived) = engine_that_notes();
     let gateway = Gateway::start(&never_late(&config(&[at], "resp", 60_000)));
     let mut resting = rests.then(|| gateway.client());
     if let Some(client) = &mut resting {
@@ -88,9 +103,8 @@
     std::thread::sleep(PAUSE);
     gateway.resume();
     assert_eq!(answer(&mut client).1, "served");
-    let (at, told) = arrived.lock().expect("seen").expect("it arrived");
-    let left = Duration::from_millis(LIMIT).saturating_sub(at - sent);
-    assert!(told <= left + SLACK, "{told:?} was told, {left:?} were left");
+    let arrival = arrived.lock().expect("seen").expect("it arrived");
+    assert_not_over(sent, arrival);
 }
 
 /// A new client waits until there is room for its connection; its request lies there meanwhile.
@@ -127,9 +141,8 @@
     std::thread::sleep(WAIT);
     crowd.pop();
     assert_eq!(answer(&mut client).1, "served");
-    let (at, told) = arrived.lock().expect("seen").expect("it arrived");
-    let left = Duration::from_millis(LIMIT).saturating_sub(at - sent);
-    assert!(told <= left + SLACK, "{told:?} was told, {left:?} were left");
+    let arrival = arrived.lock().expect("seen").expect("it arrived");
+    assert_not_over(sent, arrival);
 }
 
 /// Three at once: the process stands still, a connection comes, and as it goes on `accept` fails for a while.
@@ -137,14 +150,7 @@
 fn deadline_counts_from_the_pause_though_the_connection_is_accepted_long_after_it() {
     const PAUSE: Duration = Duration::from_millis(600);
     const FAILING: Duration = Duration::from_millis(120);
-    let arrived = Arc::new(Mutex::new(None));
-    let seen = arrived.clone();
-    let (at, _log) = resp_engine(move |parts| {
-        if parts[0] == "want" {
-            *seen.lock().expect("seen") = Some((Instant::now(), told(parts).expect("a budget")));
-        }
-        served(parts)
-    });
+    let (at, arrived) = engine_that_notes();
     let faults = Faults::new("accept=1");
     let config = never_late(&config(&[at], "resp", 60_000));
     let gateway = Gateway::start_with_faults(&config, &faults);
@@ -160,9 +166,8 @@
     std::thread::sleep(FAILING);
     faults.end();
     assert_eq!(answer(&mut client).1, "served");
-    let (at, told) = arrived.lock().expect("seen").expect("it arrived");
-    let left = Duration::from_millis(LIMIT).saturating_sub(at - sent);
-    assert!(told <= left + SLACK, "{told:?} was told, {left:?} were left");
+    let arrival = arrived.lock().expect("seen").expect("it arrived");
+    assert_not_over(sent, arrival);
 }
 
 /// Over HTTP the time is told in seconds, and not rounded up past the slack.
