A message that has begun is waited for while it goes on, also in a full house

Cause: silence counted from when a connection was made until it was first answered, and within a message from its first byte; a connection that could not give way to another client was asked again and again before all others, so that new clients waited. Change: silence counts from the last byte of a message that has begun; a message is whole within 6 s; who did not give way is asked last.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -52,6 +52,8 @@
     pub front_idle: Duration,
     /// One that was never answered and has nothing open, or that stops inside a message, is closed after this.
     pub front_silent: Duration,
+    /// A message that comes in pieces is whole by then, from its first byte.
+    pub front_message: Duration,
     /// No connection is closed to make room for another before it has been idle this long.
     pub front_grace: Duration,
     /// A new connection for which no room is made by then is closed.
@@ -169,6 +171,7 @@
             idle: ms(f.number_or("limits.idle_close", 15_000.0)? * 0.8),
             front_idle: ms(60_000.0),
             front_silent: ms(1_500.0),
+            front_message: ms(6_000.0),
             front_grace: ms(50.0),
             front_wait: ms(1_000.0),
             close_rest: ms(250.0),
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -395,12 +395,14 @@
     common: Rc<Common>,
     /// When the first of the bytes not yet used came.
     since: Option<Instant>,
+    /// When the last bytes came.
+    filled: Instant,
 }
 
 impl Inbox {
     /// Nothing was read.
     pub fn new(common: Rc<Common>) -> Self {
-        Self { bytes: Vec::new(), from: 0, counted: 0, common, since: None }
+        Self { bytes: Vec::new(), from: 0, counted: 0, common, since: None, filled: Instant::now() }
     }
 
     /// Since when a message has been incomplete.
@@ -408,6 +410,11 @@
         self.since.filter(|_| !self.unread().is_empty())
     }
 
+    /// When the last bytes came.
+    pub fn last_filled(&self) -> Instant {
+        self.filled
+    }
+
     /// What is not yet used.
     pub fn unread(&self) -> &[u8] {
         &self.bytes[self.from..]
@@ -434,7 +441,8 @@
             match stream.try_read_buf(&mut self.bytes) {
                 Ok(n) => {
                     self.count();
-                    self.since = self.since.or_else(|| Some(Instant::now()));
+                    self.filled = Instant::now();
+                    self.since = self.since.or(Some(self.filled));
                     // Many long messages at once must not take the memory of all: the long ones go first.
                     let most = self.common.part(limits.held_bytes);
                     if self.common.held.get() > most && self.counted > 4 * limits.read_bytes {
--- a/src/net/front/seat.rs
+++ b/src/net/front/seat.rs
@@ -101,8 +101,7 @@
                 tracing::debug!("a client's connection is closed: another client needs its place");
                 return false;
             }
-            let unanswered = Some(self.opened).filter(|_| !self.answered.get());
-            let silent = unanswered.into_iter().chain(inbox.since()).min().map(|at| at + limits.front_silent);
+            let silent = self.silent_by(inbox, limits);
             let until = silent.unwrap_or(self.active.get() + limits.front_idle);
             // What is open is waited for, whatever else the client does.
             let until = match self.open.get() {
@@ -131,6 +130,18 @@
         }
     }
 
+    /// By when a client has to go on: with the message that has begun, or with its first one. A message may come in pieces,
+    /// and takes a bounded time in all.
+    fn silent_by(&self, inbox: &Inbox, limits: &Limits) -> Option<Instant> {
+        let unanswered = || Some(self.opened).filter(|_| !self.answered.get());
+        match inbox.since() {
+            Some(begun) => {
+                Some((inbox.last_filled() + limits.front_silent).min(begun + limits.front_message))
+            }
+            None => unanswered().map(|at| at + limits.front_silent),
+        }
+    }
+
     /// Its client has closed the connection, or it broke.
     pub fn has_gone(&self) {
         self.left.set(true);
@@ -159,9 +170,14 @@
 
     /// Whether it ends now, as another client waits for its place. One at which something has arrived does not.
     fn gives_way(&self, inbox: &Inbox, stream: &TcpStream) -> bool {
-        let gives_way = self.give_way.take() && may_close(&self.facts(inbox, stream)).is_ok();
-        if gives_way {
-            self.out.close(Close::Now);
+        if !self.give_way.take() {
+            return false;
+        }
+        let gives_way = may_close(&self.facts(inbox, stream)).is_ok();
+        match gives_way {
+            true => self.out.close(Close::Now),
+            // It is in use: others are asked before it from now on.
+            false => self.active.set(Instant::now()),
         }
         gives_way
     }
