--- a/tests/deadlines.rs
+++ b/tests/deadlines.rs
@@ -145,6 +145,23 @@
     assert_not_over(sent, arrival);
 }
 
+/// A client connects long before it asks: its request has not waited.
+#[test]
+fn deadline_counts_from_when_the_request_arrived_and_not_from_when_its_connection_was_made() {
+    const RESTS: Duration = Duration::from_millis(1_200);
+    let (at, arrived) = engine_that_notes();
+    let gateway = Gateway::start(&never_late(&config(&[at], "resp", 60_000)));
+    let mut client = gateway.client();
+    std::thread::sleep(RESTS);
+    let fields = [("verb", "lookup"), ("txn", &*name(1)), ("limit", &*LIMIT.to_string())];
+    let sent = Instant::now();
+    client.write_all(&call(1, &fields, "select 1")).expect("sent");
+    assert_eq!(answer(&mut client).1, "served");
+    let (at, told) = arrived.lock().expect("seen").expect("it arrived");
+    let left = Duration::from_millis(LIMIT).saturating_sub(at - sent);
+    assert!(told + SLACK >= left, "{told:?} was told, {left:?} were left");
+}
+
 /// Three at once: the process stands still, a connection comes, and as it goes on `accept` fails for a while.
 #[test]
 fn deadline_counts_from_the_pause_though_the_connection_is_accepted_long_after_it() {
