Only what lies in a new connection before its first read may have come with it

Cause: the mend for connections that wait for room took the first request of every connection for as old as the connection; a client that connected and asked later lost that much of its time. Change: the time at which a connection came counts only for what lies in its socket before the first read.

--- a/src/net/front/seat.rs
+++ b/src/net/front/seat.rs
@@ -85,8 +85,9 @@
     /// Reads more; false once the connection is of no more use. Guards against clients that say nothing, stop
     /// inside a message, or ask for nothing that has an answer: they are told so by a close, and soon.
     pub async fn read(&self, inbox: &mut Inbox, stream: &TcpStream, limits: &Limits) -> bool {
-        if self.read.replace(true) {
-            // What came with the connection is used.
+        // Only what lies there before the first read may have come with the connection.
+        let is_first = !self.read.replace(true);
+        if !is_first || self.facts(inbox, stream).unread == 0 {
             self.came.set(None);
         }
         loop {
