--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -99,9 +99,27 @@
             eprintln!("  process {:?}", lives.and_then(|l| l.get(request.incarnation as usize)));
         }
     }
+    report_after_the_troubles(played);
     played.errors.iter().for_each(|line| eprintln!("logged: {line}"));
 }
 
+/// What gateways that do not serve again in the end did with the last requests.
+fn report_after_the_troubles(played: &Played) {
+    let ledger = &played.ledger;
+    let short = ledger.recovered.iter().enumerate().filter(|(_, (served, of))| served < of);
+    for (gateway, _) in short {
+        let last =
+            ledger.requests.iter().filter(|(_, r)| r.gateway == gateway && r.sent > ledger.last_trouble);
+        for (txn, request) in last.filter(|(_, r)| !matches!(r.end, RequestEnd::Answered(_, Answer::Served)))
+        {
+            eprintln!(
+                "gateway {gateway} after the troubles: {txn} {request:?} {:?}",
+                ledger.attempts.get(txn)
+            );
+        }
+    }
+}
+
 fn figures(plan: &Plan, played: &Played) -> serde_json::Value {
     let ends = || played.ledger.requests.values().map(|r| r.end);
     let answered =
