--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -47,6 +47,12 @@
         (self.engines.len(), self.engines.len() - used.count())
     }
 
+    /// The ids of the members that drain.
+    pub fn draining(&self) -> Vec<&str> {
+        let drains = |(_, l): &(&EngineId, &Listed)| l.member.availability != Availability::Live;
+        self.engines.iter().filter(drains).map(|(id, _)| &*id.0).collect()
+    }
+
     /// Rejects requests until the name service answers, unless a membership is known. For gateways with a name service.
     pub fn await_list(&mut self, now: Ms) {
         if self.service_members.is_empty() && self.service_heard_at.is_none() {
--- a/src/net/names.rs
+++ b/src/net/names.rs
@@ -6,10 +6,14 @@
 use crate::limits::Limits;
 use crate::net::conn::Retry;
 use crate::net::log;
+use starlingplank_membership::age::ListAge;
+use starlingplank_membership::answers::{AnswerCounts, AnswerKind};
 use starlingplank_pacing::list::{self, ListPace, Rules};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::Sender;
@@ -169,6 +173,66 @@
     Some(Answered { id, serial: records.serial?, list })
 }
 
+/// What is told of the questions and answers of a process: counts since its start, and how old its list is.
+#[derive(Debug)]
+pub struct DiscoveryReport {
+    begun: Instant,
+    counts: AnswerCounts,
+    age: ListAge,
+}
+
+impl DiscoveryReport {
+    /// Of a process that begins now.
+    pub fn new() -> Rc<RefCell<Self>> {
+        Rc::new(RefCell::new(Self {
+            begun: Instant::now(),
+            counts: AnswerCounts::default(),
+            age: ListAge::new(0.0),
+        }))
+    }
+
+    fn now(&self) -> f64 {
+        self.begun.elapsed().as_secs_f64() * 1000.0
+    }
+
+    /// Logs a change of the list's freshness.
+    fn report_change(&mut self) {
+        let now = self.now();
+        if let Some(freshness) = self.age.change(now) {
+            let age = self.age.age(now) / 1000.0;
+            tracing::info!("the list of engines is {freshness}, known as of {age:.2} s ago; {}", self.counts);
+        }
+    }
+
+    fn asked(&mut self) -> f64 {
+        self.report_change();
+        self.counts.count_question();
+        self.now()
+    }
+
+    fn answered(&mut self, kind: AnswerKind, asked_at: Option<f64>) {
+        self.counts.count(kind);
+        if let Some(at) = asked_at.filter(|_| matches!(kind, AnswerKind::News | AnswerKind::Confirmation)) {
+            self.age.confirm(at);
+        }
+        let late = asked_at.map(|at| self.now() - at);
+        tracing::debug!("answer of the name service: {kind:?}, after {late:.1?} ms");
+        self.report_change();
+    }
+
+    fn relocated(&mut self) {
+        let now = self.now();
+        self.age.relocate(now);
+        self.report_change();
+    }
+
+    /// Logs the counts and the age of the list.
+    pub fn log(&self) {
+        let age = self.age.age(self.now()) / 1000.0;
+        tracing::info!("name service: {}; the list is known as of {age:.2} s ago", self.counts);
+    }
+}
+
 /// Asks at a pace that the whole fleet can keep, with a fresh id each time; an answer is taken if it answers one of the last questions
 /// and comes from the address asked. While nothing comes, the list held stays. A new address is asked at once:
 /// its socket is a new one, so that nothing the old address still says is heard. `known` is the number of the list at the
@@ -179,13 +243,15 @@
     settings: &Settings,
     limits: &Limits,
     events: &Sender<Event>,
+    report: &RefCell<DiscoveryReport>,
 ) {
     loop {
         let address = *at.borrow_and_update();
         tokio::select! {
-            () = ask(address, known, settings, limits, events) => return,
+            () = ask(address, known, settings, limits, events, report) => return,
             changed = at.changed() => if changed.is_err() { return },
         }
+        report.borrow_mut().relocated();
     }
 }
 
@@ -224,9 +290,10 @@
     settings: &Settings,
     limits: &Limits,
     events: &Sender<Event>,
+    report: &RefCell<DiscoveryReport>,
 ) {
     let Some(at) = at else { return std::future::pending().await };
-    let mut open: VecDeque<u16> = VecDeque::new();
+    let mut open: VecDeque<(u16, f64)> = VecDeque::new();
     let mut buffer = vec![0; limits.names_bytes];
     let mut socket = loop {
         match open_socket(at).await {
@@ -251,7 +318,7 @@
         tokio::select! {
             () = sleep_until(due) => {
                 let id = fastrand::u16(..);
-                open.push_back(id);
+                open.push_back((id, report.borrow_mut().asked()));
                 if open.len() > limits.names_open {
                     open.pop_front();
                 }
@@ -259,7 +326,7 @@
                 if unanswered >= limits.names_quiet {
                     // The service may be well, and this flow to it lost for good.
                     if let Ok(fresh) = open_socket(at).await {
-                        tracing::debug!("the list is asked for from a new socket");
+                        tracing::info!("the list is asked for from a new socket, after {unanswered} questions without an answer");
                         former = Some(std::mem::replace(&mut socket, fresh));
                         unanswered = 0;
                     }
@@ -273,16 +340,24 @@
                 // A refused datagram shows up here; the next question tries again.
                 let Ok(len) = got else { continue };
                 let Some(answered) = read(&buffer[..len], settings) else {
-                    log::seldom(match is_cut_short(&buffer[..len]) {
+                    let kind = match is_cut_short(&buffer[..len]) {
+                        true => AnswerKind::Truncated,
+                        false => AnswerKind::Unreadable,
+                    };
+                    report.borrow_mut().answered(kind, None);
+                    log::seldom(match kind == AnswerKind::Truncated {
                         true => "an answer of the name service says that it is cut short; the list in use stays",
                         false => "an answer of the name service cannot be read; the list in use stays",
                     });
                     continue;
                 };
-                let asked = open.iter().position(|id| *id == answered.id);
-                if asked.and_then(|at| open.remove(at)).is_none() {
+                let asked = open.iter().position(|(id, _)| *id == answered.id);
+                let Some((_, asked_at)) = asked.and_then(|at| open.remove(at)) else {
+                    report.borrow_mut().answered(AnswerKind::UnknownQuestion, None);
                     continue;
-                }
+                };
+                let kind = AnswerKind::of_version(answered.serial, newest);
+                report.borrow_mut().answered(kind, Some(asked_at));
                 unanswered = 0;
                 if answered.serial >= newest {
                     pace.answered(now());
--- a/src/net/pause.rs
+++ b/src/net/pause.rs
@@ -29,12 +29,14 @@
         Self { last_alive: Cell::new(now), last_pause: Cell::new(None) }
     }
 
-    /// The process runs now.
-    pub fn alive(&self, now: Instant) {
+    /// The process runs now. The length of the pause that ends with this, if there was one.
+    pub fn alive(&self, now: Instant) -> Option<Duration> {
         let from = self.last_alive.replace(now);
-        if now.saturating_duration_since(from) > LONGEST_GAP {
+        let gap = now.saturating_duration_since(from);
+        (gap > LONGEST_GAP).then(|| {
             self.last_pause.set(Some(Pause { from, until: now }));
-        }
+            gap
+        })
     }
 
     /// The earliest time at which something may have arrived that is read now.
--- a/src/net/runtime/cycle.rs
+++ b/src/net/runtime/cycle.rs
@@ -5,6 +5,9 @@
 use crate::interface::Ms;
 use crate::net::runtime::Runtime;
 
+/// Engines that a line of the log names at most.
+const LOGGED_ENGINES: usize = 8;
+
 impl Runtime {
     /// Hands events to the reducer and performs its effects, until no further events arise from them.
     pub fn run_decision_cycles(&mut self, events: impl IntoIterator<Item = Event>) {
@@ -22,10 +25,19 @@
         }
         // The next process starts from the list as this one has last received it.
         if self.core.serial() != serial {
+            self.log_members();
             self.keep.list(&self.core, &self.desk.settings);
         }
     }
 
+    /// Logs the list of engines that is in use from now on.
+    fn log_members(&self) {
+        let (version, draining) = (self.core.serial().unwrap_or(0), self.core.draining());
+        let named = draining.iter().take(LOGGED_ENGINES).collect::<Vec<_>>();
+        let (engines, drain) = (self.core.engines().0, draining.len());
+        tracing::info!("list of engines: version {version}, {engines} engines, {drain} drain {named:?}");
+    }
+
     /// One cycle: the reducer takes the events, and decides once.
     fn decide(&mut self, events: impl Iterator<Item = Event>, effects: &mut Vec<Effect>) {
         let now = self.desk.clock.now();
--- a/src/net/runtime/shutdown.rs
+++ b/src/net/runtime/shutdown.rs
@@ -69,6 +69,9 @@
         self.keep.snapshot(&self.core, self.desk.clock.now());
         self.report_classes();
         self.report_rules();
+        if self.config.names.is_some() {
+            self.discovery.borrow().log();
+        }
         if self.keep.is_on() {
             let _ = timeout(self.desk.limits.term_snapshot, self.keep.finish()).await;
             self.keep.say(self.core.gate().refused());
--- a/src/net/runtime/startup.rs
+++ b/src/net/runtime/startup.rs
@@ -64,6 +64,7 @@
     }
     let mut gateway = Runtime {
         names: watch::Sender::new(config.names),
+        discovery: names::DiscoveryReport::new(),
         config,
         core,
         engines,
@@ -198,11 +199,11 @@
     }
 
     fn poll_names(&self) {
-        let (asked, known) = (self.names.subscribe(), self.config.serial);
+        let (asked, known, report) = (self.names.subscribe(), self.config.serial, self.discovery.clone());
         let (settings, limits, events) =
             (self.desk.settings.clone(), self.desk.limits.clone(), self.events.clone());
         self.tasks.spawn("name service", async move {
-            names::poll(asked, known, &settings, &limits, &events).await;
+            names::poll(asked, known, &settings, &limits, &events, &report).await;
         });
     }
 }
