--- a/crates/pacing/src/list/tests.rs
+++ b/crates/pacing/src/list/tests.rs
@@ -236,3 +236,23 @@
     }
     assert!(sum / all < 1.75 * STEADY, "{} ms", sum / all);
 }
+
+/// Until a gateway has heard anything it cannot know whether answers get lost or the service is silent. It asks on as one that
+/// has heard a moment ago does, for as long, and no more than a fleet may ask at a start.
+#[test]
+fn gateway_that_starts_asks_on_through_lost_answers() {
+    for gateways in [1, 5, 40, 100, 300, 1_000] {
+        let steady = f64::max(STEADY, gateways as f64 / FLEET * 1_000.0);
+        for seed in 0..20 {
+            let mut pace = ListPace::new(rules(gateways, None, STEADY), seed, 0.0);
+            let first = pace.due();
+            let mut before = first;
+            while before < first + PATIENT - steady {
+                pace.asked(before);
+                let gap = pace.due() - before;
+                assert!(gap <= steady + 1e-6, "{gateways}: {gap} ms after a question at {before}");
+                before = pace.due();
+            }
+        }
+    }
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -1,6 +1,7 @@
 //! The program on loopback, and stand-ins for what it speaks with.
 #![allow(dead_code)]
 
+pub mod discovery;
 pub mod faults;
 pub mod requests;
 
