The reducer and the writers ask whether the list of engines may still be relied on

Nothing in the program knew how old its list is: rules.drain_grace was read and used nowhere, so that after a pause of the process, or a long silence of the name service, work went to engines that had long counted as told to drain. A list lease (permission::list_lease) is now one of the facts that permission::send asks for, and is looked at again as the first byte of an attempt leaves (SendPermit::check in Frame::may_leave). While it does not hold all engines are treated as draining, connections stay, and it is logged. What a former address of the name service said since it moved gives way to the present one, whose lower version is taken, while its drains bind (core::membership::FormerAddress).

The clock stands in a file of its own.

--- a/crates/decision/src/permission/mod.rs
+++ b/crates/decision/src/permission/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod close;
 pub mod counters;
+pub mod list_lease;
 pub mod process;
 pub mod send;
 
--- a/crates/decision/src/permission/send.rs
+++ b/crates/decision/src/permission/send.rs
@@ -1,5 +1,6 @@
 //! Whether an attempt may be sent, and whether a request may be refused.
 
+use super::list_lease::ListLease;
 use crate::interface::{Ms, Outcome, Repeat, ZoneId};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -12,6 +13,8 @@
 pub enum SendRefusal {
     /// The request is answered, or its client has disconnected or cancelled it.
     RequestOver,
+    /// The list of engines is older than the rule on drains allows: the engine may drain by now.
+    ListExpired,
     /// The engine drains, was removed, or has no address.
     EngineNotLive,
     /// Its time is over.
@@ -32,8 +35,9 @@
 
 impl SendRefusal {
     /// All reasons, in the order of their numbers.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::RequestOver,
+        Self::ListExpired,
         Self::EngineNotLive,
         Self::DeadlineOver,
         Self::WindowOver,
@@ -48,6 +52,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::RequestOver => "request over",
+            Self::ListExpired => "list expired",
             Self::EngineNotLive => "engine not live",
             Self::DeadlineOver => "deadline over",
             Self::WindowOver => "window over",
@@ -106,6 +111,8 @@
 pub struct SendFacts {
     /// The request waits for its answer, and its client is there.
     pub request_open: bool,
+    /// The list of engines may be relied on.
+    pub list_reliable: bool,
     /// The engine is in the list, takes new work and has an address.
     pub engine_live: bool,
     /// Now.
@@ -133,6 +140,7 @@
 pub fn may_send(facts: &SendFacts) -> Result<(), SendRefusal> {
     let against = [
         (!facts.request_open, SendRefusal::RequestOver),
+        (!facts.list_reliable, SendRefusal::ListExpired),
         (!facts.engine_live, SendRefusal::EngineNotLive),
         (facts.now >= facts.deadline, SendRefusal::DeadlineOver),
         (facts.now >= facts.send_by, SendRefusal::WindowOver),
@@ -143,18 +151,36 @@
     against.iter().find(|(holds, _)| *holds).map_or(Ok(()), |(_, refusal)| Err(*refusal))
 }
 
-/// Permission for one attempt to be written, which ends with the attempt. The writer looks at it as the first byte leaves.
+/// Permission for one attempt to be written, which ends with the attempt, and pauses while the list of engines may not be relied
+/// on. The writer looks at it as the first byte leaves.
 #[derive(Debug, Clone, Default)]
-pub struct SendPermit(Rc<Cell<bool>>);
+pub struct SendPermit {
+    revoked: Rc<Cell<bool>>,
+    list: ListLease,
+}
 
 impl SendPermit {
+    /// For an attempt on an engine of that list.
+    pub fn new(list: ListLease) -> Self {
+        Self { revoked: Rc::default(), list }
+    }
+
     /// The attempt has ended: nothing of it is written any more.
     pub fn revoke(&self) {
-        self.0.set(true);
+        self.revoked.set(true);
     }
 
-    /// Whether the attempt has ended.
-    pub fn is_revoked(&self) -> bool {
-        self.0.get()
+    /// Whether the attempt may be written now.
+    ///
+    /// # Errors
+    /// The reason against it.
+    pub fn check(&self, now: Ms) -> Result<(), SendRefusal> {
+        if self.revoked.get() {
+            return Err(SendRefusal::Revoked);
+        }
+        match self.list.holds(now) {
+            true => Ok(()),
+            false => Err(SendRefusal::ListExpired),
+        }
     }
 }
--- a/crates/decision/src/permission/tests.rs
+++ b/crates/decision/src/permission/tests.rs
@@ -1,5 +1,6 @@
 use super::close::*;
 use super::counters::RuleCounters;
+use super::list_lease::ListLease;
 use super::process::*;
 use super::send::*;
 use crate::interface::{Outcome, Repeat, Scope};
@@ -7,6 +8,7 @@
 
 const FACTS: SendFacts = SendFacts {
     request_open: true,
+    list_reliable: true,
     engine_live: true,
     now: 1_000.0,
     deadline: 2_000.0,
@@ -25,6 +27,7 @@
 
 #[rstest]
 #[case::client_gone(SendFacts { request_open: false, ..FACTS }, SendRefusal::RequestOver)]
+#[case::list_too_old(SendFacts { list_reliable: false, ..FACTS }, SendRefusal::ListExpired)]
 #[case::draining(SendFacts { engine_live: false, ..FACTS }, SendRefusal::EngineNotLive)]
 #[case::at_its_deadline(SendFacts { deadline: 1_000.0, ..FACTS }, SendRefusal::DeadlineOver)]
 #[case::past_its_window(SendFacts { send_by: 999.0, ..FACTS }, SendRefusal::WindowOver)]
@@ -104,3 +107,16 @@
     assert_eq!((counters.violations(), counters.refused(SendRefusal::Revoked)), (1, 1));
     assert_eq!(counters.by_name().into_iter().collect::<Vec<_>>(), [("request over", 1), ("revoked", 1)]);
 }
+
+#[test]
+fn permit_holds_while_the_list_may_be_relied_on_and_until_the_attempt_ends() {
+    let list = ListLease::default();
+    let permit = SendPermit::new(list.clone());
+    assert_eq!(permit.check(f64::MAX), Ok(()), "a list that needs no confirmation");
+    list.set(1_000.0);
+    assert_eq!((list.until(), permit.check(999.0)), (1_000.0, Ok(())));
+    assert_eq!(permit.check(1_000.0), Err(SendRefusal::ListExpired));
+    assert!(!SendRefusal::ListExpired.is_violation());
+    permit.clone().revoke();
+    assert_eq!(permit.check(999.0), Err(SendRefusal::Revoked));
+}
--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -26,8 +26,7 @@
 }
 
 impl Attempt {
-    fn new(engine: EngineId, place: Place, now: Ms) -> Self {
-        let permit = SendPermit::default();
+    fn new(engine: EngineId, place: Place, now: Ms, permit: SendPermit) -> Self {
         Self { engine, sent_at: now, in_flight: true, record: None, place, outcome: None, permit }
     }
 
@@ -96,7 +95,7 @@
         let place = self.place(&engine);
         let Some(r) = self.requests.get_mut(&id) else { return };
         let attempt = (id, r.attempts.len() as u32);
-        r.attempts.push(Attempt::new(engine, place, now));
+        r.attempts.push(Attempt::new(engine, place, now, SendPermit::new(self.list_lease.clone())));
         let deadline = r.attempt_deadline(now, timeout, self.limits.answer_margin);
         let may = self.may_send(now, attempt, deadline, effects);
         let Some(r) = self.requests.get(&id) else { return };
@@ -134,6 +133,7 @@
         let repeat = self.settings.classes[r.class.0].repeat;
         Some(SendFacts {
             request_open: !r.closed,
+            list_reliable: self.list_lease.holds(now),
             engine_live: self.live_address(&own.engine).is_some(),
             now,
             deadline,
@@ -172,6 +172,7 @@
             priority: r.terms.priority,
             is_retry: r.numbered().any(|(n, a)| n < id.1 && a.was_sent()),
             permit: attempt.permit.clone(),
+            at: now,
         }));
         self.set_timer(deadline, Due::AttemptTimeout(id));
     }
--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -11,17 +11,13 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// A member after the operator override and the inherited membership are applied.
-fn merged(listed: &Listed, operator: &Hand, inherited: Option<&Heard>, now: Ms) -> Listed {
-    let mut listed = listed.clone();
-    let m = &mut listed.member;
-    let id = m.engine.clone();
-    m.started = operator.started(&id.0, m.started);
-    let kept_out = operator.is_out(&id.0) || inherited.is_some_and(|heard| heard.keeps_out(&id.0, now));
-    if kept_out && m.availability == Availability::Live {
-        m.availability = Availability::Draining;
-    }
-    listed
+/// What former addresses of the name service have said since it moved, where the present address says an older version.
+#[derive(Debug, Clone)]
+pub(super) struct FormerAddress {
+    /// The version that they said.
+    version: u64,
+    /// The engines that drain or were removed in it.
+    heard: Heard,
 }
 
 /// A member in the form in which learned state is matched to it.
@@ -100,6 +96,7 @@
             return;
         }
         self.serial = Some(serial);
+        self.former_address = self.former_address.take().filter(|former| serial < former.version);
         let ids = list.iter().map(|l| &*l.member.engine.0).collect();
         self.removed_engines.follow(self.service_members.iter().map(|l| &*l.member.engine.0), &ids);
         self.learn_starts(now, &list);
@@ -161,15 +158,78 @@
     /// that operators included again counts as just started.
     fn rebuild_engines(&mut self, now: Ms, effects: &mut Vec<Effect>) {
         self.operator_override.forget(now, self.settings.warm_within);
-        let list: Vec<Listed> = self
-            .service_members
-            .iter()
-            .map(|l| merged(l, &self.operator_override, self.inherited_membership.as_ref(), now))
-            .collect();
+        let list: Vec<Listed> = self.service_members.iter().map(|l| self.merge(l, now)).collect();
         self.replace_engines(now, &list, effects);
         self.report_members(now, list);
     }
 
+    /// A member after everything that may keep it out is applied.
+    fn merge(&self, listed: &Listed, now: Ms) -> Listed {
+        let mut listed = listed.clone();
+        let m = &mut listed.member;
+        let id = m.engine.clone();
+        m.started = self.operator_override.started(&id.0, m.started);
+        let out = self.list_expired || self.is_kept_out(&id, now);
+        if out && m.availability == Availability::Live {
+            m.availability = Availability::Draining;
+        }
+        listed
+    }
+
+    /// Whether operators, an earlier process or a former address of the name service keep an engine out.
+    fn is_kept_out(&self, engine: &EngineId, now: Ms) -> bool {
+        let former = self.former_address.as_ref().map(|former| &former.heard);
+        let mut heard = self.inherited_membership.iter().chain(former);
+        self.operator_override.is_out(&engine.0) || heard.any(|heard| heard.keeps_out(&engine.0, now))
+    }
+
+    /// The name service's present address takes over from a former one, whose word on drains and removals holds until the
+    /// present one says as much.
+    pub(super) fn supersede_former_address(&mut self, now: Ms) {
+        let (Some(version), Some(heard)) = (self.serial.take(), self.heard()) else { return };
+        let heard = heard.taken_over(now);
+        self.set_timer(heard.until(), Due::FormerAddress);
+        self.former_address = Some(FormerAddress { version, heard });
+    }
+
+    /// Drops what former addresses have said once its time is over.
+    pub(super) fn former_address_expired(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+        if self.former_address.take_if(|former| now >= former.heard.until()).is_some() {
+            self.rebuild_engines(now, effects);
+        }
+    }
+
+    /// The list may be relied on until then. While it may not, all engines are treated as draining.
+    pub(super) fn renew_list_lease(&mut self, now: Ms, until: Ms, effects: &mut Vec<Effect>) {
+        self.list_lease.set(until);
+        self.apply_list_lease(now, effects);
+        self.set_list_timer();
+    }
+
+    /// The timer of the lease: it may have been renewed since the timer was set.
+    pub(super) fn list_lease_due(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+        self.list_timer_set = false;
+        self.apply_list_lease(now, effects);
+        self.set_list_timer();
+    }
+
+    /// Has one timer set for the end of the lease, while it holds.
+    fn set_list_timer(&mut self) {
+        let until = self.list_lease.until();
+        if !self.list_timer_set && !self.list_expired && until.is_finite() {
+            self.list_timer_set = true;
+            self.set_timer(until, Due::ListLease);
+        }
+    }
+
+    fn apply_list_lease(&mut self, now: Ms, effects: &mut Vec<Effect>) {
+        let expired = !self.list_lease.holds(now);
+        if std::mem::replace(&mut self.list_expired, expired) != expired {
+            effects.push(Effect::ListReliable(!expired));
+            self.rebuild_engines(now, effects);
+        }
+    }
+
     /// Replaces the engines in use. Queued work for draining and removed engines is dropped; attempts on removed ones
     /// end after a grace period.
     fn replace_engines(&mut self, now: Ms, list: &[Listed], effects: &mut Vec<Effect>) {
@@ -177,7 +237,8 @@
         for listed in list {
             let engine = &listed.member.engine;
             before.remove(engine);
-            if listed.member.availability != Availability::Live {
+            // While the list is too old the writers keep new work back; connections to engines that are well stay.
+            if listed.member.availability != Availability::Live && !self.list_expired {
                 effects.push(Effect::Shut(engine.clone()));
             }
             self.engines.insert(engine.clone(), listed.clone());
--- a/src/core/messages.rs
+++ b/src/core/messages.rs
@@ -14,6 +14,11 @@
 pub enum Event {
     /// The name service's whole list, with its version.
     List(u64, Vec<Listed>),
+    /// The name service's present address has spoken: the list that follows replaces what a former address has said since
+    /// the move, though its version may be lower.
+    FormerAddressSuperseded,
+    /// Until when the list may be relied on.
+    ListReliableUntil(Ms),
     /// A front received a request.
     Taken(Ask),
     /// The client disconnected or withdrew the request.
@@ -79,6 +84,8 @@
     pub is_retry: bool,
     /// Ends with the attempt.
     pub permit: SendPermit,
+    /// When it was handed over.
+    pub at: Ms,
 }
 
 /// Output of the reducer, performed by the runtime.
@@ -110,6 +117,8 @@
     Mark(Ms, Ms),
     /// Rewrite the log.
     Rewrite(Rewrite),
+    /// Log whether the list of engines may be relied on from now on.
+    ListReliable(bool),
     /// Every request is answered: exit.
     Exit,
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -26,10 +26,12 @@
 use crate::decide::Gateway;
 use crate::interface::{EngineId, Event as DecisionEvent, Ms, RequestId, Settings, SettingsError};
 use crate::limits::Limits;
+use membership::FormerAddress;
 use probes::Probe;
 use requests::Request;
 use starlingplank_decision::learned::Learned;
 use starlingplank_decision::permission::counters::RuleCounters;
+use starlingplank_decision::permission::list_lease::ListLease;
 use starlingplank_decision::start_times::StartTimes;
 use starlingplank_knowledge::gate::Gate;
 use starlingplank_knowledge::recall::Recall;
@@ -61,6 +63,15 @@
     service_heard_at: Option<Ms>,
     /// Set while no membership is known: requests are rejected, each with another time to retry.
     membership_wait: Option<ComeBack>,
+    /// Until when the list of engines may be relied on.
+    list_lease: ListLease,
+    /// It may not be relied on now: no engine gets new work.
+    list_expired: bool,
+    /// Whether a timer is set for the end of the lease.
+    list_timer_set: bool,
+    /// What former addresses of the name service have said, since the service moved; it holds until the present address
+    /// has said as much.
+    former_address: Option<FormerAddress>,
     /// What an earlier process heard of the name service; it holds until the service answers this one.
     inherited_membership: Option<Heard>,
     /// Engines that operators have excluded.
@@ -126,6 +137,10 @@
             removed_engines: Gone::default(),
             service_heard_at: None,
             membership_wait: None,
+            list_lease: ListLease::default(),
+            list_expired: false,
+            list_timer_set: false,
+            former_address: None,
             inherited_membership: None,
             operator_override: Hand::default(),
             engines: BTreeMap::new(),
@@ -178,6 +193,8 @@
     pub fn handle(&mut self, now: Ms, event: Event, effects: &mut Vec<Effect>) {
         match event {
             Event::List(serial, list) => self.update_membership(now, serial, list, effects),
+            Event::FormerAddressSuperseded => self.supersede_former_address(now),
+            Event::ListReliableUntil(until) => self.renew_list_lease(now, until, effects),
             Event::Hand(hand) => self.override_membership(now, hand, effects),
             Event::Earlier(heard) => self.inherit_membership(now, heard, effects),
             Event::Processes(n) => self.pending_events.push(DecisionEvent::Processes(n as u32)),
--- a/src/core/timers.rs
+++ b/src/core/timers.rs
@@ -26,6 +26,10 @@
     RecordTimeout(u64),
     /// The end of what an earlier process heard of the name service.
     InheritedMembership,
+    /// The end of the time for which the list of engines may be relied on.
+    ListLease,
+    /// What former addresses of the name service have said no longer binds.
+    FormerAddress,
     /// The time of the first probes.
     FirstProbes,
 }
@@ -95,6 +99,8 @@
             Due::AnswerDeadline => self.answer_deadline_passed(now, effects),
             Due::RecordTimeout(number) => self.record_timed_out(now, number, effects),
             Due::InheritedMembership => self.inherited_membership_expired(now, effects),
+            Due::ListLease => self.list_lease_due(now, effects),
+            Due::FormerAddress => self.former_address_expired(now, effects),
             Due::FirstProbes => self.send_first_probes(now, effects),
         }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,7 @@
 
 use clap::{Parser, Subcommand};
 use starlingplank::config::{Config, ConfigError};
-use starlingplank::net::front::Clock;
+use starlingplank::net::clock::Clock;
 use starlingplank::net::runtime::Signals;
 use starlingplank::net::{keep, log, runtime};
 use starlingplank_knowledge::{recall, show};
--- a/src/net/frame.rs
+++ b/src/net/frame.rs
@@ -55,11 +55,20 @@
     send: Send,
     encode: fn(&Send) -> Vec<Part>,
     deadline: Instant,
+    /// When it was handed over, which is [`Send::at`].
+    queued_at: Instant,
     encoded_at: Instant,
     /// It counts towards the retry budget already.
     admitted: bool,
 }
 
+impl Delivery {
+    /// Now, by the clock of the reducer.
+    fn now(&self) -> Ms {
+        self.send.at + self.queued_at.elapsed().as_secs_f64() * 1000.0
+    }
+}
+
 impl Frame {
     /// A message that sends no attempt.
     pub fn plain(bytes: Vec<u8>) -> Self {
@@ -87,7 +96,14 @@
             parts: encode(&send),
             tally: Some((send.class.0, Count::Sends)),
             by: Some(send.leave_within.map_or(deadline, after).min(deadline)),
-            delivery: Some(Delivery { send, encode, deadline, encoded_at: now, admitted: false }),
+            delivery: Some(Delivery {
+                send,
+                encode,
+                deadline,
+                queued_at: now,
+                encoded_at: now,
+                admitted: false,
+            }),
         }
     }
 
@@ -100,9 +116,7 @@
             return Err(SendRefusal::DeadlineOver);
         }
         let Some(delivery) = &mut self.delivery else { return Ok(()) };
-        if delivery.send.permit.is_revoked() {
-            return Err(SendRefusal::Revoked);
-        }
+        delivery.send.permit.check(delivery.now())?;
         if delivery.send.is_retry && !delivery.admitted && !take_from_retry_budget() {
             return Err(SendRefusal::RetryBudgetSpent);
         }
--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -10,6 +10,7 @@
 use crate::core::{Answer, Ask, Event, Rows, Statement};
 use crate::interface::{ClassId, DataSet, Incoming, Ms, RequestId, Settings, TenantId};
 use crate::limits::Limits;
+use crate::net::clock::Clock;
 use crate::net::conn::{Common, Outbox};
 use crate::net::pause::PauseDetector;
 use crate::net::sql;
@@ -18,33 +19,10 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc::Sender;
 use tokio::sync::{watch, Notify, Semaphore};
 use tokio::time::{timeout_at, Instant};
 
-/// The system's Unix clock at the start, carried on by a clock that never jumps.
-#[derive(Debug, Clone, Copy)]
-pub struct Clock(Ms, std::time::Instant);
-
-impl Clock {
-    /// Set from the system's clock.
-    pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self(unix.as_secs_f64() * 1000.0, std::time::Instant::now())
-    }
-
-    /// Unix milliseconds.
-    pub fn now(&self) -> Ms {
-        self.0 + self.1.elapsed().as_secs_f64() * 1000.0
-    }
-
-    /// The instant of a time.
-    pub fn instant(&self, at: Ms) -> std::time::Instant {
-        self.1 + std::time::Duration::from_secs_f64(((at - self.0) / 1000.0).max(0.0))
-    }
-}
-
 /// Who waits for an answer.
 pub trait Client {
     /// Passes on the first part of an answer.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets, wires and the runtime that performs the reducer's effects. Nothing here decides.
 
+pub mod clock;
 pub mod conn;
 pub mod engine;
 pub mod frame;
--- a/src/net/runtime/effects.rs
+++ b/src/net/runtime/effects.rs
@@ -41,6 +41,10 @@
                     new_events.push(Event::RecordsFailed(Vec::new()));
                 }
             }
+            Effect::ListReliable(true) => tracing::info!("the list of engines is confirmed: new work goes on"),
+            Effect::ListReliable(false) => tracing::warn!(
+                "the list of engines is older than the rule on drains allows: no new work until it is confirmed"
+            ),
             Effect::Exit => self.settled = true,
         }
     }
