--- a/crates/faults/src/calls.rs
+++ b/crates/faults/src/calls.rs
@@ -13,6 +13,7 @@
 const ACCEPT_ERRORS: [c_int; 4] = [libc::ECONNABORTED, libc::ENFILE, libc::ENOBUFS, libc::EINTR];
 const SOCKET_ERRORS: [c_int; 3] = [libc::ENFILE, libc::EMFILE, libc::ENOBUFS];
 const CONNECT_ERRORS: [c_int; 3] = [libc::EADDRNOTAVAIL, libc::ENETUNREACH, libc::EINTR];
+const SENDTO_ERRORS: [c_int; 3] = [libc::ENETUNREACH, libc::EHOSTUNREACH, libc::ENOBUFS];
 const DISK_ERRORS: [c_int; 2] = [libc::ENOSPC, libc::EIO];
 const NANOSECONDS: i64 = 1_000_000_000;
 const KIND_MASK: c_int = 0xf;
@@ -109,6 +110,40 @@
     }
 }
 
+#[no_mangle]
+pub unsafe extern "C" fn recvfrom(
+    fd: c_int,
+    buffer: *mut c_void,
+    len: usize,
+    flags: c_int,
+    from: *mut sockaddr,
+    from_len: *mut socklen_t,
+) -> ssize_t {
+    match transfer(fd, len) {
+        Some(len) => unsafe { original::recvfrom(fd, buffer, len, flags, from, from_len) },
+        None => fail(libc::EINTR),
+    }
+}
+
+/// A datagram may find no route, as a connection may.
+#[no_mangle]
+pub unsafe extern "C" fn sendto(
+    fd: c_int,
+    buffer: *const c_void,
+    len: usize,
+    flags: c_int,
+    to: *const sockaddr,
+    to_len: socklen_t,
+) -> ssize_t {
+    if !to.is_null() && plan().strikes(plan().connect) {
+        return fail(one_of(&SENDTO_ERRORS));
+    }
+    match transfer(fd, len) {
+        Some(len) => unsafe { original::sendto(fd, buffer, len, flags, to, to_len) },
+        None => fail(libc::EINTR),
+    }
+}
+
 #[no_mangle]
 pub unsafe extern "C" fn read(fd: c_int, buffer: *mut c_void, len: usize) -> ssize_t {
     if plan().interrupt + plan().short == 0.0 || !is_socket(fd) {
--- a/crates/faults/src/original.rs
+++ b/crates/faults/src/original.rs
@@ -32,6 +32,22 @@
 original!(pwrite64(fd: c_int, buffer: *const c_void, len: usize, at: off64_t) -> ssize_t);
 original!(recv(fd: c_int, buffer: *mut c_void, len: usize, flags: c_int) -> ssize_t);
 original!(send(fd: c_int, buffer: *const c_void, len: usize, flags: c_int) -> ssize_t);
+original!(recvfrom(
+    fd: c_int,
+    buffer: *mut c_void,
+    len: usize,
+    flags: c_int,
+    from: *mut sockaddr,
+    from_len: *mut socklen_t
+) -> ssize_t);
+original!(sendto(
+    fd: c_int,
+    buffer: *const c_void,
+    len: usize,
+    flags: c_int,
+    to: *const sockaddr,
+    to_len: socklen_t
+) -> ssize_t);
 original!(accept4(fd: c_int, from: *mut sockaddr, len: *mut socklen_t, flags: c_int) -> c_int);
 original!(socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int);
 original!(connect(fd: c_int, to: *const sockaddr, len: socklen_t) -> c_int);
--- a/src/net/pause.rs
+++ b/src/net/pause.rs
@@ -29,14 +29,12 @@
         Self { last_alive: Cell::new(now), last_pause: Cell::new(None) }
     }
 
-    /// The process runs now. The length of the pause that ends with this, if there was one.
-    pub fn alive(&self, now: Instant) -> Option<Duration> {
+    /// The process runs now.
+    pub fn alive(&self, now: Instant) {
         let from = self.last_alive.replace(now);
-        let gap = now.saturating_duration_since(from);
-        (gap > LONGEST_GAP).then(|| {
+        if now.saturating_duration_since(from) > LONGEST_GAP {
             self.last_pause.set(Some(Pause { from, until: now }));
-            gap
-        })
+        }
     }
 
     /// The earliest time at which something may have arrived that is read now.
