Service discovery as a part of its own: what was asked is heard while an answer may come

Cause: what was asked lived no longer than the socket, and the socket no longer than events that have nothing to do with it. names::poll dropped the questions with their socket at each SIGHUP, changed or not; a new socket came after three open questions and two were kept, so that a service that takes over 1.2 s was never heard; a move gave the working descriptor away before there was another; and a process that had heard nothing yet took its first lost answers for a long silence, asking once a second on flows that it left after three questions only.

Change: crates/membership has the state (questions that are out, by id, time, address and flow, bounded by time; flows that live until their last question expires; versions by address; the list's age), in virtual time; src/net/discovery has the message, the sockets (not connected, one always ready) and the loop, which drops nothing that it has read. A change of the address is an input among others; one that changes nothing does nothing. The pace is patient from a start and from a move on, within 1,000 questions a second of a fleet, and a small fleet goes on at the steady pace through a silence, within the 100 a second that a fleet may ask. The list's lease is renewed by each confirmation and by each unanswered question.

--- a/crates/membership/src/age.rs
+++ b/crates/membership/src/age.rs
@@ -1,7 +1,20 @@
-//! How old the list of engines is.
+//! How old the list of engines is, and until when it may be relied on.
 //!
 //! An answer proves the list as of when its question was sent, not as of when the answer arrives: what has changed since
 //! may be missing in it. The list's age therefore counts from the question.
+//!
+//! New work may go to an engine for `drain_grace` after the gateway was told that it drains. What happened right after the
+//! list was last confirmed counts as told, at the earliest,
+//!
+//! | where | after |
+//! | --- | --- |
+//! | questions are answered, or nothing was asked (the process stood still) | [`TOLD_WITHIN`], from the confirmation |
+//! | questions go unanswered: the service is silent, or what it says gets lost | [`TOLD_WITHIN`], from the last question; at the latest [`TOLD_BY_ALL_MEANS`], from the confirmation |
+//! | ... and an answer came that cannot be used: a good one in its place would have counted | [`TOLD_WITHIN`], from that answer |
+//! | ... and the service has moved | [`TOLD_AFTER_MOVE`], from the change of its address |
+//!
+//! The list may be relied on until then and the grace. Where questions may be further apart than the steady pace,
+//! [`TOLD_WITHIN`] is as long as four of them.
 
 use crate::Ms;
 use std::fmt;
@@ -10,6 +23,16 @@
 pub const LATE_AFTER: Ms = 1_000.0;
 /// A list that was not confirmed for longer comes from a service that is silent.
 pub const SILENT_AFTER: Ms = 4_000.0;
+/// A change counts as told so long after it happened, or after an answer that would have held it was lost.
+pub const TOLD_WITHIN: Ms = 1_500.0;
+/// A change counts as told so long after it happened, whether the service can be heard or not.
+pub const TOLD_BY_ALL_MEANS: Ms = 7_000.0;
+/// All changes count as told so long after the service has moved.
+pub const TOLD_AFTER_MOVE: Ms = 4_000.0;
+/// A change is asked for so often before it counts as told.
+const QUESTIONS_WITHIN: f64 = 4.0;
+/// Questions without an answer, besides the last one, that tell a silent service from a single lost answer.
+const UNANSWERED: u64 = 2;
 
 /// How far the list can be relied on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,22 +63,60 @@
 pub struct ListAge {
     /// The list is known to hold as of then.
     as_of: Ms,
+    /// [`TOLD_WITHIN`], or more where questions are far apart.
+    told_within: Ms,
     /// The first change of the service's address since.
     moved_at: Option<Ms>,
+    /// The first answer since that could not be used.
+    spoilt_at: Option<Ms>,
+    /// When the last question was sent.
+    asked_at: Ms,
+    /// Questions sent since the one that confirmed the list, or since the process stood still.
+    unanswered: u64,
     /// What was last reported.
     reported: Freshness,
 }
 
 impl ListAge {
-    /// A list that a process begins with holds as of its start.
-    pub fn new(now: Ms) -> Self {
-        Self { as_of: now, moved_at: None, reported: Freshness::Fresh }
+    /// A list that a process begins with holds as of its start. Questions are no further apart than that while answers come.
+    pub fn new(now: Ms, slowest_pace: Ms) -> Self {
+        Self {
+            as_of: now,
+            told_within: TOLD_WITHIN.max(QUESTIONS_WITHIN * slowest_pace),
+            moved_at: None,
+            spoilt_at: None,
+            asked_at: now,
+            unanswered: 0,
+            reported: Freshness::Fresh,
+        }
+    }
+
+    /// A question is sent.
+    pub fn ask(&mut self, now: Ms) {
+        self.asked_at = now;
+        self.unanswered += 1;
+    }
+
+    /// The process stood still: that questions are unanswered tells nothing of the service.
+    pub fn resume(&mut self) {
+        self.unanswered = 0;
     }
 
-    /// An answer to a question sent at that time holds the newest list that is known, or a newer one.
-    pub fn confirm(&mut self, asked_at: Ms) {
-        self.as_of = self.as_of.max(asked_at);
+    /// An answer to a question sent at that time holds the newest list that is known, or a newer one. So many questions were
+    /// sent after that one.
+    pub fn confirm(&mut self, asked_at: Ms, later_questions: u64) {
+        if asked_at < self.as_of {
+            return;
+        }
+        self.as_of = asked_at;
+        self.unanswered = self.unanswered.min(later_questions);
         self.moved_at = self.moved_at.filter(|moved| asked_at < *moved);
+        self.spoilt_at = self.spoilt_at.filter(|spoilt| asked_at < *spoilt);
+    }
+
+    /// An answer came that cannot be used.
+    pub fn hear_spoilt(&mut self, now: Ms) {
+        self.spoilt_at.get_or_insert(now);
     }
 
     /// The service's address changes.
@@ -68,6 +129,25 @@
         now - self.as_of
     }
 
+    /// Until when the list may be relied on, where new work may go to a draining engine for that long.
+    pub fn reliable_until(&self, drain_grace: Ms) -> Ms {
+        self.told_at().max(self.as_of + self.told_within) + drain_grace
+    }
+
+    /// The earliest time at which a change since the last confirmation may count as told.
+    fn told_at(&self) -> Ms {
+        if self.unanswered <= UNANSWERED {
+            return self.as_of + self.told_within;
+        }
+        let bounds = [
+            Some(self.as_of + TOLD_BY_ALL_MEANS),
+            Some(self.asked_at + self.told_within),
+            self.spoilt_at.map(|at| at + self.told_within),
+            self.moved_at.map(|at| at + TOLD_AFTER_MOVE),
+        ];
+        bounds.into_iter().flatten().fold(f64::INFINITY, f64::min)
+    }
+
     /// How far the list can be relied on.
     pub fn freshness(&self, now: Ms) -> Freshness {
         match self.age(now) {
--- a/crates/membership/src/age/tests.rs
+++ b/crates/membership/src/age/tests.rs
@@ -1,33 +1,99 @@
 use super::*;
+use starlingplank_pacing::list::{SLOWEST, STEADY};
 
 #[test]
 fn list_is_as_old_as_the_question_whose_answer_confirms_it() {
-    let mut age = ListAge::new(0.0);
-    age.confirm(500.0);
+    let mut age = ListAge::new(0.0, STEADY);
+    age.confirm(500.0, 0);
     assert_eq!(age.age(2_000.0), 1_500.0);
-    age.confirm(400.0);
+    age.confirm(400.0, 0);
     assert_eq!(age.age(2_000.0), 1_500.0, "an earlier question proves nothing more");
 }
 
 #[test]
 fn list_that_is_not_confirmed_is_late_and_then_silent_and_each_change_is_told_once() {
-    let mut age = ListAge::new(0.0);
+    let mut age = ListAge::new(0.0, STEADY);
     assert_eq!(age.change(LATE_AFTER), None);
     assert_eq!(age.change(LATE_AFTER + 1.0), Some(Freshness::Late));
     assert_eq!(age.change(SILENT_AFTER), None);
     assert_eq!(age.change(SILENT_AFTER + 1.0), Some(Freshness::Silent));
-    age.confirm(SILENT_AFTER);
+    age.confirm(SILENT_AFTER, 0);
     assert_eq!(age.change(SILENT_AFTER + 1.0), Some(Freshness::Fresh));
 }
 
 #[test]
 fn moved_service_counts_as_moved_until_it_answers_a_question_sent_since() {
-    let mut age = ListAge::new(0.0);
+    let mut age = ListAge::new(0.0, STEADY);
     age.relocate(300.0);
     age.relocate(600.0);
     assert_eq!(age.freshness(700.0), Freshness::Moved);
-    age.confirm(299.0);
+    age.confirm(299.0, 0);
     assert_eq!(age.freshness(700.0), Freshness::Moved, "the question was for the former address");
-    age.confirm(300.0);
+    age.confirm(300.0, 0);
     assert_eq!(age.freshness(700.0), Freshness::Fresh);
 }
+
+const GRACE: Ms = 2_000.0;
+
+/// A list confirmed as of 0, and so many questions since, 200 ms apart.
+fn unanswered(questions: u32) -> ListAge {
+    let mut age = ListAge::new(0.0, STEADY);
+    (1..=questions).for_each(|n| age.ask(f64::from(n) * 200.0));
+    age
+}
+
+#[test]
+fn list_is_reliable_for_the_grace_after_a_change_may_count_as_told() {
+    assert_eq!(unanswered(2).reliable_until(GRACE), TOLD_WITHIN + GRACE);
+    assert_eq!(unanswered(10).reliable_until(GRACE), 2_000.0 + TOLD_WITHIN + GRACE);
+    assert_eq!(unanswered(100).reliable_until(GRACE), TOLD_BY_ALL_MEANS + GRACE);
+}
+
+#[test]
+fn move_of_the_service_brings_the_end_forward() {
+    let mut age = unanswered(100);
+    age.relocate(500.0);
+    age.relocate(900.0);
+    assert_eq!(age.reliable_until(GRACE), 500.0 + TOLD_AFTER_MOVE + GRACE, "the first move counts");
+    age.confirm(500.0, 0);
+    assert_eq!(age.reliable_until(GRACE), 500.0 + TOLD_WITHIN + GRACE);
+    let mut late = unanswered(100);
+    late.relocate(5_000.0);
+    assert_eq!(late.reliable_until(GRACE), TOLD_BY_ALL_MEANS + GRACE);
+}
+
+#[test]
+fn unusable_answer_brings_the_end_forward_until_the_list_is_confirmed() {
+    let mut age = unanswered(100);
+    age.hear_spoilt(700.0);
+    age.hear_spoilt(800.0);
+    assert_eq!(age.reliable_until(GRACE), 700.0 + TOLD_WITHIN + GRACE);
+    age.confirm(700.0, 50);
+    assert_eq!(age.reliable_until(GRACE), 700.0 + TOLD_BY_ALL_MEANS + GRACE);
+}
+
+#[test]
+fn questions_from_before_a_pause_tell_nothing() {
+    let mut age = unanswered(10);
+    age.resume();
+    age.ask(9_000.0);
+    assert_eq!(age.reliable_until(GRACE), TOLD_WITHIN + GRACE);
+    age.ask(9_200.0);
+    age.ask(9_400.0);
+    assert_eq!(age.reliable_until(GRACE), TOLD_BY_ALL_MEANS + GRACE);
+}
+
+#[test]
+fn late_answer_to_an_early_question_proves_nothing() {
+    let mut age = unanswered(10);
+    age.confirm(1_000.0, 5);
+    let before = age.reliable_until(GRACE);
+    age.confirm(400.0, 8);
+    assert_eq!(age.reliable_until(GRACE), before);
+}
+
+#[test]
+fn list_whose_questions_are_far_apart_is_reliable_for_four_of_them() {
+    let age = ListAge::new(0.0, SLOWEST);
+    assert_eq!(age.reliable_until(GRACE), 4.0 * SLOWEST + GRACE);
+}
--- a/crates/membership/src/answers.rs
+++ b/crates/membership/src/answers.rs
@@ -11,6 +11,8 @@
     Confirmation,
     /// It holds an older list than the one known.
     Older,
+    /// It comes from a former address of the service, and the present one has spoken.
+    FormerAddress,
     /// Its id is not that of an open question.
     UnknownQuestion,
     /// It cannot be read, or reports a failure.
@@ -21,10 +23,11 @@
 
 impl AnswerKind {
     /// All kinds, in the order of their numbers.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::News,
         Self::Confirmation,
         Self::Older,
+        Self::FormerAddress,
         Self::UnknownQuestion,
         Self::Unreadable,
         Self::Truncated,
@@ -36,12 +39,23 @@
             Self::News => "news",
             Self::Confirmation => "confirmations",
             Self::Older => "older",
+            Self::FormerAddress => "from a former address",
             Self::UnknownQuestion => "to no open question",
             Self::Unreadable => "unreadable",
             Self::Truncated => "truncated",
         }
     }
 
+    /// Whether the list is as new as any that is known.
+    pub fn confirms(self) -> bool {
+        matches!(self, Self::News | Self::Confirmation)
+    }
+
+    /// Whether the answer cannot be used, though a good one was sent in its place or might have been.
+    pub fn is_spoilt(self) -> bool {
+        matches!(self, Self::UnknownQuestion | Self::Unreadable | Self::Truncated)
+    }
+
     /// The kind of a list with this version, where `known` is the newest version.
     pub fn of_version(version: u64, known: u64) -> Self {
         match version.cmp(&known) {
--- a/crates/membership/src/answers/tests.rs
+++ b/crates/membership/src/answers/tests.rs
@@ -15,6 +15,14 @@
     assert_eq!((counts.questions(), counts.of(AnswerKind::Older)), (1, 2));
     assert_eq!(
         counts.to_string(),
-        "1 questions; answers: 1 news, 1 confirmations, 2 older, 1 to no open question, 1 unreadable, 1 truncated"
+        "1 questions; answers: 1 news, 1 confirmations, 2 older, 1 from a former address, 1 to no open question, 1 unreadable, 1 truncated"
     );
 }
+
+#[test]
+fn only_lists_as_new_as_any_known_confirm_it() {
+    let confirming: Vec<_> = AnswerKind::ALL.into_iter().filter(|kind| kind.confirms()).collect();
+    assert_eq!(confirming, [AnswerKind::News, AnswerKind::Confirmation]);
+    let spoilt: Vec<_> = AnswerKind::ALL.into_iter().filter(|kind| kind.is_spoilt()).collect();
+    assert_eq!(spoilt, [AnswerKind::UnknownQuestion, AnswerKind::Unreadable, AnswerKind::Truncated]);
+}
--- a/crates/pacing/src/list.rs
+++ b/crates/pacing/src/list.rs
@@ -4,8 +4,8 @@
 //! | --- | --- |
 //! | start | this gateway's place in a span that grows with the fleet |
 //! | answers come | the steady pace, whatever the size of the fleet |
-//! | a question went unanswered, the list was heard within [`PATIENT`] | the same pace: answers get lost |
-//! | nothing was ever heard, or nothing for longer | back-off with decorrelated jitter, up to a pace of the whole fleet |
+//! | a question went unanswered, and the list was heard, or the process started, or the service moved, within [`PATIENT`] | the same pace, at most [`FLEET`] questions a second of the fleet before the first answer: answers get lost |
+//! | nothing for longer | back-off with decorrelated jitter, up to a pace of the whole fleet |
 //! | the first answers after a back-off | half the pace each time, down to the steady one |
 //!
 //! Where the operator allows a slower pace than the steady one ([`Rules::slowest`]), a service that answers some questions
@@ -38,7 +38,8 @@
 pub const PATIENT: Ms = 4_000.0;
 /// The slowest of all paces: it is how late a service that is back is heard.
 pub const SILENT_MOST: Ms = 5_000.0;
-/// ... and where the fleet is small.
+/// ... and where the fleet is small, and the service may be asked less than steadily. Else a small fleet goes on at the steady
+/// pace: twenty gateways ask no more than [`FLEET_SILENT`] so.
 pub const SILENT_LEAST: Ms = 1_000.0;
 /// Questions a second that a fleet begins to climb from, where it may be slower than steady.
 const CLIMBS_FROM: f64 = 300.0;
@@ -85,8 +86,12 @@
     row: u32,
     /// A question is out that may still be answered.
     out: bool,
-    /// When an answer last told anything; none: never in this life.
-    heard: Option<Ms>,
+    /// An answer was heard.
+    heard: bool,
+    /// Until then unanswered questions are taken for lost ones, and not for a service that is silent for long.
+    patient_until: Ms,
+    /// The pace before the first answer, where that may be the steady one.
+    opening: Ms,
     rng: fastrand::Rng,
 }
 
@@ -96,8 +101,9 @@
         let mut rng = fastrand::Rng::with_seed(seed);
         let all = rules.gateways.max(1) as f64;
         let place = start::place(rules.gateways, rules.rank, &mut rng);
-        let silent = (all / FLEET_SILENT * 1_000.0).clamp(SILENT_LEAST, SILENT_MOST);
         let slowest = rules.slowest.max(STEADY);
+        let least_silent = if slowest > STEADY { SILENT_LEAST } else { STEADY };
+        let silent = (all / FLEET_SILENT * 1_000.0).clamp(least_silent, SILENT_MOST);
         // Whole rounds of the steady pace, so that later questions lie as evenly; of three gateways, 3 ms.
         let span = all / FLEET * 1_000.0;
         let span = if span < STEADY / 4.0 { span } else { (span / STEADY).ceil() * STEADY };
@@ -110,7 +116,9 @@
             fair: STEADY,
             row: 0,
             out: false,
-            heard: None,
+            heard: false,
+            patient_until: now + PATIENT,
+            opening: (all / FLEET * 1_000.0).clamp(STEADY, SILENT_MOST),
             rng,
         }
     }
@@ -137,8 +145,10 @@
 
     fn unanswered(&mut self, now: Ms) {
         self.row = 0;
-        if self.heard.is_some_and(|at| now - at < PATIENT) {
-            if self.pace < self.slowest {
+        if now < self.patient_until {
+            if !self.heard && self.slowest <= STEADY {
+                self.pace = self.pace.max(self.opening);
+            } else if self.pace < self.slowest {
                 let by = 1.0 + 2.0 * (SLOWER - 1.0) * self.rng.f64();
                 self.pace = (self.pace * by).min(self.slowest);
                 (self.climbs, self.fair) = (false, self.pace);
@@ -149,7 +159,7 @@
         self.pace = (least + self.rng.f64() * (most - least).max(0.0)).min(self.silent);
         self.climbs = true;
         // All that reach the slowest pace would else ask in step from then on.
-        if self.pace >= self.silent {
+        if self.pace >= self.silent && self.silent > STEADY {
             self.pace = self.silent * (0.75 + self.rng.f64() / 2.0);
         }
     }
@@ -163,11 +173,22 @@
         }
     }
 
+    /// The service is at another address: whether that one is silent is not known.
+    pub fn relocated(&mut self, now: Ms) {
+        self.patient_until = now + PATIENT;
+        if self.pace > self.slowest {
+            // A back-off ends. All gateways of a fleet may be told of the move at once.
+            self.pace = self.opening.max(self.slowest);
+            self.due = self.due.min(now + self.rng.f64() * self.pace);
+        }
+    }
+
     /// An answer came that could be used. One that could not, or said what was known to be older, is none: such a
     /// service is asked no harder than one that is silent.
     pub fn answered(&mut self, now: Ms) {
         self.row += 1;
-        (self.out, self.heard) = (false, Some(now));
+        (self.out, self.heard) = (false, true);
+        self.patient_until = self.patient_until.max(now + PATIENT);
         if self.pace <= STEADY {
             return;
         }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -3,6 +3,7 @@
 use crate::interface::Ms;
 use crate::wire::{Fields, WireError};
 use rustix::process::{getrlimit, Resource};
+use starlingplank_membership::flows::MOST_FLOWS;
 use starlingplank_pacing::list;
 use std::time::Duration;
 
@@ -80,14 +81,10 @@
     pub answer_margin: Ms,
     /// Time after which attempts on an engine that the name service dropped are given up.
     pub gone_grace: Ms,
-    /// Time between questions to the name service.
-    pub names_poll: Duration,
     /// The pace down to which a name service that answers some questions and not others may be asked, in ms.
     pub names_slowest: Ms,
-    /// Questions to the name service whose answers are still taken.
-    pub names_open: usize,
-    /// Questions without an answer, in a row, after which the next one leaves from a new socket.
-    pub names_quiet: usize,
+    /// Flows to the name service at most.
+    pub names_flows: usize,
     /// Bytes of a datagram of the name service at most.
     pub names_bytes: usize,
     /// After SIGTERM, new requests are taken at least this long.
@@ -123,9 +120,13 @@
 /// Of the time between SIGTERM and SIGKILL past the longest deadline, what is left to the last answers.
 const TERM_SPARE: Ms = 400.0;
 
-/// Descriptors that no crowd of clients or engines can take: standard streams, the event queue, signals, listeners, the
-/// name service's sockets (two while one takes over from the other), files of keys and of other processes.
+/// Descriptors that no crowd of clients or engines can take: standard streams, the event queue, signals, listeners, two sockets
+/// of the name service, files of keys and of other processes.
 const KEPT_BACK: usize = 24;
+/// Further sockets of the name service, by the descriptors that are not kept back: clients, engines and operators leave them.
+const SOCKETS_PER_FLOW: usize = 10;
+/// Flows to the name service that every process has room for.
+const LEAST_FLOWS: usize = 2;
 
 /// The most that a datagram over IPv4 can carry.
 const MOST_DATAGRAM_BYTES: usize = 65_507;
@@ -185,10 +186,8 @@
             turn_credit: 5.0,
             answer_margin: 20.0,
             gone_grace: 200.0,
-            names_poll: ms(200.0),
             names_slowest: f.number_or("pacing.list_slowest", list::STEADY)?,
-            names_open: 16,
-            names_quiet: 3,
+            names_flows: (sockets / SOCKETS_PER_FLOW).clamp(LEAST_FLOWS, MOST_FLOWS),
             names_bytes: MOST_DATAGRAM_BYTES,
             term_window: 800.0,
             term_answer: 3_300.0,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod conn;
+pub mod discovery;
 pub mod engine;
 pub mod frame;
 pub mod front;
@@ -10,7 +11,6 @@
 pub mod keep;
 pub mod log;
 pub mod momentary;
-pub mod names;
 pub mod operate;
 pub mod pause;
 pub mod runtime;
--- a/src/net/runtime/mod.rs
+++ b/src/net/runtime/mod.rs
@@ -29,11 +29,11 @@
 use crate::net::handover::Handover;
 use crate::net::keep::Keep;
 use crate::net::log;
-use crate::net::names::DiscoveryReport;
 use crate::net::tasks::{TaskName, Tasks};
 use inputs::{Inputs, Optional, Timers, Wake};
 use reload::PendingReload;
 pub use signals::Signals;
+use starlingplank_membership::discovery::Discovery;
 use starlingplank_operation::lives::Stage;
 use startup::Started;
 use std::cell::{Cell, RefCell};
@@ -66,9 +66,6 @@
     }
 }
 
-/// A pause of the process that is longer is logged.
-const REPORTED_PAUSE: Duration = Duration::from_millis(500);
-
 /// The gateway around its reducer.
 struct Runtime {
     config: Config,
@@ -83,8 +80,8 @@
     events: mpsc::Sender<Event>,
     /// Where the name service is, for the task that polls it.
     names: watch::Sender<Option<SocketAddr>>,
-    /// Counts of its answers, and the age of the list.
-    discovery: Rc<RefCell<DiscoveryReport>>,
+    /// Its questions and answers, and the age of the list.
+    discovery: Rc<RefCell<Discovery>>,
     /// Starts tasks that the process cannot do without.
     tasks: Tasks,
     /// A task that the process cannot do without has failed: it ends, and tells so by its exit code.
@@ -143,11 +140,7 @@
             }
             let due_at = self.core.next_due();
             let wake = inputs.next(self.wake_by(due_at), self.optional_inputs()).await;
-            if let Some(pause) =
-                self.desk.pauses.alive(Instant::now()).filter(|pause| *pause > REPORTED_PAUSE)
-            {
-                tracing::warn!("the process stood still for {:.2} s", pause.as_secs_f64());
-            }
+            self.desk.pauses.alive(Instant::now());
             if self.reload_is_due() {
                 self.reload(reload());
             }
--- a/src/net/runtime/shutdown.rs
+++ b/src/net/runtime/shutdown.rs
@@ -70,7 +70,7 @@
         self.report_classes();
         self.report_rules();
         if self.config.names.is_some() {
-            self.discovery.borrow().log();
+            self.report_discovery();
         }
         if self.keep.is_on() {
             let _ = timeout(self.desk.limits.term_snapshot, self.keep.finish()).await;
@@ -100,6 +100,13 @@
         tracing::info!("rules: attempts kept back {:?}, violations {}", rules.by_name(), rules.violations());
     }
 
+    /// Reports the answers of the name service by kind, and how old the list is.
+    fn report_discovery(&self) {
+        let discovery = self.discovery.borrow();
+        let age = discovery.age(self.desk.clock.now()) / 1000.0;
+        tracing::info!("name service: {}; the list is known as of {age:.2} s ago", discovery.counts());
+    }
+
     /// Reports what became of the requests of each class.
     fn report_classes(&self) {
         let classes = self.desk.settings.classes.iter();
--- a/src/net/runtime/startup.rs
+++ b/src/net/runtime/startup.rs
@@ -4,6 +4,8 @@
 use crate::core::{Core, Event, Listed};
 use crate::limits::Limits;
 use crate::net::conn::Common;
+use crate::net::discovery::sockets::Sockets;
+use crate::net::discovery::{self, Poller};
 use crate::net::engine::clickhouse::HttpEngines;
 use crate::net::engine::pool::RespEngines;
 use crate::net::engine::Engines;
@@ -11,7 +13,6 @@
 use crate::net::handover::{self, Handover};
 use crate::net::keep::{self, Keep};
 use crate::net::momentary;
-use crate::net::names;
 use crate::net::operate::{self, Asked};
 use crate::net::runtime::listeners::bind;
 use crate::net::runtime::{LoopStatistics, Runtime};
@@ -19,7 +20,7 @@
 use starlingplank_knowledge::list::KeptList;
 use starlingplank_knowledge::recall;
 use starlingplank_operation::heard::Heard;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -57,6 +58,9 @@
     let (call_sender, calls) = mpsc::channel(limits.callers);
     let callers = Rc::new(Cell::new(0));
     let (tasks, failed_tasks) = Tasks::new();
+    let now = desk.clock.now();
+    let discovery = discovery::begin(&config.settings, &limits, config.serial, config.names, now);
+    let discovery = Rc::new(RefCell::new(discovery));
     let mut handover = None;
     if let Some(at) = config.operator {
         listen_to_operators(at, &config.name, &desk, call_sender, callers.clone(), &tasks).await?;
@@ -64,7 +68,7 @@
     }
     let mut gateway = Runtime {
         names: watch::Sender::new(config.names),
-        discovery: names::DiscoveryReport::new(),
+        discovery,
         config,
         core,
         engines,
@@ -199,12 +203,16 @@
     }
 
     fn poll_names(&self) {
-        let (asked, known, report) = (self.names.subscribe(), self.config.serial, self.discovery.clone());
-        let (settings, limits, events) =
-            (self.desk.settings.clone(), self.desk.limits.clone(), self.events.clone());
-        self.tasks.spawn("name service", async move {
-            names::poll(asked, known, &settings, &limits, &events, &report).await;
-        });
+        let poller = Poller {
+            discovery: self.discovery.clone(),
+            clock: self.desk.clock,
+            settings: self.desk.settings.clone(),
+            events: self.events.clone(),
+            sockets: Sockets::default(),
+            buffer: vec![0; self.desk.limits.names_bytes],
+        };
+        let address = self.names.subscribe();
+        self.tasks.spawn("name service", poller.run(address));
     }
 }
 
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -8,6 +8,7 @@
 use starlingplank::interface::*;
 use starlingplank::limits::Limits;
 use starlingplank::wire::Fields;
+use starlingplank_decision::permission::send::{SendPermit, SendRefusal};
 use starlingplank_knowledge::gate::{self, Gate, Log};
 use starlingplank_knowledge::recall::{self, Recall};
 use starlingplank_knowledge::records::Snapshot;
@@ -37,18 +38,8 @@
     }
 
     fn list(&mut self, serial: u64, engines: &[&str]) -> Vec<Effect> {
-        let listed = |id: &&str| Listed {
-            member: Member {
-                engine: EngineId((*id).into()),
-                zone: Some(ZoneId(0)),
-                kind: Some(KindId(0)),
-                cell: 0,
-                availability: Availability::Live,
-                started: None,
-            },
-            address: "127.0.0.1:1".parse().expect("an address"),
-        };
-        self.step(Event::List(serial, engines.iter().map(listed).collect()))
+        let live = |id: &&str| listed(id, Availability::Live);
+        self.step(Event::List(serial, engines.iter().map(live).collect()))
     }
 
     fn take(&mut self, id: u64, key: Option<&str>) -> Vec<Effect> {
@@ -68,6 +59,20 @@
     }
 }
 
+fn listed(id: &str, availability: Availability) -> Listed {
+    Listed {
+        member: Member {
+            engine: EngineId(id.into()),
+            zone: Some(ZoneId(0)),
+            kind: Some(KindId(0)),
+            cell: 0,
+            availability,
+            started: None,
+        },
+        address: "127.0.0.1:1".parse().expect("an address"),
+    }
+}
+
 fn sent(effects: &[Effect]) -> Option<AttemptId> {
     effects.iter().find_map(|e| if let Effect::Send(s) = e { Some(s.id) } else { None })
 }
@@ -425,3 +430,76 @@
     }
     assert!(later >= 2, "{later}");
 }
+
+fn permits(effects: &[Effect]) -> Vec<&SendPermit> {
+    effects.iter().filter_map(|e| if let Effect::Send(s) = e { Some(&s.permit) } else { None }).collect()
+}
+
+/// Whether the reducer says that the list may be relied on, or no longer.
+fn told_reliable(effects: &[Effect]) -> Option<bool> {
+    effects.iter().find_map(|e| if let Effect::ListReliable(reliable) = e { Some(*reliable) } else { None })
+}
+
+#[test]
+fn nothing_is_sent_while_the_list_may_not_be_relied_on() {
+    let mut bed = Bed::new(settings());
+    bed.list(1, &["a"]);
+    let until = bed.now + 1_000.0;
+    assert_eq!(told_reliable(&bed.step(Event::ListReliableUntil(until))), None);
+    let effects = bed.take(1, None);
+    let permit = permits(&effects)[0].clone();
+    assert_eq!(permit.check(until - 1.0), Ok(()));
+    // The writer asks by itself, also before the reducer's timer has fired.
+    assert_eq!(permit.check(until), Err(SendRefusal::ListExpired));
+    bed.now = until;
+    let effects = bed.step(Event::Clock);
+    assert_eq!(told_reliable(&effects), Some(false));
+    assert!(!effects.iter().any(|e| matches!(e, Effect::Shut(_))), "connections stay");
+    assert!(sent(&bed.take(2, None)).is_none());
+    let until = bed.now + 1_000.0;
+    let effects = bed.step(Event::ListReliableUntil(until));
+    assert_eq!(told_reliable(&effects), Some(true));
+    assert!(sent(&effects).is_some() || sent(&bed.step(Event::Turn)).is_some(), "what waited goes out");
+}
+
+#[test]
+fn renewed_list_is_relied_on_past_its_former_end() {
+    let mut bed = Bed::new(settings());
+    bed.list(1, &["a"]);
+    for _ in 0..100 {
+        let effects = bed.step(Event::ListReliableUntil(bed.now + 3_500.0));
+        assert_eq!(told_reliable(&effects), None);
+        bed.now += 200.0;
+    }
+    assert!(sent(&bed.take(1, None)).is_some());
+    // The end comes forward: what was confirmed no longer counts.
+    assert_eq!(told_reliable(&bed.step(Event::ListReliableUntil(bed.now))), Some(false));
+    assert!(sent(&bed.take(2, None)).is_none());
+}
+
+/// A service that has moved says an older version than its former address has said since: the version is taken, and what the
+/// former one told of drains binds until the present one says as much.
+#[test]
+fn drains_that_a_former_address_told_bind_until_the_present_one_says_as_much() {
+    let mut bed = Bed::new(settings());
+    bed.list(1, &["a", "b"]);
+    let drains = |id| listed(id, Availability::Draining);
+    let live = |id| listed(id, Availability::Live);
+    bed.list(1, &["a", "b"]);
+    bed.step(Event::List(9, vec![drains("a"), live("b")]));
+    bed.list(9, &["a", "b"]);
+    bed.step(Event::FormerAddressSuperseded);
+    bed.list(2, &["a", "b", "c"]);
+    assert_eq!((bed.core.serial(), bed.core.draining()), (Some(2), vec!["a"]));
+    bed.list(8, &["a", "c"]);
+    assert_eq!(bed.core.draining(), ["a"]);
+    bed.list(9, &["a", "c"]);
+    assert!(bed.core.draining().is_empty());
+    bed.step(Event::List(10, vec![drains("a"), live("b")]));
+    bed.step(Event::FormerAddressSuperseded);
+    bed.list(9, &["a"]);
+    assert_eq!(bed.core.draining(), ["a"]);
+    bed.now += 61_000.0;
+    bed.step(Event::Clock);
+    assert!(bed.core.draining().is_empty(), "its word does not bind for ever");
+}
--- a/tests/deployments.rs
+++ b/tests/deployments.rs
@@ -262,6 +262,7 @@
             priority: 1,
             is_retry: false,
             permit: Default::default(),
+            at: 0.0,
         };
         engines.send(send, &mut at_once);
         let Some(Event::Ended(_, end)) = events.recv().await else { panic!("an end") };
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -4,7 +4,7 @@
 use starlingplank::interface::Settings;
 use starlingplank::net::engine::resp::{self, Read};
 use starlingplank::net::front::thrift::{self, Message};
-use starlingplank::net::{http, names};
+use starlingplank::net::{discovery::message, http};
 use starlingplank::wire::{self, Line};
 
 #[rstest]
@@ -92,7 +92,7 @@
 #[test]
 fn a_list_is_read_and_what_is_cut_short_is_not_taken_for_one() {
     let packet = packet();
-    let answered = names::read(&packet, &settings()).expect("read");
+    let answered = message::read(&packet, &settings()).expect("read");
     assert_eq!((answered.id, answered.serial), (9, 42));
     let engine = &answered.list[0];
     assert_eq!((&*engine.member.engine.0, engine.member.cell), ("s-ab", 2));
@@ -100,10 +100,10 @@
     assert_eq!(engine.member.zone, Some(starlingplank::interface::ZoneId(1)));
     assert!(engine.member.availability != starlingplank::interface::Availability::Live, "priority 1 drains");
     for cut in 0..packet.len() {
-        assert_eq!(names::read(&packet[..cut], &settings()), None, "cut at {cut}");
+        assert_eq!(message::read(&packet[..cut], &settings()), None, "cut at {cut}");
     }
     // A name that points at itself ends.
     let mut looped = packet.clone();
     looped[12..14].copy_from_slice(&[0xc0, 0x0c]);
-    assert_eq!(names::read(&looped, &settings()), None);
+    assert_eq!(message::read(&looped, &settings()), None);
 }
