Soak: a name service with latency, loss and dead flows, reloads in series, crowds, kills as early as they may come

The soak could not have found the drain incident: its two name services answered at once, every datagram arrived, every flow lived, each reload moved to a service as good as the last, drains in a silence were excused, and engines drained for less than the 3.55 s that a break takes. Now each gateway has two addresses of its own whose answers are late by up to 3 s, lost, cut, failed, older or under another id, flows die, reloads come in series with and without a change, an engine begins to drain at the end of such troubles and stays up for 6 to 8 s, engines overload or restart together, clients fill the descriptors, signals come in series and SIGKILL comes 3.7 s after SIGTERM. The oracle excuses drains by the pages alone: what was told is read from what the services sent or would have sent; a pause excuses nothing. The cold budget is smaller and the traffic higher, so that a program without the guards can break them.

The schedule, the troubles, the configuration and the rule on drains stand in files of their own.

--- a/crates/lab/src/soak/client.rs
+++ b/crates/lab/src/soak/client.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 /// Time between two requests, in milliseconds.
-const THINKS_MS: std::ops::Range<u64> = 10..120;
+const THINKS_MS: std::ops::Range<u64> = 5..80;
 /// Time for which a client rests now and then.
 const RESTS_MS: std::ops::Range<u64> = 500..3_500;
 /// Past its limit an answer is waited for so long, to tell a late one from none.
--- a/crates/lab/src/soak/ledger.rs
+++ b/crates/lab/src/soak/ledger.rs
@@ -118,8 +118,10 @@
     Continued,
     /// It was told to end.
     Terminated,
-    /// It was killed by the play.
+    /// It was killed by the play, as a process that dies.
     Killed,
+    /// It was killed because its time after SIGTERM was over.
+    Overdue,
     /// It ended with that code; none: by a signal.
     Exited(Option<i32>),
 }
@@ -164,8 +166,32 @@
 pub struct EngineRecord {
     /// When it was first listed; none: it was there from the start, and is warm.
     pub cold_since: Option<f64>,
-    /// When the list first told that it drains or has gone.
-    pub drained: Option<f64>,
+    /// When it began to drain, and the version of the list that tells so.
+    pub drained: Option<(f64, u32)>,
+}
+
+/// What a name service told a gateway, or a good answer would have told it.
+#[derive(Debug, Clone, Copy, serde::Serialize)]
+pub struct Announcement {
+    /// The gateway.
+    pub gateway: usize,
+    /// When the answer was sent, or would have been.
+    pub at: f64,
+    /// The version of the list.
+    pub version: u32,
+    /// It was sent whole, and holds that version.
+    pub is_good: bool,
+}
+
+/// A span in which a name service answered no question.
+#[derive(Debug, Clone, Copy, serde::Serialize)]
+pub struct Silence {
+    /// Of that gateway; none: of all.
+    pub gateway: Option<usize>,
+    /// It began.
+    pub from: f64,
+    /// It ended.
+    pub to: f64,
 }
 
 /// Everything that was seen.
@@ -179,8 +205,14 @@
     pub processes: Vec<Vec<ProcessRecord>>,
     /// Engines by number.
     pub engines: Vec<EngineRecord>,
-    /// Spans in which the list service did not answer.
-    pub list_silent: Vec<(f64, f64)>,
+    /// What the name services told.
+    pub announcements: Vec<Announcement>,
+    /// Spans in which the name services did not answer.
+    pub silences: Vec<Silence>,
+    /// SIGHUPs that moved the name service of a gateway, and when the last of each series came.
+    pub moves: Vec<(usize, f64)>,
+    /// Spans in which clients that say nothing filled a gateway's descriptors.
+    pub crowds: Vec<(usize, f64, f64)>,
     /// Requests of the last check by gateway: how many were served of how many.
     pub recovered: Vec<(usize, usize)>,
     /// When the last trouble ended.
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -8,11 +8,13 @@
 pub mod oracle;
 
 mod client;
+mod config;
 mod discovery;
 mod engine;
 mod process;
 mod run;
 mod schedule;
+mod troubles;
 
 pub use run::{play, Plan, Played};
 
@@ -33,7 +35,7 @@
 const CORES: f64 = 4.0;
 /// From the settings of a play: the multiple at which a cold engine falls, the span in milliseconds, the share and the time of
 /// the ramp.
-const FALL_MULTIPLE: f64 = 3.0;
+const FALL_MULTIPLE: f64 = 1.0;
 const TIP_AFTER_MS: f64 = 2_000.0;
 const COLD_FROM: f64 = 0.31;
 const WARM_WITHIN_MS: f64 = 8_000.0;
@@ -47,7 +49,9 @@
         budget_slack: 0.15,
         key_window: f64::from(KEY_WINDOW_MS) / 1000.0 + 0.05,
         drain_grace: 2.05,
-        told_by: 1.5,
+        told_within: 1.5,
+        told_after_move: 4.0,
+        told_by_all_means: 7.0,
         ration: (2.0, 0.2, 10.0),
         cold_budget: (
             FALL_MULTIPLE * CORES * TIP_AFTER_MS / 1000.0 / engine::MEAN_SERVICE,
--- a/crates/lab/src/soak/oracle.rs
+++ b/crates/lab/src/soak/oracle.rs
@@ -3,6 +3,9 @@
 use super::ledger::{AttemptRecord, Class, Ledger, ProcessEvent, ProcessRecord, RequestEnd, RequestRecord};
 use std::collections::BTreeMap;
 
+mod drains;
+pub use drains::drains;
+
 /// The settings that the rules are counted with, as the play writes them.
 #[derive(Debug, Clone)]
 pub struct Terms {
@@ -16,8 +19,12 @@
     pub key_window: f64,
     /// Time to stop sending to a drained engine.
     pub drain_grace: f64,
-    /// An event of the list counts as told by then.
-    pub told_by: f64,
+    /// A change of the list counts as told so long after it happened, or after a good answer would have told it ...
+    pub told_within: f64,
+    /// ... so long after the name service has moved ...
+    pub told_after_move: f64,
+    /// ... and so long after it happened in any case.
+    pub told_by_all_means: f64,
     /// Free further attempts, those for each request, and the span.
     pub ration: (f64, f64, f64),
     /// Requests that a cold engine may be sent within a span, and the span.
@@ -38,6 +45,8 @@
 const CROSSING: f64 = 0.05;
 /// A connection is used so long after its process was killed, before its client sees that.
 const CONNECTED: f64 = 0.1;
+/// The connections of a crowd are gone so long after its end.
+const CROWD_LEAVES_WITHIN: f64 = 1.0;
 /// The ration is widened by so much, and by one attempt.
 const RATION_SLACK: f64 = 1.15;
 /// The least share of the requests of the last check that are served.
@@ -81,7 +90,8 @@
             }
             RequestEnd::ConnectionLost(at) => {
                 let crossed = request.on_used_connection && at - request.sent <= CROSSING;
-                (!crossed && !excused(at))
+                let shut_unread = is_shut_in_a_crowd(ledger, txn, request);
+                (!crossed && !shut_unread && !excused(at))
                     .then(|| format!("{txn}: connection ended without an answer: {request:?}"))
             }
             RequestEnd::Nothing(at) => (!excused(at)).then(|| format!("{txn}: no answer: {request:?}")),
@@ -91,6 +101,14 @@
     ledger.requests.iter().filter_map(lost).collect()
 }
 
+/// Where descriptors are full, a new connection may be shut unread: then nothing of its request was sent on.
+fn is_shut_in_a_crowd(ledger: &Ledger, txn: &str, request: &RequestRecord) -> bool {
+    let is_in = |(gateway, from, to): &(usize, f64, f64)| {
+        *gateway == request.gateway && (*from..*to + CROWD_LEAVES_WITHIN).contains(&request.sent)
+    };
+    !request.on_used_connection && !ledger.attempts.contains_key(txn) && ledger.crowds.iter().any(is_in)
+}
+
 /// At most one attempt of a request is out.
 pub fn single_attempts(ledger: &Ledger, _: &Terms) -> Vec<String> {
     let overlaps = |attempts: &Vec<AttemptRecord>| {
@@ -143,23 +161,6 @@
     ledger.attempts.iter().filter_map(over).collect()
 }
 
-/// Nothing new goes to an engine that drains or has gone, past the grace. Told is whoever could hear the list for so long.
-pub fn drains(ledger: &Ledger, terms: &Terms) -> Vec<String> {
-    let all = ledger.attempts.iter().flat_map(|(txn, all)| all.iter().map(move |a| (txn, a)));
-    let late = all.filter_map(|(txn, attempt)| {
-        let drained = ledger.engines.get(attempt.engine)?.drained?;
-        let silent =
-            ledger.list_silent.iter().any(|(from, to)| *from < drained + terms.told_by && *to > drained);
-        let lives = ledger.requests.get(txn).and_then(|r| ledger.processes.get(r.gateway));
-        let stopped = |life: &ProcessRecord| life.stopped_within(drained, attempt.arrived);
-        let stopped = lives.into_iter().flatten().map(stopped).fold(0.0, f64::max);
-        let after = attempt.arrived - drained - terms.told_by - terms.drain_grace - stopped;
-        (!silent && after > 0.0)
-            .then(|| format!("{txn}: sent to drained engine {} {after:.3} s past its grace", attempt.engine))
-    });
-    late.collect()
-}
-
 /// A cold engine gets no more within a span than N + 2 x root of N + 2, over all gateways.
 pub fn slow_starts(ledger: &Ledger, terms: &Terms) -> Vec<String> {
     let mut arrivals: BTreeMap<usize, Vec<f64>> = BTreeMap::new();
@@ -273,6 +274,9 @@
         (None, Some(_), None) => broken.push("did not end after SIGTERM".into()),
         _ => {}
     }
+    if life.first(ProcessEvent::Overdue).is_some() {
+        broken.push("had not ended when SIGKILL came".into());
+    }
     if life.violations.is_some_and(|n| n > 0) {
         broken.push(format!("counted {:?} violations of the rules", life.violations));
     }
--- a/crates/lab/src/soak/oracle/tests.rs
+++ b/crates/lab/src/soak/oracle/tests.rs
@@ -1,7 +1,7 @@
 //! Each check is seen to fail with a ledger in which its rule is broken, and to pass with one in which it is kept.
 
 use super::*;
-use crate::soak::ledger::{Answer, AttemptEnd, EngineRecord};
+use crate::soak::ledger::{Announcement, Answer, AttemptEnd, EngineRecord, Silence};
 use rstest::rstest;
 
 fn terms() -> Terms {
@@ -82,6 +82,7 @@
 #[case::never_ended(with_life(|l| l.events.truncate(3)))]
 #[case::listened_late(with_life(|l| l.events[1].0 = 15.0))]
 #[case::violation(with_life(|l| l.violations = Some(1)))]
+#[case::overdue(with_life(|l| l.events.insert(3, (20.5, ProcessEvent::Overdue))))]
 #[case::log_flood(with_life(|l| l.log_lines = 100_000))]
 fn each_break_is_found(#[case] ledger: Ledger) {
     assert_eq!(breaks(&ledger, &terms()).len(), 1, "{:?}", breaks(&ledger, &terms()));
@@ -120,15 +121,94 @@
     assert_eq!(repeats(&ledger, &terms()).len(), 0);
 }
 
-#[test]
-fn attempt_at_a_drained_engine_is_found_unless_nobody_could_hear_of_it() {
+/// An engine that drains from 5.0 on with version 3, and an attempt that reaches it at 10.1.
+fn drained() -> Ledger {
     let mut ledger = ledger();
-    ledger.engines[0].drained = Some(5.0);
+    ledger.engines[0].drained = Some((5.0, 3));
+    ledger
+}
+
+fn announced(at: f64, version: u32, is_good: bool) -> Ledger {
+    let mut ledger = silent(None, 0.0, 60.0);
+    ledger.announcements.push(Announcement { gateway: 0, at, version, is_good });
+    ledger
+}
+
+fn silent(gateway: Option<usize>, from: f64, to: f64) -> Ledger {
+    let mut ledger = drained();
+    ledger.silences.push(Silence { gateway, from, to });
+    ledger
+}
+
+fn moved(gateway: usize, at: f64) -> Ledger {
+    let mut ledger = silent(None, 0.0, 60.0);
+    ledger.moves.push((gateway, at));
+    ledger
+}
+
+#[rstest]
+#[case::told_in_time(drained(), true)]
+#[case::silent_until_just_before(silent(None, 4.0, 9.0), false)]
+#[case::silent_from_soon_after(silent(Some(0), 6.0, 9.0), false)]
+#[case::silent_elsewhere(silent(Some(1), 4.0, 9.0), true)]
+#[case::silent_long_ago(silent(None, 4.0, 6.0), true)]
+#[case::silent_for_all_means(silent(None, 4.0, 60.0), false)]
+#[case::good_answer(announced(8.0, 3, true), true)]
+#[case::good_answer_just_before(announced(8.1, 3, true), false)]
+#[case::spoilt_answer(announced(6.5, 3, false), true)]
+#[case::spoilt_answer_just_before(announced(6.6, 3, false), false)]
+#[case::answer_without_it(announced(6.0, 2, true), false)]
+#[case::moved(moved(0, 4.0), true)]
+#[case::moved_just_before(moved(0, 4.1), false)]
+#[case::another_moved(moved(1, 4.0), false)]
+fn attempt_at_a_drained_engine_is_found_once_it_counts_as_told(#[case] ledger: Ledger, #[case] broken: bool) {
+    let terms = Terms { drain_grace: 2.05, ..terms() };
+    assert_eq!(drains(&ledger, &terms).len(), usize::from(broken), "{:?}", drains(&ledger, &terms));
+}
+
+#[test]
+fn change_counts_as_told_by_all_means_after_seven_seconds() {
+    let mut ledger = silent(None, 0.0, 60.0);
+    ledger.attempts.get_mut("a").expect("there")[0].arrived = 5.0 + 7.0 + terms().drain_grace + 0.01;
+    assert_eq!(drains(&ledger, &terms()).len(), 1);
+}
+
+#[test]
+fn pause_of_a_process_excuses_no_attempt_at_a_drained_engine() {
+    let mut ledger = drained();
+    ledger.processes[0][0].events.insert(2, (5.0, ProcessEvent::Stopped));
+    ledger.processes[0][0].events.insert(3, (10.0, ProcessEvent::Continued));
     assert_eq!(drains(&ledger, &terms()).len(), 1);
-    ledger.list_silent.push((4.0, 9.0));
+}
+
+#[test]
+fn what_one_process_was_told_is_not_told_to_the_next() {
+    let mut ledger = announced(6.0, 3, true);
+    ledger.processes[0]
+        .push(ProcessRecord { events: vec![(9.0, ProcessEvent::Started)], ..ProcessRecord::default() });
     assert_eq!(drains(&ledger, &terms()).len(), 0);
 }
 
+#[test]
+fn connection_that_is_shut_unread_in_a_crowd_is_excused() {
+    let lost = |on_used_connection| {
+        let mut ledger = with_request(|r| {
+            r.end = RequestEnd::ConnectionLost(10.5);
+            r.on_used_connection = on_used_connection;
+        });
+        ledger.attempts.clear();
+        ledger
+    };
+    let mut crowded = lost(false);
+    crowded.crowds.push((0, 9.0, 11.0));
+    assert_eq!(answers(&crowded, &terms()).len(), 0);
+    crowded.attempts = ledger().attempts;
+    assert_eq!(answers(&crowded, &terms()).len(), 1, "it was read");
+    let mut resting = lost(true);
+    resting.crowds.push((0, 9.0, 11.0));
+    assert_eq!(answers(&resting, &terms()).len(), 1);
+}
+
 #[test]
 fn crowd_at_a_cold_engine_is_found() {
     let mut ledger = with_attempts((0..1_000).map(|_| attempt(10.0, 10.1)).collect());
--- a/crates/lab/src/soak/process.rs
+++ b/crates/lab/src/soak/process.rs
@@ -94,6 +94,17 @@
         let _ = kill_process(Pid::from_child(&self.child), signal);
     }
 
+    /// Its number among the processes of its gateway.
+    pub fn number(&self) -> usize {
+        self.number
+    }
+
+    /// Kills it, as its time after SIGTERM is over.
+    pub fn kill_overdue(&self) {
+        self.note(ProcessEvent::Overdue);
+        let _ = kill_process(Pid::from_child(&self.child), Signal::KILL);
+    }
+
     /// Begins or ends the faults of its system calls.
     pub fn switch_faults(&self, on: bool) {
         let _ = match on {
--- a/crates/lab/src/soak/run.rs
+++ b/crates/lab/src/soak/run.rs
@@ -2,13 +2,11 @@
 
 use super::client::Client;
 use super::discovery::Discovery;
-use super::engine::{Engine, Mode};
+use super::engine::Engine;
 use super::ledger::{EngineRecord, Ledger};
 use super::process::Process;
-use super::schedule::{self, Planned, Trouble};
-use super::{
-    oracle, terms, Stage, COLD_FROM, CORES, FALL_MULTIPLE, KEY_WINDOW_MS, TIP_AFTER_MS, WARM_WITHIN_MS,
-};
+use super::schedule::{self, Planned};
+use super::{oracle, terms, Stage};
 use crate::bed::Failure;
 use rustix::process::Signal;
 use starlingplank_standins::list::Entry;
@@ -16,13 +14,13 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::time::{interval, sleep, timeout};
 
 /// Engines of a play.
-const ENGINES: usize = 6;
+const ENGINES: usize = 8;
 /// Clients of each gateway.
-const CLIENTS: usize = 3;
+const CLIENTS: usize = 5;
 /// Time that the processes have to recover, in seconds.
 const RECOVERS_WITHIN: f64 = 3.0;
 /// Requests of the last check to each gateway, and tries of each.
@@ -64,15 +62,14 @@
     pub footprint: (f64, usize),
 }
 
-struct Play {
-    stage: Rc<Stage>,
-    discovery: Rc<Discovery>,
-    engines: Vec<RefCell<Rc<Engine>>>,
+/// A play that runs.
+pub(super) struct Play {
+    pub(super) stage: Rc<Stage>,
+    pub(super) discovery: Rc<Discovery>,
+    pub(super) engines: Vec<RefCell<Rc<Engine>>>,
     /// Of each gateway; two while one takes over from the other.
-    processes: Vec<RefCell<Vec<Process>>>,
-    /// Which of the two services each gateway's configuration names.
-    service: Vec<Cell<usize>>,
-    seed: u64,
+    pub(super) processes: Vec<RefCell<Vec<Process>>>,
+    pub(super) seed: u64,
     footprint: Cell<(f64, usize)>,
     /// Nothing is started anew any more.
     ending: Cell<bool>,
@@ -130,13 +127,9 @@
     Ok(addresses)
 }
 
-fn unix_ms() -> f64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0
-}
-
 impl Play {
     async fn open(stage: Rc<Stage>, plan: &Plan) -> Result<Self, Failure> {
-        let discovery = Discovery::start().await?;
+        let discovery = Discovery::start(stage.clone(), plan.gateways).await?;
         let mut engines = Vec::new();
         for n in 0..ENGINES {
             stage.ledger.borrow_mut().engines.push(EngineRecord { cold_since: None, drained: None });
@@ -145,16 +138,15 @@
             engines.push(RefCell::new(engine));
         }
         let processes = (0..plan.gateways).map(|_| RefCell::default()).collect();
-        let service = (0..plan.gateways).map(|_| Cell::new(0)).collect();
         let (seed, footprint, ending) = (plan.seed, Cell::default(), Cell::new(false));
-        let play = Self { stage, discovery, engines, processes, service, seed, footprint, ending };
+        let play = Self { stage, discovery, engines, processes, seed, footprint, ending };
         for gateway in 0..plan.gateways {
             play.start_process(gateway)?;
         }
         Ok(play)
     }
 
-    fn start_process(&self, gateway: usize) -> std::io::Result<()> {
+    pub(super) fn start_process(&self, gateway: usize) -> std::io::Result<()> {
         self.write_config(gateway)?;
         let lives = self.stage.ledger.borrow().processes[gateway].len() as u64;
         let seed = self.seed.wrapping_mul(1_000_003) ^ ((gateway as u64) << 20) ^ lives;
@@ -163,48 +155,6 @@
         Ok(())
     }
 
-    fn write_config(&self, gateway: usize) -> std::io::Result<()> {
-        let folder = self.stage.folder.join(format!("g{gateway}"));
-        std::fs::create_dir_all(&folder)?;
-        // Whole or not at all: a reload may read it at any moment.
-        let new = folder.join("config.new");
-        std::fs::write(&new, self.config(gateway))?;
-        std::fs::rename(new, folder.join("config.json"))
-    }
-
-    fn config(&self, gateway: usize) -> String {
-        let member = |e: &Entry| {
-            let phase = if e.drains { "draining" } else { "ready" };
-            format!(
-                r#"{{"id":"{}","host_port":"{}","locality":"a","flavor":"std","cell":0,"phase":"{phase}","size":1,"up_since_ms":{:.0}}}"#,
-                e.id, e.address, e.started
-            )
-        };
-        let members: Vec<_> = self.discovery.entries.borrow().iter().map(member).collect();
-        format!(
-            r#"{{"name":"g{gateway}","listen":"{}","operator":"127.0.0.1:0","seed":"{:x}","names":"{}",
-            "limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},
-            "known":{{"cursor":{serial},"cmds":[{{"cursor":{serial},"nodes":{{"revision":1,"complete":true,"members":[{}]}}}}]}},
-            "settings":{{"balancers":{},"rank":{gateway},"zones":["a"],"locality":"a","skus":["std"],"tick":1.0,
-             "classes":[
-              {{"name":"lookup","on_time":1200,"give_up":4000,"idempotency":"idempotent","worth":1}},
-              {{"name":"load","on_time":1200,"give_up":4000,"idempotency":"deduplicated","dedup_scope":"all","window":{KEY_WINDOW_MS},"worth":1}},
-              {{"name":"order","on_time":1200,"give_up":4000,"idempotency":"at_most_once","worth":1}}],
-             "specifics":{{"cpu_of_kind":[{CORES}],"memory_by_kind_mb":[8192],"width_by_class":[1,1,1],
-              "is_load":[false,false,false],"class_waits":[false,false,false],"grants_count":false,"takes_priority":false,"most_grant":0.4}},
-             "reporting":{{"how":"answers","columns":["load_share"]}},
-             "limits":{{"send_cap":3,"cancelling":true,"probes":true,"retry_after":true,"max_retry_after":400,"connect_timeout":250,"idle_close":4000}},
-             "rules":{{"answer_slack":20,"drain_grace":2000,"extra_free":2,"extra_per_request":0.2,"ratio_span":10000,
-              "cold_from":{COLD_FROM},"warm_within":{WARM_WITHIN_MS},"fall_multiple":{FALL_MULTIPLE},"tip_after":{TIP_AFTER_MS}}}}}}}"#,
-            self.stage.addresses[gateway],
-            self.seed ^ gateway as u64,
-            self.discovery.addresses[self.service[gateway].get()],
-            members.join(","),
-            self.processes.len(),
-            serial = self.discovery.serial.get(),
-        )
-    }
-
     /// Looks after the processes: one that has ended, told to or not, is started again.
     async fn watch(self: Rc<Self>) {
         let mut look = interval(Duration::from_millis(5));
@@ -237,136 +187,14 @@
         }
     }
 
-    fn signal(&self, gateway: usize, signal: Signal) {
+    pub(super) fn signal(&self, gateway: usize, signal: Signal) {
         self.processes[gateway].borrow().iter().for_each(|process| process.signal(signal));
     }
 
-    fn switch_faults(&self, gateway: usize, on: bool) {
+    pub(super) fn switch_faults(&self, gateway: usize, on: bool) {
         self.processes[gateway].borrow().iter().for_each(|process| process.switch_faults(on));
     }
 
-    async fn trouble(self: Rc<Self>, planned: Planned) {
-        self.until(planned.from).await;
-        let engine = |n: usize| self.engines[n].borrow().clone();
-        match planned.trouble {
-            Trouble::Restart(gateway) => self.signal(gateway, Signal::TERM),
-            Trouble::Upgrade(gateway) => self.upgrade(gateway).await,
-            Trouble::Kill(gateway) => self.signal(gateway, Signal::KILL),
-            Trouble::Stop(gateway) => self.stop(gateway, planned.to).await,
-            Trouble::Reload(gateway, times) => self.reload(gateway, times).await,
-            Trouble::SystemCalls(gateway) => {
-                self.switch_faults(gateway, true);
-                self.until(planned.to).await;
-                self.switch_faults(gateway, false);
-            }
-            Trouble::Replace(n) => self.replace(n, planned.to).await,
-            Trouble::Crash(n) => self.crash(n, planned.to).await,
-            Trouble::Hang(n) => self.behave(&engine(n), Mode::Hang, planned.to).await,
-            Trouble::Overload(n) => self.behave(&engine(n), Mode::Overload, planned.to).await,
-            Trouble::CloseIdle(n) => self.behave(&engine(n), Mode::CloseIdle, planned.to).await,
-            Trouble::Reset(n) => self.reset_often(&engine(n), planned.to).await,
-            Trouble::SilentList => self.silence(planned.to).await,
-            Trouble::Leaving => {
-                self.stage.clients_leave.set(true);
-                self.until(planned.to).await;
-                self.stage.clients_leave.set(false);
-            }
-        }
-    }
-
-    async fn until(&self, at: f64) {
-        sleep(Duration::from_secs_f64((at - self.stage.now()).max(0.0))).await;
-    }
-
-    /// Stops a gateway's processes, and has them go on.
-    async fn stop(&self, gateway: usize, to: f64) {
-        self.signal(gateway, Signal::STOP);
-        self.until(to).await;
-        self.signal(gateway, Signal::CONT);
-    }
-
-    /// Starts a process beside the one that runs, and ends that one once the new one listens.
-    async fn upgrade(&self, gateway: usize) {
-        let old = self.processes[gateway].borrow().len();
-        if old != 1 || self.start_process(gateway).is_err() {
-            return;
-        }
-        for _ in 0..500 {
-            sleep(Duration::from_millis(10)).await;
-            let processes = self.processes[gateway].borrow();
-            if processes.len() != 2 {
-                return;
-            }
-            if processes[1].listens() {
-                return processes[0].signal(Signal::TERM);
-            }
-        }
-    }
-
-    async fn reload(&self, gateway: usize, times: u32) {
-        for _ in 0..times {
-            self.service[gateway].set(1 - self.service[gateway].get());
-            let _ = self.write_config(gateway);
-            self.signal(gateway, Signal::HUP);
-            sleep(Duration::from_millis(3)).await;
-        }
-    }
-
-    async fn behave(&self, engine: &Engine, mode: Mode, to: f64) {
-        engine.behave(mode);
-        self.until(to).await;
-        engine.behave(Mode::Well);
-    }
-
-    async fn reset_often(&self, engine: &Engine, to: f64) {
-        while self.stage.now() < to {
-            engine.reset();
-            sleep(Duration::from_millis(150)).await;
-        }
-    }
-
-    async fn silence(&self, to: f64) {
-        let from = self.stage.now();
-        self.discovery.silent_since.set(Some(from));
-        self.until(to).await;
-        self.discovery.silent_since.set(None);
-        self.stage.ledger.borrow_mut().list_silent.push((from, self.stage.now()));
-    }
-
-    /// A new engine in the ledger, which starts now.
-    fn cold_engine(&self) -> usize {
-        let mut ledger = self.stage.ledger.borrow_mut();
-        ledger.engines.push(EngineRecord { cold_since: Some(self.stage.now()), drained: None });
-        ledger.engines.len() - 1
-    }
-
-    /// The engine drains, another joins; the first goes.
-    async fn replace(&self, n: usize, to: f64) {
-        let old = self.engines[n].borrow().clone();
-        let number = self.cold_engine();
-        let Ok(new) = Engine::start(self.stage.clone(), number).await else { return };
-        self.stage.ledger.borrow_mut().engines[old.number.get()].drained = Some(self.stage.now());
-        self.discovery.change(|entries| {
-            entries.iter_mut().filter(|e| e.address == old.address).for_each(|e| e.drains = true);
-            entries.push(entry(&format!("s-{n}-{number}"), new.address, unix_ms()));
-        });
-        *self.engines[n].borrow_mut() = new;
-        self.until(to).await;
-        self.discovery.change(|entries| entries.retain(|e| e.address != old.address));
-    }
-
-    /// The engine dies and is restarted at once or a little later; the list tells its start.
-    async fn crash(&self, n: usize, to: f64) {
-        let engine = self.engines[n].borrow().clone();
-        engine.crash();
-        self.until(to).await;
-        engine.restart(self.cold_engine());
-        self.discovery.change(|entries| {
-            let own = entries.iter_mut().filter(|e| e.address == engine.address);
-            own.for_each(|e| e.started = unix_ms());
-        });
-    }
-
     async fn check_recovery(&self) {
         sleep(Duration::from_secs_f64(RECOVERS_WITHIN)).await;
         let checks: Vec<_> = (0..self.processes.len())
@@ -402,6 +230,7 @@
     }
 }
 
-fn entry(id: &str, address: SocketAddr, started: f64) -> Entry {
+/// An engine that serves, as the list names it.
+pub(super) fn entry(id: &str, address: SocketAddr, started: f64) -> Entry {
     Entry { id: id.to_owned(), address, drains: false, started }
 }
