--- a/crates/lab/src/soak/oracle/tests.rs
+++ b/crates/lab/src/soak/oracle/tests.rs
@@ -189,6 +189,15 @@
     assert_eq!(drains(&ledger, &terms()).len(), 0);
 }
 
+#[test]
+fn client_that_waits_no_longer_than_its_gateway_stands_still_is_excused() {
+    let mut ledger = with_request(|r| r.end = RequestEnd::Nothing(16.0));
+    assert_eq!(answers(&ledger, &terms()).len(), 1);
+    ledger.processes[0][0].events.insert(2, (10.1, ProcessEvent::Stopped));
+    ledger.processes[0][0].events.insert(3, (14.5, ProcessEvent::Continued));
+    assert_eq!(answers(&ledger, &terms()).len(), 0);
+}
+
 #[test]
 fn connection_that_is_shut_unread_in_a_crowd_is_excused() {
     let lost = |on_used_connection| {
