--- a/crates/membership/src/age.rs
+++ b/crates/membership/src/age.rs
@@ -11,12 +11,13 @@
 //! | questions are answered, or nothing was asked (the process stood still) | [`TOLD_WITHIN`], from the confirmation |
 //! | questions go unanswered: the service is silent, or what it says gets lost | [`TOLD_WITHIN`], from the last question; at the latest [`TOLD_BY_ALL_MEANS`], from the confirmation |
 //! | ... and an answer came that cannot be used: a good one in its place would have counted | [`TOLD_WITHIN`], from that answer |
-//! | ... and the service has moved | [`TOLD_AFTER_MOVE`], from the change of its address |
+//! | ... and the service has moved within that time before | [`TOLD_AFTER_MOVE`], from the change of its address |
 //!
 //! The list may be relied on until then and the grace. Where questions may be further apart than the steady pace,
 //! [`TOLD_WITHIN`] is as long as four of them.
 
 use crate::Ms;
+use std::collections::VecDeque;
 use std::fmt;
 
 /// A list that was not confirmed for longer is late: several answers in a row are missing.
@@ -31,6 +32,8 @@
 pub const TOLD_AFTER_MOVE: Ms = 4_000.0;
 /// A change is asked for so often before it counts as told.
 const QUESTIONS_WITHIN: f64 = 4.0;
+/// Changes of the address that are remembered at most; further ones bind later than these.
+const MOST_MOVES: usize = 64;
 /// Questions without an answer, besides the last one, that tell a silent service from a single lost answer.
 const UNANSWERED: u64 = 2;
 
@@ -67,6 +70,8 @@
     told_within: Ms,
     /// The first change of the service's address since.
     moved_at: Option<Ms>,
+    /// Changes of the address after which not everything counted as told when the list was confirmed.
+    moves: VecDeque<Ms>,
     /// The first answer since that could not be used.
     spoilt_at: Option<Ms>,
     /// When the last question was sent.
@@ -84,6 +89,7 @@
             as_of: now,
             told_within: TOLD_WITHIN.max(QUESTIONS_WITHIN * slowest_pace),
             moved_at: None,
+            moves: VecDeque::new(),
             spoilt_at: None,
             asked_at: now,
             unanswered: 0,
@@ -111,6 +117,7 @@
         self.as_of = asked_at;
         self.unanswered = self.unanswered.min(later_questions);
         self.moved_at = self.moved_at.filter(|moved| asked_at < *moved);
+        self.moves.retain(|moved| asked_at < moved + TOLD_AFTER_MOVE);
         self.spoilt_at = self.spoilt_at.filter(|spoilt| asked_at < *spoilt);
     }
 
@@ -122,6 +129,9 @@
     /// The service's address changes.
     pub fn relocate(&mut self, now: Ms) {
         self.moved_at.get_or_insert(now);
+        if self.moves.len() < MOST_MOVES {
+            self.moves.push_back(now);
+        }
     }
 
     /// Time since the list was last known to hold.
@@ -143,7 +153,7 @@
             Some(self.as_of + TOLD_BY_ALL_MEANS),
             Some(self.asked_at + self.told_within),
             self.spoilt_at.map(|at| at + self.told_within),
-            self.moved_at.map(|at| at + TOLD_AFTER_MOVE),
+            self.moves.front().map(|at| at + TOLD_AFTER_MOVE),
         ];
         bounds.into_iter().flatten().fold(f64::INFINITY, f64::min)
     }
--- a/crates/membership/src/age/tests.rs
+++ b/crates/membership/src/age/tests.rs
@@ -55,8 +55,10 @@
     age.relocate(500.0);
     age.relocate(900.0);
     assert_eq!(age.reliable_until(GRACE), 500.0 + TOLD_AFTER_MOVE + GRACE, "the first move counts");
-    age.confirm(500.0, 0);
-    assert_eq!(age.reliable_until(GRACE), 500.0 + TOLD_WITHIN + GRACE);
+    age.confirm(600.0, 50);
+    assert_eq!(age.reliable_until(GRACE), 500.0 + TOLD_AFTER_MOVE + GRACE, "also once it has answered");
+    age.confirm(500.0 + TOLD_AFTER_MOVE, 50);
+    assert_eq!(age.reliable_until(GRACE), 4_500.0 + TOLD_WITHIN + GRACE, "the second move is over as well");
     let mut late = unanswered(100);
     late.relocate(5_000.0);
     assert_eq!(late.reliable_until(GRACE), TOLD_BY_ALL_MEANS + GRACE);
