--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -627,3 +627,38 @@
     until(&log, |l| l.iter().any(|p| p[1].contains("00000000000000a1")));
     until(&log, |l| l.iter().any(|p| p[0] == "1" && p[1].contains("busy")));
 }
+
+/// The process is told to end, and stands still until after its last moment; requests arrive on open connections meanwhile. They
+/// are answered once it goes on.
+#[test]
+fn what_arrives_in_a_pause_that_outlasts_the_end_is_answered() {
+    const CLIENTS: i32 = 8;
+    let (at, _) = resp_engine(served);
+    let mut gateway = Gateway::start(&config(&[at], "resp", 1_000));
+    let mut clients: Vec<_> = (0..CLIENTS).map(|_| gateway.client()).collect();
+    for client in &mut clients {
+        client.write_all(&health(1)).expect("sent");
+        assert_eq!(answer(client).0, 1);
+    }
+    gateway.terminate();
+    // What is asked after the signal is answered after it was handled.
+    let mut last = gateway.client();
+    for seq in 1..=3 {
+        let fields = [("verb", "lookup"), ("txn", &*format!("{:016x}", 100 + seq)), ("limit", "1000")];
+        last.write_all(&call(seq, &fields, "select 1")).expect("sent");
+        assert_eq!(answer(&mut last).1, "served");
+    }
+    // Its last moment is 1.3 s after SIGTERM, where deadlines are a second away.
+    gateway.stop();
+    for (n, client) in clients.iter_mut().enumerate() {
+        let fields = [("verb", "lookup"), ("txn", &*format!("{n:016x}")), ("limit", "1000")];
+        client.write_all(&call(2, &fields, "select 1")).expect("sent");
+    }
+    thread::sleep(Duration::from_millis(2_500));
+    gateway.resume();
+    for client in &mut clients {
+        let (seq, kind, _) = answer(client);
+        assert_eq!(seq, 2, "{kind}");
+    }
+    assert!(gateway.child.wait().expect("it ends").success());
+}
