What arrived in a pause is read before a process ends

Cause: the last moment of a process that was told to end is a time, and a pause may carry the process past it with requests unread in its sockets; closing them reset the connections. The process is no longer overdue while the backlog of a pause may lie unread (50 ms, as for deadlines).

--- a/src/net/pause.rs
+++ b/src/net/pause.rs
@@ -39,9 +39,19 @@
 
     /// The earliest time at which something may have arrived that is read now.
     pub fn arrived(&self, now: Instant) -> Instant {
+        self.recent(now).map_or(now, |pause| pause.from)
+    }
+
+    /// Whether what arrived in a pause may still lie unread.
+    pub fn has_backlog(&self, now: Instant) -> bool {
+        self.recent(now).is_some()
+    }
+
+    /// The pause that has just ended.
+    fn recent(&self, now: Instant) -> Option<Pause> {
         self.alive(now);
-        let recent = |pause: &Pause| now.saturating_duration_since(pause.until) <= BACKLOG;
-        self.last_pause.get().filter(recent).map_or(now, |pause| pause.from)
+        let is_recent = |pause: &Pause| now.saturating_duration_since(pause.until) <= BACKLOG;
+        self.last_pause.get().filter(is_recent)
     }
 }
 
--- a/src/net/pause/tests.rs
+++ b/src/net/pause/tests.rs
@@ -23,3 +23,13 @@
     assert_eq!(pauses.arrived(after(start, 1_101)), after(start, 1_101));
     assert_eq!(pauses.arrived(after(start, 3_000)), after(start, 1_101));
 }
+
+#[test]
+fn backlog_of_a_pause_is_there_for_a_moment_after_it() {
+    let start = Instant::now();
+    let pauses = PauseDetector::new(start);
+    assert!(!pauses.has_backlog(after(start, 100)));
+    assert!(pauses.has_backlog(after(start, 1_000)), "it has just gone on");
+    assert!(pauses.has_backlog(after(start, 1_050)));
+    assert!(!pauses.has_backlog(after(start, 1_051)));
+}
--- a/src/net/runtime/shutdown.rs
+++ b/src/net/runtime/shutdown.rs
@@ -26,7 +26,9 @@
         may_end(&EndFacts {
             settled: self.settled,
             unconnected: closes_idle && self.desk.empty(),
-            overdue: waited >= window + self.desk.limits.leave_close,
+            // What clients sent while the process stood still is read before it ends.
+            overdue: waited >= window + self.desk.limits.leave_close
+                && !self.desk.pauses.has_backlog(Instant::now()),
         })
     }
 
