What was read from an engine or a client is told also where the connection ends while the queue is full

Cause: events.send was awaited inside select! after the attempt had been taken from what is in flight, so that a connection which broke at that moment dropped the event. Now a place in the queue is reserved before anything changes, on both engine wires (RESP, ClickHouse HTTP) and where a client cancels or leaves; the fronts took requests so already. The cancel of a Thrift client keeps its request open until the reducer is told.

--- a/src/net/engine/clickhouse.rs
+++ b/src/net/engine/clickhouse.rs
@@ -361,33 +361,38 @@
         }
         bytes += part.len();
         let job = conn.job.borrow().clone()?;
+        if let (Job::Attempt(_, Some(flow)), true) = (&job, begun) {
+            // The engine is read no faster than the client reads.
+            flow.room(limits.result_bytes).await;
+        }
+        let place = events.reserve().await.ok()?;
+        let job = conn.job.borrow().clone()?;
         match job {
-            Job::Attempt(id, Some(flow)) if begun => {
-                // The engine is read no faster than the client reads.
-                flow.room(limits.result_bytes).await;
-                events.send(Event::More(id, part)).await.ok()?;
+            Job::Attempt(id, Some(_)) if begun => {
+                place.send(Event::More(id, part));
             }
             Job::Attempt(id, flow) => {
                 rows.parts.push(part);
                 if status == 200 && bytes > limits.result_bytes && flow.is_some() {
                     begun = true;
-                    events.send(Event::Begun(id, std::mem::take(&mut rows))).await.ok()?;
+                    place.send(Event::Begun(id, std::mem::take(&mut rows)));
                 } else if bytes > limits.message_bytes {
                     log::seldom("a result that is too large cannot be passed on whole");
                     conn.job.borrow_mut().take();
-                    events.send(Event::Ended(id, End::plain(Outcome::Error))).await.ok()?;
+                    place.send(Event::Ended(id, End::plain(Outcome::Error)));
                     return None;
                 }
             }
             Job::Probe(_) => {}
         }
     }
+    // The place of its event is there before the job is over: this future may be dropped while it waits.
+    let place = events.reserve().await.ok()?;
     let job = conn.job.borrow_mut().take()?;
-    let event = match job {
+    place.send(match job {
         Job::Probe(tag) => Event::Probed(tag, status == 200, None),
         Job::Attempt(id, _) => Event::Ended(id, end(status, rows)),
-    };
-    events.send(event).await.ok()?;
+    });
     Some(keep)
 }
 
--- a/src/net/engine/driver.rs
+++ b/src/net/engine/driver.rs
@@ -77,6 +77,8 @@
 ) -> ControlFlow<()> {
     let longest = LONGEST_REPLY_IN_RESULTS * limits.result_bytes;
     loop {
+        // The place of its event is there before a reply changes anything: this future may be dropped while it waits.
+        let Ok(place) = events.reserve().await else { return ControlFlow::Break(()) };
         let (effect, used) = match resp::read(inbox.unread(), limits.result_bytes) {
             Read::Reply(reply, used) => (handle_reply(connection, &reply, limits), used),
             Read::More if inbox.unread().len() <= longest => return ControlFlow::Continue(()),
@@ -85,11 +87,7 @@
         inbox.used(used);
         match effect {
             ReplyEffect::Ignored => {}
-            ReplyEffect::Event(event) => {
-                if events.send(event).await.is_err() {
-                    return ControlFlow::Break(());
-                }
-            }
+            ReplyEffect::Event(event) => place.send(event),
             // It is not known which attempts the replies after this one belong to.
             ReplyEffect::ProtocolError => {
                 log::seldom("an engine's answer cannot be used; the connection was closed");
--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -236,8 +236,10 @@
 
     /// Withdraws a request whose client no longer waits.
     pub async fn leave(&self, id: RequestId) {
+        // The reducer hears of it, also where the connection ends while this waits.
+        let Ok(event) = self.events.reserve().await else { return };
         if self.gone(id).is_some() {
-            let _ = self.events.send(Event::Left(id)).await;
+            event.send(Event::Left(id));
         }
     }
 
--- a/src/net/front/thrift.rs
+++ b/src/net/front/thrift.rs
@@ -346,10 +346,13 @@
         }
         Message::Unknown(seq, name) => say(unknown(seq, name)),
         Message::Cancel(seq) => {
-            let id = session.open.borrow_mut().remove(&seq);
+            let id = session.open.borrow().get(&seq).copied();
             if let Some(id) = id {
-                session.seat.ended();
+                // It stays open until the reducer is told: the connection may end while this waits.
                 desk.leave(id).await;
+                if session.open.borrow_mut().remove(&seq).is_some() {
+                    session.seat.ended();
+                }
             }
         }
         Message::Call { seq, fields, body } => {
