Failing tests: one record that cannot be used drops the whole list of engines

A list that names an engine whose address is missing, or whose names differ in case, is dropped whole, with the drains that it tells of the others; now that the age of the list binds, all new work stops as well.

--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -232,3 +232,24 @@
     becomes("served");
     ends_well(&mut gateway);
 }
+
+/// One engine of the list has no address: what is told of the others counts.
+#[test]
+fn list_that_names_an_engine_without_an_address_is_heard() {
+    let service = ScriptedService::start();
+    let mut bed = Bed::start(service.address);
+    let [drains, live] = bed.version_2();
+    for _ in 0..ROUNDS {
+        let question = service.next();
+        let mut bytes = names_answer_of(&question.bytes, 2, &[drains, live, ("s-2", bed.after, false)]);
+        // The type of its address record becomes one that nobody knows.
+        let owner = b"\x03s-2\x01a\x05hosts\0\0\x01";
+        let at = bytes.windows(owner.len()).rposition(|window| window == owner).expect("its address");
+        bytes[at + owner.len() - 1] = 99;
+        service.send(&question, &bytes);
+        if bed.has_heard() {
+            return ends_well(&mut bed.gateway);
+        }
+    }
+    panic!("{ROUNDS} answers were not heard");
+}
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -102,6 +102,14 @@
     for cut in 0..packet.len() {
         assert_eq!(message::read(&packet[..cut], &settings()), None, "cut at {cut}");
     }
+    // Names are the same whatever their case (RFC 4343).
+    let mut shouted = packet.clone();
+    let zone = shouted.windows(4).position(|bytes| bytes == b"west").expect("it is there");
+    let address_owner = shouted.len() - 26 - 16 - 2;
+    assert_eq!(shouted[address_owner], 0xc0, "the owner of the address is a pointer");
+    shouted.splice(address_owner..address_owner + 2, *b"\x04S-AB\x04WEST\x05HOSTS\x00");
+    assert!(zone < address_owner);
+    assert_eq!(message::read(&shouted, &settings()).expect("read").list[0].address, engine.address);
     // A name that points at itself ends.
     let mut looped = packet.clone();
     looped[12..14].copy_from_slice(&[0xc0, 0x0c]);
