A record that cannot be used costs its own engine at most, and names are the same in any case

Cause: message::read gave up the whole list for one target without an address, and looked addresses up by the letter. Owners are compared in lower case (RFC 4343).

--- a/src/net/discovery/message.rs
+++ b/src/net/discovery/message.rs
@@ -69,6 +69,7 @@
 struct Records<'a> {
     serial: Option<u64>,
     targets: Vec<(u16, u16, String)>,
+    /// By names in lower case, as names are the same whatever their case (RFC 4343).
     addresses: BTreeMap<String, Ipv4Addr>,
     texts: BTreeMap<String, Vec<&'a str>>,
 }
@@ -85,10 +86,10 @@
         }
         (IN, A) => {
             let address = be_u32.parse_next(d)?;
-            records.addresses.insert(owner, Ipv4Addr::from(address));
+            records.addresses.insert(owner.to_ascii_lowercase(), Ipv4Addr::from(address));
         }
         (IN, TXT) => {
-            let texts = records.texts.entry(owner).or_default();
+            let texts = records.texts.entry(owner.to_ascii_lowercase()).or_default();
             while !d.is_empty() {
                 let text: &[u8] = length_take(u8).parse_next(d)?;
                 texts.extend(std::str::from_utf8(text).ok());
@@ -104,6 +105,9 @@
     Ok(())
 }
 
+/// The addresses of the engines in the list that is in use, by id.
+pub type KnownAddresses = BTreeMap<String, SocketAddr>;
+
 /// An answer: the id of its question, the number of the last event, and the whole list.
 #[derive(Debug, PartialEq)]
 pub struct Answered {
@@ -140,15 +144,19 @@
 }
 
 /// Reads an answer. None: it is damaged, cut short or an error, and the list held stays.
-pub fn read(bytes: &[u8], settings: &Settings) -> Option<Answered> {
+///
+/// An engine whose address is missing keeps the one that is known of it. Where none is known it is left out: nothing can be sent
+/// to it, and what the list tells of the others counts.
+pub fn read(bytes: &[u8], settings: &Settings, known: &KnownAddresses) -> Option<Answered> {
     let (id, records) = message(bytes).ok()?;
     let mut list = Vec::new();
     for (priority, port, target) in &records.targets {
         let mut labels = target.split('.');
         let (engine, zone) = (labels.next()?, labels.next().unwrap_or_default());
-        // An engine whose address is missing makes the list unfit to be taken for the whole.
-        let address = SocketAddr::new(IpAddr::V4(*records.addresses.get(target)?), *port);
-        let texts = records.texts.get(target).map(Vec::as_slice).unwrap_or_default();
+        let name = target.to_ascii_lowercase();
+        let told = records.addresses.get(&name).map(|ip| SocketAddr::new(IpAddr::V4(*ip), *port));
+        let Some(address) = told.or_else(|| known.get(engine).copied()) else { continue };
+        let texts = records.texts.get(&name).map(Vec::as_slice).unwrap_or_default();
         let text = |key: &str| texts.iter().find_map(|t| t.split_once('=').filter(|(k, _)| *k == key));
         let number = |key: &str| text(key).and_then(|(_, v)| v.parse::<f64>().ok()).unwrap_or(0.0);
         let state = if *priority == 0 { Availability::Live } else { Availability::Draining };
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -7,11 +7,12 @@
 pub mod message;
 pub mod sockets;
 
-use crate::core::Event;
+use crate::core::{Event, Listed};
 use crate::interface::{Ms, Settings};
 use crate::limits::Limits;
 use crate::net::clock::Clock;
 use crate::net::log;
+use message::KnownAddresses;
 use sockets::{Datagram, Sockets};
 use starlingplank_membership::answers::AnswerKind;
 use starlingplank_membership::discovery::{Discovery, Received, Start, Verdict};
@@ -57,6 +58,8 @@
     pub events: Sender<Event>,
     /// The sockets.
     pub sockets: Sockets,
+    /// The engines' addresses by the newest list.
+    pub addresses: KnownAddresses,
     /// Bytes of the last datagram.
     pub buffer: Vec<u8>,
 }
@@ -134,7 +137,7 @@
     /// Handles a datagram.
     async fn handle(&mut self, datagram: Datagram) -> Result<(), SendError<Event>> {
         let bytes = &self.buffer[..datagram.len];
-        let answer = message::read(bytes, &self.settings);
+        let answer = message::read(bytes, &self.settings, &self.addresses);
         let received = match &answer {
             Some(answer) => Received::List { id: answer.id, version: answer.serial },
             None if message::is_truncated(bytes) => Received::Truncated,
@@ -144,6 +147,9 @@
         let verdict = self.discovery.borrow_mut().receive(received, datagram.from, datagram.flow, now);
         log_answer(received, verdict);
         if let Some(answer) = answer.filter(|_| is_handed_on(verdict.kind)) {
+            if verdict.kind == AnswerKind::News {
+                self.addresses = addresses_of(&answer.list);
+            }
             if verdict.supersedes {
                 self.events.send(Event::FormerAddressSuperseded).await?;
             }
@@ -167,6 +173,11 @@
     }
 }
 
+/// The addresses of the engines of a list.
+pub fn addresses_of(list: &[Listed]) -> KnownAddresses {
+    list.iter().map(|listed| (listed.member.engine.0.to_string(), listed.address)).collect()
+}
+
 /// Whether the reducer sees an answer of that kind. An older list is none to the reducer either, which counts it.
 fn is_handed_on(kind: AnswerKind) -> bool {
     kind.confirms() || kind == AnswerKind::Older
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -2,9 +2,10 @@
 
 use rstest::rstest;
 use starlingplank::interface::Settings;
+use starlingplank::net::discovery::message::{self, KnownAddresses};
 use starlingplank::net::engine::resp::{self, Read};
 use starlingplank::net::front::thrift::{self, Message};
-use starlingplank::net::{discovery::message, http};
+use starlingplank::net::http;
 use starlingplank::wire::{self, Line};
 
 #[rstest]
@@ -92,7 +93,7 @@
 #[test]
 fn a_list_is_read_and_what_is_cut_short_is_not_taken_for_one() {
     let packet = packet();
-    let answered = message::read(&packet, &settings()).expect("read");
+    let answered = message::read(&packet, &settings(), &KnownAddresses::new()).expect("read");
     assert_eq!((answered.id, answered.serial), (9, 42));
     let engine = &answered.list[0];
     assert_eq!((&*engine.member.engine.0, engine.member.cell), ("s-ab", 2));
@@ -100,7 +101,7 @@
     assert_eq!(engine.member.zone, Some(starlingplank::interface::ZoneId(1)));
     assert!(engine.member.availability != starlingplank::interface::Availability::Live, "priority 1 drains");
     for cut in 0..packet.len() {
-        assert_eq!(message::read(&packet[..cut], &settings()), None, "cut at {cut}");
+        assert_eq!(message::read(&packet[..cut], &settings(), &KnownAddresses::new()), None, "cut at {cut}");
     }
     // Names are the same whatever their case (RFC 4343).
     let mut shouted = packet.clone();
@@ -109,9 +110,12 @@
     assert_eq!(shouted[address_owner], 0xc0, "the owner of the address is a pointer");
     shouted.splice(address_owner..address_owner + 2, *b"\x04S-AB\x04WEST\x05HOSTS\x00");
     assert!(zone < address_owner);
-    assert_eq!(message::read(&shouted, &settings()).expect("read").list[0].address, engine.address);
+    assert_eq!(
+        message::read(&shouted, &settings(), &KnownAddresses::new()).expect("read").list[0].address,
+        engine.address
+    );
     // A name that points at itself ends.
     let mut looped = packet.clone();
     looped[12..14].copy_from_slice(&[0xc0, 0x0c]);
-    assert_eq!(message::read(&looped, &settings()), None);
+    assert_eq!(message::read(&looped, &settings(), &KnownAddresses::new()), None);
 }
