--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -60,6 +60,8 @@
     pub sockets: Sockets,
     /// The engines' addresses by the newest list.
     pub addresses: KnownAddresses,
+    /// Until when the list may be relied on, as the reducer was last told.
+    pub told_until: Ms,
     /// Bytes of the last datagram.
     pub buffer: Vec<u8>,
 }
@@ -161,7 +163,9 @@
     /// Tells until when the list may be relied on, and logs a change of its freshness.
     async fn report(&mut self) -> Result<(), SendError<Event>> {
         let until = self.discovery.borrow().reliable_until();
-        self.events.send(Event::ListReliableUntil(until)).await?;
+        if std::mem::replace(&mut self.told_until, until) != until {
+            self.events.send(Event::ListReliableUntil(until)).await?;
+        }
         let now = self.clock.now();
         let mut discovery = self.discovery.borrow_mut();
         if let Some(freshness) = discovery.freshness_change(now) {
--- a/src/net/runtime/startup.rs
+++ b/src/net/runtime/startup.rs
@@ -209,6 +209,7 @@
             settings: self.desk.settings.clone(),
             events: self.events.clone(),
             sockets: Sockets::default(),
+            told_until: f64::INFINITY,
             addresses: discovery::addresses_of(&self.config.known),
             buffer: vec![0; self.desk.limits.names_bytes],
         };
