A silence after a pause says nothing of what happened in the pause

A span of over 1.5 s in which nothing was asked, of a service not yet seen to be silent, now keeps the lease short until a question sent after it is confirmed.

--- a/crates/membership/src/age.rs
+++ b/crates/membership/src/age.rs
@@ -8,7 +8,7 @@
 //!
 //! | where | after |
 //! | --- | --- |
-//! | questions are answered, or nothing was asked (the process stood still) | [`TOLD_WITHIN`], from the confirmation |
+//! | questions are answered, or nothing was asked for that long (the process stood still), whatever is asked later | [`TOLD_WITHIN`], from the confirmation |
 //! | questions go unanswered: the service is silent, or what it says gets lost | [`TOLD_WITHIN`], from the last question; at the latest [`TOLD_BY_ALL_MEANS`], from the confirmation |
 //! | ... and an answer came that cannot be used: a good one in its place would have counted | [`TOLD_WITHIN`], from that answer |
 //! | ... and the service has moved within that time before | [`TOLD_AFTER_MOVE`], from the change of its address |
@@ -76,8 +76,11 @@
     spoilt_at: Option<Ms>,
     /// When the last question was sent.
     asked_at: Ms,
-    /// Questions sent since the one that confirmed the list, or since the process stood still.
+    /// Questions sent since the one that confirmed the list.
     unanswered: u64,
+    /// The first question after a span in which nothing was asked of a service that may have been well: what happened in that
+    /// span may have been told, also where the service is silent since.
+    unwatched_until: Option<Ms>,
     /// What was last reported.
     reported: Freshness,
 }
@@ -93,21 +96,21 @@
             spoilt_at: None,
             asked_at: now,
             unanswered: 0,
+            unwatched_until: None,
             reported: Freshness::Fresh,
         }
     }
 
     /// A question is sent.
     pub fn ask(&mut self, now: Ms) {
+        let seen_silent = self.unanswered > UNANSWERED;
+        if now - self.asked_at > self.told_within && !seen_silent {
+            self.unwatched_until.get_or_insert(now);
+        }
         self.asked_at = now;
         self.unanswered += 1;
     }
 
-    /// The process stood still: that questions are unanswered tells nothing of the service.
-    pub fn resume(&mut self) {
-        self.unanswered = 0;
-    }
-
     /// An answer to a question sent at that time holds the newest list that is known, or a newer one. So many questions were
     /// sent after that one.
     pub fn confirm(&mut self, asked_at: Ms, later_questions: u64) {
@@ -118,6 +121,7 @@
         self.unanswered = self.unanswered.min(later_questions);
         self.moved_at = self.moved_at.filter(|moved| asked_at < *moved);
         self.moves.retain(|moved| asked_at < moved + TOLD_AFTER_MOVE);
+        self.unwatched_until = self.unwatched_until.filter(|until| asked_at < *until);
         self.spoilt_at = self.spoilt_at.filter(|spoilt| asked_at < *spoilt);
     }
 
@@ -146,7 +150,7 @@
 
     /// The earliest time at which a change since the last confirmation may count as told.
     fn told_at(&self) -> Ms {
-        if self.unanswered <= UNANSWERED {
+        if self.unanswered <= UNANSWERED || self.unwatched_until.is_some() {
             return self.as_of + self.told_within;
         }
         let bounds = [
--- a/crates/membership/src/age/tests.rs
+++ b/crates/membership/src/age/tests.rs
@@ -74,15 +74,23 @@
     assert_eq!(age.reliable_until(GRACE), 700.0 + TOLD_BY_ALL_MEANS + GRACE);
 }
 
+/// What happened while nothing was asked counts as told soon after, also where the service is silent since.
 #[test]
-fn questions_from_before_a_pause_tell_nothing() {
-    let mut age = unanswered(10);
-    age.resume();
-    age.ask(9_000.0);
+fn span_in_which_nothing_was_asked_ends_with_a_confirmation_and_not_with_a_silence() {
+    let mut age = unanswered(2);
+    (0..20).for_each(|n| age.ask(5_000.0 + f64::from(n) * 200.0));
     assert_eq!(age.reliable_until(GRACE), TOLD_WITHIN + GRACE);
-    age.ask(9_200.0);
-    age.ask(9_400.0);
-    assert_eq!(age.reliable_until(GRACE), TOLD_BY_ALL_MEANS + GRACE);
+    age.confirm(400.0, 20);
+    assert_eq!(age.reliable_until(GRACE), 400.0 + TOLD_WITHIN + GRACE, "its question was sent before");
+    age.confirm(5_000.0, 19);
+    assert_eq!(age.reliable_until(GRACE), 8_800.0 + TOLD_WITHIN + GRACE);
+}
+
+#[test]
+fn span_without_questions_in_the_middle_of_a_silence_is_a_part_of_it() {
+    let mut age = unanswered(3);
+    age.ask(4_000.0);
+    assert_eq!(age.reliable_until(GRACE), 4_000.0 + TOLD_WITHIN + GRACE);
 }
 
 #[test]
--- a/crates/membership/src/discovery.rs
+++ b/crates/membership/src/discovery.rs
@@ -13,9 +13,6 @@
 use starlingplank_pacing::list::{self, ListPace};
 use std::net::SocketAddr;
 
-/// A question that leaves by so much more than this after it was due shows that the process stood still.
-const LONGEST_DELAY: Ms = 500.0;
-
 /// What a process begins with.
 #[derive(Debug, Clone, Copy)]
 pub struct Start {
@@ -145,9 +142,6 @@
     /// The question that leaves now; none without a service or a flow.
     pub fn ask(&mut self, now: Ms) -> Option<Question> {
         let (to, flow) = (self.address?, self.flows.current()?);
-        if now - self.pace.due() > LONGEST_DELAY {
-            self.age.resume();
-        }
         let rng = &mut self.rng;
         let question = self.questions.ask(flow, to, now, || rng.u16(..));
         self.flows.ask(&question);
--- a/crates/membership/src/discovery/tests.rs
+++ b/crates/membership/src/discovery/tests.rs
@@ -250,7 +250,7 @@
     assert!((expected - 110.0..=expected).contains(&last_reliable), "{last_reliable} of {expected}");
 }
 
-/// After a pause the list is not relied on before it is confirmed, or the service is seen to be silent.
+/// After a pause the list is not relied on before it is confirmed, also where the service is silent since.
 #[rstest]
 fn list_is_confirmed_after_a_pause_before_it_is_relied_on(#[values(true, false)] answers: bool) {
     let mut bed = Bed::new(3, 7);
@@ -260,7 +260,9 @@
     bed.play(9_250.0, |_, _| answers.then_some((1.0, 1)));
     assert_eq!(bed.discovery.reliable_until() > bed.now, answers);
     bed.play(10_200.0, |_, _| answers.then_some((1.0, 1)));
-    assert!(bed.discovery.reliable_until() > bed.now, "the service is silent, and asked");
+    assert_eq!(bed.discovery.reliable_until() > bed.now, answers);
+    bed.play(10_500.0, |_, _| Some((1.0, 1)));
+    assert!(bed.discovery.reliable_until() > bed.now);
 }
 
 #[test]
