--- a/crates/lab/src/soak/oracle/tests.rs
+++ b/crates/lab/src/soak/oracle/tests.rs
@@ -166,6 +166,14 @@
     assert_eq!(drains(&ledger, &terms).len(), usize::from(broken), "{:?}", drains(&ledger, &terms));
 }
 
+#[test]
+fn move_tells_nothing_to_a_process_that_was_started_after_it() {
+    let mut ledger = moved(0, 4.0);
+    ledger.processes[0]
+        .push(ProcessRecord { events: vec![(4.5, ProcessEvent::Started)], ..ProcessRecord::default() });
+    assert_eq!(drains(&ledger, &terms()).len(), 0);
+}
+
 #[test]
 fn change_counts_as_told_by_all_means_after_seven_seconds() {
     let mut ledger = silent(None, 0.0, 60.0);
--- a/crates/membership/src/discovery/tests.rs
+++ b/crates/membership/src/discovery/tests.rs
@@ -231,6 +231,13 @@
         let left = bed.discovery.reliable_until() - bed.now;
         assert!(left > TOLD_WITHIN + GRACE - 2.0 * list::STEADY, "{left}");
     }
+    assert!(
+        bed.questions.iter().all(|question| question.flow == bed.questions[0].flow),
+        "one flow is enough"
+    );
+    assert_eq!(bed.discovery.counts().questions(), bed.questions.len() as u64);
+    assert_eq!(bed.discovery.freshness_change(bed.now), None);
+    assert_eq!(bed.discovery.freshness_change(bed.now + 2_000.0), Some(Freshness::Late));
 }
 
 #[test]
@@ -290,6 +297,87 @@
     assert_eq!(kind(address(1), question.flow), AnswerKind::UnknownQuestion, "a second copy");
 }
 
+#[test]
+fn answer_tells_how_long_it_took_and_confirms_without_superseding() {
+    let mut bed = Bed::new(3, 12);
+    bed.play(500.0, |_, _| None);
+    let question = bed.questions[1];
+    let list = Received::List { id: question.id, version: 1 };
+    let verdict = bed.discovery.receive(list, question.to, question.flow, question.asked_at + 70.0);
+    let expected = Verdict { kind: AnswerKind::Confirmation, supersedes: false, took: Some(70.0) };
+    assert_eq!(verdict, expected);
+}
+
+#[test]
+fn flow_that_fails_is_left_with_the_next_question() {
+    let mut bed = Bed::new(3, 13);
+    bed.play(1_000.0, |_, _| Some((1.0, 1)));
+    let flow = bed.questions[0].flow;
+    bed.discovery.fail_flow(flow);
+    bed.play(1_300.0, |_, _| Some((1.0, 1)));
+    assert_ne!(bed.questions.last().expect("asked").flow, flow);
+}
+
+/// Spoilt answers of an address that is asked no longer count while one of its questions is out.
+#[test]
+fn spoilt_answer_of_a_former_address_binds_while_its_question_is_out() {
+    let mut bed = Bed::new(3, 14);
+    bed.play(3_000.0, |_, _| Some((1.0, 1)));
+    bed.play(3_500.0, |_, _| None);
+    let flow = bed.questions.last().expect("asked").flow;
+    bed.discovery.relocate(Some(address(2)), 3_500.0);
+    bed.play(4_000.0, |_, _| None);
+    bed.discovery.receive(Received::Truncated, address(1), flow, 4_000.0);
+    bed.play(5_000.0, |_, _| None);
+    assert_eq!(bed.discovery.reliable_until(), 4_000.0 + TOLD_WITHIN + GRACE);
+}
+
+/// Where the pace may be slower than steady, lists that are older than what a start knows are no answers to it.
+#[rstest]
+#[case::platform(list::STEADY, 1, 140)]
+#[case::slower(list::SLOWEST, 1, 60)]
+#[case::slower_and_newer(list::SLOWEST, 5, 140)]
+fn pace_follows_the_answers_that_count(#[case] slowest: Ms, #[case] version: u64, #[case] questions: usize) {
+    let mut bed = Bed::new(3, 15);
+    let pace = list::Rules { gateways: 3, rank: Some(0), slowest };
+    let start = Start {
+        pace,
+        seed: 15,
+        known: 4,
+        drain_grace: GRACE,
+        most_flows: MOST_FLOWS,
+        address: Some(address(1)),
+    };
+    bed.discovery = Discovery::new(&start, 0.0);
+    bed.play(30_000.0, |_, _| Some((1.0, version)));
+    let asked = bed.questions.len();
+    assert_eq!(asked >= 140, questions >= 140, "{asked}");
+    assert!(questions >= 140 || asked <= questions, "{asked}");
+}
+
+/// Changes come together: news is followed by the next question at the steady pace, in a fleet that begins slowly.
+#[test]
+fn news_quickens_the_next_question() {
+    let gap = |version: u64| {
+        let mut bed = Bed::new(300, 16);
+        let pace = list::Rules { gateways: 300, rank: Some(0), slowest: list::SLOWEST };
+        let start = Start {
+            pace,
+            seed: 16,
+            known: 1,
+            drain_grace: GRACE,
+            most_flows: MOST_FLOWS,
+            address: Some(address(1)),
+        };
+        bed.discovery = Discovery::new(&start, 0.0);
+        // The first answer is no change, whatever it says; the second is news or not.
+        bed.play(8_000.0, |bed, _| Some((1.0, if bed.questions.len() == 1 { 1 } else { version })));
+        bed.questions[2].asked_at - bed.questions[1].asked_at
+    };
+    assert!(gap(2) <= list::STEADY + 2.0 * STEP, "{}", gap(2));
+    assert!(gap(1) > 2.0 * list::STEADY, "{}", gap(1));
+}
+
 #[test]
 fn word_of_a_former_address_counts_until_the_present_one_has_spoken() {
     let mut bed = Bed::new(3, 10);
