--- a/crates/lab/src/soak/oracle.rs
+++ b/crates/lab/src/soak/oracle.rs
@@ -4,7 +4,9 @@
 use std::collections::BTreeMap;
 
 mod drains;
+mod retry_budgets;
 pub use drains::drains;
+pub use retry_budgets::rations;
 
 /// The settings that the rules are counted with, as the play writes them.
 #[derive(Debug, Clone)]
@@ -47,8 +49,6 @@
 const CONNECTED: f64 = 0.1;
 /// The connections of a crowd are gone so long after its end.
 const CROWD_LEAVES_WITHIN: f64 = 1.0;
-/// The ration is widened by so much, and by one attempt.
-const RATION_SLACK: f64 = 1.15;
 /// The least share of the requests of the last check that are served.
 const RECOVERED: f64 = 0.8;
 
@@ -191,35 +191,6 @@
     broken
 }
 
-/// Further attempts of a gateway keep to the retry budgets of its processes. Where one takes over from another it is not
-/// known which of them sent an attempt, so that they are counted together.
-pub fn rations(ledger: &Ledger, terms: &Terms) -> Vec<String> {
-    let (free, share, span) = terms.ration;
-    let mut received: BTreeMap<usize, Vec<f64>> = BTreeMap::new();
-    let mut further: BTreeMap<usize, Vec<f64>> = BTreeMap::new();
-    for (txn, request) in &ledger.requests {
-        received.entry(request.gateway).or_default().push(request.sent);
-        let attempts = ledger.attempts.get(txn).into_iter().flatten().skip(1);
-        further.entry(request.gateway).or_default().extend(attempts.map(|a| a.arrived));
-    }
-    let within = |times: Option<&Vec<f64>>, at: f64| {
-        times.map_or(0, |t| t.iter().filter(|t| **t <= at && **t > at - span).count()) as f64
-    };
-    let lives = |gateway: usize, at: f64| {
-        let began = |life: &&ProcessRecord| life.first(ProcessEvent::Started).is_some_and(|t| t <= at);
-        let ended = |life: &&ProcessRecord| life.events.last().is_none_or(|(t, _)| *t > at - span);
-        ledger.processes.get(gateway).map_or(0, |all| all.iter().filter(began).filter(ended).count()) as f64
-    };
-    let over = further.iter().filter_map(|(gateway, times)| {
-        let worst = times.iter().find(|at| {
-            let earned = share * within(received.get(gateway), **at);
-            within(Some(times), **at) > RATION_SLACK * (free * lives(*gateway, **at) + earned) + 1.0
-        })?;
-        Some(format!("gateway {gateway}: retry budget exceeded at {worst:.3} s"))
-    });
-    over.collect()
-}
-
 /// Processes listen in time, end when they are told and not before, count no violation, and log little.
 pub fn processes(ledger: &Ledger, terms: &Terms) -> Vec<String> {
     let mut broken = Vec::new();
--- a/crates/lab/src/soak/oracle/tests.rs
+++ b/crates/lab/src/soak/oracle/tests.rs
@@ -242,6 +242,25 @@
     assert_eq!(rations(&many, &terms()).len(), 1);
 }
 
+/// Each process has a budget of its own: what the former one spent counts no more.
+#[test]
+fn retry_budget_begins_with_its_process() {
+    let of = |incarnation: u32, name: &str, ledger: &mut Ledger| {
+        ledger.requests.insert(name.into(), RequestRecord { incarnation, ..request() });
+        ledger.attempts.insert(name.into(), (0..4).map(|_| attempt(10.0, 10.1)).collect());
+    };
+    let mut ledger = ledger();
+    of(0, "a", &mut ledger);
+    ledger.processes[0][0].events[2].0 = 9.0;
+    ledger.processes[0][0].events[3].0 = 9.5;
+    ledger.processes[0]
+        .push(ProcessRecord { events: vec![(9.6, ProcessEvent::Started)], ..ProcessRecord::default() });
+    of(1, "b", &mut ledger);
+    assert_eq!(rations(&ledger, &terms()).len(), 0);
+    of(1, "c", &mut ledger);
+    assert_eq!(rations(&ledger, &terms()).len(), 1);
+}
+
 #[test]
 fn process_that_does_not_serve_in_the_end_is_found() {
     let mut ledger = ledger();
