--- a/crates/membership/src/discovery/tests.rs
+++ b/crates/membership/src/discovery/tests.rs
@@ -409,3 +409,14 @@
     assert_eq!(bed.discovery.reliable_until(), f64::INFINITY);
     assert_eq!(bed.discovery.freshness_change(20_000.0), None);
 }
+
+/// Soak seed 8051: the service is silent, the process stands still, the service is back meanwhile and silent again as the process
+/// goes on. What happened in the pause may have been told.
+#[test]
+fn pause_in_the_middle_of_a_silence_is_no_part_of_it() {
+    let mut bed = Bed::new(3, 17);
+    bed.play(4_750.0, |_, _| Some((1.0, 1)));
+    bed.pause = (6_000.0, 10_700.0);
+    bed.play(11_500.0, |_, _| None);
+    assert!(bed.discovery.reliable_until() <= bed.now, "nothing was asked for 4.7 s");
+}
