A pause of the process within a silence of the name service ends the lease

Evidence: over sockets, 5 unanswered polls, a pause of 2.5 s, 5 unanswered polls: the log says that the list has expired as the process goes on, and 11 of 12 requests leave after the poll that follows.

Why it works: the schedule says when a poll was due. One that is over an interval late shows a pause, and the span without polls then binds from the last poll before it until a response to a later poll; gaps of a backoff are planned, and count as before. A second pause was forgotten once a poll between the two was confirmed; it extends the span now.

--- a/crates/service-discovery/src/age.rs
+++ b/crates/service-discovery/src/age.rs
@@ -10,6 +10,7 @@
 //! | --- | --- |
 //! | polls get responses, or there was no poll for that long as the process was paused, whatever is polled later | [`PROPAGATION_DELAY`], from the confirmation |
 //! | polls get no response: the service is silent, or its responses are lost | [`PROPAGATION_DELAY`], from the last poll; at the latest [`MAX_PROPAGATION_DELAY`], from the confirmation |
+//! | ... and the process was paused for that long: the service may have been healthy meanwhile | [`PROPAGATION_DELAY`], from the last poll before the pause, whatever is polled later |
 //! | ... and an invalid response was received: a valid one in its place would have counted | [`PROPAGATION_DELAY`], from that response |
 //! | ... and the service was relocated within that time before | [`RELOCATION_PROPAGATION_DELAY`], from the change of its address |
 //!
@@ -62,6 +63,16 @@
     }
 }
 
+/// A span without polls in which the service may have been healthy: changes in it may count as propagated, also where the service
+/// is silent before and after it. Where there were several spans, this is from the first to the last.
+#[derive(Debug, Clone, Copy)]
+struct PollGap {
+    /// A change since then may have counted as propagated in it.
+    from: Milliseconds,
+    /// When the first poll after it was sent.
+    until: Milliseconds,
+}
+
 /// The age of the list.
 #[derive(Debug, Clone)]
 pub struct ListAge {
@@ -79,9 +90,8 @@
     last_poll_at: Milliseconds,
     /// The number of polls since the one that confirmed the list.
     unanswered: u64,
-    /// The first poll after a span without polls, in which the service may have been healthy. Changes in that span may count
-    /// as propagated, also where the service is silent since.
-    paused_until: Option<Milliseconds>,
+    /// The span without polls since the list was confirmed.
+    poll_gap: Option<PollGap>,
     /// The freshness that was reported last.
     reported: Freshness,
 }
@@ -98,21 +108,41 @@
             invalid_response_at: None,
             last_poll_at: now,
             unanswered: 0,
-            paused_until: None,
+            poll_gap: None,
             reported: Freshness::Fresh,
         }
     }
 
-    /// Notes that a poll is sent.
+    /// Notes that a poll is sent, no later than planned. A silent service may be polled seldom: the time between two polls is
+    /// then a part of its silence.
     pub fn poll_sent(&mut self, now: Milliseconds) {
-        let was_silent = self.unanswered > MAX_LOST_RESPONSES;
-        if now - self.last_poll_at > self.propagation_delay && !was_silent {
-            self.paused_until.get_or_insert(now);
+        if !self.is_silent() {
+            self.note_poll_gap(now);
         }
         self.last_poll_at = now;
         self.unanswered += 1;
     }
 
+    /// Notes that a poll is sent later than planned: the process was paused, and knows nothing of the service in that time.
+    pub fn late_poll_sent(&mut self, now: Milliseconds) {
+        self.note_poll_gap(now);
+        self.poll_sent(now);
+    }
+
+    /// Whether so many polls got no response that the service is taken for silent.
+    fn is_silent(&self) -> bool {
+        self.unanswered > MAX_LOST_RESPONSES
+    }
+
+    fn note_poll_gap(&mut self, now: Milliseconds) {
+        if now - self.last_poll_at <= self.propagation_delay {
+            return;
+        }
+        let silent_until = if self.is_silent() { self.last_poll_at } else { self.as_of };
+        let from = self.poll_gap.map_or(silent_until, |gap| gap.from);
+        self.poll_gap = Some(PollGap { from, until: now });
+    }
+
     /// Notes a response that holds the newest known list, or a newer one: when its poll was sent, and how many were sent
     /// after that one.
     pub fn confirm(&mut self, sent_at: Milliseconds, later_polls: u64) {
@@ -123,7 +153,9 @@
         self.unanswered = self.unanswered.min(later_polls);
         self.relocated_at = self.relocated_at.filter(|relocated_at| sent_at < *relocated_at);
         self.relocations.retain(|relocated_at| sent_at < relocated_at + RELOCATION_PROPAGATION_DELAY);
-        self.paused_until = self.paused_until.filter(|until| sent_at < *until);
+        self.poll_gap = self.poll_gap.filter(|gap| sent_at < gap.until);
+        // Polls after this one may have got no response though the service was healthy.
+        self.poll_gap = self.poll_gap.map(|gap| PollGap { from: sent_at, ..gap });
         self.invalid_response_at = self.invalid_response_at.filter(|received_at| sent_at < *received_at);
     }
 
@@ -152,10 +184,11 @@
 
     /// The earliest time at which a change since the last confirmation may count as propagated.
     fn propagated_at(&self) -> Milliseconds {
-        if self.unanswered <= MAX_LOST_RESPONSES || self.paused_until.is_some() {
+        if !self.is_silent() {
             return self.as_of + self.propagation_delay;
         }
         let bounds = [
+            self.poll_gap.map(|gap| gap.from + self.propagation_delay),
             Some(self.as_of + MAX_PROPAGATION_DELAY),
             Some(self.last_poll_at + self.propagation_delay),
             self.invalid_response_at.map(|received_at| received_at + self.propagation_delay),
--- a/crates/service-discovery/src/age/tests.rs
+++ b/crates/service-discovery/src/age/tests.rs
@@ -105,6 +105,39 @@
     assert_eq!(age.lease_end(GRACE), 4_000.0 + PROPAGATION_DELAY + GRACE);
 }
 
+#[test]
+fn pause_within_a_silence_binds_from_the_last_poll_before_it() {
+    let mut age = unanswered(10);
+    age.late_poll_sent(5_000.0);
+    (1..=20).for_each(|n| age.poll_sent(5_000.0 + f64::from(n) * 200.0));
+    assert_eq!(age.lease_end(GRACE), 2_000.0 + PROPAGATION_DELAY + GRACE);
+    age.confirm(1_800.0, 22);
+    assert_eq!(age.lease_end(GRACE), 1_800.0 + PROPAGATION_DELAY + GRACE, "its poll was sent before");
+    age.confirm(5_000.0, 20);
+    assert_eq!(
+        age.lease_end(GRACE),
+        9_000.0 + PROPAGATION_DELAY + GRACE,
+        "the poll after the pause confirms"
+    );
+}
+
+#[test]
+fn poll_that_is_late_by_a_moment_ends_no_silence() {
+    let mut age = unanswered(10);
+    age.late_poll_sent(2_000.0 + PROPAGATION_DELAY);
+    assert_eq!(age.lease_end(GRACE), 2_000.0 + 2.0 * PROPAGATION_DELAY + GRACE);
+}
+
+#[test]
+fn second_pause_is_not_forgotten_with_the_first() {
+    let mut age = unanswered(10);
+    age.late_poll_sent(5_000.0);
+    age.late_poll_sent(8_000.0);
+    age.confirm(5_000.0, 1);
+    (1..=20).for_each(|n| age.poll_sent(8_000.0 + f64::from(n) * 200.0));
+    assert_eq!(age.lease_end(GRACE), 5_000.0 + PROPAGATION_DELAY + GRACE);
+}
+
 #[test]
 fn late_answer_to_an_early_question_proves_nothing() {
     let mut age = unanswered(10);
--- a/crates/service-discovery/src/discovery.rs
+++ b/crates/service-discovery/src/discovery.rs
@@ -14,6 +14,10 @@
 use starlingplank_pacing::poll_schedule::{self, PollSchedule};
 use std::net::SocketAddr;
 
+/// A poll that is sent later than this after it was due shows a pause of the process: at the steady interval another one would have
+/// been sent meanwhile.
+const MAX_POLL_DELAY: Milliseconds = poll_schedule::STEADY_INTERVAL;
+
 /// The configuration of service discovery, and what a process knows at its start.
 #[derive(Debug, Clone, Copy)]
 pub struct DiscoveryConfig {
@@ -146,8 +150,13 @@
         let rng = &mut self.rng;
         let poll = self.outstanding.add(flow, to, now, || rng.u16(..));
         self.flows.poll_sent(&poll);
+        let delay = now - self.schedule.next_poll_at();
         self.schedule.poll_sent(now);
-        self.age.poll_sent(now);
+        if delay > MAX_POLL_DELAY {
+            self.age.late_poll_sent(now);
+        } else {
+            self.age.poll_sent(now);
+        }
         self.counts.count_poll();
         Some(poll)
     }
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -211,6 +211,45 @@
     ends_well(&mut gateway);
 }
 
+/// The service is silent before a pause of the process and silent again after it. It may have been back in between, and an engine
+/// may have begun to drain: nothing is sent until the list is confirmed.
+#[test]
+fn nothing_is_sent_after_a_pause_within_a_silence_of_the_service() {
+    const CLIENTS: usize = 12;
+    const POLLS_OF_A_SILENCE: usize = 5;
+    let (first, first_log) = resp_engine(served);
+    let (second, second_log) = resp_engine(served);
+    let service = ScriptedService::start();
+    let config = never_late(&config(&[first, second], "resp", 60_000));
+    let mut gateway = Gateway::start(&with_short_grace(service.address, &config));
+    service.answer(&service.next(), 1, &[("s-0", first, false), ("s-1", second, false)]);
+    let mut clients: Vec<_> = (0..CLIENTS).map(|_| gateway.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.write_all(&lookup(1, n)).expect("sent");
+        assert_eq!(answer(client).1, "served");
+    }
+    (0..POLLS_OF_A_SILENCE).for_each(|_| drop(service.next()));
+    gateway.stop();
+    service.discard_questions();
+    let sent = || (attempts(&first_log).len(), attempts(&second_log).len());
+    let before = sent();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.write_all(&lookup(2, CLIENTS + n)).expect("sent");
+    }
+    // The length of the pause is what is tested.
+    thread::sleep(Duration::from_millis(2_500));
+    gateway.resume();
+    (0..POLLS_OF_A_SILENCE).for_each(|_| drop(service.next()));
+    assert_eq!(sent(), before, "sent by a list that may be out of date");
+    service.answer(&service.next(), 2, &[("s-0", first, true), ("s-1", second, false)]);
+    for client in &mut clients {
+        let kind = answer(client).1;
+        assert!(matches!(kind, "served" | "overloaded"), "{kind}");
+    }
+    assert_eq!(sent().0, before.0, "sent to an engine that drains");
+    ends_well(&mut gateway);
+}
+
 /// A service that is silent for longer than the rule on drains allows: new work waits for its word. It is back, and all goes on.
 #[test]
 fn list_that_is_older_than_the_rule_allows_is_not_relied_on() {
--- a/tests/stand/discovery.rs
+++ b/tests/stand/discovery.rs
@@ -34,6 +34,13 @@
         Question { bytes: bytes[..len].to_vec(), from }
     }
 
+    /// Discards the questions that have arrived.
+    pub(crate) fn discard_questions(&self) {
+        self.socket.set_nonblocking(true).expect("set");
+        while self.socket.recv(&mut [0; 512]).is_ok() {}
+        self.socket.set_nonblocking(false).expect("set");
+    }
+
     /// Answers with this list: id, address, whether it drains.
     pub(crate) fn answer(&self, question: &Question, serial: u32, engines: &[(&str, SocketAddr, bool)]) {
         self.send(question, &names_answer_of(&question.bytes, serial, engines));
