An attempt begins only once what its client has sent has been read

Cause: as the process goes on all sockets are ready at once, and nothing made a writer wait until clients had been read; its permit knows only what the reducer was told.

Each cancellation that is read frees a place for a request whose own is unread.

Fronts mark the statements of clients that have gone, and writers drop those. Both fronts and both engine wires share the write queue.

--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -1,6 +1,7 @@
 //! The plain types that the reducer shares with fronts, engine wires and the runtime.
 
 use crate::interface::*;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::fmt::Debug;
 use std::future::Future;
@@ -41,9 +42,22 @@
     pub params: Vec<(String, String)>,
     /// Flow control where the answer can be streamed; without it the answer is sent once it is complete.
     pub flow: Option<Rc<dyn FlowControl>>,
+    /// Whether the client has disconnected or cancelled the request.
+    pub abandoned: Cell<bool>,
 }
 
 impl Statement {
+    /// Records that the client has disconnected or cancelled the request: no attempt of it may begin, also before the reducer is
+    /// notified.
+    pub fn abandon(&self) {
+        self.abandoned.set(true);
+    }
+
+    /// Whether the client has disconnected or cancelled the request.
+    pub fn is_abandoned(&self) -> bool {
+        self.abandoned.get()
+    }
+
     pub(super) fn bytes(&self) -> usize {
         self.text.len() + self.data.len()
     }
--- a/src/net/connection/frame.rs
+++ b/src/net/connection/frame.rs
@@ -120,6 +120,9 @@
             return Err(SendRefusal::DeadlineOver);
         }
         let Some(queued) = &mut self.queued_attempt else { return Ok(()) };
+        if queued.send.statement.is_abandoned() {
+            return Err(SendRefusal::RequestOver);
+        }
         queued.send.permit.check(queued.now())?;
         if queued.send.is_retry && !queued.admitted && !take_from_retry_budget() {
             return Err(SendRefusal::RetryBudgetSpent);
--- a/src/net/connection/mod.rs
+++ b/src/net/connection/mod.rs
@@ -5,12 +5,14 @@
 
 mod close;
 pub mod frame;
+mod read_barrier;
 mod read_buffer;
 mod shared_state;
 mod socket_retry;
 mod write_queue;
 
 pub use close::close_orderly;
+pub use read_barrier::ReadBarrier;
 pub use read_buffer::ReadBuffer;
 pub use shared_state::SharedState;
 pub use socket_retry::SocketRetry;
--- a/src/net/connection/shared_state.rs
+++ b/src/net/connection/shared_state.rs
@@ -1,5 +1,6 @@
 //! State that all connections of a process share: the sum of buffered bytes, counters and the retry budget.
 
+use crate::net::connection::read_barrier::ReadBarrier;
 use starlingplank_admin::metrics::Metrics;
 use starlingplank_decision::interface::{Milliseconds, RetryBudgetSettings};
 use starlingplank_decision::permission::counters::RuleCounters;
@@ -22,6 +23,8 @@
     /// Counts requests as they are read, and retries as they are written.
     retry_budget: RefCell<RetryBudget>,
     started: Instant,
+    /// Passed before an attempt is written.
+    pub read_barrier: ReadBarrier,
 }
 
 impl SharedState {
@@ -39,6 +42,7 @@
             rule_counters: Rc::default(),
             retry_budget: RefCell::new(RetryBudget::new(retry_budget)),
             started: Instant::now(),
+            read_barrier: ReadBarrier::new(),
         })
     }
 
--- a/src/net/connection/write_queue.rs
+++ b/src/net/connection/write_queue.rs
@@ -158,6 +158,13 @@
         queued.chain(self.expired_attempts.borrow().iter().copied()).collect()
     }
 
+    /// Whether the next write may begin an attempt.
+    fn may_begin_attempt(&self, limits: &Limits) -> bool {
+        let frames = self.frames.borrow();
+        let next = frames.iter().take(limits.max_gathered_slices).skip(self.partly_written_frames());
+        next.into_iter().any(|frame| frame.attempt.is_some())
+    }
+
     /// Checks each attempt that the next write may begin, and drops those that must not be written. Those that have
     /// been queued for long are encoded again.
     fn check_next_frames(&self, limits: &Limits) {
@@ -231,6 +238,11 @@
             if self.close_mode.get() == Some(CloseMode::Immediately) {
                 return Ok(());
             }
+            let begins_attempt = self.may_begin_attempt(limits);
+            if begins_attempt && !self.shared.read_barrier.is_fresh() {
+                self.shared.read_barrier.pass().await;
+                continue;
+            }
             self.check_next_frames(limits);
             if self.frames.borrow().is_empty() {
                 if self.is_closing() {
@@ -240,6 +252,10 @@
                 self.changed.notified().await;
                 continue;
             }
+            // The process may have been paused since the check.
+            if begins_attempt && !self.shared.read_barrier.is_fresh() {
+                continue;
+            }
             match self.try_write(stream, limits) {
                 Ok(written) => self.advance(written),
                 Err(error) => match SocketRetry::after(&error) {
--- a/src/net/front/clickhouse/query.rs
+++ b/src/net/front/clickhouse/query.rs
@@ -7,6 +7,7 @@
 use crate::net::front::rules::ClassRules;
 use crate::net::front::{FrontendState, ReceivedRequest};
 use sha2::{Digest, Sha256};
+use std::cell::Cell;
 use std::rc::Rc;
 
 /// Longest name of a query, in bytes.
@@ -85,6 +86,7 @@
         data,
         params: request.params,
         flow: request.may_stream.then(|| -> Rc<dyn FlowControl> { session.connection.write_queue.clone() }),
+        abandoned: Cell::default(),
     };
     let received = ReceivedRequest {
         class: class_id,
--- a/src/net/front/state.rs
+++ b/src/net/front/state.rs
@@ -220,8 +220,17 @@
         Some(removed.response_writer)
     }
 
+    /// Records that the clients of these requests have disconnected or cancelled them: no attempt of theirs may begin any more.
+    pub fn abandon(&self, ids: &[RequestId]) {
+        let pending = self.pending.borrow();
+        for request in ids.iter().filter_map(|id| pending.get(id)) {
+            request.statement.abandon();
+        }
+    }
+
     /// Withdraws a request whose client disconnected or cancelled it.
     pub async fn withdraw(&self, id: RequestId) {
+        self.abandon(&[id]);
         // The reducer is notified even if the connection ends while this waits: the request stays pending until then.
         let Ok(event) = self.events.reserve().await else { return };
         if self.remove_pending(id).is_some() {
--- a/src/net/front/thrift/session.rs
+++ b/src/net/front/thrift/session.rs
@@ -70,8 +70,9 @@
         written = connection.write_queue.write_all(&stream, &limits) => written.is_err(),
         () = read_messages(&stream, &session, &frontend) => connection.is_disconnected(),
     };
-    let open_calls: Vec<_> = session.open_calls.borrow_mut().drain().collect();
-    for (_, id) in open_calls {
+    let open_calls: Vec<_> = session.open_calls.borrow_mut().drain().map(|(_, id)| id).collect();
+    frontend.abandon(&open_calls);
+    for id in open_calls {
         frontend.withdraw(id).await;
     }
     if is_disconnected {
