A relocation of the name service counts from when SIGHUP may have arrived

Where SIGHUP arrives in a pause of the process shorter than 1.5 s and the new address is silent, attempts could go to a draining engine past the rule, by up to the pause.

Cause: Discovery::relocate counted the 4 s after a change of the address from when the process went on.

Change: the runtime passes the earliest time at which the signal may have arrived, as it does for requests. Test in virtual time: move_of_the_service_in_a_pause_counts_from_the_pause; with the time of handling in its place it fails: the lease ends 0.3 s later, at the next bound.

--- a/crates/service-discovery/src/discovery.rs
+++ b/crates/service-discovery/src/discovery.rs
@@ -115,12 +115,22 @@
 
     /// Changes the service's address. An unchanged address has no effect.
     pub fn relocate(&mut self, address: Option<SocketAddr>, now: Milliseconds) {
+        self.relocate_since(address, now, now);
+    }
+
+    /// Changes the service's address, which the process was told at `changed_at` at the earliest: it may have been paused since.
+    pub fn relocate_since(
+        &mut self,
+        address: Option<SocketAddr>,
+        changed_at: Milliseconds,
+        now: Milliseconds,
+    ) {
         if address == self.address {
             return;
         }
         self.address = address;
         self.versions.relocate();
-        self.age.relocate(now);
+        self.age.relocate(changed_at);
         self.schedule.service_relocated(now);
     }
 
--- a/crates/service-discovery/src/discovery/tests.rs
+++ b/crates/service-discovery/src/discovery/tests.rs
@@ -294,6 +294,18 @@
     assert_eq!(harness.discovery.freshness_change(20_000.0), None);
 }
 
+/// SIGHUP arrives in a pause of the process: its 4 s count from then, and the new address says nothing.
+#[test]
+fn move_of_the_service_in_a_pause_counts_from_the_pause() {
+    let mut harness = Harness::new(3, 18);
+    harness.play(5_000.0, |_, _| Some((1.0, 1)));
+    harness.pause = 5_000.0..6_200.0;
+    harness.play(6_200.0, |_, _| None);
+    harness.discovery.relocate_since(Some(address(2)), 5_000.0, 6_200.0);
+    harness.play(8_000.0, |_, _| None);
+    assert_eq!(harness.discovery.lease_end(), 5_000.0 + RELOCATION_PROPAGATION_DELAY + GRACE);
+}
+
 /// Soak seed 8051: the service is silent, the process stands still, the service is back meanwhile and silent again as the process
 /// goes on. What happened in the pause may have been told.
 #[test]
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -22,6 +22,12 @@
         self.started_at + self.started.elapsed().as_secs_f64() * 1000.0
     }
 
+    /// The time of an instant, which is not before the start, in Unix milliseconds.
+    pub fn at(&self, instant: tokio::time::Instant) -> Milliseconds {
+        let elapsed = instant.into_std().saturating_duration_since(self.started);
+        self.started_at + elapsed.as_secs_f64() * 1000.0
+    }
+
     /// The instant of a time in Unix milliseconds; the start for times before it.
     pub fn instant(&self, time: Milliseconds) -> Instant {
         self.started + Duration::from_secs_f64(((time - self.started_at) / 1000.0).max(0.0))
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -16,6 +16,15 @@
 use starlingplank_service_discovery::discovery::{Discovery, DiscoveryConfig};
 use std::net::SocketAddr;
 
+/// The address of the name service in the configuration.
+#[derive(Debug, Clone, Copy)]
+pub struct NameServiceAddress {
+    /// None where there is no name service.
+    pub address: Option<SocketAddr>,
+    /// When the process was told of it, at the earliest: SIGHUP may have arrived in a pause of the process.
+    pub changed_at: Milliseconds,
+}
+
 /// The state of service discovery at the start of a process that knows that version of the list. Without an address there is
 /// no name service.
 pub fn begin(
--- a/src/net/discovery/poller.rs
+++ b/src/net/discovery/poller.rs
@@ -3,9 +3,9 @@
 //! No datagram that was received is dropped: a change of the service's address, a signal or a timer is handled between
 //! datagrams, never while one is passed on.
 
-use super::addresses_of;
 use super::message::{self, KnownAddresses, ListResponse, MessageError};
 use super::sockets::{Datagram, Sockets};
+use super::{addresses_of, NameServiceAddress};
 use crate::core::Event;
 use crate::interface::{Milliseconds, Settings};
 use crate::net::clock::Clock;
@@ -14,7 +14,6 @@
 use starlingplank_service_discovery::poll::Poll;
 use starlingplank_service_discovery::responses::ResponseKind;
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::error::SendError;
@@ -49,14 +48,14 @@
 
 impl Poller {
     /// Polls the service at its present address until the reducer's queue is closed.
-    pub async fn run(mut self, mut address: watch::Receiver<Option<SocketAddr>>) {
+    pub async fn run(mut self, mut address: watch::Receiver<NameServiceAddress>) {
         while self.step(&mut address).await.is_ok() {}
     }
 
     /// Handles one datagram, one poll or one change of the address.
     async fn step(
         &mut self,
-        address: &mut watch::Receiver<Option<SocketAddr>>,
+        address: &mut watch::Receiver<NameServiceAddress>,
     ) -> Result<(), SendError<Event>> {
         let due = self.discovery.borrow().next_poll_at();
         tokio::select! {
@@ -73,8 +72,8 @@
                 if changed.is_err() {
                     return std::future::pending().await;
                 }
-                let present = *address.borrow_and_update();
-                self.discovery.borrow_mut().relocate(present, self.clock.now());
+                let NameServiceAddress { address, changed_at } = *address.borrow_and_update();
+                self.discovery.borrow_mut().relocate_since(address, changed_at, self.clock.now());
                 self.report().await
             }
             () = sleep_until_due(due.map(|due| self.clock.instant(due).into())) => self.poll().await,
--- a/src/net/front/state.rs
+++ b/src/net/front/state.rs
@@ -165,13 +165,16 @@
         self.pending.borrow().len()
     }
 
+    /// When something that is noticed now happened, at the earliest: the process may have been paused since.
+    pub fn earliest_arrival(&self) -> Milliseconds {
+        self.clock.at(self.pauses.earliest_arrival(Instant::now()))
+    }
+
     /// When the bytes that are read now from a connection arrived, at the earliest: they may have arrived while the
     /// process was paused, or while the connection waited to be accepted.
     pub fn arrival_time(&self, connection: &ClientConnection) -> Milliseconds {
         let now = Instant::now();
-        let arrived = self.pauses.earliest_arrival(now).min(connection.earliest_arrival().unwrap_or(now));
-        let age = now.saturating_duration_since(arrived);
-        self.clock.now() - age.as_secs_f64() * 1000.0
+        self.clock.at(self.pauses.earliest_arrival(now).min(connection.earliest_arrival().unwrap_or(now)))
     }
 
     /// An id for a request that is about to be submitted.
--- a/src/net/runtime/mod.rs
+++ b/src/net/runtime/mod.rs
@@ -25,6 +25,7 @@
 use crate::core::{Core, Event};
 use crate::interface::{Milliseconds, SettingsError};
 use crate::net::admin::PendingCall;
+use crate::net::discovery::NameServiceAddress;
 use crate::net::engine::Engines;
 use crate::net::front::{FrontendState, ShutdownPhase};
 use crate::net::hot_restart::HotRestart;
@@ -39,7 +40,6 @@
 use startup::Started;
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
@@ -98,7 +98,7 @@
     /// The queue of events for the reducer.
     events: mpsc::Sender<Event>,
     /// The address of the name service, for the task that polls it.
-    name_service: watch::Sender<Option<SocketAddr>>,
+    name_service: watch::Sender<NameServiceAddress>,
     /// The queries to the name service, and the age of the endpoint list.
     discovery: Rc<RefCell<Discovery>>,
     /// Starts tasks that the process cannot do without.
--- a/src/net/runtime/reload.rs
+++ b/src/net/runtime/reload.rs
@@ -2,6 +2,7 @@
 
 use crate::config::{Config, LoadError};
 use crate::interface::Settings;
+use crate::net::discovery::NameServiceAddress;
 use crate::net::runtime::Runtime;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -49,7 +50,8 @@
         if needs_restart(&self.config, &new) {
             tracing::warn!("SIGHUP: further changes of the configuration need a restart");
         }
-        self.name_service.send_replace(new.name_service);
+        let changed_at = self.frontend.earliest_arrival();
+        self.name_service.send_replace(NameServiceAddress { address: new.name_service, changed_at });
     }
 
     fn schedule_retry(&mut self, previous: Option<PendingReload>, error: &LoadError) {
--- a/src/net/runtime/startup.rs
+++ b/src/net/runtime/startup.rs
@@ -6,7 +6,7 @@
 use crate::net::admin::{self, PendingCall};
 use crate::net::connection::SharedState;
 use crate::net::discovery::sockets::Sockets;
-use crate::net::discovery::{self, Poller};
+use crate::net::discovery::{self, NameServiceAddress, Poller};
 use crate::net::engine::clickhouse::HttpEngines;
 use crate::net::engine::pool::RespEngines;
 use crate::net::engine::Engines;
@@ -67,7 +67,10 @@
         hot_restart = open_hot_restart(&config, &frontend).await;
     }
     let mut runtime = Runtime {
-        name_service: watch::Sender::new(config.name_service),
+        name_service: watch::Sender::new(NameServiceAddress {
+            address: config.name_service,
+            changed_at: now,
+        }),
         discovery,
         config,
         core,
