The time to SIGKILL counts from when SIGTERM may have arrived, not from when it is handled

Where SIGTERM arrives in a pause of the process, requests were answered up to 3.3 s after the pause, while SIGKILL may come 3.7 s after the signal.

Cause: the runtime and Core::terminate took the time at which the signal was handled.

Change: both take the earliest time at which it may have arrived. Requests are still accepted for 0.8 s after the process goes on, as clients could not be told before, and are rejected at once where the time for answers is over.

The two new tests of tests/core.rs fail with the time of handling in its place, and pass. core, endings, handover, operation green.

--- a/src/core/messages.rs
+++ b/src/core/messages.rs
@@ -50,7 +50,10 @@
     /// All events of a batch were handled: run a decision cycle if one is due.
     RunDecisionCycle,
     /// The shutdown was requested.
-    Terminate,
+    Terminate {
+        /// When, at the earliest.
+        requested_at: Milliseconds,
+    },
     /// These records of keyed sends are durable.
     RecordsDurable(Vec<u64>),
     /// These records may not be durable, and the log accepts no more.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -31,6 +31,7 @@
 use health_checks::HealthCheck;
 use membership::PreviousAddress;
 use request_state::Request;
+use shutdown::Termination;
 use starlingplank_admin::inherited_membership::{InheritedMembership, RemovedEndpoints};
 use starlingplank_admin::operator_overrides::OperatorOverrides;
 use starlingplank_decision::learned::Learned;
@@ -118,8 +119,8 @@
     /// Processing time for urgent cycles before the next one is due, in ms: it accrues with time, and cycles spend it.
     decision_credit: Milliseconds,
     credit_updated_at: Milliseconds,
-    /// When the shutdown was requested.
-    terminating_since: Option<Milliseconds>,
+    /// The shutdown, once it was requested.
+    termination: Option<Termination>,
     /// When every open request is answered for the shutdown.
     answer_by: Milliseconds,
 }
@@ -170,7 +171,7 @@
             decision_urgent: false,
             decision_credit: 0.0,
             credit_updated_at: now,
-            terminating_since: None,
+            termination: None,
             answer_by: f64::INFINITY,
         })
     }
@@ -227,7 +228,7 @@
             }
             Event::TimersDue => self.fire_due_timers(now, effects),
             Event::RunDecisionCycle => self.decision_cycle(now, effects),
-            Event::Terminate => self.terminate(now),
+            Event::Terminate { requested_at } => self.terminate(now, requested_at),
             Event::SuccessorListens => self.extend_shutdown(),
         }
         self.exit_when_done(now, effects);
--- a/src/core/shutdown.rs
+++ b/src/core/shutdown.rs
@@ -6,26 +6,37 @@
 use crate::interface::{Event as DecisionEvent, Milliseconds, Outcome};
 use starlingplank_decision::permission::send::may_reject;
 
+/// A shutdown that was requested.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Termination {
+    /// When, at the earliest: SIGKILL follows by a fixed time.
+    requested_at: Milliseconds,
+    /// New requests are accepted for at least so long.
+    accept_until: Milliseconds,
+}
+
 impl Core {
     /// Whether the shutdown was requested.
     pub fn terminating(&self) -> bool {
-        self.terminating_since.is_some()
+        self.termination.is_some()
     }
 
-    /// Begins the shutdown. Requests are accepted until the time for answers is over.
-    pub(super) fn terminate(&mut self, now: Milliseconds) {
-        if self.terminating_since.is_some() {
+    /// Begins the shutdown that was requested at `requested_at`. Requests are accepted until the time for answers is over, and for a
+    /// while from now on, as clients could not be told of the shutdown before.
+    pub(super) fn terminate(&mut self, now: Milliseconds, requested_at: Milliseconds) {
+        if self.termination.is_some() {
             return;
         }
-        self.terminating_since = Some(now);
-        self.set_timer(now + self.limits.shutdown_accept_window, Due::TerminationWindow);
-        self.set_answer_by(now + self.limits.shutdown_answer_deadline);
+        let accept_until = now + self.limits.shutdown_accept_window;
+        self.termination = Some(Termination { requested_at, accept_until });
+        self.set_timer(accept_until, Due::TerminationWindow);
+        self.set_answer_by(requested_at + self.limits.shutdown_answer_deadline);
     }
 
     /// Extends the time for answers, as another process takes over.
     pub(super) fn extend_shutdown(&mut self) {
-        if let Some(since) = self.terminating_since {
-            self.set_answer_by(since + self.limits.hot_restart_answer_deadline);
+        if let Some(Termination { requested_at, .. }) = self.termination {
+            self.set_answer_by(requested_at + self.limits.hot_restart_answer_deadline);
         }
     }
 
@@ -65,8 +76,8 @@
 
     /// Exits once the termination window is over and no request is open.
     pub(super) fn exit_when_done(&mut self, now: Milliseconds, effects: &mut Vec<Effect>) {
-        let Some(since) = self.terminating_since else { return };
-        if self.open_requests == 0 && now >= since + self.limits.shutdown_accept_window {
+        let Some(Termination { accept_until, .. }) = self.termination else { return };
+        if self.open_requests == 0 && now >= accept_until {
             effects.push(Effect::Exit);
         }
     }
--- a/src/net/runtime/mod.rs
+++ b/src/net/runtime/mod.rs
@@ -261,9 +261,11 @@
             return tracing::info!("SIGTERM: already shutting down");
         }
         tracing::info!("SIGTERM: shutting down");
-        self.terminated = Some(Instant::now());
+        // SIGKILL follows the signal by a fixed time, and the signal may have arrived in a pause.
+        let requested = self.frontend.pauses.earliest_arrival(Instant::now());
+        self.terminated = Some(requested);
         self.frontend.enter_shutdown_phase(ShutdownPhase::Draining);
-        events.push(Event::Terminate);
+        events.push(Event::Terminate { requested_at: self.frontend.clock.at(requested) });
         events.extend(self.observe_peers());
         self.persistence.save_snapshot(&self.core, self.frontend.clock.now());
     }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -228,7 +228,7 @@
     let mut harness = Harness::new(settings());
     harness.list(1, &["a"]);
     harness.take(1, None);
-    harness.step(Event::Terminate);
+    harness.step(Event::Terminate { requested_at: harness.now });
     harness.now += 1_000.0;
     assert!(!harness.step(Event::TimersDue).iter().any(|e| matches!(e, Effect::Exit)));
     harness.now += 2_500.0;
@@ -237,11 +237,40 @@
     assert!(effects.iter().any(|e| matches!(e, Effect::Exit)));
 }
 
+/// SIGTERM arrives in a pause of the process: SIGKILL follows the signal, not the end of the pause.
+#[test]
+fn the_end_that_was_requested_in_a_pause_answers_what_is_open_in_time() {
+    let mut harness = Harness::new(settings());
+    harness.list(1, &["a"]);
+    harness.now += 2_500.0;
+    harness.take(1, None);
+    harness.step(Event::Terminate { requested_at: harness.now - 2_500.0 });
+    harness.now += 800.0;
+    let effects = harness.step(Event::TimersDue);
+    assert_eq!(answers(&effects).len(), 1);
+    assert!(effects.iter().any(|e| matches!(e, Effect::Exit)));
+}
+
+/// The pause outlasts the time for answers: requests are still taken for a while, and rejected at once.
+#[test]
+fn the_end_that_is_noticed_after_its_time_answers_all_and_accepts_for_a_while() {
+    let mut harness = Harness::new(settings());
+    harness.list(1, &["a"]);
+    harness.now += 10_000.0;
+    harness.take(1, None);
+    let mut effects = harness.step(Event::Terminate { requested_at: harness.now - 10_000.0 });
+    effects.extend(harness.step(Event::TimersDue));
+    assert_eq!(answers(&effects).len(), 1);
+    assert!(!effects.iter().any(|e| matches!(e, Effect::Exit)), "clients may not know of it yet");
+    let effects = harness.take(2, None);
+    assert!(effects.iter().any(|e| matches!(e, Effect::Answer(RequestId(2), Answer::Rejected(_)))));
+}
+
 #[test]
 fn what_comes_after_the_last_answers_is_refused_at_once() {
     let mut harness = Harness::new(settings());
     harness.list(1, &["a"]);
-    harness.step(Event::Terminate);
+    harness.step(Event::Terminate { requested_at: harness.now });
     assert!(sent(&harness.take(1, None)).is_some(), "there is time left");
     harness.now += 60_000.0;
     harness.step(Event::TimersDue);
