Soak: persistent clients, earliest kills, signal series, crowds, departures in pauses, counted excuses

Cause: the soak drew the cases of the two worst known faults too seldom: next to nothing waited in a gateway as a pause began, a client closed its connection once in six pauses, and a silence was seldom interrupted while a process was paused.

Change: some clients never close their connections and send without a pause, and every fourth gateway has so many that requests wait in it; all clients of a gateway may leave in a pause; a pause within a silence in every run; SIGHUP and SIGTERM in series, close together and apart, also in a hot restart; SIGKILL 3.7 s (hot restart: 4.7 s) after SIGTERM whatever else goes on; one run in five has a crowd at all gateways; a request whose write failed is recorded; violations are counted by rule and excuses by kind, and printed. A process that was paused in its shutdown is no longer given that time before SIGKILL, so it is judged by its clients' answers.

Oracle tests for each new judgement.

--- a/crates/experiments/src/soak/context.rs
+++ b/crates/experiments/src/soak/context.rs
@@ -7,6 +7,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// The shared state of a run. It owns the ledger and the random draws.
@@ -25,6 +26,8 @@
     pub(super) ledger: RefCell<Ledger>,
     /// Whether clients cancel and disconnect far more often.
     pub(super) clients_are_impatient: Cell<bool>,
+    /// By gateway: with each change clients with an open request may leave.
+    pub(super) departures: Vec<watch::Sender<u64>>,
     /// Whether clients send no more requests.
     pub(super) is_over: Cell<bool>,
     /// Errors that processes logged.
@@ -38,11 +41,12 @@
             program: options.program.clone(),
             faults_library: options.faults_library.clone(),
             folder: options.folder.clone(),
-            addresses,
             begun: Instant::now(),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(options.seed)),
             ledger: RefCell::new(Ledger { processes, ..Ledger::default() }),
             clients_are_impatient: Cell::new(false),
+            departures: addresses.iter().map(|_| watch::Sender::new(0)).collect(),
+            addresses,
             is_over: Cell::new(false),
             errors: RefCell::default(),
         }
--- a/crates/experiments/src/soak/ledger.rs
+++ b/crates/experiments/src/soak/ledger.rs
@@ -47,6 +47,8 @@
     ConnectionLost(f64),
     /// There was no answer until then.
     NoAnswer(f64),
+    /// It could not be written completely, and the client disconnected.
+    WriteFailed(f64),
 }
 
 /// One request of a client.
@@ -158,6 +160,36 @@
         })
     }
 
+    /// Whether it had been started then, and had not ended.
+    pub fn is_running(&self, at: f64) -> bool {
+        self.first(ProcessEvent::Started).is_some_and(|started| started <= at)
+            && self.exit().is_none_or(|(ended, _)| ended > at)
+    }
+
+    /// When it was resumed from the pause that it was in then; none where it was not paused.
+    pub fn resumed_after(&self, at: f64) -> Option<f64> {
+        let is_of_pause = |event: ProcessEvent| matches!(event, ProcessEvent::Paused | ProcessEvent::Resumed);
+        let mut pauses = self.events.iter().filter(|(_, event)| is_of_pause(*event));
+        let (before, after): (Vec<_>, Vec<_>) = pauses.by_ref().partition(|(time, _)| *time <= at);
+        let is_paused = before.last().is_some_and(|(_, event)| *event == ProcessEvent::Paused);
+        after.first().filter(|_| is_paused).map(|(resumed, _)| *resumed)
+    }
+
+    /// Whether it was paused when it was killed as its time after SIGTERM was over.
+    pub fn is_paused_when_overdue(&self) -> bool {
+        let before = self.events.iter().take_while(|(_, event)| *event != ProcessEvent::Overdue);
+        let pauses =
+            before.filter(|(_, event)| matches!(event, ProcessEvent::Paused | ProcessEvent::Resumed));
+        self.first(ProcessEvent::Overdue).is_some()
+            && pauses.last().is_some_and(|(_, event)| *event == ProcessEvent::Paused)
+    }
+
+    /// For how long it was paused between SIGTERM and SIGKILL; 0 where it was not killed.
+    pub fn paused_in_shutdown(&self) -> f64 {
+        let shutdown = self.first(ProcessEvent::Terminated).zip(self.first(ProcessEvent::Overdue));
+        shutdown.map_or(0.0, |(terminated, killed)| self.paused_within(terminated, killed))
+    }
+
     /// For how long it was paused between two times.
     pub fn paused_within(&self, from: f64, to: f64) -> f64 {
         let mut total = 0.0;
--- a/crates/experiments/src/soak/mod.rs
+++ b/crates/experiments/src/soak/mod.rs
@@ -10,6 +10,7 @@
 mod client;
 mod configuration;
 mod context;
+mod crowd;
 mod discovery;
 mod engine;
 mod faults;
--- a/crates/experiments/src/soak/oracle/tests.rs
+++ b/crates/experiments/src/soak/oracle/tests.rs
@@ -2,7 +2,8 @@
 
 use super::*;
 use crate::soak::ledger::{
-    Announcement, Answer, AttemptEnd, AttemptOutcome, Drain, EngineRecord, ProcessRecord, Relocation, Silence,
+    Announcement, Answer, AttemptEnd, AttemptOutcome, ConnectionFlood, Drain, EngineRecord, ProcessEvent,
+    ProcessRecord, Relocation, Silence,
 };
 use rstest::rstest;
 
@@ -119,6 +120,73 @@
     assert_eq!(abandoned_requests(&abandoned(9.9), &parameters()).len(), 1);
 }
 
+#[test]
+fn attempt_after_the_pause_in_which_its_client_has_gone_is_found_however_wide_the_slack() {
+    let wide = RuleParameters { abandoned_slack: 60.0, ..parameters() };
+    let paused = |from: f64, to: f64| {
+        let mut ledger = with_request(|request| request.end = RequestEnd::Abandoned(9.5));
+        ledger.processes[0][0].events.insert(2, (from, ProcessEvent::Paused));
+        ledger.processes[0][0].events.insert(3, (to, ProcessEvent::Resumed));
+        ledger
+    };
+    assert_eq!(abandoned_requests(&paused(9.4, 10.0), &wide).len(), 1, "the attempt arrived at 10.1");
+    assert_eq!(abandoned_requests(&paused(9.4, 9.55), &wide).len(), 0, "a short pause");
+    assert_eq!(abandoned_requests(&paused(9.6, 10.0), &wide).len(), 0, "not in the pause");
+}
+
+#[test]
+fn excuses_are_counted() {
+    let count = |ledger: &Ledger| excuses(ledger, &parameters()).into_iter().collect::<Vec<_>>();
+    let lost = |at| move |request: &mut RequestRecord| request.end = RequestEnd::ConnectionLost(at);
+    assert_eq!(count(&ledger()), []);
+    let crossed = with_request(|request| {
+        lost(10.02)(request);
+        request.on_used_connection = true;
+    });
+    assert_eq!(count(&crossed), [(Excuse::CrossedClose, 1)]);
+    let mut flooded = with_request(lost(10.2));
+    flooded.attempts.clear();
+    flooded.connection_floods.push(ConnectionFlood { gateway: 0, from: 9.0, to: 11.0 });
+    assert_eq!(count(&flooded), [(Excuse::ClosedUnread, 1)]);
+    let mut killed = with_request(lost(10.2));
+    killed.processes[0][0].events.insert(2, (10.1, ProcessEvent::Killed));
+    assert_eq!(count(&killed), [(Excuse::Killed, 1)]);
+    let written = with_request(|request| request.end = RequestEnd::WriteFailed(10.0));
+    assert_eq!(count(&written), [(Excuse::WriteFailed, 1)]);
+    let mut late = with_request(|request| request.end = RequestEnd::Answered(12.5, Answer::Served));
+    late.processes[0][0].events.insert(2, (11.0, ProcessEvent::Paused));
+    late.processes[0][0].events.insert(3, (11.5, ProcessEvent::Resumed));
+    assert_eq!(count(&late), [(Excuse::Paused, 1)]);
+}
+
+/// SIGKILL at the end of a shutdown excuses the requests of a process that is paused then, and no others.
+#[test]
+fn overdue_process_excuses_its_requests_only_in_a_pause() {
+    let overdue = |paused: bool| {
+        let mut ledger = with_request(|request| request.end = RequestEnd::ConnectionLost(10.2));
+        let events = &mut ledger.processes[0][0].events;
+        events.truncate(2);
+        events.push((6.4, ProcessEvent::Terminated));
+        if paused {
+            events.push((9.9, ProcessEvent::Paused));
+        }
+        events.push((10.1, ProcessEvent::Overdue));
+        events.push((10.2, ProcessEvent::Exited(None)));
+        ledger
+    };
+    assert_eq!(answers(&overdue(true), &parameters()).len(), 0);
+    assert_eq!(processes(&overdue(true), &parameters()), [""; 0]);
+    assert_eq!(answers(&overdue(false), &parameters()).len(), 1);
+    assert_eq!(processes(&overdue(false), &parameters()).len(), 2, "it ended by a signal, and late");
+}
+
+#[test]
+fn attempt_of_a_request_that_nobody_sent_is_found() {
+    let mut ledger = ledger();
+    ledger.attempts.insert("b".into(), vec![attempt(10.1, 10.2)]);
+    assert_eq!(violations(&ledger, &parameters()).len(), 1);
+}
+
 #[test]
 fn keyed_request_past_its_window_is_found() {
     let mut ledger =
--- a/crates/experiments/src/soak/process.rs
+++ b/crates/experiments/src/soak/process.rs
@@ -127,12 +127,22 @@
             Signal::CONT => Some(ProcessEvent::Resumed),
             _ => None,
         };
+        // The shell that starts the program ends by a SIGHUP that comes before its trap.
+        if signal == Signal::HUP && !self.has_begun() {
+            return;
+        }
         if let Some(event) = event {
             self.record_event(event);
         }
         self.send(signal);
     }
 
+    /// Whether the program has replaced the shell that starts it.
+    fn has_begun(&self) -> bool {
+        let running = std::fs::read_link(format!("/proc/{}/exe", self.child.id()));
+        running.is_ok_and(|running| running.file_name() == self.context.program.file_name())
+    }
+
     fn send(&self, signal: Signal) {
         let _ = kill_process(Pid::from_child(&self.child), signal);
     }
--- a/crates/experiments/src/soak/report.rs
+++ b/crates/experiments/src/soak/report.rs
@@ -3,6 +3,7 @@
 use super::ledger::{Answer, RequestEnd};
 use super::options::SoakOptions;
 use super::run::SoakResult;
+use super::schedule;
 use serde_json::{json, Value};
 
 /// The characters of the first violation that are kept as a figure.
@@ -16,6 +17,7 @@
     for (number, planned) in result.schedule.iter().enumerate() {
         eprintln!("trouble {number}: {planned:?}");
     }
+    eprintln!("breaks by rule: {:?}; excuses: {:?}", result.violations_by_rule, result.excuses);
     for line in &result.violations {
         eprintln!("break: {line}");
         print_request(result, line.split(':').next().unwrap_or_default());
@@ -67,6 +69,7 @@
     json!({
         "processes": options.gateways,
         "seconds": options.seconds,
+        "crowd": schedule::has_crowd(options.seed),
         "troubles": result.schedule.len(),
         "requests": ends().count(),
         "served": answered(Answer::Served),
@@ -78,6 +81,8 @@
         "memory_mb": (result.footprint.memory_mb * 10.0).round() / 10.0,
         "descriptors": result.footprint.descriptors,
         "breaks": result.violations.len(),
+        "breaks_by_rule": result.violations_by_rule,
+        "excuses": result.excuses,
         "first_break": first_violation,
     })
 }
