Keys of another boot are left out at every look, not only at the first

What callers would see: a key refused too long or too short, where the shared folder outlives a reboot. Found by reading.

Cause: KeyReader::read_new_sends stopped at a mark of another boot with its position behind it; the next look took the sends that follow with the offset of this boot.

Change: the reader remembers of which boot the last mark is, and leaves out what follows one of another boot.

--- a/src/net/hot_restart/keys.rs
+++ b/src/net/hot_restart/keys.rs
@@ -116,11 +116,13 @@
     file: File,
     /// Offset of the first byte that was not read.
     position: u64,
+    /// Whether the last mark that was read is of another boot, and with it the sends that follow it.
+    is_of_other_boot: bool,
 }
 
 impl KeyReader {
     pub(super) fn open(path: &Path) -> Option<Self> {
-        File::open(path).ok().map(|file| Self { file, position: 0 })
+        File::open(path).ok().map(|file| Self { file, position: 0, is_of_other_boot: false })
     }
 
     /// Whether the path still names the file that is open: a rewritten file is another one of the same name. If that cannot
@@ -141,9 +143,9 @@
         for record in records.chunks_exact(RECORD_BYTES).map_while(Record::read) {
             self.position += RECORD_BYTES as u64;
             match record {
-                Record::KeySend(key, send) => sends.push((key, send)),
-                Record::Mark(mark) if mark.boot_id != boot_id => break,
-                Record::Mark(_) => {}
+                Record::KeySend(key, send) if !self.is_of_other_boot => sends.push((key, send)),
+                Record::KeySend(..) => {}
+                Record::Mark(mark) => self.is_of_other_boot = mark.boot_id != boot_id,
             }
         }
         sends
@@ -168,3 +170,6 @@
         Some(records)
     }
 }
+
+#[cfg(test)]
+mod tests;
