Out of descriptors, no operator's connection is closed that is owed an answer

What callers would see: an operator's call cut with its answer unsent. Found by reading.

Cause: where accept failed for lack of descriptors the oldest connection was aborted, whatever it was doing, and not awaited.

--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -11,7 +11,6 @@
 use std::collections::VecDeque;
 use std::io;
 use std::rc::Rc;
-use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
@@ -37,9 +36,9 @@
 }
 
 /// Accepts operators' connections; `open_connections` counts them. Operators are few: beyond the limit the connection that
-/// has been open longest is closed, so that idle ones keep nobody out.
+/// has been incomplete longest is closed, so that idle ones keep nobody out.
 pub async fn listen(listener: TcpListener, context: AdminContext, open_connections: Rc<Cell<usize>>) {
-    let mut connections: VecDeque<JoinHandle<()>> = VecDeque::new();
+    let mut connections = OpenConnections::default();
     let mut backoff = Backoff::default();
     loop {
         let stream = match listener.accept().await {
@@ -48,72 +47,117 @@
                 log::error_rate_limited("an operator's connection cannot be accepted", &error);
                 let wait = backoff.wait_to_accept(&error);
                 if !wait.is_zero() {
-                    // Out of descriptors: the connection that has been open longest gives its own up.
-                    if let Some(oldest) = connections.pop_front() {
-                        oldest.abort();
-                    }
+                    // Out of descriptors.
+                    connections.close_one(&context.limits).await;
                 }
                 tokio::time::sleep(wait).await;
                 continue;
             }
         };
         backoff.reset();
-        connections.retain(|connection| !connection.is_finished());
-        close_oldest(&mut connections, context.limits.max_admin_connections).await;
-        let context = context.clone();
-        let open = OpenConnection::count(&open_connections);
-        connections.push_back(tokio::task::spawn_local(async move {
-            serve(stream, context).await;
-            drop(open);
-        }));
+        while connections.count() >= context.limits.max_admin_connections {
+            connections.close_one(&context.limits).await;
+        }
+        connections.serve(stream, context.clone(), OpenConnectionGuard::count(&open_connections));
     }
 }
 
-/// Closes the oldest connections until there is space for one more below the limit.
-async fn close_oldest(connections: &mut VecDeque<JoinHandle<()>>, max_connections: usize) {
-    while connections.len() >= max_connections {
-        let Some(oldest) = connections.pop_front() else { return };
-        oldest.abort();
-        // Its descriptor is closed before the next one is used.
-        let _ = oldest.await;
+/// A connection as its task and the listener share it.
+struct OperatorConnection {
+    stream: TcpStream,
+    /// Its call was read, and the reply is not written yet.
+    is_answering: Cell<bool>,
+}
+
+impl OperatorConnection {
+    /// Whether a reply is owed: a call was read, or bytes have arrived that may be one.
+    fn owes_reply(&self) -> bool {
+        self.is_answering.get() || rustix::io::ioctl_fionread(&self.stream).map_or(true, |unread| unread > 0)
+    }
+}
+
+/// An open connection and its task.
+struct OpenConnection {
+    connection: Rc<OperatorConnection>,
+    task: JoinHandle<()>,
+}
+
+/// The open connections, the one that has been open longest first.
+#[derive(Default)]
+struct OpenConnections(VecDeque<OpenConnection>);
+
+impl OpenConnections {
+    /// The number of connections that have not ended.
+    fn count(&mut self) -> usize {
+        self.0.retain(|open| !open.task.is_finished());
+        self.0.len()
+    }
+
+    /// Serves a connection in a task of its own.
+    fn serve(&mut self, stream: TcpStream, context: AdminContext, guard: OpenConnectionGuard) {
+        let connection = Rc::new(OperatorConnection { stream, is_answering: Cell::new(false) });
+        let served = connection.clone();
+        let task = tokio::task::spawn_local(async move {
+            serve(&served, context).await;
+            drop(served);
+            drop(guard);
+        });
+        self.0.push_back(OpenConnection { connection, task });
+    }
+
+    /// Closes the oldest connection that is owed no reply; if all are, the oldest one, which gets a moment to be answered. Its
+    /// descriptor is closed when this returns.
+    async fn close_one(&mut self, limits: &Limits) {
+        self.0.retain(|open| !open.task.is_finished());
+        let idle = self.0.iter().position(|open| !open.connection.owes_reply());
+        let Some(OpenConnection { connection, mut task }) = self.0.remove(idle.unwrap_or(0)) else { return };
+        if connection.owes_reply() && timeout(limits.admin_discard_timeout, &mut task).await.is_ok() {
+            return;
+        }
+        task.abort();
+        let _ = task.await;
     }
 }
 
 /// Counts a connection until it is dropped.
-struct OpenConnection(Rc<Cell<usize>>);
+struct OpenConnectionGuard(Rc<Cell<usize>>);
 
-impl OpenConnection {
+impl OpenConnectionGuard {
     fn count(open_connections: &Rc<Cell<usize>>) -> Self {
         open_connections.set(open_connections.get() + 1);
         Self(open_connections.clone())
     }
 }
 
-impl Drop for OpenConnection {
+impl Drop for OpenConnectionGuard {
     fn drop(&mut self) {
         self.0.set(self.0.get() - 1);
     }
 }
 
-async fn serve(mut stream: TcpStream, context: AdminContext) {
+async fn serve(connection: &OperatorConnection, context: AdminContext) {
     let limits = &context.limits;
+    let stream = &connection.stream;
     let mut read_buffer = ReadBuffer::new(context.shared.clone());
     let deadline = Instant::now() + limits.admin_call_timeout;
-    let read = match timeout_at(deadline, read_call(&stream, &mut read_buffer, limits)).await {
+    let read = match timeout_at(deadline, read_call(stream, &mut read_buffer, limits)).await {
         Ok(None) => return,
         Ok(Some(read)) => read,
         Err(_) => Err(Reply::line(408, "the call did not come whole in time")),
     };
+    connection.is_answering.set(true);
     let was_read = read.is_ok();
     let reply = match read {
         Ok(call) => forward(call, &context.calls).await,
         Err(reply) => reply,
     };
-    let written = write_all(&mut stream, &encode(&reply)).await;
-    if written.is_err() || stream.shutdown().await.is_err() || was_read {
+    let written = write_all(stream, &encode(&reply)).await;
+    let is_shut_down = rustix::net::shutdown(stream, rustix::net::Shutdown::Write).is_ok();
+    connection.is_answering.set(false);
+    if written.is_err() || !is_shut_down || was_read {
         return;
     }
-    let _ = timeout(limits.admin_discard_timeout, discard(&stream, &mut read_buffer, limits)).await;
+    let _ = timeout(limits.admin_discard_timeout, discard(stream, &mut read_buffer, limits)).await;
 }
 
 /// Passes a call on and waits for its reply.
@@ -147,9 +191,10 @@
 }
 
 /// Writes all bytes, and retries calls that were interrupted.
-async fn write_all(stream: &mut TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
     while !bytes.is_empty() {
-        match stream.write(bytes).await {
+        stream.writable().await?;
+        match stream.try_write(bytes) {
             Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
             Ok(written) => bytes = &bytes[written..],
             Err(error) if SocketRetry::after(&error).is_some() => {}
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -5,10 +5,12 @@
 
 use gateway_processes::*;
 use rstest::rstest;
+use stand::faults::Faults;
 use stand::*;
 use starlingplank_admin::metrics::MetricDescription;
-use std::io::{Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::TcpStream;
+use std::time::Duration;
 
 /// The successor read which engines were out, and did not go by it.
 #[test]
@@ -176,3 +178,34 @@
     assert_ne!(health_of(&mut process.client()), starting, "it says so to the front as well");
     assert_eq!(served_lookups(&process, 10, 5), 5);
 }
+
+/// Descriptors run out while an operator's call has arrived and is not answered: another connection, on which nothing has arrived, is
+/// closed in its place.
+#[test]
+fn call_that_has_arrived_is_answered_though_descriptors_run_out() {
+    let (at, _) = resp_engine(served);
+    let faults = Faults::new("seed=11,accept=1");
+    let text = changed(&config(&[at], "resp", 20_000), r#""listen""#, r#""operator":"127.0.0.1:0","listen""#);
+    let gateway = Gateway::start_with_faults(&text, &faults);
+    let operators = gateway.operator.expect("it listens to them");
+    let connect = || TcpStream::connect(operators).expect("it listens");
+    let mut callers: Vec<_> = (0..4).map(|_| connect()).collect();
+    // All are accepted before a later one is answered.
+    let mut last = connect();
+    last.write_all(b"GET /api/ready HTTP/1.1\r\n\r\n").expect("sent");
+    assert!(web_message(&mut BufReader::new(last)).is_some());
+    gateway.stop();
+    faults.begin();
+    for caller in &mut callers {
+        caller.set_read_timeout(Some(Duration::from_secs(30))).expect("set");
+        caller.write_all(b"GET /api/ready HTTP/1.1\r\n\r\n").expect("sent");
+    }
+    let _waiting = connect();
+    gateway.resume();
+    faults.until_happened("accept");
+    for caller in callers {
+        let (head, _) = web_message(&mut BufReader::new(caller)).expect("an answer");
+        assert!(head[0].starts_with("HTTP/1.1 200"), "{head:?}");
+    }
+    faults.end();
+}
