Experiment cost: a figure that no line of the log holds is an error that names the line

The CPU time of a process was read in the same way.

Change: number_after returns an error with the text that was looked for; the run without persisted state has no lines about it, and asks for none.

--- a/crates/experiments/src/experiments/cost.rs
+++ b/crates/experiments/src/experiments/cost.rs
@@ -78,12 +78,12 @@
         // The time of the work itself is the same with and without.
         latencies.record((request.latency * 1000.0) as u64)?;
     }
-    let figure = |text: &str| gateway.number_after(text).unwrap_or(0.0);
+    let persisted = |text: &str| if keeps { gateway.number_after(text) } else { Ok(0.0) };
     Ok(Cost {
-        longest_cycle_ms: figure("loop: longest turn "),
-        greatest_delay_ms: figure(" ms, latest "),
-        snapshot_bytes: figure(" snapshot_bytes="),
-        key_bytes: figure(" key_bytes="),
+        longest_cycle_ms: gateway.number_after("loop: longest turn ")?,
+        greatest_delay_ms: gateway.number_after(" ms, latest ")?,
+        snapshot_bytes: persisted(" snapshot_bytes=")?,
+        key_bytes: persisted(" key_bytes=")?,
         served: served.count(),
         requests: completed.len(),
         latencies,
--- a/crates/experiments/src/harness/gateway.rs
+++ b/crates/experiments/src/harness/gateway.rs
@@ -29,6 +29,14 @@
     address.trim().parse().ok()
 }
 
+/// A figure that the log of a process should hold.
+#[derive(Debug, PartialEq, thiserror::Error)]
+#[error("no line of the log has a number after {text:?}")]
+pub struct MissingFigure {
+    /// The text before it.
+    text: String,
+}
+
 /// A process of the program. It is killed when this is dropped.
 pub struct GatewayProcess {
     child: Child,
@@ -79,17 +87,17 @@
         Err("the program did not end".into())
     }
 
-    /// The number after that text in the last line that holds it.
-    pub fn number_after(&self, text: &str) -> Option<f64> {
-        let rest = self.text_after(text)?;
-        let end = rest.find(|char: char| !char.is_ascii_digit() && char != '.').unwrap_or(rest.len());
-        rest[..end].parse().ok()
+    /// The number that follows that text in the last line that holds it.
+    ///
+    /// # Errors
+    /// No line holds that text with a number behind it.
+    pub fn number_after(&self, text: &str) -> Result<f64, MissingFigure> {
+        number_after(&self.lines(), text).ok_or_else(|| MissingFigure { text: text.to_owned() })
     }
 
     /// What follows that text in the last line that holds it.
     pub fn text_after(&self, text: &str) -> Option<String> {
-        let lines = self.lines();
-        lines.iter().rev().find_map(|line| line.split_once(text).map(|(_, rest)| rest.to_owned()))
+        text_after(&self.lines(), text).map(str::to_owned)
     }
 
     /// Whether a line holds that text.
@@ -121,9 +129,11 @@
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
         let after_name = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
         let fields: Vec<&str> = after_name.split_whitespace().collect();
-        let ticks =
-            |index: usize| fields.get(index).and_then(|field| field.parse::<f64>().ok()).unwrap_or(0.0);
-        Ok((ticks(USER_TIME_FIELD) + ticks(SYSTEM_TIME_FIELD)) * MS_PER_CLOCK_TICK)
+        let ticks = |index: usize| -> Result<f64, Failure> {
+            let field = fields.get(index).ok_or("the process has no CPU time in proc(5)")?;
+            Ok(field.parse()?)
+        };
+        Ok((ticks(USER_TIME_FIELD)? + ticks(SYSTEM_TIME_FIELD)?) * MS_PER_CLOCK_TICK)
     }
 
     fn lines(&self) -> MutexGuard<'_, Vec<String>> {
@@ -131,6 +141,17 @@
     }
 }
 
+/// What follows that text in the last line that holds it.
+fn text_after<'a>(lines: &'a [String], text: &str) -> Option<&'a str> {
+    lines.iter().rev().find_map(|line| line.split_once(text).map(|(_, rest)| rest))
+}
+
+fn number_after(lines: &[String], text: &str) -> Option<f64> {
+    let rest = text_after(lines, text)?;
+    let end = rest.find(|char: char| !char.is_ascii_digit() && char != '.').unwrap_or(rest.len());
+    rest[..end].parse().ok()
+}
+
 impl Drop for GatewayProcess {
     fn drop(&mut self) {
         self.kill();
@@ -157,3 +178,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
