Upgrades: unread requests are counted by cause, and what was read is compared with what was answered

Seen: one request in some 200,000 unread at a hot restart under load, 'which the test allows', without a cause.

--- a/tests/upgrades.rs
+++ b/tests/upgrades.rs
@@ -5,7 +5,7 @@
 
 use gateway_processes::*;
 use stand::*;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -63,12 +63,25 @@
     assert!(wants(&drained) > before.0 && wants(&gone) > before.1, "both are in use again");
 }
 
+/// Why nobody read the first request of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum UnreadCause {
+    /// The connection was not established, with this error.
+    Connect(ErrorKind),
+    /// The request could not be written, with this error.
+    Write(ErrorKind),
+    /// The connection was reset, or failed in another way, before an answer.
+    Read(ErrorKind),
+    /// The connection was closed before an answer.
+    Closed,
+}
+
 /// What a client met that asks without a pause until it is told to stop.
 #[derive(Default)]
 struct ClientOutcome {
     answered: usize,
     /// New connections refused, reset, or closed with their first request unread.
-    unread: usize,
+    unread: Vec<UnreadCause>,
     /// Later requests that crossed the end of their connection.
     crossed: usize,
     connections: usize,
@@ -89,9 +102,13 @@
             !ended
         });
         // Connections serve 1 to 7 requests, then the client opens another.
-        let Some((mut open, seq)) = stream.take().or_else(|| Some((TcpStream::connect(at).ok()?, 1))) else {
-            outcome.unread += 1;
-            continue;
+        let connected = stream.take().map_or_else(|| TcpStream::connect(at).map(|new| (new, 1)), Ok);
+        let (mut open, seq) = match connected {
+            Ok(connected) => connected,
+            Err(error) => {
+                outcome.unread.push(UnreadCause::Connect(error.kind()));
+                continue;
+            }
         };
         outcome.connections += usize::from(seq == 1);
         open.set_read_timeout(Some(Duration::from_secs(30))).expect("set");
@@ -102,11 +119,15 @@
         let body = if verb == "load" { "insert into s_1.t" } else { "select 1" };
         let sent = open.write_all(&call(seq, &fields, body));
         // The end of the stream may come with the last answer; a request that meets it was not taken.
-        let mut byte = [0];
-        let taken = sent.is_ok() && matches!(open.peek(&mut byte), Ok(1));
-        if !taken {
-            outcome.unread += usize::from(seq == 1);
+        let not_taken = match (sent, open.peek(&mut [0])) {
+            (Err(error), _) => Some(UnreadCause::Write(error.kind())),
+            (Ok(()), Err(error)) => Some(UnreadCause::Read(error.kind())),
+            (Ok(()), Ok(0)) => Some(UnreadCause::Closed),
+            (Ok(()), Ok(_)) => None,
+        };
+        if let Some(cause) = not_taken {
             outcome.crossed += usize::from(seq > 1);
+            outcome.unread.extend((seq == 1).then_some(cause));
             continue;
         }
         assert_eq!(answer(&mut open).0, seq, "one answer each, in its turn");
@@ -116,6 +137,15 @@
     outcome
 }
 
+/// The requests that a process has read, as it logs at its end.
+fn requests_read(output: &[String]) -> usize {
+    let counts = output.iter().filter_map(|line| {
+        let (class, _) = line.split_once(" taken, ")?;
+        class.rsplit(' ').next()?.parse::<usize>().ok()
+    });
+    counts.sum()
+}
+
 /// Fifty versions one after the other under a closed loop of clients. Some upgrades wait until the old processes have
 /// ended, the others begin at once, so that up to six processes run.
 #[test]
@@ -143,6 +173,7 @@
         })
         .collect();
     let mut shutdown_phase: Vec<Process> = Vec::new();
+    let mut read = 0;
     for upgrade in 0..50 {
         let next = site.start();
         assert_eq!(next.request("GET /api/ready HTTP/1.1\r\n\r\n").0, 200);
@@ -153,24 +184,34 @@
             for old in shutdown_phase.drain(..) {
                 let output = old.ended();
                 assert!(output.iter().any(|l| l.contains("a new version listens")), "{output:?}");
+                read += requests_read(&output);
             }
         }
     }
     stop.store(true, std::sync::atomic::Ordering::SeqCst);
     let outcome: Vec<ClientOutcome> =
         clients.into_iter().map(|c| c.join().expect("no answer is missing")).collect();
+    current.signal("-TERM");
+    read += shutdown_phase.into_iter().chain([current]).map(|old| requests_read(&old.ended())).sum::<usize>();
     let sum = |of: fn(&ClientOutcome) -> usize| outcome.iter().map(of).sum::<usize>();
     let (answered, connections) = (sum(|m| m.answered), sum(|m| m.connections));
-    let (unread, crossed) = (sum(|m| m.unread), sum(|m| m.crossed));
+    let (unread, crossed) = (sum(|m| m.unread.len()), sum(|m| m.crossed));
+    let causes: Vec<_> = outcome.iter().flat_map(|m| &m.unread).collect();
     assert!(answered > 1_000 && connections > 200, "{answered} answers on {connections} connections");
-    // Two an upgrade are allowed. Each connection ends once: what crosses its end is sent again.
-    assert!(unread <= 2 * 50, "{unread} of {answered} requests met a connection that nobody read");
+    assert_eq!(read, answered, "what was read was answered; {causes:?} were not");
+    // Two an upgrade are allowed, of connections that no process has read from. Each connection ends once: what crosses its end is sent again.
+    assert!(
+        unread <= 2 * 50,
+        "{unread} of {answered} requests met a connection that nobody read: {causes:?}"
+    );
     assert!(crossed <= 6 * 50, "{crossed} of {answered} requests crossed the end of their connection");
     assert_eq!(wants(&log), 0, "nothing went to the engine that is out");
     let twice: Vec<_> =
         runs.lock().expect("counts").iter().filter(|(_, n)| **n > 1).map(|(k, _)| k.clone()).collect();
     assert!(twice.is_empty(), "{twice:?}");
-    eprintln!("{answered} answers on {connections} connections, {unread} unread, {crossed} crossed");
+    eprintln!(
+        "{answered} answers on {connections} connections, {unread} unread {causes:?}, {crossed} crossed"
+    );
 }
 
 /// A successor whose configuration names no engine, while the list is silent: it would turn away what its predecessor
