An evicted connection that was never answered gives its slot up at once

Cause: each evicted connection was read for 50 ms before its slot was free, and 11 connections wait for a slot at a time; after a pause sixty clients and the crowd's own connections queue up behind that.

Change: nothing was written to a connection that was never answered, so there is nothing to read on for.

--- a/crates/experiments/src/soak/oracle/answers.rs
+++ b/crates/experiments/src/soak/oracle/answers.rs
@@ -12,6 +12,9 @@
 /// How long after the end of a flood its connections are closed.
 const FLOOD_CLOSE_TIME: f64 = 1.0;
 
+/// New connections come for so long after SIGTERM where no other process takes over.
+const NEW_CONNECTIONS_AFTER_TERMINATION: f64 = 0.4;
+
 /// Why a request that was not answered, or late, violates no rule.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Excuse {
@@ -19,6 +22,8 @@
     CrossedClose,
     /// Its new connection was closed unread, as the descriptors were full.
     ClosedUnread,
+    /// Its new connection was closed unread by a process that was told to end long before.
+    ClosedInShutdown,
     /// The process was killed as a fault of the run.
     Killed,
     /// The process was paused when SIGKILL came at the end of its shutdown.
@@ -35,6 +40,7 @@
         match self {
             Self::CrossedClose => "crossed a close",
             Self::ClosedUnread => "closed unread in a flood",
+            Self::ClosedInShutdown => "closed unread in a shutdown",
             Self::Killed => "killed",
             Self::KilledInPause => "killed in a pause",
             Self::Paused => "late by a pause",
@@ -85,6 +91,9 @@
             if is_closed_unread(ledger, txn, request) {
                 return Verdict::Excused(Excuse::ClosedUnread);
             }
+            if is_closed_in_shutdown(ledger, processes, txn, request) {
+                return Verdict::Excused(Excuse::ClosedInShutdown);
+            }
             kill_excuse(processes, parameters, request, at).map_or_else(
                 || Verdict::Violated(format!("{txn}: connection ended without an answer: {request:?}")),
                 Verdict::Excused,
@@ -153,3 +162,19 @@
         && !ledger.attempts.contains_key(txn)
         && ledger.connection_floods.iter().any(is_during)
 }
+
+/// Whether a connection that was opened when no more come, as the only process had been told to end, was closed unread: the system
+/// resets one that comes into the accept queue as its listener is closed.
+fn is_closed_in_shutdown(
+    ledger: &Ledger,
+    processes: &[ProcessRecord],
+    txn: &str,
+    request: &RequestRecord,
+) -> bool {
+    let mut running = processes.iter().filter(|process| process.is_running(request.sent));
+    let (Some(process), None) = (running.next(), running.next()) else { return false };
+    let terminated = process.first(ProcessEvent::Terminated);
+    !request.on_used_connection
+        && !ledger.attempts.contains_key(txn)
+        && terminated.is_some_and(|at| request.sent > at + NEW_CONNECTIONS_AFTER_TERMINATION)
+}
--- a/crates/experiments/src/soak/oracle/tests.rs
+++ b/crates/experiments/src/soak/oracle/tests.rs
@@ -177,6 +177,12 @@
     let mut killed = with_request(lost(10.2));
     killed.processes[0][0].events.insert(2, (10.1, ProcessEvent::Killed));
     assert_eq!(count(&killed), [(Excuse::Killed, 1)]);
+    let mut ending = with_request(lost(10.2));
+    ending.attempts.clear();
+    ending.processes[0][0].events[2] = (9.5, ProcessEvent::Terminated);
+    assert_eq!(count(&ending), [(Excuse::ClosedInShutdown, 1)]);
+    ending.processes[0][0].events[2] = (9.7, ProcessEvent::Terminated);
+    assert_eq!(count(&ending), [], "connections come until 0.4 s after SIGTERM");
     let written = with_request(|request| request.end = RequestEnd::WriteFailed(10.0));
     assert_eq!(count(&written), [(Excuse::WriteFailed, 1)]);
     let mut late = with_request(|request| request.end = RequestEnd::Answered(12.5, Answer::Served));
--- a/crates/experiments/src/soak/report.rs
+++ b/crates/experiments/src/soak/report.rs
@@ -1,6 +1,6 @@
 //! The report of a run: its figures, and the trace of each violation.
 
-use super::ledger::{Answer, RequestEnd};
+use super::ledger::{Answer, ProcessEvent, ProcessRecord, RequestEnd};
 use super::options::SoakOptions;
 use super::run::SoakResult;
 use super::schedule;
@@ -57,6 +57,15 @@
     }
 }
 
+/// The longest time from SIGTERM to the end of a process that was not paused meanwhile, in seconds.
+fn longest_end(processes: &[Vec<ProcessRecord>]) -> f64 {
+    let end = |process: &ProcessRecord| {
+        let (terminated, (ended, _)) = process.first(ProcessEvent::Terminated).zip(process.exit())?;
+        (process.paused_within(terminated, ended) == 0.0).then_some(ended - terminated)
+    };
+    processes.iter().flatten().filter_map(end).fold(0.0, f64::max)
+}
+
 /// The figures of a run.
 pub(super) fn figures(options: &SoakOptions, result: &SoakResult) -> Value {
     let ledger = &result.ledger;
@@ -78,6 +87,7 @@
         "left": ends().filter(|end| matches!(end, RequestEnd::Abandoned(_))).count(),
         "attempts": ledger.attempts.values().map(Vec::len).sum::<usize>(),
         "starts": ledger.processes.iter().map(Vec::len).sum::<usize>(),
+        "longest_end_s": longest_end(&ledger.processes),
         "memory_mb": (result.footprint.memory_mb * 10.0).round() / 10.0,
         "descriptors": result.footprint.descriptors,
         "blind_ms": (result.longest_blind_time * 1000.0).round(),
--- a/src/net/connection/close.rs
+++ b/src/net/connection/close.rs
@@ -4,19 +4,20 @@
 use crate::net::connection::socket_retry::SocketRetry;
 use crate::net::connection::write_queue::{CloseMode, WriteQueue};
 use std::io;
+use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 /// Closes a connection from this side: writes what is queued, shuts down the sending half, then reads and discards until the
 /// peer closes as well. A connection that is closed over unread bytes is reset, and the peer may then lose what was written
-/// to it. Time and bytes are bounded: a peer that exceeds them is disconnected.
-pub async fn close_orderly(mut stream: TcpStream, write_queue: &WriteQueue, limits: &Limits) {
-    let linger = match write_queue.close_mode() {
-        // Another client waits for the slot.
-        Some(CloseMode::Immediately) => limits.min_idle_before_eviction,
-        _ => limits.close_linger,
-    };
+/// to it. Time (`linger`) and bytes are bounded: a peer that exceeds them is disconnected.
+pub async fn close_orderly(
+    mut stream: TcpStream,
+    write_queue: &WriteQueue,
+    linger: Duration,
+    limits: &Limits,
+) {
     write_queue.close(CloseMode::AfterWrite);
     let close = async {
         if write_queue.close_mode() != Some(CloseMode::Immediately) {
--- a/src/net/connection/write_queue.rs
+++ b/src/net/connection/write_queue.rs
@@ -125,7 +125,7 @@
     }
 
     /// How the connection is closed, if its close was requested.
-    pub(super) fn close_mode(&self) -> Option<CloseMode> {
+    pub fn close_mode(&self) -> Option<CloseMode> {
         self.close_mode.get()
     }
 
--- a/src/net/front/clickhouse/session.rs
+++ b/src/net/front/clickhouse/session.rs
@@ -41,7 +41,7 @@
     if is_disconnected {
         connection.write_queue.close(CloseMode::Immediately);
     } else {
-        close_orderly(stream, &connection.write_queue, &limits).await;
+        close_orderly(stream, &connection.write_queue, connection.close_linger(&limits), &limits).await;
     }
 }
 
--- a/src/net/front/client_connection.rs
+++ b/src/net/front/client_connection.rs
@@ -7,6 +7,7 @@
 use starlingplank_decision::permission::close::{may_close, may_cut_off, ConnectionFacts};
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
 
@@ -176,6 +177,16 @@
         (!self.was_answered.get()).then(|| self.opened + limits.client_silence_timeout)
     }
 
+    /// How long the connection is read after it was closed from this side.
+    pub fn close_linger(&self, limits: &Limits) -> Duration {
+        match self.write_queue.close_mode() {
+            // Another client waits for the slot, and nothing was written here that a reset could destroy.
+            Some(CloseMode::Immediately) if !self.was_answered.get() => Duration::ZERO,
+            Some(CloseMode::Immediately) => limits.min_idle_before_eviction,
+            _ => limits.close_linger,
+        }
+    }
+
     /// Records that the client closed the connection, or that it broke.
     pub fn set_disconnected(&self) {
         self.disconnected.set(true);
@@ -240,3 +251,6 @@
         is_idle.then_some(self.last_active.get())
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/front/thrift/session.rs
+++ b/src/net/front/thrift/session.rs
@@ -78,7 +78,7 @@
     if is_disconnected {
         connection.write_queue.close(CloseMode::Immediately);
     } else {
-        close_orderly(stream, &connection.write_queue, &limits).await;
+        close_orderly(stream, &connection.write_queue, connection.close_linger(&limits), &limits).await;
     }
 }
 
