Open requests are answered a sixth of the time before SIGKILL, and at least 0.4 s

What callers would see: the process ended 3.56 s after SIGTERM where SIGKILL may come at 3.7 s, so that a machine short of time could have it killed over its last answers.

Cause: 0.4 s were reserved, of which the close of connections takes 0.25 s.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -118,8 +118,11 @@
     pub max_inherited_state_bytes: usize,
 }
 
-/// Time before the latest SIGKILL that is reserved for the last answers.
-const SHUTDOWN_MARGIN: Milliseconds = 400.0;
+/// The share of the time from SIGTERM to SIGKILL that is left when open requests are answered: for the last answers, the close of
+/// connections, and a process that gets little time from its machine.
+const SHUTDOWN_MARGIN_SHARE: f64 = 1.0 / 6.0;
+/// That time at least.
+const MIN_SHUTDOWN_MARGIN: Milliseconds = 400.0;
 /// SIGKILL follows SIGTERM by the longest deadline and this time at the earliest.
 const KILL_DELAY: Milliseconds = 700.0;
 /// The longest deadline that SIGKILL waits for.
@@ -176,13 +179,18 @@
     (configured as usize).min(granted).saturating_sub(RESERVED_DESCRIPTORS).max(MIN_SOCKETS)
 }
 
+/// When open requests are answered after SIGTERM, which SIGKILL follows by that wait and [`KILL_DELAY`].
+fn answer_deadline(wait: Milliseconds) -> Milliseconds {
+    let kill_after = wait + KILL_DELAY;
+    kill_after - (kill_after * SHUTDOWN_MARGIN_SHARE).max(MIN_SHUTDOWN_MARGIN)
+}
+
 impl Limits {
     /// The same limits with the shutdown deadlines of a gateway whose longest deadline is `longest_deadline`. SIGKILL
     /// follows SIGTERM by that time, bounded, and 0.7 s; open requests are answered before.
     #[must_use]
     pub fn ending(self, longest_deadline: Milliseconds) -> Self {
-        let answer_deadline =
-            |max_wait: Milliseconds| longest_deadline.min(max_wait) + KILL_DELAY - SHUTDOWN_MARGIN;
+        let answer_deadline = |max_wait: Milliseconds| answer_deadline(longest_deadline.min(max_wait));
         Self {
             shutdown_answer_deadline: answer_deadline(MAX_KILL_WAIT),
             hot_restart_answer_deadline: answer_deadline(MAX_HOT_RESTART_KILL_WAIT),
@@ -259,12 +267,12 @@
             max_discovery_flows: (sockets / SOCKETS_PER_FLOW).clamp(MIN_FLOWS, MAX_FLOWS),
             max_datagram_bytes: MAX_DATAGRAM_BYTES,
             shutdown_accept_window: 800.0,
-            shutdown_answer_deadline: 3_300.0,
+            shutdown_answer_deadline: answer_deadline(MAX_KILL_WAIT),
             record_timeout: MAX_RECORD_TIMEOUT,
             log_maintenance_interval: duration(1_000.0),
             final_snapshot_timeout: duration(500.0),
             hot_restart_idle_after: duration(1_000.0),
-            hot_restart_answer_deadline: 5_300.0,
+            hot_restart_answer_deadline: answer_deadline(MAX_HOT_RESTART_KILL_WAIT),
             connection_close_wait: duration(250.0),
             max_admin_connections: (sockets / 20).clamp(4, 64),
             admin_call_timeout: duration(8_000.0),
