--- a/crates/experiments/src/experiments/turns.rs
+++ b/crates/experiments/src/experiments/turns.rs
@@ -55,7 +55,6 @@
         health_check_price: 0.01,
         max_retry_after: 1_000.0,
         max_attempts: 3,
-        reporting: Reporting::Answers,
         answer_grace: 20.0,
         max_poll_interval: 10_000.0,
         drain_grace: 2_000.0,
--- a/crates/experiments/src/soak/run.rs
+++ b/crates/experiments/src/soak/run.rs
@@ -148,7 +148,7 @@
 
 fn start_clients(context: &Rc<RunContext>, gateways: usize) -> Vec<JoinHandle<()>> {
     let kinds = |gateway: usize| {
-        let persistent = if gateway % BUSY_EVERY == 0 { BUSY_CLIENTS } else { PERSISTENT_CLIENTS };
+        let persistent = if gateway.is_multiple_of(BUSY_EVERY) { BUSY_CLIENTS } else { PERSISTENT_CLIENTS };
         let casual = repeat_n(ClientKind::Casual, CASUAL_CLIENTS);
         casual.chain(repeat_n(ClientKind::Persistent, persistent)).map(move |kind| (gateway, kind))
     };
--- a/tests/upgrades.rs
+++ b/tests/upgrades.rs
@@ -146,6 +146,26 @@
     counts.sum()
 }
 
+/// Each request that a process has read was answered, and few met a connection that ended.
+fn check_outcomes(outcomes: &[ClientOutcome], read: usize) {
+    let sum = |of: fn(&ClientOutcome) -> usize| outcomes.iter().map(of).sum::<usize>();
+    let (answered, connections) = (sum(|m| m.answered), sum(|m| m.connections));
+    let (unread, crossed) = (sum(|m| m.unread.len()), sum(|m| m.crossed));
+    let causes: Vec<_> = outcomes.iter().flat_map(|m| &m.unread).collect();
+    assert!(answered > 1_000 && connections > 200, "{answered} answers on {connections} connections");
+    assert_eq!(read, answered, "what was read was answered; {causes:?} were not");
+    // Two an upgrade are allowed, of connections that no process has read from. Each connection ends once: what crosses its
+    // end is sent again.
+    assert!(
+        unread <= 2 * 50,
+        "{unread} of {answered} requests met a connection that nobody read: {causes:?}"
+    );
+    assert!(crossed <= 6 * 50, "{crossed} of {answered} requests crossed the end of their connection");
+    eprintln!(
+        "{answered} answers on {connections} connections, {unread} unread {causes:?}, {crossed} crossed"
+    );
+}
+
 /// Fifty versions one after the other under a closed loop of clients. Some upgrades wait until the old processes have
 /// ended, the others begin at once, so that up to six processes run.
 #[test]
@@ -193,25 +213,11 @@
         clients.into_iter().map(|c| c.join().expect("no answer is missing")).collect();
     current.signal("-TERM");
     read += shutdown_phase.into_iter().chain([current]).map(|old| requests_read(&old.ended())).sum::<usize>();
-    let sum = |of: fn(&ClientOutcome) -> usize| outcome.iter().map(of).sum::<usize>();
-    let (answered, connections) = (sum(|m| m.answered), sum(|m| m.connections));
-    let (unread, crossed) = (sum(|m| m.unread.len()), sum(|m| m.crossed));
-    let causes: Vec<_> = outcome.iter().flat_map(|m| &m.unread).collect();
-    assert!(answered > 1_000 && connections > 200, "{answered} answers on {connections} connections");
-    assert_eq!(read, answered, "what was read was answered; {causes:?} were not");
-    // Two an upgrade are allowed, of connections that no process has read from. Each connection ends once: what crosses its end is sent again.
-    assert!(
-        unread <= 2 * 50,
-        "{unread} of {answered} requests met a connection that nobody read: {causes:?}"
-    );
-    assert!(crossed <= 6 * 50, "{crossed} of {answered} requests crossed the end of their connection");
+    check_outcomes(&outcome, read);
     assert_eq!(wants(&log), 0, "nothing went to the engine that is out");
     let twice: Vec<_> =
         runs.lock().expect("counts").iter().filter(|(_, n)| **n > 1).map(|(k, _)| k.clone()).collect();
     assert!(twice.is_empty(), "{twice:?}");
-    eprintln!(
-        "{answered} answers on {connections} connections, {unread} unread {causes:?}, {crossed} crossed"
-    );
 }
 
 /// A successor whose configuration names no engine, while the list is silent: it would turn away what its predecessor
