A block reason that nothing produces and a setting that no decision reads are taken out

BlockReason::AwaitingReport was produced nowhere, and Settings::reporting was read by no decision: a load report is used wherever it comes. The key reporting.how stays and is checked as before, now with a test that a wrong value is an error that names it.

--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -2,7 +2,7 @@
 //! No decision is taken here. All points in time and durations are milliseconds.
 
 pub use crate::settings::{
-    Class, Idempotency, Kind, Reporting, RetryBudgetSettings, Scope, Settings, SettingsError, Tenant,
+    Class, Idempotency, Kind, RetryBudgetSettings, Scope, Settings, SettingsError, Tenant,
 };
 pub use crate::types::{
     Availability, ClassId, DataSet, EngineId, KindId, Member, Milliseconds, OrderKey, Placement, RequestId,
@@ -172,8 +172,6 @@
     Slow,
     /// This gateway's share of the concurrency limit over all engines is used up.
     FleetShare,
-    /// A load report is awaited.
-    AwaitingReport,
     /// The client's deadline has passed.
     Deadline,
     /// The latency objective passed while the request ran, and a late answer earns nothing or too little.
@@ -194,7 +192,6 @@
         BlockReason::Crowded,
         BlockReason::Slow,
         BlockReason::FleetShare,
-        BlockReason::AwaitingReport,
         BlockReason::Deadline,
         BlockReason::Late,
     ];
@@ -210,7 +207,6 @@
             BlockReason::Crowded => "crowded",
             BlockReason::Slow => "slow",
             BlockReason::FleetShare => "part",
-            BlockReason::AwaitingReport => "news",
             BlockReason::Deadline => "deadline",
             BlockReason::Late => "late",
         }
--- a/crates/decision/src/settings.rs
+++ b/crates/decision/src/settings.rs
@@ -110,17 +110,6 @@
     pub quota_per_s: f64,
 }
 
-/// How load reports reach the gateway.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reporting {
-    /// With answers and with health check results.
-    Answers,
-    /// With health check results only.
-    Probes,
-    /// Not at all.
-    Never,
-}
-
 /// The limit on retries: attempts beyond the first of each request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryBudgetSettings {
@@ -165,8 +154,6 @@
     pub max_retry_after: Milliseconds,
     /// The most attempts of one request.
     pub max_attempts: u32,
-    /// How load reports reach the gateway.
-    pub reporting: Reporting,
     /// How long after the client's deadline a final answer still counts.
     pub answer_grace: Milliseconds,
     /// Without a subscription the endpoint list must be polled at least this often.
--- a/src/simulator/settings.rs
+++ b/src/simulator/settings.rs
@@ -2,8 +2,7 @@
 
 use super::fields::{Fields, LineError};
 use crate::interface::{
-    Class, Idempotency, Kind, KindId, Milliseconds, Reporting, RetryBudgetSettings, Scope, Settings, Tenant,
-    ZoneId,
+    Class, Idempotency, Kind, KindId, Milliseconds, RetryBudgetSettings, Scope, Settings, Tenant, ZoneId,
 };
 
 /// The settings in these fields.
@@ -19,6 +18,7 @@
     let classes = classes(fields, &class_lists, &kinds, &zones)?;
     let tenants = tenants(fields)?;
     let retry_budget = retry_budget(fields)?;
+    check_reporting(fields)?;
     let gives_retry_after = fields.flag("limits.retry_after")?;
     Ok(Settings {
         seed: fields.get("entropy")?,
@@ -36,7 +36,6 @@
         health_check_price: fields.number_or("charges.probe", 0.0)?,
         max_retry_after: max_retry_after(fields, gives_retry_after)?,
         max_attempts: fields.get_opt("limits.send_cap")?.unwrap_or(1),
-        reporting: reporting(fields)?,
         answer_grace: fields.number_or("rules.answer_slack", 0.0)?,
         max_poll_interval: fields.number_or("rules.ask_within", 0.0)?,
         drain_grace: fields.number_or("rules.drain_grace", 0.0)?,
@@ -182,11 +181,10 @@
     fields.number_or("limits.max_retry_after", 0.0)
 }
 
-fn reporting(fields: &Fields) -> Result<Reporting, LineError> {
+/// Checks how load reports reach the gateway. No decision depends on it: a report is used wherever it comes with.
+fn check_reporting(fields: &Fields) -> Result<(), LineError> {
     match fields.opt("reporting.how") {
-        Some("answers") => Ok(Reporting::Answers),
-        Some("probe") => Ok(Reporting::Probes),
-        None | Some("none") => Ok(Reporting::Never),
+        None | Some("answers" | "probe" | "none") => Ok(()),
         Some(_) => Err(fields.invalid("reporting.how", "is no way of reporting")),
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -46,7 +46,6 @@
         health_check_price: 0.0,
         max_retry_after: 1_000.0,
         max_attempts: 3,
-        reporting: Reporting::Answers,
         answer_grace: 20.0,
         max_poll_interval: 10_000.0,
         drain_grace: 1_000.0,
--- a/tests/decide/health_checks.rs
+++ b/tests/decide/health_checks.rs
@@ -36,7 +36,7 @@
 #[test]
 fn probes_follow_own_traffic_in_a_fleet_of_hundreds() {
     let mut settings = default_settings();
-    (settings.gateways, settings.may_check_health, settings.reporting) = (300, true, Reporting::Probes);
+    (settings.gateways, settings.may_check_health) = (300, true);
     let mut gateway = TestGateway::new(settings, 60);
     let probes =
         |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::CheckHealth { .. })).count();
--- a/tests/decide/load_reports.rs
+++ b/tests/decide/load_reports.rs
@@ -43,7 +43,7 @@
 #[test]
 fn a_probe_that_takes_long_shows_a_crowded_engine() {
     let mut settings = default_settings();
-    (settings.reporting, settings.may_check_health) = (Reporting::Never, true);
+    settings.may_check_health = true;
     let mut gateway = TestGateway::new(settings, 6);
     let health_checked =
         |n: usize, took| Event::HealthChecked { engine: engine(n), ok: true, took, report: None };
@@ -57,7 +57,7 @@
     assert!(sent_to != engine(0) && sent_to != engine(4), "sent to a crowded one: {sent_to:?}");
     // Where all checks show a load far past any limit, one of hundreds of gateways sends nothing.
     let mut settings = default_settings();
-    (settings.reporting, settings.may_check_health, settings.gateways) = (Reporting::Never, true, 200);
+    (settings.may_check_health, settings.gateways) = (true, 200);
     let mut gateway = TestGateway::new(settings, 6);
     gateway.run_cycle(&(0..6).map(|n| health_checked(n, 0.6)).collect::<Vec<_>>());
     for _ in 0..60 {
--- a/tests/decide/process_pauses.rs
+++ b/tests/decide/process_pauses.rs
@@ -6,8 +6,7 @@
 
 #[test]
 fn a_stand_still_ejects_nobody_and_is_no_latency() {
-    let mut settings = default_settings();
-    settings.reporting = Reporting::Never;
+    let settings = default_settings();
     let mut gateway = TestGateway::new(settings, 2);
     gateway.serve(60, 0, 50.0);
     let bound = gateway.balancer.concurrency_limit();
--- a/tests/decide/queueing.rs
+++ b/tests/decide/queueing.rs
@@ -6,8 +6,7 @@
 
 #[test]
 fn without_pressure_nothing_is_held() {
-    let mut settings = default_settings();
-    settings.reporting = Reporting::Never;
+    let settings = default_settings();
     let mut gateway = TestGateway::new(settings, 2);
     let placed = (0..10).filter(|_| gateway.receive(0).1.is_some()).count();
     assert_eq!(placed, 10);
--- a/tests/rules/day.rs
+++ b/tests/rules/day.rs
@@ -2,7 +2,7 @@
 
 use crate::checker::{AttemptResult, Checker};
 use crate::common::{engine, incoming, member};
-use crate::settings::draw_settings;
+use crate::settings::{draw_settings, DaySettings};
 use starlingplank::decide::Balancer;
 use starlingplank::interface::*;
 
@@ -24,6 +24,7 @@
 pub(crate) struct Day {
     rng: fastrand::Rng,
     settings: Settings,
+    reports_load: bool,
     balancer: Balancer,
     checker: Checker,
     /// The share of attempts that succeed among those that end in time.
@@ -35,11 +36,11 @@
     /// Runs the day of a seed, and panics where a rule is broken.
     pub(crate) fn run(seed: u64) -> DayTotals {
         let mut rng = fastrand::Rng::with_seed(seed);
-        let settings = draw_settings(&mut rng);
+        let DaySettings { settings, reports_load } = draw_settings(&mut rng);
         let balancer = Balancer::new(settings.clone(), 0.0).expect("settings are good");
         let checker = Checker::new(settings.clone());
         let ok_share = 0.7 + 0.3 * rng.f64();
-        let mut day = Self { rng, settings, balancer, checker, ok_share, next_request: 0 };
+        let mut day = Self { rng, settings, reports_load, balancer, checker, ok_share, next_request: 0 };
         for cycle in 0..CYCLES {
             day.run_cycle(cycle, cycle == RESTART_CYCLE && seed.is_multiple_of(3));
         }
@@ -156,7 +157,7 @@
                     took: now - attempt.at,
                     over: request.answered_at.is_some(),
                     work: None,
-                    report: draw_load_report(&mut self.rng, self.settings.reporting),
+                    report: draw_load_report(&mut self.rng, self.reports_load),
                 });
             }
             if request.answered_at.is_none() && self.rng.u16(..4_000) == 0 {
@@ -176,8 +177,8 @@
     }
 }
 
-fn draw_load_report(rng: &mut fastrand::Rng, reporting: Reporting) -> Option<LoadReport> {
-    if reporting != Reporting::Answers {
+fn draw_load_report(rng: &mut fastrand::Rng, reports_load: bool) -> Option<LoadReport> {
+    if !reports_load {
         return None;
     }
     let counts = rng.bool();
--- a/tests/rules/settings.rs
+++ b/tests/rules/settings.rs
@@ -8,8 +8,14 @@
 const ORDERED_KEY_PAUSES: [Milliseconds; 2] = [0.0, 500.0];
 const KEY_WINDOW: Milliseconds = 800.0;
 
+/// The settings of a day, and whether engines report their load with answers.
+pub(crate) struct DaySettings {
+    pub(crate) settings: Settings,
+    pub(crate) reports_load: bool,
+}
+
 /// Draws the settings of a day.
-pub(crate) fn draw_settings(rng: &mut fastrand::Rng) -> Settings {
+pub(crate) fn draw_settings(rng: &mut fastrand::Rng) -> DaySettings {
     let mut settings = default_settings();
     settings.seed = rng.u64(..);
     settings.gateways = rng.usize(1..6);
@@ -20,7 +26,7 @@
     settings.grants = rng.bool();
     settings.max_attempts = rng.u32(1..6);
     settings.subscribes_to_endpoints = rng.bool();
-    settings.reporting = [Reporting::Answers, Reporting::Probes, Reporting::Never][rng.usize(..3)];
+    let reports_load = rng.usize(..3) == 0;
     let span = RETRY_SPANS[rng.usize(..2)];
     settings.retry_budget =
         rng.bool().then_some(RetryBudgetSettings { free: rng.f64() * 4.0, per_request: 0.1, span });
@@ -35,7 +41,7 @@
     for class in &mut settings.classes {
         draw_class_terms(class, rng);
     }
-    settings
+    DaySettings { settings, reports_load }
 }
 
 fn draw_class_terms(class: &mut Class, rng: &mut fastrand::Rng) {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -46,6 +46,13 @@
     assert!(s.may_check_health && !s.may_cancel);
 }
 
+#[test]
+fn way_of_reporting_that_is_unknown_is_an_error_that_names_its_key() {
+    let bad = PROVISION.replace("reporting.how=answers", "reporting.how=rumour");
+    let error = simulator::parse(&bad).expect_err("not read").to_string();
+    assert!(error.contains("reporting.how"), "{error}");
+}
+
 #[test]
 fn outcome_with_cost_and_report() {
     let Ok(Line::Provision(_, s)) = simulator::parse(PROVISION) else { panic!("not read") };
