--- a/crates/experiments/src/soak/schedule.rs
+++ b/crates/experiments/src/soak/schedule.rs
@@ -166,6 +166,11 @@
 pub(super) const SILENCE_AFTER_PAUSE: f64 = 5.0;
 /// The seconds of silence before it.
 pub(super) const SILENCE_BEFORE_PAUSE: f64 = 1.0;
+/// The pauses with departures that every run has, and the seconds of each.
+const CERTAIN_DEPARTURE_PAUSES: Range<u32> = 3..5;
+const CERTAIN_DEPARTURE_PAUSE: Range<f64> = 0.2..0.35;
+/// The seconds of the overload of all engines that every run has.
+const CERTAIN_OVERLOAD: Range<f64> = 1.5..2.5;
 /// The probability that a run has a crowd at all gateways.
 const CROWD_PROBABILITY: f64 = 0.2;
 /// What the seed of a run is combined with to draw whether it has a crowd.
@@ -179,7 +184,7 @@
 pub(super) fn draw(seed: u64, gateways: usize, engines: usize, seconds: f64) -> Vec<PlannedFault> {
     let mut schedule =
         Schedule { rng: Pcg64Mcg::seed_from_u64(seed), planned: Vec::new(), gateways, engines, seconds };
-    schedule.add_pause_in_silence();
+    schedule.add_certain_faults();
     let mut at = FIRST_FAULT;
     while at < seconds {
         schedule.add_drawn(at);
@@ -259,12 +264,7 @@
             2 => Fault::Kill(gateway),
             3 | 4 => Fault::Pause(gateway),
             5 => Fault::HotRestart { gateway, signals: self.signal_series() },
-            // At a gateway in which requests wait.
-            7 | 8 => Fault::DeparturesInPauses {
-                gateway: gateway - gateway % BUSY_EVERY,
-                pauses: self.rng.random_range(DEPARTURE_PAUSES),
-                pause: self.rng.random_range(DEPARTURE_PAUSE),
-            },
+            7 | 8 => self.departures(gateway),
             6 => Fault::ConnectionFlood(gateway),
             _ => Fault::SystemCalls(gateway),
         }
@@ -279,15 +279,45 @@
         }
     }
 
-    /// Adds a pause within a silence, soon after the beginning: it lasts longer than other faults.
-    fn add_pause_in_silence(&mut self) {
-        let at = FIRST_FAULT + self.rng.random_range(COMPANION_DELAY);
+    /// Adds the faults that every run has, however short it is: each shows a guard that would seldom be seen to be missing.
+    fn add_certain_faults(&mut self) {
         let fault = Fault::PauseInSilence {
-            gateway: self.rng.random_range(0..self.gateways),
+            gateway: self.idle_gateway(),
             engine: self.rng.random_range(0..self.engines),
             pause: self.rng.random_range(PAUSE_IN_SILENCE),
         };
+        let at = FIRST_FAULT + self.rng.random_range(COMPANION_DELAY);
         self.add(at, fault);
+        let departures = Fault::DeparturesInPauses {
+            gateway: 0,
+            pauses: self.rng.random_range(CERTAIN_DEPARTURE_PAUSES),
+            pause: self.rng.random_range(CERTAIN_DEPARTURE_PAUSE),
+        };
+        let at = FIRST_FAULT + self.rng.random_range(COMPANION_DELAY);
+        self.add(at, departures);
+        let latest = (self.seconds - CERTAIN_OVERLOAD.end).max(FIRST_FAULT + COMPANION_DELAY.end);
+        let at = self.rng.random_range(FIRST_FAULT..latest);
+        let duration = self.rng.random_range(CERTAIN_OVERLOAD);
+        self.add_with_duration(at, duration, Fault::OverloadAllEngines);
+    }
+
+    /// A gateway in which no requests wait, if there is one.
+    fn idle_gateway(&mut self) -> usize {
+        let gateway = self.rng.random_range(0..self.gateways);
+        if gateway.is_multiple_of(BUSY_EVERY) && gateway + 1 < self.gateways {
+            gateway + 1
+        } else {
+            gateway
+        }
+    }
+
+    /// Departures at the busy gateway that is at or before that one.
+    fn departures(&mut self, gateway: usize) -> Fault {
+        Fault::DeparturesInPauses {
+            gateway: gateway - gateway % BUSY_EVERY,
+            pauses: self.rng.random_range(DEPARTURE_PAUSES),
+            pause: self.rng.random_range(DEPARTURE_PAUSE),
+        }
     }
 
     fn of_discovery(&mut self, kind: u32, gateway: usize) -> Fault {
@@ -445,7 +475,11 @@
             gateway == other
         }
         // An engine that drains may be overloaded or restarted together with the others.
-        (ReplaceEngine(_), _) | (_, ReplaceEngine(_)) if first_affects_all || second_affects_all => false,
+        (ReplaceEngine(_) | PauseInSilence { .. }, _) | (_, ReplaceEngine(_) | PauseInSilence { .. })
+            if first_affects_all || second_affects_all =>
+        {
+            false
+        }
         _ if first_affects_all => second_affects_all || second.engine().is_some(),
         _ if second_affects_all => first.engine().is_some(),
         _ => {
--- a/crates/experiments/tests/soak.rs
+++ b/crates/experiments/tests/soak.rs
@@ -16,19 +16,21 @@
     found.unwrap_or_else(|| panic!("{name}: build the whole workspace first")).clone()
 }
 
-/// The rules that count, without times, but for drains: an engine drains for at least 6 s, and a program that does not heed that
-/// uses it until then.
+/// The rules that count, without times, but for drains and slow starts: an engine drains for at least 6 s, and a program that does not heed
+/// that uses it until then; one that takes a cold engine for warm sends it several times its budget.
 fn parameters_without_times() -> RuleParameters {
     const LONG: f64 = 60.0;
     const WIDER_GRACE: f64 = 2.0;
+    const WIDER_BUDGET: f64 = 2.0;
     let parameters = soak::rule_parameters();
+    let slow_start = parameters.slow_start;
     RuleParameters {
         answer_grace: LONG,
         abandoned_slack: LONG,
         budget_slack: LONG,
         key_window: LONG,
         drain_grace: parameters.drain_grace + WIDER_GRACE,
-        slow_start: SlowStart { warm_budget: f64::INFINITY, span: 1.0, ..parameters.slow_start },
+        slow_start: SlowStart { warm_budget: WIDER_BUDGET * slow_start.warm_budget, ..slow_start },
         ready_by: LONG,
         ended_by: LONG,
         max_log_lines: 1_000.0,
