--- a/crates/experiments/src/soak/run.rs
+++ b/crates/experiments/src/soak/run.rs
@@ -27,7 +27,7 @@
 /// Clients that never close their connections; one gateway in so many has that many that requests wait in it.
 const PERSISTENT_CLIENTS: usize = 2;
 pub(super) const BUSY_EVERY: usize = 4;
-const BUSY_CLIENTS: usize = 24;
+const BUSY_CLIENTS: usize = 48;
 /// The time that the processes have to recover, in seconds.
 const RECOVERY_TIME: f64 = 3.0;
 /// The requests of the recovery check to each gateway, and the attempts of each.
--- a/crates/experiments/src/soak/schedule.rs
+++ b/crates/experiments/src/soak/schedule.rs
@@ -169,6 +169,8 @@
 /// The pauses with departures that every run has, and the seconds of each.
 const CERTAIN_DEPARTURE_PAUSES: Range<u32> = 3..5;
 const CERTAIN_DEPARTURE_PAUSE: Range<f64> = 0.2..0.35;
+/// The seconds in which every run resets connections of an engine.
+const CERTAIN_RESETS: Range<f64> = 2.0..3.0;
 /// The seconds of the overload of all engines that every run has.
 const CERTAIN_OVERLOAD: Range<f64> = 1.5..2.5;
 /// The probability that a run has a crowd at all gateways.
@@ -281,9 +283,10 @@
 
     /// Adds the faults that every run has, however short it is: each shows a guard that would seldom be seen to be missing.
     fn add_certain_faults(&mut self) {
+        let engine = self.rng.random_range(0..self.engines);
         let fault = Fault::PauseInSilence {
             gateway: self.idle_gateway(),
-            engine: self.rng.random_range(0..self.engines),
+            engine,
             pause: self.rng.random_range(PAUSE_IN_SILENCE),
         };
         let at = FIRST_FAULT + self.rng.random_range(COMPANION_DELAY);
@@ -295,9 +298,12 @@
         };
         let at = FIRST_FAULT + self.rng.random_range(COMPANION_DELAY);
         self.add(at, departures);
+        let reset = Fault::ResetConnections((engine + 1) % self.engines);
+        let duration = self.rng.random_range(CERTAIN_RESETS);
+        self.add_with_duration(FIRST_FAULT, duration, reset);
         let latest = (self.seconds - CERTAIN_OVERLOAD.end).max(FIRST_FAULT + COMPANION_DELAY.end);
-        let at = self.rng.random_range(FIRST_FAULT..latest);
-        let duration = self.rng.random_range(CERTAIN_OVERLOAD);
+        let at = self.rng.random_range(FIRST_FAULT..latest).max(FIRST_FAULT + duration + 2.0 * MIN_GAP);
+        let duration = self.rng.random_range(CERTAIN_OVERLOAD).min(self.seconds - at - MIN_GAP);
         self.add_with_duration(at, duration, Fault::OverloadAllEngines);
     }
 
--- a/crates/experiments/src/soak/schedule/tests.rs
+++ b/crates/experiments/src/soak/schedule/tests.rs
@@ -25,5 +25,6 @@
         assert!(has(|fault| matches!(fault, Fault::PauseInSilence { .. })), "seed {seed}");
         assert!(has(|fault| matches!(fault, Fault::DeparturesInPauses { .. })), "seed {seed}");
         assert!(has(|fault| matches!(fault, Fault::OverloadAllEngines)), "seed {seed}");
+        assert!(has(|fault| matches!(fault, Fault::ResetConnections(_))), "seed {seed}");
     }
 }
--- a/crates/experiments/tests/soak.rs
+++ b/crates/experiments/tests/soak.rs
@@ -43,6 +43,10 @@
 #[case(2)]
 #[case(3)]
 #[case(4)]
+#[case(5)]
+#[case(6)]
+#[case(7)]
+#[case(8)]
 fn rules_hold_under_overlapping_troubles(#[case] seed: u64) {
     let folder = tempfile::tempdir().expect("a folder");
     let options = SoakOptions {
