--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -223,12 +223,14 @@
     let config = never_late(&config(&[first, second], "resp", 60_000));
     let mut gateway = Gateway::start(&with_short_grace(service.address, &config));
     service.answer(&service.next(), 1, &[("s-0", first, false), ("s-1", second, false)]);
-    let mut clients: Vec<_> = (0..CLIENTS).map(|_| gateway.client()).collect();
-    for (n, client) in clients.iter_mut().enumerate() {
+    let mut clients = Vec::new();
+    for n in 0..CLIENTS {
         // The list stays confirmed, however slow the machine is.
         service.answer(&service.next(), 1, &[("s-0", first, false), ("s-1", second, false)]);
+        let mut client = gateway.client();
         client.write_all(&lookup(1, n)).expect("sent");
-        assert_eq!(answer(client).1, "served");
+        assert_eq!(answer(&mut client).1, "served");
+        clients.push(client);
     }
     (0..POLLS_OF_A_SILENCE).for_each(|_| drop(service.next()));
     gateway.stop();
