--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -16,12 +16,12 @@
 use std::time::{Duration, Instant};
 
 const ENGINES: usize = 6;
-const MEMORY_MB: u32 = 192;
-const SOCKETS: u32 = 1024;
-/// Usual clients and crowd together stay under a third of the descriptors (341).
+const MEMORY_MB: u32 = 96;
+const SOCKETS: u32 = 512;
+/// Usual clients and crowd together stay under a third of the descriptors (170).
 const USUAL_CLIENTS: u64 = 20;
-const CROWD_WITH_LONG_MESSAGES: usize = 70;
-const CROWD_WITH_SHORT_MESSAGES: usize = 200;
+const CROWD_WITH_LONG_MESSAGES: usize = 36;
+const CROWD_WITH_SHORT_MESSAGES: usize = 60;
 /// Length that the crowd's messages claim, under 1 MiB, and how much of it comes.
 const CLAIMED: u32 = 1_048_000;
 const LONG_PART: usize = 1_040_000;
