--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,4 +1,5 @@
-# Sourced by each run.sh: runs the stand-ins of case $1, which start the gateway with the deploy file's command, and ends them.
+# Sourced by each run.sh with the number of its case and TROUBLE: runs the stand-ins of the case, which start the gateway with the
+# deploy file's command, and ends them.
 # shellcheck shell=sh
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
@@ -22,7 +23,7 @@
 trap finish EXIT
 trap 'exit 2' HUP INT TERM
 cd "$root" || exit 2
-"$program" "$run" "$folder" "$here/record.txt" "${TROUBLE:-1}" &
+"$program" "$run" "$folder" "$here/record.txt" "$2" &
 pid=$!
 waited=0
 while kill -0 "$pid" 2>/dev/null; do
