Incomplete messages and answers have memory limits of their own; who stalls pays

Bodies over HTTP were in no limit: 347 MB of 192.

Cause: one total held half messages, answers, requests to engines and replies. WriteQueue::push closed the connection that was about to queue a frame, ReadBuffer::fill one that read over 64 KiB.

Change: IncomingMemory and OutgoingMemory, a fifth of the memory each. A long message waits until its length is reserved; a reservation that stalls for 250 ms while another waits is released by closing its connection. Over the second limit the client is closed whose socket has been blocked longest. Bodies over HTTP are collected in the read buffer and counted; chunks are decoded as they arrive, from clients and from engines.

Why it works: what an answer needs (the request's way to an engine, the reply, the queue to the client) shares no limit with what clients have begun, and reserved messages can always be completed.

--- a/crates/admin/src/metrics.rs
+++ b/crates/admin/src/metrics.rs
@@ -33,7 +33,7 @@
 }
 
 /// Descriptions of all metrics.
-pub const TABLE: [MetricDescription; 7] = [
+pub const TABLE: [MetricDescription; 9] = [
     describe(
         "gateway.answered.C",
         "requests",
@@ -57,6 +57,16 @@
         "engines",
         "in the list that get nothing new now: drained, out by hand, or avoided",
     ),
+    describe(
+        "gateway.memory_incoming",
+        "bytes",
+        "taken or reserved for messages that clients have not completed, now",
+    ),
+    describe(
+        "gateway.memory_outgoing",
+        "bytes",
+        "taken by results and by answers that clients have not read, now",
+    ),
 ];
 
 /// Index of a class and the event to count for it.
@@ -77,6 +87,10 @@
     pub cluster_size: usize,
     /// Number of engines in the endpoint list that get no new work.
     pub cluster_unhealthy: usize,
+    /// Number of bytes that are taken or reserved for incomplete messages from clients.
+    pub memory_incoming: usize,
+    /// Number of bytes of results and queued answers.
+    pub memory_outgoing: usize,
 }
 
 impl Metrics {
@@ -111,6 +125,8 @@
         let _ = writeln!(out, "gateway.sends={sends}\ngateway.current={}", gauges.current);
         let _ = writeln!(out, "gateway.cluster_size={}", gauges.cluster_size);
         let _ = writeln!(out, "gateway.cluster_unhealthy={}", gauges.cluster_unhealthy);
+        let _ = writeln!(out, "gateway.memory_incoming={}", gauges.memory_incoming);
+        let _ = writeln!(out, "gateway.memory_outgoing={}", gauges.memory_outgoing);
         out
     }
 }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -27,8 +27,12 @@
     pub max_result_bytes: usize,
     /// Maximum number of bytes queued for one peer. A peer that reads so slowly that the queue exceeds this is disconnected.
     pub max_write_queue_bytes: usize,
-    /// Maximum number of bytes of statements and results that are buffered for all connections together.
+    /// Maximum number of bytes of the statements of open requests.
     pub max_buffered_bytes: usize,
+    /// Maximum number of bytes of all incomplete messages from clients.
+    pub max_incoming_bytes: usize,
+    /// Maximum number of bytes of all results that are being received and answers that are queued for clients.
+    pub max_outgoing_bytes: usize,
     /// Number of bytes that one read from a socket requests.
     pub read_chunk_bytes: usize,
     /// Maximum number of slices in one vectored write.
@@ -146,8 +150,12 @@
 /// Maximum payload of a UDP datagram over IPv4, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 65_507;
 
-/// Share of the memory that buffered statements and results may take.
+/// Share of the memory that the statements of open requests may take.
 const BUFFERED_SHARE: f64 = 0.4;
+/// Share of the memory that incomplete messages from clients may take.
+const INCOMING_SHARE: f64 = 0.2;
+/// Share of the memory that results and queued answers may take.
+const OUTGOING_SHARE: f64 = 0.2;
 /// Ratio of this side's idle timeout of engine connections to the engine's idle timeout.
 const IDLE_TIMEOUT_SHARE: f64 = 0.8;
 /// Maximum number of open requests. Settings can only lower it.
@@ -244,6 +252,8 @@
             max_result_bytes: 64 << 10,
             max_write_queue_bytes: 2 << 20,
             max_buffered_bytes: (memory_bytes * BUFFERED_SHARE) as usize,
+            max_incoming_bytes: (memory_bytes * INCOMING_SHARE) as usize,
+            max_outgoing_bytes: (memory_bytes * OUTGOING_SHARE) as usize,
             read_chunk_bytes: 16 << 10,
             max_gathered_slices: 64,
             event_queue_capacity: 1024,
--- a/src/net/connection/mod.rs
+++ b/src/net/connection/mod.rs
@@ -1,10 +1,13 @@
 //! Parts of a connection, of a client or to an engine: read buffer, write queue and orderly close.
 //!
 //! Outgoing messages are [`frame::Frame`]s in the write queue, which one task writes to the socket; incoming bytes are
-//! collected in the read buffer. Both are counted in the number of buffered bytes that all connections share.
+//! collected in the read buffer. Messages of clients and answers to them are counted separately, each within its own limit,
+//! so that clients that do not complete their messages cannot take the memory for the answers to others.
 
 mod close;
 pub mod frame;
+mod incoming_memory;
+mod outgoing_memory;
 mod read_barrier;
 mod read_buffer;
 mod shared_state;
@@ -12,6 +15,8 @@
 mod write_queue;
 
 pub use close::close_orderly;
+pub use incoming_memory::MessageMemory;
+pub use outgoing_memory::ResultMemory;
 pub use read_barrier::ReadBarrier;
 pub use read_buffer::ReadBuffer;
 pub use shared_state::SharedState;
--- a/src/net/connection/read_buffer.rs
+++ b/src/net/connection/read_buffer.rs
@@ -1,6 +1,7 @@
 //! Read buffer of a connection: bytes that have arrived and are not consumed yet.
 
 use crate::limits::Limits;
+use crate::net::connection::incoming_memory::MessageMemory;
 use crate::net::connection::shared_state::SharedState;
 use crate::net::connection::socket_retry::SocketRetry;
 use std::io;
@@ -8,42 +9,89 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// Maximum length of a buffer, in read chunks, while the limit of bytes buffered by all connections is exceeded.
-const MAX_CHUNKS_UNDER_PRESSURE: usize = 4;
+/// Peer from which a buffer is filled.
+#[derive(Debug)]
+enum Peer {
+    /// A client: the buffer counts as memory for incoming messages, and long messages wait for a reservation.
+    Client(Rc<MessageMemory>),
+    /// An engine or an operator: the buffer counts as memory for results.
+    Other,
+}
 
 /// Bytes that were read and are not consumed yet. The buffer grows only as bytes arrive. Its capacity is counted in
-/// [`SharedState::buffered_bytes`] until it is dropped.
+/// [`SharedState`] until it is dropped.
 #[derive(Debug)]
 pub struct ReadBuffer {
     bytes: Vec<u8>,
     /// Number of consumed bytes at the front.
     consumed: usize,
-    /// Capacity of this buffer that is counted in [`SharedState::buffered_bytes`].
+    /// Decoded part of the body of the current message, between [`begin_body`](Self::begin_body) and
+    /// [`take_body`](Self::take_body).
+    body: Option<Vec<u8>>,
+    /// Maximum length of the current message or body, if it is known.
+    expected_bytes: usize,
+    /// Length of the current message or body as far as it is announced.
+    announced_bytes: usize,
+    /// Capacity of this buffer that is counted.
     counted_bytes: usize,
+    peer: Peer,
     shared: Rc<SharedState>,
-    /// Time at which the first of the unconsumed bytes arrived.
+    /// Time at which the first byte of the incomplete message arrived.
     incomplete_since: Option<Instant>,
     last_filled: Instant,
 }
 
 impl ReadBuffer {
-    /// Creates an empty buffer.
+    /// Creates an empty buffer for an engine or an operator.
     pub fn new(shared: Rc<SharedState>) -> Self {
+        Self::with_peer(shared, Peer::Other)
+    }
+
+    /// Creates an empty buffer for a client.
+    pub fn for_client(shared: Rc<SharedState>) -> Self {
+        Self::with_peer(shared, Peer::Client(MessageMemory::new()))
+    }
+
+    fn with_peer(shared: Rc<SharedState>, peer: Peer) -> Self {
         Self {
             bytes: Vec::new(),
             consumed: 0,
+            body: None,
+            expected_bytes: 0,
+            announced_bytes: 0,
             counted_bytes: 0,
+            peer,
             shared,
             incomplete_since: None,
             last_filled: Instant::now(),
         }
     }
 
+    /// Returns the memory of the current message, if the peer is a client.
+    pub fn message_memory(&self) -> Option<Rc<MessageMemory>> {
+        match &self.peer {
+            Peer::Client(memory) => Some(memory.clone()),
+            Peer::Other => None,
+        }
+    }
+
+    /// Returns the number of bytes that belong to an incomplete message.
+    pub fn incomplete_bytes(&self) -> usize {
+        self.unread().len()
+    }
+
     /// Returns the time at which the incomplete message in the buffer started to arrive, or `None` if the buffer is empty.
     pub fn incomplete_since(&self) -> Option<Instant> {
         self.incomplete_since.filter(|_| !self.unread().is_empty())
     }
 
+    /// Counts the time of an incomplete message from now on, after a time in which the connection was not read.
+    pub fn restart_message_timeout(&mut self) {
+        let now = Instant::now();
+        self.last_filled = now;
+        self.incomplete_since = self.incomplete_since.map(|_| now);
+    }
+
     /// Returns the time at which bytes last arrived.
     pub fn last_filled(&self) -> Instant {
         self.last_filled
@@ -54,29 +102,73 @@
         &self.bytes[self.consumed..]
     }
 
-    /// Marks bytes at the front as consumed.
+    /// Marks bytes at the front as consumed. Outside of a body they end a message.
     pub fn consume(&mut self, count: usize) {
         self.consumed = (self.consumed + count).min(self.bytes.len());
         self.incomplete_since = None;
+        if self.body.is_none() {
+            self.expected_bytes = 0;
+        }
+    }
+
+    /// Sets the total length of the message at the front, as its header states it.
+    pub fn expect_message(&mut self, bytes: usize) {
+        self.expected_bytes = bytes;
+        self.announced_bytes = bytes;
+    }
+
+    /// Sets the maximum length of a body whose length is not known, and its length as far as it is announced.
+    pub fn expect_body(&mut self, max_bytes: usize, announced_bytes: usize) {
+        self.expected_bytes = max_bytes;
+        self.announced_bytes = announced_bytes;
+    }
+
+    /// Consumes the head of a message whose body of at most `max_bytes` follows. The message stays incomplete until
+    /// [`take_body`](Self::take_body).
+    pub fn begin_body(&mut self, head_bytes: usize, max_bytes: usize) {
+        self.body = Some(Vec::new());
+        self.expect_message(max_bytes);
+        self.consume(head_bytes);
+    }
+
+    /// Returns the number of decoded bytes of the body.
+    pub fn body_len(&self) -> usize {
+        self.body.as_ref().map_or(0, Vec::len)
     }
 
-    /// Waits for bytes and reads them. Returns false at the end of the stream.
+    /// Moves unread bytes at the front to the body.
+    pub fn move_to_body(&mut self, count: usize) {
+        let unread = &self.bytes[self.consumed..];
+        let body = self.body.get_or_insert_default();
+        body.extend_from_slice(&unread[..count.min(unread.len())]);
+        self.consume(count);
+        self.count_capacity();
+    }
+
+    /// Ends the message, and returns its body.
+    pub fn take_body(&mut self) -> Vec<u8> {
+        let mut body = self.body.take().unwrap_or_default();
+        body.shrink_to_fit();
+        self.consume(0);
+        self.count_capacity();
+        body
+    }
+
+    /// Waits for bytes and reads them. Returns false at the end of the stream. The rest of a long message from a client is
+    /// read once its memory is reserved.
     ///
     /// # Errors
-    /// The connection failed, or the buffer is too long while all connections together exceed the limit of buffered bytes.
+    /// The connection failed.
     pub async fn fill(&mut self, stream: &TcpStream, limits: &Limits) -> io::Result<bool> {
         self.release_consumed();
+        self.reserve_message(limits).await;
         loop {
             stream.readable().await?;
-            self.bytes.reserve(limits.read_chunk_bytes);
+            self.reserve_space(limits);
             match stream.try_read_buf(&mut self.bytes) {
                 Ok(count) => {
                     self.count_capacity();
-                    self.last_filled = Instant::now();
-                    self.incomplete_since = self.incomplete_since.or(Some(self.last_filled));
-                    if self.is_too_long(limits) {
-                        return Err(io::ErrorKind::OutOfMemory.into());
-                    }
+                    self.set_filled();
                     return Ok(count > 0);
                 }
                 Err(error) if SocketRetry::after(&error).is_some() => {}
@@ -85,33 +177,77 @@
         }
     }
 
+    /// Allocates space for the next read. A long message of a client has its own space already.
+    fn reserve_space(&mut self, limits: &Limits) {
+        if matches!(self.peer, Peer::Other) {
+            return self.bytes.reserve(limits.read_chunk_bytes);
+        }
+        let missing = self.expected_bytes.saturating_sub(self.bytes.len());
+        let is_long = self.body.is_none() && self.expected_bytes > limits.read_chunk_bytes;
+        if !is_long || missing == 0 {
+            self.bytes.reserve_exact(limits.read_chunk_bytes);
+        }
+    }
+
+    fn set_filled(&mut self) {
+        self.last_filled = Instant::now();
+        self.incomplete_since = self.incomplete_since.or(Some(self.last_filled));
+        if let Peer::Client(memory) = &self.peer {
+            memory.set_arrived(self.last_filled);
+        }
+    }
+
+    /// Reserves the memory of a client's message that is longer than one read, unless it is reserved already.
+    async fn reserve_message(&mut self, limits: &Limits) {
+        let Peer::Client(memory) = &self.peer else { return };
+        if self.expected_bytes <= limits.read_chunk_bytes || memory.has_reservation() {
+            return;
+        }
+        let max_bytes = self.shared.process_share(limits.max_incoming_bytes);
+        let (expected, announced) = (self.expected_bytes, self.announced_bytes);
+        self.shared.incoming.reserve(memory, expected, announced, max_bytes).await;
+        match &mut self.body {
+            Some(body) => body.reserve_exact(self.expected_bytes.saturating_sub(body.len())),
+            None => self.bytes.reserve_exact(self.expected_bytes.saturating_sub(self.bytes.len())),
+        }
+        self.restart_message_timeout();
+    }
+
     /// Removes consumed bytes. An empty buffer releases its memory, as most connections are idle most of the time.
     fn release_consumed(&mut self) {
         self.bytes.drain(..self.consumed);
         self.consumed = 0;
         if self.bytes.is_empty() {
             self.bytes = Vec::new();
-            self.count_capacity();
+        } else if matches!(self.peer, Peer::Client(_)) {
+            self.bytes.shrink_to(self.expected_bytes);
         }
-    }
-
-    /// Returns whether the buffer is too long while the limit of bytes buffered by all connections is exceeded. This prevents
-    /// many concurrent long messages from using up the memory of all connections.
-    fn is_too_long(&self, limits: &Limits) -> bool {
-        let max_bytes = self.shared.process_share(limits.max_buffered_bytes);
-        self.shared.buffered_bytes.get() > max_bytes
-            && self.counted_bytes > MAX_CHUNKS_UNDER_PRESSURE * limits.read_chunk_bytes
+        self.count_capacity();
     }
 
     fn count_capacity(&mut self) {
-        let capacity = self.bytes.capacity();
-        self.shared.buffered_bytes.set(self.shared.buffered_bytes.get() + capacity - self.counted_bytes);
+        let capacity = self.bytes.capacity() + self.body.as_ref().map_or(0, Vec::capacity);
+        match &self.peer {
+            Peer::Client(memory) => {
+                self.shared.incoming.set_allocated(memory, capacity);
+                if self.expected_bytes == 0 && memory.has_reservation() {
+                    self.shared.incoming.release(memory);
+                }
+            }
+            Peer::Other => self.shared.outgoing.update(capacity, self.counted_bytes),
+        }
         self.counted_bytes = capacity;
     }
 }
 
 impl Drop for ReadBuffer {
     fn drop(&mut self) {
-        self.shared.buffered_bytes.set(self.shared.buffered_bytes.get() - self.counted_bytes);
+        match &self.peer {
+            Peer::Client(memory) => {
+                self.shared.incoming.set_allocated(memory, 0);
+                self.shared.incoming.release(memory);
+            }
+            Peer::Other => self.shared.outgoing.update(0, self.counted_bytes),
+        }
     }
 }
--- a/src/net/connection/shared_state.rs
+++ b/src/net/connection/shared_state.rs
@@ -1,5 +1,7 @@
-//! State shared by all connections of a process: number of buffered bytes, counters and retry budget.
+//! State shared by all connections of a process: memory in use, counters and retry budget.
 
+use crate::net::connection::incoming_memory::IncomingMemory;
+use crate::net::connection::outgoing_memory::OutgoingMemory;
 use crate::net::connection::read_barrier::ReadBarrier;
 use starlingplank_admin::metrics::Metrics;
 use starlingplank_decision::interface::{Milliseconds, RetryBudgetSettings};
@@ -12,8 +14,10 @@
 /// State shared by all connections of a process, of clients and to engines.
 #[derive(Debug)]
 pub struct SharedState {
-    /// Total number of bytes in all read buffers and write queues.
-    pub buffered_bytes: Cell<usize>,
+    /// Memory for messages that clients have not sent completely.
+    pub incoming: IncomingMemory,
+    /// Memory for results and queued answers.
+    pub outgoing: OutgoingMemory,
     /// Numbers of answers and attempts that were written, by class.
     pub metrics: Metrics,
     /// Number of running processes of this gateway. Together they stay within the limits of one process.
@@ -36,7 +40,8 @@
     /// Creates the state of a single process, with an optional retry budget.
     pub fn with_retry_budget(classes: usize, retry_budget: Option<RetryBudgetSettings>) -> Rc<Self> {
         Rc::new(Self {
-            buffered_bytes: Cell::new(0),
+            incoming: IncomingMemory::default(),
+            outgoing: OutgoingMemory::default(),
             metrics: Metrics::new(classes),
             process_count: Cell::new(1),
             rule_counters: Rc::default(),
--- a/src/net/connection/write_queue.rs
+++ b/src/net/connection/write_queue.rs
@@ -16,6 +16,7 @@
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// Mode in which a connection is closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,14 +27,19 @@
     Immediately,
 }
 
-/// Frames that wait to be written to one peer. Their bytes are counted in the length of the queue, which is limited, and in
-/// [`SharedState::buffered_bytes`]. One task writes them, by [`write_all`](Self::write_all).
+/// Frames that wait to be written to one peer. The length of the queue is limited. In the queue of a client, the bytes are
+/// also counted in [`SharedState::outgoing`]; in the queue to an engine, they are statements, which the reducer counts. One
+/// task writes the frames, by [`write_all`](Self::write_all).
 #[derive(Debug)]
 pub struct WriteQueue {
     frames: RefCell<VecDeque<Frame>>,
     /// Number of bytes of the first frame that are written.
     first_frame_written: Cell<usize>,
     bytes: Cell<usize>,
+    /// Whether the peer is a client.
+    is_for_client: bool,
+    /// Time from which on the socket has accepted no complete frame, if it accepts no more bytes.
+    blocked_since: Cell<Option<Instant>>,
     shared: Rc<SharedState>,
     close_mode: Cell<Option<CloseMode>>,
     /// Wakes the writing task after a frame was queued or a close was requested.
@@ -48,12 +54,25 @@
 }
 
 impl WriteQueue {
-    /// Creates an empty queue.
+    /// Creates an empty queue to an engine.
     pub fn new(shared: Rc<SharedState>) -> Self {
+        Self::with_peer(shared, false)
+    }
+
+    /// Creates an empty queue to a client.
+    pub fn for_client(shared: Rc<SharedState>) -> Rc<Self> {
+        let queue = Rc::new(Self::with_peer(shared, true));
+        queue.shared.outgoing.register(&queue);
+        queue
+    }
+
+    fn with_peer(shared: Rc<SharedState>, is_for_client: bool) -> Self {
         Self {
             frames: RefCell::default(),
             first_frame_written: Cell::new(0),
             bytes: Cell::new(0),
+            is_for_client,
+            blocked_since: Cell::new(None),
             shared,
             close_mode: Cell::new(None),
             changed: Notify::new(),
@@ -76,28 +95,48 @@
 
     fn count_bytes(&self, added: usize, removed: usize) {
         self.bytes.set(self.bytes.get() + added - removed);
-        self.shared.buffered_bytes.set(self.shared.buffered_bytes.get() + added - removed);
+        if self.is_for_client {
+            self.shared.outgoing.update(added, removed);
+        }
     }
 
-    /// Queues a message. If the queue, or all buffers together, would exceed the limit, the connection is closed, so that a
-    /// slow peer does not block other connections.
+    /// Queues a message. If the queue would exceed its limit, the connection is closed. If all answers together exceed the
+    /// memory for them, the connections of clients that do not read theirs are closed.
     pub fn push(&self, frame: Frame, limits: &Limits) {
         if self.is_closing() {
             return;
         }
         let length = frame.len();
-        let max_buffered_bytes = self.shared.process_share(limits.max_buffered_bytes);
-        if self.bytes.get() + length > limits.max_write_queue_bytes
-            || self.shared.buffered_bytes.get() + length > max_buffered_bytes
-        {
+        if self.bytes.get() + length > limits.max_write_queue_bytes {
             log::warn_rate_limited(
-                "write queue or buffer limit exceeded, as a peer reads too slowly; closing the connection",
+                "write queue limit exceeded, as a peer reads too slowly; closing the connection",
             );
             return self.close(CloseMode::Immediately);
         }
         self.count_bytes(length, 0);
         self.frames.borrow_mut().push_back(frame);
         self.changed.notify_one();
+        if self.is_for_client {
+            self.shared.outgoing.relieve(self.shared.process_share(limits.max_outgoing_bytes));
+        }
+    }
+
+    /// Returns the time from which on the peer has accepted no complete frame, if its socket accepts no more bytes and the
+    /// connection is not closing.
+    pub(super) fn blocked_since(&self) -> Option<Instant> {
+        self.blocked_since.get().filter(|_| !self.is_closing())
+    }
+
+    /// Closes the connection of a client that does not read its answers, and discards them.
+    pub(super) fn evict_slow_reader(&self) {
+        log::warn_rate_limited(
+            "the memory for answers is exhausted; closing the connection of the client that has not read for the longest time",
+        );
+        self.close(CloseMode::Immediately);
+        self.blocked_since.set(None);
+        self.frames.borrow_mut().clear();
+        self.first_frame_written.set(0);
+        self.count_bytes(0, self.bytes.get());
     }
 
     /// Requests the close of the connection. Frames that are pushed afterwards are discarded.
@@ -226,6 +265,7 @@
         let mut written = self.first_frame_written.get() + written;
         while let Some(length) = frames.front().map(Frame::len).filter(|length| *length <= written) {
             written -= length;
+            self.blocked_since.set(None);
             if let Some(counter_key) = frames.pop_front().and_then(|frame| frame.counter_key) {
                 self.shared.metrics.add(counter_key);
             }
@@ -267,16 +307,24 @@
                 Err(error) => match SocketRetry::after(&error) {
                     // Yields, so that repeated interruptions do not block other tasks.
                     Some(SocketRetry::Immediately) => tokio::task::yield_now().await,
-                    Some(SocketRetry::WhenReady) => tokio::select! {
-                        ready = stream.ready(Interest::WRITABLE) => drop(ready?),
-                        () = self.changed.notified() => {}
-                    },
+                    Some(SocketRetry::WhenReady) => {
+                        self.set_blocked();
+                        tokio::select! {
+                            ready = stream.ready(Interest::WRITABLE) => drop(ready?),
+                            () = self.changed.notified() => {}
+                        }
+                    }
                     None => return Err(error),
                 },
             }
         }
     }
 
+    fn set_blocked(&self) {
+        let since = self.blocked_since.get().unwrap_or_else(Instant::now);
+        self.blocked_since.set(Some(since));
+    }
+
     /// Writes the first frames with one vectored write. Returns the number of bytes written.
     fn try_write(&self, stream: &TcpStream, limits: &Limits) -> io::Result<usize> {
         let frames = self.frames.borrow();
@@ -308,6 +356,6 @@
 
 impl Drop for WriteQueue {
     fn drop(&mut self) {
-        self.shared.buffered_bytes.set(self.shared.buffered_bytes.get() - self.bytes.get());
+        self.count_bytes(0, self.bytes.get());
     }
 }
--- a/src/net/engine/clickhouse/response.rs
+++ b/src/net/engine/clickhouse/response.rs
@@ -4,7 +4,7 @@
 use crate::core::{AttemptEnd, EngineError, Event, ResultRows};
 use crate::interface::Outcome;
 use crate::limits::Limits;
-use crate::net::connection::ReadBuffer;
+use crate::net::connection::{ReadBuffer, ResultMemory};
 use crate::net::http::{self, Head, Length, Read};
 use crate::net::log;
 use tokio::net::TcpStream;
@@ -21,8 +21,6 @@
 const EXCEPTION_CODE_HEADER: &str = "x-clickhouse-exception-code";
 /// Prefix of the names of ClickHouse-specific headers.
 const CLICKHOUSE_HEADER_PREFIX: &str = "x-clickhouse-";
-/// Maximum length of a chunk of a body, as a multiple of the maximum message size.
-const MAX_CHUNK_IN_MESSAGES: usize = 4;
 
 /// Error for a connection that has ended, or on which an invalid response arrived.
 struct ConnectionFailed;
@@ -63,6 +61,8 @@
     rows: ResultRows,
     /// Number of bytes of the body that were read.
     bytes: usize,
+    /// Memory of the rows that are not forwarded yet.
+    memory: ResultMemory,
     /// Whether chunks of the body are forwarded as they arrive.
     is_streaming: bool,
 }
@@ -74,6 +74,19 @@
     limits: &'a Limits,
     events: &'a Sender<Event>,
     buffer: ReadBuffer,
+    /// Position in a chunked body.
+    chunk: ChunkPosition,
+}
+
+/// Position in a chunked body.
+#[derive(Debug, Clone, Copy)]
+enum ChunkPosition {
+    /// Before the line with the length of a chunk.
+    Size,
+    /// Before this number of bytes of a chunk and the end of line after them.
+    Data(usize),
+    /// Before the trailer.
+    Trailer,
 }
 
 impl<'a> ResponseReader<'a> {
@@ -85,7 +98,7 @@
         events: &'a Sender<Event>,
     ) -> Self {
         let buffer = ReadBuffer::new(connection.write_queue.shared());
-        Self { connection, stream, limits, events, buffer }
+        Self { connection, stream, limits, events, buffer, chunk: ChunkPosition::Size }
     }
 
     /// Reads responses until the connection can no longer be used.
@@ -127,6 +140,7 @@
             status: head.status,
             rows: ResultRows { parts: Vec::new(), headers: head.headers },
             bytes: 0,
+            memory: ResultMemory::new(self.connection.write_queue.shared()),
             is_streaming: false,
         };
         while let Some(part) = self.next_part(&mut remaining, head.status).await? {
@@ -178,7 +192,7 @@
                     part
                 }
                 Length::Stream => self.take_unread(usize::MAX),
-                Length::Chunked => match self.take_chunk()? {
+                Length::Chunked => match self.take_chunked()? {
                     Some(chunk) if chunk.is_empty() => return Ok(None),
                     Some(chunk) => chunk,
                     None => Vec::new(),
@@ -196,6 +210,13 @@
         }
     }
 
+    /// Returns whether a result that is not streamed is long, and the memory for results is exceeded.
+    fn exceeds_memory(&self, response: &PartialResponse) -> bool {
+        let shared = self.connection.write_queue.shared();
+        response.bytes > self.limits.max_result_bytes
+            && !shared.outgoing.relieve(shared.process_share(self.limits.max_outgoing_bytes))
+    }
+
     /// Takes at most `max` bytes from the bytes that have arrived.
     fn take_unread(&mut self, max: usize) -> Vec<u8> {
         let unread = self.buffer.unread();
@@ -204,17 +225,45 @@
         part
     }
 
-    /// Takes a chunk, or returns `None` if it is incomplete. An empty chunk ends the body.
-    fn take_chunk(&mut self) -> Result<Option<Vec<u8>>, ConnectionFailed> {
-        let max_bytes = MAX_CHUNK_IN_MESSAGES * self.limits.max_message_bytes;
-        match http::read_chunk(self.buffer.unread(), max_bytes) {
-            Read::Complete(chunk, used) => {
-                let chunk = chunk.to_vec();
+    /// Takes the bytes of a chunked body that have arrived: the next part, or an empty part at the end of the body. Returns
+    /// `None` if further bytes are needed.
+    fn take_chunked(&mut self) -> Result<Option<Vec<u8>>, ConnectionFailed> {
+        loop {
+            self.chunk = match self.chunk {
+                ChunkPosition::Size => match self.take_parsed(http::read_chunk_size)? {
+                    Some(0) => ChunkPosition::Trailer,
+                    Some(size) => ChunkPosition::Data(size),
+                    None => return Ok(None),
+                },
+                ChunkPosition::Data(0) => match self.take_parsed(http::read_line_end)? {
+                    Some(()) => ChunkPosition::Size,
+                    None => return Ok(None),
+                },
+                ChunkPosition::Data(length) => {
+                    let part = self.take_unread(length);
+                    self.chunk = ChunkPosition::Data(length - part.len());
+                    return Ok(Some(part).filter(|part| !part.is_empty()));
+                }
+                ChunkPosition::Trailer => {
+                    let trailer = self.take_parsed(http::read_trailer)?;
+                    if trailer.is_some() {
+                        self.chunk = ChunkPosition::Size;
+                    }
+                    return Ok(trailer.map(|()| Vec::new()));
+                }
+            };
+        }
+    }
+
+    /// Parses and consumes a short part between the chunks of a body, or returns `None` if it is incomplete.
+    fn take_parsed<T>(&mut self, parse: impl Fn(&[u8]) -> Read<T>) -> Result<Option<T>, ConnectionFailed> {
+        match parse(self.buffer.unread()) {
+            Read::Complete(part, used) => {
                 self.buffer.consume(used);
-                Ok(Some(chunk))
+                Ok(Some(part))
             }
-            Read::Invalid => Err(ConnectionFailed),
-            Read::Incomplete => Ok(None),
+            Read::Incomplete if self.buffer.unread().len() <= self.limits.max_head_bytes => Ok(None),
+            Read::Incomplete | Read::Invalid => Err(ConnectionFailed),
         }
     }
 
@@ -240,13 +289,15 @@
             slot.send(Event::ResponseChunk(id, part));
             return Ok(());
         }
+        response.memory.add(part.len());
         response.rows.parts.push(part);
         if response.status == OK && response.bytes > self.limits.max_result_bytes && flow.is_some() {
             response.is_streaming = true;
+            response.memory.clear();
             slot.send(Event::ResponseStarted(id, std::mem::take(&mut response.rows)));
-        } else if response.bytes > self.limits.max_message_bytes {
+        } else if response.bytes > self.limits.max_message_bytes || self.exceeds_memory(response) {
             log::warn_rate_limited(
-                "a result exceeds the maximum message size and cannot be streamed; the attempt fails",
+                "a result exceeds the maximum message size or the memory for results, and cannot be streamed; the attempt fails",
             );
             self.connection.end_job();
             slot.send(Event::AttemptEnded(id, AttemptEnd::from_outcome(Outcome::Error)));
--- a/src/net/engine/partial_result.rs
+++ b/src/net/engine/partial_result.rs
@@ -3,6 +3,7 @@
 use crate::core::{AttemptEnd, ResultRows};
 use crate::interface::Outcome;
 use crate::limits::Limits;
+use crate::net::connection::ResultMemory;
 use crate::net::engine::resp::Reply;
 use tokio::time::Instant;
 
@@ -14,6 +15,7 @@
 pub(super) struct PartialResult {
     pages: Vec<Option<Vec<u8>>>,
     bytes: usize,
+    memory: ResultMemory,
     end: AttemptEnd,
     last_page_at: Instant,
 }
@@ -33,7 +35,7 @@
 impl PartialResult {
     /// Creates a result from its first reply. Returns `None` if the number of pages is missing, or not an integer from 1 to
     /// `event_queue_capacity`.
-    pub(super) fn begin(reply: &Reply<'_>, limits: &Limits) -> Option<Self> {
+    pub(super) fn begin(reply: &Reply<'_>, limits: &Limits, memory: ResultMemory) -> Option<Self> {
         let count = positive_integer(reply, "pages", limits.event_queue_capacity)?;
         let end = AttemptEnd {
             work: reply.number("cost"),
@@ -41,7 +43,7 @@
             ..AttemptEnd::from_outcome(Outcome::Ok)
         };
         let pages = (0..count).map(|_| None).collect();
-        Some(Self { pages, bytes: 0, end, last_page_at: Instant::now() })
+        Some(Self { pages, bytes: 0, memory, end, last_page_at: Instant::now() })
     }
 
     /// Returns the total number of pages.
@@ -66,6 +68,7 @@
         }
         self.last_page_at = Instant::now();
         self.bytes += body.len();
+        self.memory.add(body.len());
         self.pages[number] = Some(body.to_vec());
         if self.pages.iter().any(Option::is_none) {
             return PageEffect::Incomplete;
--- a/src/net/engine/replies.rs
+++ b/src/net/engine/replies.rs
@@ -3,6 +3,7 @@
 use crate::core::{AttemptEnd, Event};
 use crate::interface::Outcome;
 use crate::limits::Limits;
+use crate::net::connection::ResultMemory;
 use crate::net::engine::connection::{Connection, InFlight};
 use crate::net::engine::partial_result::{positive_integer, PageEffect, PartialResult};
 use crate::net::engine::resp::{self, InvalidProgressUpdate, Reply};
@@ -96,7 +97,10 @@
     let Some(attempt) = in_flight.get_mut(reply.id) else { return ReplyEffect::Ignored };
     let is_first = reply.kind == FIRST_PAGE;
     if is_first && attempt.result.is_none() {
-        let Some(result) = PartialResult::begin(reply, limits) else { return ReplyEffect::ProtocolError };
+        let memory = ResultMemory::new(connection.write_queue.shared());
+        let Some(result) = PartialResult::begin(reply, limits, memory) else {
+            return ReplyEffect::ProtocolError;
+        };
         request_further_pages(connection, reply.id, result.page_count(), limits);
         attempt.result = Some(result);
     }
--- a/src/net/front/clickhouse/request.rs
+++ b/src/net/front/clickhouse/request.rs
@@ -92,10 +92,11 @@
     /// Reads the next request with its body.
     pub(super) async fn read(&mut self) -> Result<Request, ReadError> {
         let (mut request, length) = self.read_head().await?;
-        request.body = match length {
-            Length::Bytes(length) => self.read_sized_body(length).await?,
-            Length::Chunked | Length::Stream => self.read_chunked_body().await?,
-        };
+        match length {
+            Length::Bytes(length) => self.read_body_until(length).await?,
+            Length::Chunked | Length::Stream => self.read_chunks().await?,
+        }
+        request.body = self.buffer.take_body();
         Ok(request)
     }
 
@@ -110,71 +111,87 @@
         }
     }
 
+    /// Reads the head of a request, and begins its body.
     async fn read_head(&mut self) -> Result<(Request, Length), ReadError> {
-        let invalid = |message| Err(ReadError::Invalid(Exception::BAD_REQUEST, message));
         let Session { connection, limits, .. } = self.session;
         loop {
             match http::read_head(self.buffer.unread()) {
                 Read::Complete(head, used) => {
-                    let Some(length) = head.body(Length::Bytes(0)) else {
-                        return invalid("The length of the body is not clear");
+                    let length =
+                        head.body(Length::Bytes(0)).ok_or(invalid("The length of the body is not clear"))?;
+                    let body_bytes = match length {
+                        Length::Bytes(bytes) => bytes,
+                        Length::Chunked | Length::Stream => 0,
                     };
+                    if body_bytes > limits.max_message_bytes {
+                        return Err(BODY_TOO_LARGE);
+                    }
                     if head.header("expect").is_some() {
                         let frame = Frame::plain(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec());
                         connection.write_queue.push(frame, limits);
                     }
                     let request = Request::new(&head);
-                    self.buffer.consume(used);
+                    self.buffer.begin_body(used, body_bytes);
                     return Ok((request, length));
                 }
-                Read::Invalid => return invalid("The request cannot be read"),
+                Read::Invalid => return Err(invalid("The request cannot be read")),
                 Read::Incomplete if self.buffer.unread().len() > limits.max_head_bytes => {
-                    return invalid("The head of the request is too long");
+                    return Err(invalid("The head of the request is too long"));
                 }
                 Read::Incomplete => self.fill().await?,
             }
         }
     }
 
-    async fn read_sized_body(&mut self, length: usize) -> Result<Vec<u8>, ReadError> {
-        if length > self.session.limits.max_message_bytes {
-            return Err(BODY_TOO_LARGE);
-        }
-        let mut body = Vec::new();
+    /// Reads until the body has this length.
+    async fn read_body_until(&mut self, length: usize) -> Result<(), ReadError> {
         loop {
-            let unread = self.buffer.unread();
-            let count = unread.len().min(length - body.len());
-            body.extend_from_slice(&unread[..count]);
-            self.buffer.consume(count);
-            if body.len() == length {
-                return Ok(body);
+            self.buffer.move_to_body(length - self.buffer.body_len());
+            if self.buffer.body_len() == length {
+                return Ok(());
             }
             self.fill().await?;
         }
     }
 
-    async fn read_chunked_body(&mut self) -> Result<Vec<u8>, ReadError> {
-        let max_bytes = self.session.limits.max_message_bytes;
-        let mut body = Vec::new();
+    /// Reads the chunks of a body, and the trailer that follows them.
+    async fn read_chunks(&mut self) -> Result<(), ReadError> {
+        let limits = &self.session.limits;
         loop {
-            match http::read_chunk(self.buffer.unread(), max_bytes) {
-                Read::Complete([], used) => {
-                    self.buffer.consume(used);
-                    return Ok(body);
-                }
-                Read::Complete(chunk, used) => {
-                    body.extend_from_slice(chunk);
+            let size = self.read_part(http::read_chunk_size).await?;
+            if size == 0 {
+                return self.read_part(http::read_trailer).await;
+            }
+            let length = self.buffer.body_len() + size;
+            if length > limits.max_message_bytes {
+                return Err(BODY_TOO_LARGE);
+            }
+            if length > limits.read_chunk_bytes {
+                // The length of the whole body is not known.
+                self.buffer.expect_body(limits.max_message_bytes, length);
+            }
+            self.read_body_until(length).await?;
+            self.read_part(http::read_line_end).await?;
+        }
+    }
+
+    /// Reads and consumes a short part between the chunks of a body.
+    async fn read_part<T>(&mut self, parse: impl Fn(&[u8]) -> Read<T>) -> Result<T, ReadError> {
+        loop {
+            match parse(self.buffer.unread()) {
+                Read::Complete(part, used) => {
                     self.buffer.consume(used);
-                    if body.len() > max_bytes {
-                        return Err(BODY_TOO_LARGE);
-                    }
+                    return Ok(part);
                 }
-                Read::Invalid => {
-                    let message = "The body cannot be read or is too large";
-                    return Err(ReadError::Invalid(Exception::BAD_REQUEST, message));
+                Read::Incomplete if self.buffer.unread().len() <= self.session.limits.max_head_bytes => {
+                    self.fill().await?;
                 }
-                Read::Incomplete => self.fill().await?,
+                Read::Incomplete | Read::Invalid => return Err(invalid("The body cannot be read")),
             }
         }
     }
 }
+
+fn invalid(message: &'static str) -> ReadError {
+    ReadError::Invalid(Exception::BAD_REQUEST, message)
+}
--- a/src/net/front/clickhouse/session.rs
+++ b/src/net/front/clickhouse/session.rs
@@ -52,7 +52,7 @@
     rules: &ClassRules,
     open_query: &Cell<Option<RequestId>>,
 ) {
-    let mut reader = RequestReader::new(stream, session, ReadBuffer::new(frontend.shared.clone()));
+    let mut reader = RequestReader::new(stream, session, ReadBuffer::for_client(frontend.shared.clone()));
     while session.keep_alive.get() {
         let request = match reader.read().await {
             Ok(request) => request,
--- a/src/net/front/client_connection.rs
+++ b/src/net/front/client_connection.rs
@@ -2,8 +2,9 @@
 
 use crate::limits::Limits;
 use crate::net::connection::frame::Frame;
-use crate::net::connection::{CloseMode, ReadBuffer, WriteQueue};
+use crate::net::connection::{CloseMode, MessageMemory, ReadBuffer, WriteQueue};
 use crate::net::front::shutdown_phase::ShutdownPhase;
+use crate::net::log;
 use starlingplank_decision::permission::close::{may_close, may_close_mid_message, CloseConditions};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -44,6 +45,8 @@
     Evicted,
     /// The client stopped sending, before the first answer or inside a message.
     Silent,
+    /// The client stopped sending inside a message, and the message of another client needs its memory.
+    MemoryExhausted,
     /// No request was received or answered within the idle timeout.
     Idle,
 }
@@ -117,6 +120,7 @@
         if !is_first || self.close_conditions(read_buffer, stream).unread == 0 {
             self.arrived_at.set(None);
         }
+        let memory = read_buffer.message_memory();
         loop {
             let deadline = match self.check(read_buffer, stream, limits) {
                 Ok(deadline) => deadline,
@@ -134,6 +138,7 @@
                     }
                 }
                 () = self.write_queue.recheck_requested() => {}
+                () = release_requested(memory.as_deref()) => {}
             }
         }
     }
@@ -152,6 +157,9 @@
         if self.closes_for_eviction(read_buffer, stream) {
             return Err(CloseReason::Evicted);
         }
+        if self.closes_for_memory(read_buffer, stream) {
+            return Err(CloseReason::MemoryExhausted);
+        }
         // A connection with open requests stays open until they are answered, even if the client sends nothing.
         if self.open_requests.get() > 0 {
             return Ok(Instant::now() + limits.client_silence_timeout);
@@ -232,11 +240,25 @@
         closes
     }
 
+    /// Returns whether the connection closes now because its client stopped sending inside a message, whose memory another
+    /// message needs.
+    fn closes_for_memory(&self, read_buffer: &ReadBuffer, stream: &TcpStream) -> bool {
+        let memory = read_buffer.message_memory();
+        let closes = memory.is_some_and(|memory| memory.is_release_requested())
+            && may_close_mid_message(&self.close_conditions_ignoring_writes(read_buffer, stream)).is_ok();
+        if closes {
+            log::warn_rate_limited(
+                "the memory for incomplete messages is exhausted; closing the connection of a client that stopped sending",
+            );
+        }
+        closes
+    }
+
     fn close_conditions(&self, read_buffer: &ReadBuffer, stream: &TcpStream) -> CloseConditions {
         CloseConditions {
             open_requests: self.open_requests.get(),
             unwritten: self.write_queue.queued_bytes(),
-            incomplete: read_buffer.unread().len(),
+            incomplete: read_buffer.incomplete_bytes(),
             // If the system call fails, unread bytes are assumed.
             unread: rustix::io::ioctl_fionread(stream).map_or(1, |bytes| bytes as usize),
         }
@@ -261,5 +283,13 @@
     }
 }
 
+/// Waits until the release of the memory is requested; indefinitely without memory.
+async fn release_requested(memory: Option<&MessageMemory>) {
+    match memory {
+        Some(memory) => memory.release_requested().await,
+        None => std::future::pending().await,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/net/front/client_connection/tests.rs
+++ b/src/net/front/client_connection/tests.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 fn connection() -> ClientConnection {
-    ClientConnection::new(Rc::new(WriteQueue::new(SharedState::new(1))), Rc::default())
+    ClientConnection::new(WriteQueue::for_client(SharedState::new(1)), Rc::default())
 }
 
 fn limits() -> Limits {
--- a/src/net/front/state.rs
+++ b/src/net/front/state.rs
@@ -94,7 +94,7 @@
                 return None;
             }
         }
-        let write_queue = Rc::new(WriteQueue::new(self.shared.clone()));
+        let write_queue = WriteQueue::for_client(self.shared.clone());
         let connection = Rc::new(ClientConnection::new(write_queue, self.shutdown_phase.clone()));
         self.connections.borrow_mut().push(connection.clone());
         Some(connection)
--- a/src/net/front/thrift/session.rs
+++ b/src/net/front/thrift/session.rs
@@ -86,7 +86,7 @@
 /// Reads and handles messages until the connection has ended or has to be closed.
 async fn read_messages(stream: &TcpStream, session: &Rc<Session>, frontend: &Rc<FrontendState>) {
     let limits = &session.limits;
-    let mut read_buffer = ReadBuffer::new(frontend.shared.clone());
+    let mut read_buffer = ReadBuffer::for_client(frontend.shared.clone());
     loop {
         while let Some(length) = frame_len(read_buffer.unread()) {
             if length > limits.max_message_bytes {
@@ -94,7 +94,10 @@
                     "a client frame exceeds the maximum message size; closing the connection",
                 );
             }
-            let Some(frame) = read_buffer.unread().get(FRAME_HEADER_BYTES..length) else { break };
+            let Some(frame) = read_buffer.unread().get(FRAME_HEADER_BYTES..length) else {
+                read_buffer.expect_message(length);
+                break;
+            };
             let Some(message) = message(frame) else {
                 return log::warn_rate_limited("a client message cannot be decoded; closing the connection");
             };
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -124,19 +124,25 @@
     Stream,
 }
 
-/// Parses one chunk of a body, of up to `limit` bytes. An empty chunk ends the body.
-pub fn read_chunk(bytes: &[u8], limit: usize) -> Read<&[u8]> {
+/// Parses the line before a chunk, with the length of the chunk. The length 0 ends the body, and a trailer follows.
+pub fn read_chunk_size(bytes: &[u8]) -> Read<usize> {
     read(bytes, |input| {
         let size: u32 = hex_uint.parse_next(input)?;
         (take_till(0.., (b'\r', b'\n')), end_of_line).void().parse_next(input)?;
-        if size as usize > limit {
-            return Err(ErrMode::Backtrack(EmptyError));
-        }
-        if size == 0 {
-            let _: Vec<_> = terminated(repeat(0.., header), end_of_line).parse_next(input)?;
-            return Ok(&[][..]);
-        }
-        terminated(take(size as usize), end_of_line).parse_next(input)
+        Ok(size as usize)
+    })
+}
+
+/// Parses the end of a line.
+pub fn read_line_end(bytes: &[u8]) -> Read<()> {
+    read(bytes, end_of_line)
+}
+
+/// Parses the headers after the last chunk, and the empty line that ends them.
+pub fn read_trailer(bytes: &[u8]) -> Read<()> {
+    read(bytes, |input| {
+        let _: Vec<_> = terminated(repeat(0.., header), end_of_line).parse_next(input)?;
+        Ok(())
     })
 }
 
--- a/src/net/runtime/calls.rs
+++ b/src/net/runtime/calls.rs
@@ -20,9 +20,15 @@
                 let names: Vec<_> =
                     self.frontend.settings.classes.iter().map(|class| class.name.as_str()).collect();
                 let (cluster_size, cluster_unhealthy) = self.core.member_counts();
-                let gauges =
-                    Gauges { current: self.frontend.pending_requests(), cluster_size, cluster_unhealthy };
-                Reply { status: 200, text: self.frontend.shared.metrics.text(&names, gauges) }
+                let shared = &self.frontend.shared;
+                let gauges = Gauges {
+                    current: self.frontend.pending_requests(),
+                    cluster_size,
+                    cluster_unhealthy,
+                    memory_incoming: shared.incoming.used_bytes(),
+                    memory_outgoing: shared.outgoing.used_bytes(),
+                };
+                Reply { status: 200, text: shared.metrics.text(&names, gauges) }
             }
             Call::Exclude(id) => {
                 let (is_member, now) = (self.core.is_member(&id), self.frontend.clock.now());
