A response over HTTP belongs to the query whose id it repeats; copies are dropped

Cause: ResponseReader used a connection again whatever followed its response, wait_for_job looked at the socket and not at the buffer, and the query id of a response was not compared.

Change: ownership by query id; foreign responses are dropped and retire their connection; bytes before the first byte of a request end the connection with the request as not executed; nothing may follow a response; query ids and RESP names that were used recently are not used again on the same connection, and over HTTP are sent under a new id.

Why it works: a copy right behind a response ends the connection, one that arrives later has an id that no request on the connection has again.

--- a/crates/test-doubles/src/engine/command.rs
+++ b/crates/test-doubles/src/engine/command.rs
@@ -105,6 +105,13 @@
     format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
 }
 
+/// Encodes an HTTP response with the query id of its request.
+fn encode_response_to(status: &str, request: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    format!("HTTP/1.1 {status}\r\nX-ClickHouse-Query-Id: {request}\r\nContent-Length: {length}\r\n\r\n{body}")
+        .into_bytes()
+}
+
 /// Encodes the answer to a statement that was executed. `load` is the encoded load report.
 pub(super) fn encode_served(protocol: EngineProtocol, request: &str, work: f64, load: &str) -> Vec<u8> {
     match protocol {
@@ -112,7 +119,7 @@
             let fields = format!("pages=1,cost={work:.1},need=8{load}");
             resp::encode(&[request, "served", &fields, "a\tb\tc\n"])
         }
-        EngineProtocol::ClickHouse => encode_http("200 OK", "a\tb\tc\n"),
+        EngineProtocol::ClickHouse => encode_response_to("200 OK", request, "a\tb\tc\n"),
     }
 }
 
@@ -120,7 +127,9 @@
 pub(super) fn encode_failed(protocol: EngineProtocol, request: &str, load: &str) -> Vec<u8> {
     match protocol {
         EngineProtocol::Resp => resp::encode(&[request, "crashed", &format!("cost=0{load}"), ""]),
-        EngineProtocol::ClickHouse => encode_http("500 Internal Server Error", "Code: 1000.\n"),
+        EngineProtocol::ClickHouse => {
+            encode_response_to("500 Internal Server Error", request, "Code: 1000.\n")
+        }
     }
 }
 
--- a/src/net/connection/write_queue.rs
+++ b/src/net/connection/write_queue.rs
@@ -181,6 +181,11 @@
         usize::from(self.first_frame_written.get() > 0)
     }
 
+    /// Returns whether frames are queued of which no byte is written.
+    pub fn awaits_first_byte(&self) -> bool {
+        self.first_frame_written.get() == 0 && !self.frames.borrow().is_empty()
+    }
+
     /// Withdraws the message of an attempt if no byte of it is written. Returns whether it was withdrawn.
     pub fn withdraw(&self, attempt: AttemptId) -> bool {
         let mut frames = self.frames.borrow_mut();
--- a/src/net/engine/clickhouse/connection.rs
+++ b/src/net/engine/clickhouse/connection.rs
@@ -4,21 +4,50 @@
 use crate::limits::Limits;
 use crate::net::connection::frame::Frame;
 use crate::net::connection::{SharedState, WriteQueue};
+use crate::net::recent_names::RecentNames;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Request that is in flight on a connection, to which the next response belongs.
+/// Maximum number of query ids that a connection remembers.
+const MAX_RECENT_QUERY_IDS: usize = 256;
+/// Time for which nothing should arrive after a response without a query id before the connection is used again: a copy of the
+/// response could not be told from the next one.
+const QUIET_TIME_WITHOUT_QUERY_ID: Duration = Duration::from_millis(100);
+
+/// Request that is in flight on a connection.
 #[derive(Clone)]
 pub(super) enum Job {
-    /// An attempt, with the flow control of its client if the result may be streamed.
-    Attempt(AttemptId, Option<Rc<dyn FlowControl>>),
+    /// An attempt.
+    Attempt(AttemptJob),
     /// A health check, with its tag.
     HealthCheck(u64),
 }
 
+/// Attempt that is in flight on a connection.
+#[derive(Clone)]
+pub(super) struct AttemptJob {
+    /// Id of the attempt in the reducer.
+    pub(super) id: AttemptId,
+    /// Query id that the response has to repeat.
+    pub(super) query_id: Rc<str>,
+    /// Flow control of the client, if the result may be streamed.
+    pub(super) flow: Option<Rc<dyn FlowControl>>,
+}
+
+impl Job {
+    /// Returns the query id of an attempt.
+    pub(super) fn query_id(&self) -> Option<&str> {
+        match self {
+            Self::Attempt(attempt) => Some(&attempt.query_id),
+            Self::HealthCheck(_) => None,
+        }
+    }
+}
+
 /// One connection to a ClickHouse engine.
 pub(super) struct Connection {
     /// Address that the connection is opened to.
@@ -26,6 +55,12 @@
     /// Queue of requests to the engine.
     pub(super) write_queue: WriteQueue,
     job: RefCell<Option<Job>>,
+    /// Query ids of the last attempts on the connection. A second copy of a response repeats one of them.
+    recent_query_ids: RefCell<RecentNames>,
+    /// Time from which on the connection is quiet after a response without a query id.
+    quiet_until: Cell<Option<Instant>>,
+    /// Whether the last response of the engine to an attempt had a query id; shared by its connections.
+    pub(super) names_requests: Rc<Cell<bool>>,
     /// Notified when a job is assigned to the connection.
     pub(super) job_assigned: Notify,
     /// Whether the connection has ended. The pool removes it at the next maintenance.
@@ -38,11 +73,14 @@
 
 impl Connection {
     /// Creates the state of a connection that is about to be opened.
-    pub(super) fn new(address: SocketAddr, shared: Rc<SharedState>) -> Self {
+    pub(super) fn new(address: SocketAddr, shared: Rc<SharedState>, names_requests: Rc<Cell<bool>>) -> Self {
         Self {
             address,
             write_queue: WriteQueue::new(shared),
             job: RefCell::default(),
+            recent_query_ids: RefCell::new(RecentNames::new(MAX_RECENT_QUERY_IDS)),
+            quiet_until: Cell::new(None),
+            names_requests,
             job_assigned: Notify::new(),
             closed: Cell::new(false),
             retired: Cell::new(false),
@@ -52,6 +90,9 @@
 
     /// Assigns a job to the connection and queues its request.
     pub(super) fn assign(&self, job: Job, frame: Frame, limits: &Limits) {
+        if let Some(query_id) = job.query_id() {
+            self.recent_query_ids.borrow_mut().insert(query_id);
+        }
         *self.job.borrow_mut() = Some(job);
         self.last_used.set(Instant::now());
         self.write_queue.push(frame, limits);
@@ -63,6 +104,23 @@
         self.job.borrow().clone()
     }
 
+    /// Returns whether the last response had a query id, or nothing has arrived for a while since.
+    pub(super) fn is_quiet(&self) -> bool {
+        self.quiet_until.get().is_none_or(|until| until <= Instant::now())
+    }
+
+    /// Returns whether an attempt with the query id of this job was recently sent on the connection.
+    pub(super) fn has_carried(&self, job: &Job) -> bool {
+        job.query_id().is_some_and(|id| self.recent_query_ids.borrow().contains(id))
+    }
+
+    /// Records that the response to a job was received, and whether it had a query id.
+    pub(super) fn set_answered(&self, has_query_id: bool) {
+        let now = Instant::now();
+        self.last_used.set(now);
+        self.quiet_until.set((!has_query_id).then(|| now + QUIET_TIME_WITHOUT_QUERY_ID));
+    }
+
     /// Removes the current job and returns it.
     pub(super) fn end_job(&self) -> Option<Job> {
         self.job.borrow_mut().take()
@@ -80,7 +138,7 @@
 
     /// Returns whether the job of the connection is this attempt.
     pub(super) fn carries(&self, id: AttemptId) -> bool {
-        matches!(&*self.job.borrow(), Some(Job::Attempt(carried, _)) if *carried == id)
+        matches!(&*self.job.borrow(), Some(Job::Attempt(attempt)) if attempt.id == id)
     }
 
     /// Returns whether the job of the connection is a health check.
--- a/src/net/engine/clickhouse/driver.rs
+++ b/src/net/engine/clickhouse/driver.rs
@@ -1,6 +1,6 @@
 //! Driver of one connection: opens it, writes and reads until it ends, and reports the end of its job.
 
-use super::connection::{Connection, Job};
+use super::connection::{AttemptJob, Connection, Job};
 use super::response::ResponseReader;
 use crate::core::{AttemptEnd, Event};
 use crate::interface::Outcome;
@@ -31,7 +31,7 @@
     let event = match connection.end_job() {
         None => return,
         Some(Job::HealthCheck(tag)) => Event::HealthChecked { number: tag, succeeded: false, report: None },
-        Some(Job::Attempt(id, _)) => {
+        Some(Job::Attempt(AttemptJob { id, .. })) => {
             let outcome = match &stream {
                 Err(error) => error.outcome(),
                 Ok(_) if unsent.contains(&id) => Outcome::NotExecuted,
--- a/src/net/engine/clickhouse/mod.rs
+++ b/src/net/engine/clickhouse/mod.rs
@@ -1,5 +1,6 @@
-//! Engines with the ClickHouse HTTP interface. A connection carries one attempt at a time and is reused. An attempt is
-//! aborted by closing its connection, which is how such an engine is notified.
+//! Engines with the ClickHouse HTTP interface. A connection carries one attempt at a time. It is used again if nothing followed
+//! the response; after a response without a query id, preferably once it has been quiet for a while. An attempt is aborted by closing
+//! its connection, which is how such an engine is notified.
 //!
 //! [`HttpEngines`] chooses a connection, `request` encodes the request of an attempt, `driver` owns the socket, and
 //! `response` reads the response.
@@ -16,12 +17,16 @@
 use crate::net::connection::{CloseMode, SharedState};
 use crate::net::engine::Engines;
 use crate::net::log;
-use connection::{Connection, Job};
+use connection::{AttemptJob, Connection, Job};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::mpsc::Sender;
 
+/// Number of connections to an engine without query ids up to which another is opened, so that each can be quiet for a while
+/// between two jobs.
+const MAX_CONNECTIONS_TO_BE_QUIET: usize = 2;
+
 /// Connections to all engines with this interface, in pools by engine id. A separate task drives each connection.
 pub struct HttpEngines {
     pools: BTreeMap<EngineId, Vec<Rc<Connection>>>,
@@ -39,7 +44,7 @@
     /// Assigns a job to a free or new connection. Returns false if no connection is free and none can be opened.
     fn assign(&mut self, engine: &EngineId, address: SocketAddr, job: Job, frame: Frame) -> bool {
         self.retire_other_addresses(engine, address);
-        let connection = match self.free_connection(engine) {
+        let connection = match self.free_connection(engine, &job) {
             Some(connection) => connection,
             None if self.open_connections() >= self.max_connections() => return false,
             None => self.open_connection(engine, address),
@@ -56,10 +61,28 @@
         }
     }
 
-    /// Returns the free connection that was used most recently.
-    fn free_connection(&self, engine: &EngineId) -> Option<Rc<Connection>> {
-        let free = self.pools.get(engine)?.iter().filter(|connection| connection.is_free());
-        free.max_by_key(|connection| connection.last_used.get()).cloned()
+    /// Returns the free connection that was used most recently, of those on which no late copy of an earlier response can be
+    /// taken for the response to this job. Any other free connection is used only if no new one may be opened for the job.
+    fn free_connection(&self, engine: &EngineId, job: &Job) -> Option<Rc<Connection>> {
+        let pool = self.pools.get(engine)?;
+        let free = || pool.iter().filter(|connection| connection.is_free());
+        let clean = free().filter(|connection| connection.is_quiet() && !connection.has_carried(job));
+        if let Some(connection) = clean.max_by_key(|connection| connection.last_used.get()) {
+            return Some(connection.clone());
+        }
+        let unused_longest =
+            free().min_by_key(|connection| (connection.has_carried(job), connection.last_used.get()))?;
+        let may_open = self.may_open_for_cleanliness(pool, unused_longest.has_carried(job));
+        Some(unused_longest.clone()).filter(|_| !may_open)
+    }
+
+    /// Returns whether a connection may be opened although another is free: a few in place of those that have not been quiet
+    /// yet, and up to half of the engine's share if a client uses a query id again.
+    fn may_open_for_cleanliness(&self, pool: &[Rc<Connection>], repeats_query_id: bool) -> bool {
+        let open = pool.iter().filter(|connection| !connection.closed.get()).count();
+        let share = self.max_connections() / self.pools.len().max(1);
+        let max_open = if repeats_query_id { share / 2 } else { MAX_CONNECTIONS_TO_BE_QUIET };
+        open < max_open && self.open_connections() < self.max_connections()
     }
 
     fn open_connections(&self) -> usize {
@@ -72,8 +95,11 @@
     }
 
     fn open_connection(&mut self, engine: &EngineId, address: SocketAddr) -> Rc<Connection> {
-        let connection = Rc::new(Connection::new(address, self.shared.clone()));
-        self.pools.entry(engine.clone()).or_default().push(connection.clone());
+        let pool = self.pools.entry(engine.clone()).or_default();
+        let names_requests =
+            pool.first().map(|connection| connection.names_requests.clone()).unwrap_or_default();
+        let connection = Rc::new(Connection::new(address, self.shared.clone(), names_requests));
+        pool.push(connection.clone());
         let run = driver::run(connection.clone(), self.limits.clone(), self.events.clone());
         tokio::task::spawn_local(run);
         connection
@@ -119,7 +145,11 @@
 
 impl Engines for HttpEngines {
     fn send(&mut self, send: Send, events: &mut Vec<Event>) {
-        let job = Job::Attempt(send.id, send.statement.flow.clone());
+        let job = Job::Attempt(AttemptJob {
+            id: send.id,
+            query_id: request::query_id(&send).into(),
+            flow: send.statement.flow.clone(),
+        });
         let (id, engine, address) = (send.id, send.engine.clone(), send.address);
         if !self.assign(&engine, address, job, Frame::for_attempt(send, request::encode)) {
             log::error_rate_limited(
--- a/src/net/engine/clickhouse/request.rs
+++ b/src/net/engine/clickhouse/request.rs
@@ -56,7 +56,7 @@
 }
 
 /// Returns the query id of an attempt. Further attempts of a request have their own ids, as the first may still be running.
-fn query_id(send: &Send) -> String {
+pub(super) fn query_id(send: &Send) -> String {
     match send.id.number {
         0 => send.statement.name.clone(),
         number => format!("{}-{number}", send.statement.name),
--- a/src/net/engine/clickhouse/response.rs
+++ b/src/net/engine/clickhouse/response.rs
@@ -1,6 +1,10 @@
 //! Reading of responses: the head, then the body, which is forwarded in chunks if the client's protocol streams results.
+//!
+//! A response belongs to an attempt if it repeats the query id of the attempt. Engines may send a response twice, also some
+//! time later, behind the next request on the connection: a response with another query id is discarded, and the connection is
+//! not used again.
 
-use super::connection::{Connection, Job};
+use super::connection::{AttemptJob, Connection, Job};
 use crate::core::{AttemptEnd, EngineError, Event, ResultRows};
 use crate::interface::Outcome;
 use crate::limits::Limits;
@@ -9,7 +13,6 @@
 use crate::net::log;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Sender;
-use tokio::time::Instant;
 
 /// ClickHouse error code of a query that the engine rejected before executing it.
 const TOO_MANY_SIMULTANEOUS_QUERIES: u32 = 202;
@@ -19,8 +22,24 @@
 const OK: u16 = 200;
 /// Response header that contains the code of an exception.
 const EXCEPTION_CODE_HEADER: &str = "x-clickhouse-exception-code";
+/// Response header that contains the query id of the request.
+const QUERY_ID_HEADER: &str = "x-clickhouse-query-id";
+/// Maximum number of responses to other requests that are discarded before the response to the current one.
+const MAX_DISCARDED_RESPONSES: usize = 8;
 /// Prefix of the names of ClickHouse-specific headers.
 const CLICKHOUSE_HEADER_PREFIX: &str = "x-clickhouse-";
+/// Log line for bytes that follow a complete response or precede a request.
+const UNREQUESTED_BYTES: &str = "an engine sent bytes that belong to no request; closing the connection";
+
+/// Request to which a response belongs.
+enum Ownership {
+    /// The response belongs to the current job.
+    Own,
+    /// The response names another request.
+    Foreign,
+    /// The response names no request, although the engine has named the requests of earlier ones.
+    Unknown,
+}
 
 /// Error for a connection that has ended, or on which an invalid response arrived.
 struct ConnectionFailed;
@@ -28,6 +47,8 @@
 /// Head of a response.
 struct ResponseHead {
     status: u16,
+    /// Query id of the request that the engine responds to, if the response names it.
+    query_id: Option<String>,
     /// Headers that are forwarded to the client.
     headers: Vec<(String, String)>,
     length: Length,
@@ -40,6 +61,7 @@
         let forwarded = head.headers.iter().filter(|(name, _)| is_forwarded(name));
         Ok(Self {
             status,
+            query_id: head.header(QUERY_ID_HEADER).map(str::to_owned),
             headers: forwarded.map(|(name, value)| ((*name).to_owned(), (*value).to_owned())).collect(),
             length: head.body(Length::Stream).ok_or(ConnectionFailed)?,
             keep_alive: head.keeps_alive(head.method_or_version),
@@ -104,11 +126,7 @@
     /// Reads responses until the connection can no longer be used.
     pub(super) async fn read_all(&mut self) {
         while self.wait_for_job().await.is_ok() {
-            let keep_alive = self.read_response().await;
-            if keep_alive.is_ok() {
-                self.connection.last_used.set(Instant::now());
-            }
-            if !matches!(keep_alive, Ok(true)) {
+            if !matches!(self.read_response().await, Ok(true)) {
                 return;
             }
         }
@@ -118,23 +136,38 @@
         while self.connection.has_no_job() {
             tokio::select! {
                 () = self.connection.job_assigned.notified() => {}
-                // The engine closed an idle connection, or sent bytes without a request.
-                _ = self.buffer.fill(self.stream, self.limits) => return Err(ConnectionFailed),
+                // The engine closed an idle connection, or sent bytes without a request. If a job was assigned meanwhile, the
+                // bytes are checked as a response to it.
+                filled = self.buffer.fill(self.stream, self.limits) => {
+                    if !matches!(filled, Ok(true)) || self.connection.has_no_job() {
+                        return Err(ConnectionFailed);
+                    }
+                }
             }
         }
         Ok(())
     }
 
+    /// Reads further bytes. Bytes that arrive before the first byte of the request is written belong to no request in flight.
     async fn fill(&mut self) -> Result<(), ConnectionFailed> {
         match self.buffer.fill(self.stream, self.limits).await {
-            Ok(true) => Ok(()),
+            Ok(true) => self.check_request_begun(),
             _ => Err(ConnectionFailed),
         }
     }
 
+    /// Fails if bytes have arrived although no byte of the request is written.
+    fn check_request_begun(&self) -> Result<(), ConnectionFailed> {
+        if self.buffer.unread().is_empty() || !self.connection.write_queue.awaits_first_byte() {
+            return Ok(());
+        }
+        log::warn_rate_limited(UNREQUESTED_BYTES);
+        Err(ConnectionFailed)
+    }
+
     /// Reads one response and reports the end of the job. Returns whether the connection can be reused.
     async fn read_response(&mut self) -> Result<bool, ConnectionFailed> {
-        let head = self.read_head().await?;
+        let head = self.read_own_head().await?;
         let mut remaining = head.length;
         let mut response = PartialResponse {
             status: head.status,
@@ -153,9 +186,78 @@
             Job::HealthCheck(tag) => {
                 Event::HealthChecked { number: tag, succeeded: response.status == OK, report: None }
             }
-            Job::Attempt(id, _) => Event::AttemptEnded(id, attempt_end(response.status, response.rows)),
+            Job::Attempt(attempt) => {
+                Event::AttemptEnded(attempt.id, attempt_end(response.status, response.rows))
+            }
         });
-        Ok(head.keep_alive)
+        self.connection.set_answered(head.query_id.is_some());
+        Ok(head.keep_alive && self.is_clean())
+    }
+
+    /// Returns whether the connection can be used again after a complete response: nothing followed it, and no response to
+    /// another request was received.
+    fn is_clean(&self) -> bool {
+        let is_last = self.buffer.unread().is_empty();
+        if !is_last {
+            log::warn_rate_limited(UNREQUESTED_BYTES);
+        }
+        is_last && !self.connection.retired.get()
+    }
+
+    /// Reads the head of the response to the current job. Responses to other requests that precede it are discarded; the
+    /// connection is then not used again.
+    async fn read_own_head(&mut self) -> Result<ResponseHead, ConnectionFailed> {
+        self.check_request_begun()?;
+        for _ in 0..=MAX_DISCARDED_RESPONSES {
+            let head = self.read_head().await?;
+            let job = self.connection.job().ok_or(ConnectionFailed)?;
+            match self.ownership(&head, &job) {
+                Ownership::Own => return Ok(head),
+                Ownership::Unknown => return Err(ConnectionFailed),
+                Ownership::Foreign => {
+                    log::warn_rate_limited("an engine sent a response to another request; discarding it");
+                    tracing::debug!(
+                        address = %self.connection.address,
+                        query_id = job.query_id(),
+                        received = head.query_id,
+                        "response to another request discarded"
+                    );
+                    self.connection.retired.set(true);
+                    self.discard_body(&head).await?;
+                }
+            }
+        }
+        Err(ConnectionFailed)
+    }
+
+    /// Returns to which request a response belongs. A result without a query id is accepted from engines that send none. From
+    /// others only errors are, which they send without an id if they reject a request before they parse it.
+    fn ownership(&self, head: &ResponseHead, job: &Job) -> Ownership {
+        let names_requests = &self.connection.names_requests;
+        match (job.query_id(), head.query_id.as_deref()) {
+            (Some(own), Some(received)) if own == received => {
+                names_requests.set(true);
+                Ownership::Own
+            }
+            (_, Some(_)) => Ownership::Foreign,
+            (None, None) => Ownership::Own,
+            (Some(_), None) if head.status == OK && names_requests.get() => {
+                // The engine may have been replaced by one that sends no ids.
+                names_requests.set(false);
+                Ownership::Unknown
+            }
+            (Some(_), None) => Ownership::Own,
+        }
+    }
+
+    /// Reads and discards the body of a response.
+    async fn discard_body(&mut self, head: &ResponseHead) -> Result<(), ConnectionFailed> {
+        if head.length == Length::Stream || !head.keep_alive {
+            return Err(ConnectionFailed);
+        }
+        let mut remaining = head.length;
+        while self.next_part(&mut remaining, head.status).await?.is_some() {}
+        Ok(())
     }
 
     async fn read_head(&mut self) -> Result<ResponseHead, ConnectionFailed> {
@@ -276,13 +378,13 @@
     ) -> Result<(), ConnectionFailed> {
         response.bytes += part.len();
         let job = self.connection.job().ok_or(ConnectionFailed)?;
-        if let (Job::Attempt(_, Some(flow)), true) = (&job, response.is_streaming) {
+        if let (Job::Attempt(AttemptJob { flow: Some(flow), .. }), true) = (&job, response.is_streaming) {
             // Applies backpressure: the engine's response is not read faster than the client reads its own.
             flow.wait_for_capacity(self.limits.max_result_bytes).await;
         }
         let slot = self.events.reserve().await.map_err(|_| ConnectionFailed)?;
         let (id, flow) = match self.connection.job().ok_or(ConnectionFailed)? {
-            Job::Attempt(id, flow) => (id, flow),
+            Job::Attempt(AttemptJob { id, flow, .. }) => (id, flow),
             Job::HealthCheck(_) => return Ok(()),
         };
         if flow.is_some() && response.is_streaming {
--- a/src/net/engine/connection.rs
+++ b/src/net/engine/connection.rs
@@ -6,6 +6,7 @@
 use crate::net::connection::{SharedState, WriteQueue};
 use crate::net::engine::partial_result::PartialResult;
 use crate::net::engine::resp;
+use crate::net::recent_names::RecentNames;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -13,6 +14,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Maximum number of names of served attempts that a connection remembers.
+const MAX_SERVED_NAMES: usize = 256;
+
 /// An attempt that was queued on a connection and has not ended.
 #[derive(Debug)]
 pub(super) struct InFlight {
@@ -55,6 +59,8 @@
     /// Names of attempts that were cancelled or failed on this connection. Attempts with these names are not sent on it
     /// again, as a late reply to the earlier attempt would be taken for a reply to the new one.
     pub retired_names: RefCell<BTreeSet<String>>,
+    /// Names of the attempts that were served last. A second copy of a reply has one of these names.
+    served_names: RefCell<RecentNames>,
     /// Health checks without a reply: the times at which they were queued, by tag.
     pub health_checks: RefCell<BTreeMap<u64, Instant>>,
     /// Time at which an attempt was last queued or ended, or a health check last answered.
@@ -74,6 +80,7 @@
             retired: Cell::new(false),
             in_flight: RefCell::default(),
             retired_names: RefCell::default(),
+            served_names: RefCell::new(RecentNames::new(MAX_SERVED_NAMES)),
             health_checks: RefCell::default(),
             last_used: Cell::new(Instant::now()),
             last_received: Cell::new(Instant::now()),
@@ -95,6 +102,16 @@
             && !self.retired_names.borrow().contains(name)
     }
 
+    /// Returns whether an attempt with this name was recently served on the connection.
+    pub(super) fn has_served(&self, name: &str) -> bool {
+        self.served_names.borrow().contains(name)
+    }
+
+    /// Records that an attempt with this name was served.
+    pub(super) fn set_served(&self, name: &str) {
+        self.served_names.borrow_mut().insert(name);
+    }
+
     /// Returns the number of attempts in flight.
     pub(super) fn in_flight_count(&self) -> usize {
         self.in_flight.borrow().len()
--- a/src/net/engine/pool.rs
+++ b/src/net/engine/pool.rs
@@ -46,7 +46,7 @@
     ) -> Option<Rc<Connection>> {
         self.retire_other_addresses(engine, address);
         let available = self.least_loaded(engine, name);
-        if available.as_ref().is_some_and(|connection| !self.should_open_another(engine, connection)) {
+        if available.as_ref().is_some_and(|connection| !self.should_open_another(engine, connection, name)) {
             return available;
         }
         if self.open_connections() >= self.max_connections() {
@@ -64,23 +64,28 @@
         }
     }
 
-    /// Returns the available connection with the fewest attempts in flight. Established connections are preferred to those
-    /// that are being opened.
+    /// Returns the available connection with the fewest attempts in flight. Connections that have not served an attempt with
+    /// this name are preferred, then established ones to those that are being opened.
     fn least_loaded(&self, engine: &EngineId, name: &str) -> Option<Rc<Connection>> {
         let pool = self.pools.get(engine)?;
         let available = pool.iter().filter(|connection| connection.accepts(&self.limits, name));
         let load = |connection: &&Rc<Connection>| {
-            (connection.connected_at.get().is_none(), connection.in_flight_count())
+            (
+                connection.has_served(name),
+                connection.connected_at.get().is_none(),
+                connection.in_flight_count(),
+            )
         };
         available.min_by_key(load).cloned()
     }
 
-    /// Returns whether another connection should be opened: the least loaded one is busy, and the engine has used less than
-    /// half of its share of the connections.
-    fn should_open_another(&self, engine: &EngineId, connection: &Connection) -> bool {
+    /// Returns whether another connection should be opened: the least loaded one is busy or has served an attempt with this
+    /// name, and the engine has used less than half of its share of the connections.
+    fn should_open_another(&self, engine: &EngineId, connection: &Connection, name: &str) -> bool {
         let share = self.max_connections() / self.pools.len().max(1);
         let open = self.pools.get(engine).map_or(0, |pool| count_open(pool));
-        connection.in_flight_count() >= self.limits.preferred_attempts_per_connection && open < share / 2
+        let is_busy = connection.in_flight_count() >= self.limits.preferred_attempts_per_connection;
+        (is_busy || connection.has_served(name)) && open < share / 2
     }
 
     /// Returns the maximum number of connections that this process may have open.
--- a/src/net/engine/replies.rs
+++ b/src/net/engine/replies.rs
@@ -130,6 +130,7 @@
     let Some(InFlight { id, result: Some(result), .. }) = connection.end_attempt(name) else {
         return ReplyEffect::Ignored;
     };
+    connection.set_served(name);
     if result.page_count() > 1 {
         connection.write_queue.push(resp::command(&["shut", name]), limits);
     }
--- a/src/net/front/clickhouse/query.rs
+++ b/src/net/front/clickhouse/query.rs
@@ -81,7 +81,7 @@
     }
     make_get_read_only(&mut request);
     let statement = Statement {
-        name: name.clone(),
+        name: frontend.engine_name(&name, id),
         class: class.name.clone(),
         text,
         key,
@@ -91,6 +91,7 @@
         abandoned: Cell::default(),
     };
     let received = ReceivedRequest {
+        name: name.clone(),
         class: class_id,
         tenant: None,
         arrived_at,
--- a/src/net/front/requests.rs
+++ b/src/net/front/requests.rs
@@ -16,6 +16,8 @@
 
 /// A request that was read from a client and is not submitted yet.
 pub struct ReceivedRequest {
+    /// Name that the client gave the request.
+    pub name: String,
     /// Class of the request.
     pub class: ClassId,
     /// Tenant of the request; `None` if the client names no tenant, or one that is not in the settings.
--- a/src/net/front/state.rs
+++ b/src/net/front/state.rs
@@ -9,6 +9,7 @@
 use crate::net::front::requests::{ReceivedRequest, ResponseWriter};
 use crate::net::front::shutdown_phase::ShutdownPhase;
 use crate::net::pause::PauseDetector;
+use crate::net::recent_names::RecentNames;
 use crate::net::sql;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -18,8 +19,13 @@
 use tokio::sync::{watch, Notify, Semaphore};
 use tokio::time::{timeout_at, Instant};
 
+/// Maximum number of request names that are remembered, to send a name that is used again under another one.
+const MAX_RECENT_NAMES: usize = 4096;
+
 /// A request that has no final answer yet.
 struct PendingRequest {
+    /// Name that the client gave the request.
+    name: String,
     response_writer: Box<dyn ResponseWriter>,
     statement: Rc<Statement>,
 }
@@ -46,6 +52,8 @@
     pending: RefCell<HashMap<RequestId, PendingRequest>>,
     /// Ids of the pending requests of all connections, by the names that the clients gave them.
     ids_by_name: RefCell<HashMap<String, RequestId>>,
+    /// Names that clients over HTTP have used recently.
+    recent_names: RefCell<RecentNames>,
     connections: RefCell<Vec<Rc<ClientConnection>>>,
     listener_guard: ListenerGuard,
     /// Slots for accepted connections that are not served yet, for all listeners together.
@@ -75,6 +83,7 @@
             stop_accepting: watch::Sender::new(false),
             pending: RefCell::default(),
             ids_by_name: RefCell::default(),
+            recent_names: RefCell::new(RecentNames::new(MAX_RECENT_NAMES)),
             connections: RefCell::default(),
             listener_guard: ListenerGuard::default(),
             connection_released: Notify::new(),
@@ -208,12 +217,23 @@
         // Nothing is awaited from here on, so that a connection that ends cannot leave a partly submitted request.
         let Ok(event) = self.events.reserve().await else { return };
         self.shared.count_request();
-        self.ids_by_name.borrow_mut().insert(statement.name.clone(), id);
-        let pending = PendingRequest { response_writer, statement: statement.clone() };
+        self.ids_by_name.borrow_mut().insert(received.name.clone(), id);
+        let pending = PendingRequest { name: received.name, response_writer, statement: statement.clone() };
         self.pending.borrow_mut().insert(id, pending);
         event.send(Event::RequestReceived(ClientRequest { details, statement }));
     }
 
+    /// Returns the name under which a request is sent to engines: the client's, or a new one if the client's was used recently,
+    /// as a late copy of the earlier response would have the same name.
+    pub fn engine_name(&self, name: &str, id: RequestId) -> String {
+        let mut recent_names = self.recent_names.borrow_mut();
+        if recent_names.contains(name) {
+            return format!("{name}-r{}", id.0);
+        }
+        recent_names.insert(name);
+        name.to_owned()
+    }
+
     /// Returns the pending request with this name. Names must be unique among the pending requests, as engines identify an
     /// attempt by the name of its request.
     pub fn open_request_named(&self, name: &str) -> Option<RequestId> {
@@ -222,7 +242,7 @@
 
     fn remove_pending(&self, id: RequestId) -> Option<Box<dyn ResponseWriter>> {
         let removed = self.pending.borrow_mut().remove(&id)?;
-        self.ids_by_name.borrow_mut().remove(&removed.statement.name);
+        self.ids_by_name.borrow_mut().remove(&removed.name);
         Some(removed.response_writer)
     }
 
--- a/src/net/front/thrift/call.rs
+++ b/src/net/front/thrift/call.rs
@@ -87,6 +87,7 @@
         return Err(InvalidCall::LimitTooLong);
     }
     Ok(ReceivedRequest {
+        name: name.to_owned(),
         class: class_id,
         tenant: tenant_of(fields, frontend),
         arrived_at,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,6 +12,7 @@
 pub mod log;
 pub mod pause;
 pub mod persistence;
+mod recent_names;
 pub mod runtime;
 pub mod sql;
 pub mod tasks;
--- a/tests/clickhouse.rs
+++ b/tests/clickhouse.rs
@@ -11,7 +11,9 @@
 use std::sync::{Arc, Mutex};
 
 fn answer_query(target: &str, body: &str) -> Option<String> {
-    let headers = "X-ClickHouse-Query-Id: engine\r\nX-ClickHouse-Format: TabSeparated\r\nX-Other: no\r\n";
+    let query_id = query_id_of(target);
+    let headers =
+        format!("X-ClickHouse-Query-Id: {query_id}\r\nX-ClickHouse-Format: TabSeparated\r\nX-Other: no\r\n");
     Some(match (target, body) {
         ("/ping", _) => encode_http("200 OK", "", "Ok.\n"),
         (_, "select bad") => encode_http(
@@ -19,7 +21,7 @@
             "X-ClickHouse-Exception-Code: 62\r\n",
             "Code: 62. DB::Exception: Syntax error. (SYNTAX_ERROR)\n",
         ),
-        _ => encode_http("200 OK", headers, "1\t2\n"),
+        _ => encode_http("200 OK", &headers, "1\t2\n"),
     })
 }
 
--- a/tests/stand/engines.rs
+++ b/tests/stand/engines.rs
@@ -84,6 +84,23 @@
     })
 }
 
+/// Starts a ClickHouse engine that passes the target and the body of each request, a value that is kept for the connection, and
+/// the connection to `handle`, and closes the connection on `false`.
+pub(crate) fn http_engine_with_handler(
+    handle: impl Fn(&str, &str, &mut Option<String>, &mut TcpStream) -> bool + Send + Sync + 'static,
+) -> (SocketAddr, Log) {
+    serve(move |stream, _| {
+        let mut reader = BufReader::new(stream.try_clone().expect("cloned"));
+        let mut kept = None;
+        while let Some((head, body)) = read_http(&mut reader) {
+            let target = head[0].split(' ').nth(1).expect("a target");
+            if !handle(target, &body, &mut kept, stream) {
+                return;
+            }
+        }
+    })
+}
+
 fn serve(handle_connection: impl Fn(&mut TcpStream, &Log) + Send + Sync + 'static) -> (SocketAddr, Log) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("bound");
--- a/tests/stand/http.rs
+++ b/tests/stand/http.rs
@@ -52,6 +52,17 @@
     format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
 }
 
+/// Returns the query id in the target of a request to an engine, or an empty text.
+pub(crate) fn query_id_of(target: &str) -> &str {
+    let (_, query) = target.split_once('?').unwrap_or_default();
+    query.split('&').find_map(|pair| pair.strip_prefix("query_id=")).unwrap_or_default()
+}
+
+/// Encodes the result of a query as an engine does, with the query id of the request.
+pub(crate) fn encode_result(target: &str, rows: &str) -> String {
+    encode_http("200 OK", &format!("X-ClickHouse-Query-Id: {}\r\n", query_id_of(target)), rows)
+}
+
 /// Sends a request and reads the response. Returns the status line and headers as one text, and the body.
 pub(crate) fn http_request(stream: &mut TcpStream, request: &str) -> (String, String) {
     stream.write_all(request.as_bytes()).expect("sent");
