A message is incomplete until its body is whole, for every reason to close

Cause: parts of a body were moved out of the read buffer, whose length was the definition of incomplete. So the silence limit of new connections, eviction and the shutdown took the connection for an idle one.

Change: ReadBuffer counts a message as incomplete until its body is taken, and bytes behind a message as the next one; ClientConnection uses this for eviction, shutdown, hot restart and time limits. The silence limit of a connection that was never answered counts from its last activity. Over HTTP an answer closes no connection on which a further request has arrived. Time in which a connection is not read does not count against its client.

Why it works: there is one definition of idle (permission::close::may_close) and its inputs hold for bodies.

--- a/src/net/connection/read_buffer.rs
+++ b/src/net/connection/read_buffer.rs
@@ -20,6 +20,9 @@
 
 /// Bytes that were read and are not consumed yet. The buffer grows only as bytes arrive. Its capacity is counted in
 /// [`SharedState`] until it is dropped.
+///
+/// A message from a client is incomplete from its first byte until it is consumed, also while a decoded part of its body was
+/// moved out of the unread bytes.
 #[derive(Debug)]
 pub struct ReadBuffer {
     bytes: Vec<u8>,
@@ -75,14 +78,16 @@
         }
     }
 
-    /// Returns the number of bytes that belong to an incomplete message.
+    /// Returns the number of bytes that belong to an incomplete message. The body of a message counts from its head on, even
+    /// if none of its bytes have arrived.
     pub fn incomplete_bytes(&self) -> usize {
-        self.unread().len()
+        let body_bytes = self.body.as_ref().map_or(0, |body| body.len().max(1));
+        self.unread().len() + body_bytes
     }
 
-    /// Returns the time at which the incomplete message in the buffer started to arrive, or `None` if the buffer is empty.
+    /// Returns the time at which the incomplete message started to arrive, or `None` if no message is incomplete.
     pub fn incomplete_since(&self) -> Option<Instant> {
-        self.incomplete_since.filter(|_| !self.unread().is_empty())
+        self.incomplete_since.filter(|_| self.incomplete_bytes() > 0)
     }
 
     /// Counts the time of an incomplete message from now on, after a time in which the connection was not read.
@@ -102,12 +107,12 @@
         &self.bytes[self.consumed..]
     }
 
-    /// Marks bytes at the front as consumed. Outside of a body they end a message.
+    /// Marks bytes at the front as consumed. Outside of a body they end a message, and the remaining bytes belong to the next.
     pub fn consume(&mut self, count: usize) {
         self.consumed = (self.consumed + count).min(self.bytes.len());
-        self.incomplete_since = None;
         if self.body.is_none() {
             self.expected_bytes = 0;
+            self.incomplete_since = Some(self.last_filled).filter(|_| !self.unread().is_empty());
         }
     }
 
--- a/src/net/front/clickhouse/session.rs
+++ b/src/net/front/clickhouse/session.rs
@@ -67,12 +67,15 @@
             }
         };
         session.keep_alive.set(request.keep_alive);
+        session.connection.set_incomplete(&reader.buffer);
         let Some(id) = query::handle(request, session, frontend, rules).await else { continue };
         open_query.set(Some(id));
         if wait_for_answer(stream, session, &mut reader.buffer).await.is_break() {
             return;
         }
         open_query.set(None);
+        // A request that was sent meanwhile may have been read only in part.
+        reader.buffer.restart_message_timeout();
     }
 }
 
@@ -88,6 +91,7 @@
                     session.connection.set_disconnected();
                     return ControlFlow::Break(());
                 }
+                session.connection.set_incomplete(buffer);
             }
             // A disconnect is detected even while unread bytes precede it.
             () = read_closed(stream), if !may_read => {
--- a/src/net/front/client_connection.rs
+++ b/src/net/front/client_connection.rs
@@ -20,7 +20,6 @@
     shutdown_phase: Rc<Cell<ShutdownPhase>>,
     /// Whether an answer was sent since the shutdown phase requires connections to close after an answer.
     answered_in_shutdown: Cell<bool>,
-    opened: Instant,
     /// Earliest time at which the client may have connected; it may have waited to be accepted. Cleared once the bytes that
     /// were sent in that wait are read.
     arrived_at: Cell<Option<Instant>>,
@@ -31,6 +30,8 @@
     /// Whether the client closed the connection, or the connection failed.
     disconnected: Cell<bool>,
     open_requests: Cell<usize>,
+    /// Number of received bytes that belong to no request yet: an incomplete message, or messages that follow an open request.
+    incomplete_bytes: Cell<usize>,
     was_answered: Cell<bool>,
     /// Time at which the connection was opened, or a request on it was last received or answered.
     last_active: Cell<Instant>,
@@ -59,12 +60,12 @@
             write_queue,
             shutdown_phase,
             answered_in_shutdown: Cell::new(false),
-            opened,
             arrived_at: Cell::new(None),
             was_read: Cell::new(false),
             eviction_requested: Cell::new(false),
             disconnected: Cell::new(false),
             open_requests: Cell::new(0),
+            incomplete_bytes: Cell::new(0),
             was_answered: Cell::new(false),
             last_active: Cell::new(opened),
         }
@@ -120,6 +121,7 @@
         if !is_first || self.close_conditions(read_buffer, stream).unread == 0 {
             self.arrived_at.set(None);
         }
+        self.set_incomplete(read_buffer);
         let memory = read_buffer.message_memory();
         loop {
             let deadline = match self.check(read_buffer, stream, limits) {
@@ -184,7 +186,7 @@
             let next_piece = read_buffer.last_filled() + limits.client_silence_timeout;
             return Some(next_piece.min(incomplete_since + limits.client_message_timeout));
         }
-        (!self.was_answered.get()).then(|| self.opened + limits.client_silence_timeout)
+        (!self.was_answered.get()).then(|| self.last_active.get() + limits.client_silence_timeout)
     }
 
     /// Returns the time for which incoming bytes are read and discarded after the gateway closed the connection.
@@ -207,9 +209,15 @@
         self.disconnected.get()
     }
 
-    /// Returns whether the connection is closed after its next answer, because this process is shutting down.
+    /// Records the bytes in the read buffer that belong to no request yet.
+    pub fn set_incomplete(&self, read_buffer: &ReadBuffer) {
+        self.incomplete_bytes.set(read_buffer.incomplete_bytes());
+    }
+
+    /// Returns whether the connection is closed after its next answer, because this process is shutting down. Requests that
+    /// have already arrived are answered first.
     pub fn closes_after_answer(&self) -> bool {
-        !self.shutdown_phase.get().keeps_connections()
+        !self.shutdown_phase.get().keeps_connections() && self.incomplete_bytes.get() == 0
     }
 
     /// Returns whether the connection closes now because of a shutdown. Requests that have already arrived are answered
@@ -273,12 +281,16 @@
         CloseConditions { unwritten: 0, ..self.close_conditions(read_buffer, stream) }
     }
 
-    /// Returns the time of the last activity of an idle connection; `None` if it has open requests or queued bytes, or is
-    /// closing.
+    /// Returns the time of the last activity of an idle connection; `None` if it has open requests or queued bytes, is inside a
+    /// message or is closing. Bytes that are still unread are checked before it is closed.
     pub fn idle_since(&self) -> Option<Instant> {
-        let is_idle = self.open_requests.get() == 0
-            && self.write_queue.queued_bytes() == 0
-            && !self.write_queue.is_closing();
+        let conditions = CloseConditions {
+            open_requests: self.open_requests.get(),
+            unwritten: self.write_queue.queued_bytes(),
+            incomplete: self.incomplete_bytes.get(),
+            unread: 0,
+        };
+        let is_idle = may_close(&conditions).is_ok() && !self.write_queue.is_closing();
         is_idle.then_some(self.last_active.get())
     }
 }
