An engine excluded at both processes of an upgrade is excluded at both

What operators saw: with PUT /api/exclude at both processes within 0.1 s, both answered 200 and the second went on using the engine.

Cause: SharedOverrides::change reads the file first; a change that the other process has made is then none, so the reducer was not told, and later polls found the file as it was known. Evidence: the file holds the exclusion, the log says changed=false, the metric cluster_unhealthy stays.

Change: SharedOverrides keeps what was last reported, and every difference is reported by the next call or poll.

Test: engine_excluded_at_both_processes_stays_unused_at_both fails on the base in its first round; two unit tests of the shared file.

--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -165,8 +165,8 @@
         if !exited.is_empty() {
             keys.extend(self.take_over_exited(exited, now));
         }
-        let overrides = self.overrides.refresh().then(|| self.overrides.current().clone());
-        Observation { overrides, keys, waiting_successors }
+        self.overrides.refresh();
+        Observation { overrides: self.overrides.take_unreported(), keys, waiting_successors }
     }
 
     /// Takes over the keys of processes that have exited, and returns keys that were not read before. A process that has just
@@ -221,7 +221,8 @@
         self.keys.record(key, send)
     }
 
-    /// Changes the operator overrides for this process and its successors. Returns the overrides if they changed.
+    /// Changes the operator overrides for this process and its successors. Returns the overrides if they differ from those that
+    /// were returned before, by this function or by [`observe`](Self::observe).
     ///
     /// # Errors
     /// The change is not valid or cannot be stored.
@@ -229,7 +230,8 @@
         &mut self,
         change: impl FnOnce(&mut OperatorOverrides) -> Result<bool, OverrideError>,
     ) -> Result<Option<OperatorOverrides>, ChangeError> {
-        self.overrides.change(change)
+        self.overrides.change(change)?;
+        Ok(self.overrides.take_unreported())
     }
 
     /// Logs this process's incarnation, the other processes and the excluded engines found in the folder.
--- a/src/net/hot_restart/overrides.rs
+++ b/src/net/hot_restart/overrides.rs
@@ -38,22 +38,28 @@
 pub(super) struct SharedOverrides {
     folder: PathBuf,
     current: OperatorOverrides,
+    /// The overrides that were last passed on to the reducer.
+    reported: OperatorOverrides,
     /// Contents of the file when it was last read or written; `None` if it did not exist.
     bytes: Option<Vec<u8>>,
 }
 
 impl SharedOverrides {
     pub(super) fn new(folder: &Path) -> Self {
-        Self { folder: folder.to_owned(), current: OperatorOverrides::default(), bytes: None }
+        Self {
+            folder: folder.to_owned(),
+            current: OperatorOverrides::default(),
+            reported: OperatorOverrides::default(),
+            bytes: None,
+        }
     }
 
     pub(super) fn current(&self) -> &OperatorOverrides {
         &self.current
     }
 
-    /// Reads the file, and returns whether the overrides have changed. If the file cannot be read or is invalid, the known
-    /// overrides stay in force.
-    pub(super) fn refresh(&mut self) -> bool {
+    /// Reads the file. If it cannot be read or is invalid, the known overrides stay in force.
+    pub(super) fn refresh(&mut self) {
         let bytes = match Files::new(&self.folder).read(OVERRIDES_FILE, MAX_FILE_BYTES) {
             Ok(bytes) => bytes,
             Err(error) => {
@@ -61,47 +67,55 @@
                     "operator overrides cannot be read: the known ones stay in force",
                     error,
                 );
-                return false;
+                return;
             }
         };
         if bytes == self.bytes {
-            return false;
+            return;
         }
         let decoded = bytes.as_deref().map_or(Ok(OperatorOverrides::default()), OperatorOverrides::decode);
         self.bytes = bytes;
         match decoded {
-            Ok(overrides) => {
-                let changed = overrides != self.current;
-                self.current = overrides;
-                changed
-            }
+            Ok(overrides) => self.current = overrides,
             Err(reason) => {
                 let file = self.folder.join(OVERRIDES_FILE);
                 error!(file = %file.display(), %reason, "operator overrides are invalid: the known ones stay in force");
-                false
             }
         }
     }
 
-    /// Changes the overrides for this process and its successors. Returns the overrides if they changed.
+    /// Returns the overrides in force if they differ from those that were returned last, whichever call has read the change.
+    pub(super) fn take_unreported(&mut self) -> Option<OperatorOverrides> {
+        if self.current == self.reported {
+            return None;
+        }
+        self.reported = self.current.clone();
+        Some(self.current.clone())
+    }
+
+    /// Changes the overrides for this process and its successors. Another process may have made the same change before, so that the
+    /// file stays as it is; [`take_unreported`](Self::take_unreported) returns the result in both cases.
     ///
     /// # Errors
     /// The change is not valid or cannot be stored.
     pub(super) fn change(
         &mut self,
         change: impl FnOnce(&mut OperatorOverrides) -> Result<bool, OverrideError>,
-    ) -> Result<Option<OperatorOverrides>, ChangeError> {
+    ) -> Result<(), ChangeError> {
         let _lock = lock(&self.folder).map_err(StoreOverridesError::Io)?;
         self.refresh();
         let mut changed = self.current.clone();
         if !change(&mut changed)? {
-            return Ok(None);
+            return Ok(());
         }
         let bytes = changed.encode().map_err(StoreOverridesError::Frame)?;
         disk::replace(&mut Files::new(&self.folder), OVERRIDES_FILE, &bytes)
             .map_err(StoreOverridesError::Io)?;
-        self.current = changed.clone();
+        self.current = changed;
         self.bytes = Some(bytes);
-        Ok(Some(changed))
+        Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -55,6 +55,27 @@
     assert!(is_included, "the other process applies the inclusion");
 }
 
+/// An operator excludes an engine at both processes of an upgrade, as the call may arrive twice. The second process used to answer
+/// with success and to go on using the engine.
+#[test]
+fn engine_excluded_at_both_processes_stays_unused_at_both() {
+    let (first, _) = resp_engine(served);
+    let (second, _) = resp_engine(served);
+    let shared_gateway = SharedGateway::new(&[first, second]);
+    let processes = [shared_gateway.start(), shared_gateway.start()];
+    // In some rounds a process reads the change in its regular poll before its own call.
+    for round in 0..6 {
+        for (path, excluded) in [("/api/exclude", 1), ("/api/include", 0)] {
+            let (earlier, later) = (&processes[round % 2], &processes[(round + 1) % 2]);
+            assert_eq!((earlier.put(path, "s-1"), later.put(path, "s-1")), (200, 200));
+            for process in [earlier, later] {
+                let is_applied = (0..3_000).any(|_| process.metric("gateway.cluster_unhealthy") == excluded);
+                assert!(is_applied, "round {round}, {path}");
+            }
+        }
+    }
+}
+
 #[test]
 fn metrics_match_what_clients_and_engines_observed() {
     let (at, log) = resp_engine(|parts| match (parts[0].as_str(), parts.get(3).map(String::as_str)) {
