A result that is being streamed is not cut because its engine is slow

What callers saw: results over 64 kB over HTTP ended without a last chunk while their engine was still writing.

Cause: Event::Streaming was ignored by the decision module, so that a request whose result was under way was replaced as stuck or given up as late. Evidence: in the new test the base passes on 98,309 of 196,608 bytes while the engine goes on; the module's actions show Cancel.

Change: the module keeps that a request is streaming and leaves it alone.

Test: streamed_result_is_passed_on_as_long_as_parts_of_it_arrive and attempt_whose_result_is_streamed_is_not_cancelled fail on the base.

--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -125,7 +125,12 @@
             Event::ProcessCount(count) => {
                 self.aperture.set_process_count(*count, &mut self.engines, self.fleet.share);
             }
-            Event::Timer(_) | Event::Peer(_) | Event::Streaming { .. } => {}
+            Event::Streaming { id } => {
+                if let Some(request) = self.requests.get_mut(id) {
+                    request.streaming = true;
+                }
+            }
+            Event::Timer(_) | Event::Peer(_) => {}
         }
     }
 
--- a/crates/decision/src/running_attempts.rs
+++ b/crates/decision/src/running_attempts.rs
@@ -42,6 +42,8 @@
         let Some(request) = self.requests.get(&id) else { return };
         if request.closed {
             self.cancel_attempts_of_closed(id, actions);
+        } else if request.streaming {
+            // Its result is on its way to the client, who would only lose the rest of it.
         } else if self.is_past_deadline(request) {
             self.answer(id, 0.0, BlockReason::Deadline, actions);
         } else if self.should_stop_running(request) {
--- a/crates/decision/src/state/request.rs
+++ b/crates/decision/src/state/request.rs
@@ -88,6 +88,8 @@
     pub(crate) over_quota: bool,
     /// The request has its final answer, or its client has disconnected.
     pub(crate) closed: bool,
+    /// A part of the result was forwarded to the client. The request then ends with its attempt, which is not cancelled.
+    pub(crate) streaming: bool,
     /// Memory grant in MB; 0: the engine chooses.
     pub(crate) memory_grant_mb: f64,
     /// Priority, from 0 (lowest) to 3.
@@ -112,6 +114,7 @@
             relative_size,
             over_quota,
             closed: false,
+            streaming: false,
             memory_grant_mb: 0.0,
             priority: 1,
             attempts: Vec::new(),
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -46,6 +46,8 @@
     pub preferred_attempts_per_connection: usize,
     /// Timeout for the remainder of a reply that an engine has sent in part, and for the next page of a result.
     pub engine_stall_timeout: Duration,
+    /// Timeout for the next bytes of a result that is being streamed to a client. No deadline applies to such a result.
+    pub engine_stream_timeout: Duration,
     /// Time for which binding a listener is retried while file descriptors or memory are exhausted.
     pub bind_retry: Duration,
     /// Time for which opening the folder of persisted state is retried at the start while it cannot be written.
@@ -260,6 +262,7 @@
             max_attempts_per_connection: DEFAULT_ATTEMPTS_PER_CONNECTION as usize,
             preferred_attempts_per_connection: 4,
             engine_stall_timeout: duration(500.0),
+            engine_stream_timeout: duration(6_000.0),
             bind_retry: duration(3_000.0),
             disk_retry: duration(3_000.0),
             connect_timeout: duration(DEFAULT_CONNECT_TIMEOUT),
--- a/src/net/engine/clickhouse/response.rs
+++ b/src/net/engine/clickhouse/response.rs
@@ -13,6 +13,7 @@
 use crate::net::log;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Sender;
+use tokio::time::timeout;
 
 /// ClickHouse error code of a query that the engine rejected before executing it.
 const TOO_MANY_SIMULTANEOUS_QUERIES: u32 = 202;
@@ -98,6 +99,8 @@
     buffer: ReadBuffer,
     /// Position in a chunked body.
     chunk: ChunkPosition,
+    /// Whether a result is being streamed to a client.
+    is_streaming: bool,
 }
 
 /// Position in a chunked body.
@@ -120,7 +123,7 @@
         events: &'a Sender<Event>,
     ) -> Self {
         let buffer = ReadBuffer::new(connection.write_queue.shared());
-        Self { connection, stream, limits, events, buffer, chunk: ChunkPosition::Size }
+        Self { connection, stream, limits, events, buffer, chunk: ChunkPosition::Size, is_streaming: false }
     }
 
     /// Reads responses until the connection can no longer be used.
@@ -150,7 +153,12 @@
 
     /// Reads further bytes. Bytes that arrive before the first byte of the request is written belong to no request in flight.
     async fn fill(&mut self) -> Result<(), ConnectionFailed> {
-        match self.buffer.fill(self.stream, self.limits).await {
+        let filled = self.buffer.fill(self.stream, self.limits);
+        let filled = match self.is_streaming {
+            true => timeout(self.limits.engine_stream_timeout, filled).await.map_err(|_| ConnectionFailed)?,
+            false => filled.await,
+        };
+        match filled {
             Ok(true) => self.check_request_begun(),
             _ => Err(ConnectionFailed),
         }
@@ -178,7 +186,9 @@
         };
         while let Some(part) = self.next_part(&mut remaining, head.status).await? {
             self.forward(part, &mut response).await?;
+            self.is_streaming = response.is_streaming;
         }
+        self.is_streaming = false;
         // The slot for the event is reserved before the job is removed, as this future may be dropped while it waits.
         let slot = self.events.reserve().await.map_err(|_| ConnectionFailed)?;
         let job = self.connection.end_job().ok_or(ConnectionFailed)?;
--- a/tests/clickhouse.rs
+++ b/tests/clickhouse.rs
@@ -6,9 +6,11 @@
 use stand::*;
 use std::collections::BTreeSet;
 use std::io::{BufReader, Write};
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
 
 fn answer_query(target: &str, body: &str) -> Option<String> {
     let query_id = query_id_of(target);
@@ -145,6 +147,46 @@
     assert!(head.starts_with("HTTP/1.1 200") && body.ends_with("<cut>"), "{head}");
 }
 
+/// A result of which the parts arrive slowly used to be cut by the gateway, as an attempt that takes several times as long as usual
+/// is replaced. One that stops for good is ended.
+#[rstest]
+#[case::slow(true)]
+#[case::stopped(false)]
+fn streamed_result_is_passed_on_as_long_as_parts_of_it_arrive(#[case] continues: bool) {
+    const PARTS: usize = 12;
+    let (address, _) = http_engine_with_handler(move |target, statement, _, stream| {
+        let send = |stream: &mut TcpStream, text: &str| stream.write_all(text.as_bytes()).is_ok();
+        if statement != "select slow" {
+            return send(stream, &encode_result(target, "1\t2\n"));
+        }
+        let part = format!("4000\r\n{}\r\n", "x".repeat(0x4000));
+        send(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for number in 0..PARTS {
+            // The gateway begins to pass a result on once it has 64 kB of it.
+            if number >= PARTS / 2 {
+                thread::sleep(Duration::from_millis(400));
+            }
+            send(stream, &part);
+        }
+        if !continues {
+            thread::sleep(Duration::from_secs(20));
+        }
+        send(stream, "0\r\n\r\n")
+    });
+    let gateway = Gateway::start(&config(&[address], "clickhouse", 2_000));
+    let mut client = gateway.http_client();
+    for _ in 0..50 {
+        assert!(http_request(&mut client, &post("/", "select 1")).0.starts_with("HTTP/1.1 200"));
+    }
+    let (_, body) = http_request(&mut client, &post("/", "select slow"));
+    assert_eq!(
+        (body.len() >= PARTS * 0x4000, body.ends_with("<cut>")),
+        (true, !continues),
+        "{} bytes",
+        body.len()
+    );
+}
+
 #[rstest]
 #[case::length_and_chunked(
     "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
--- a/tests/decide/retries_and_hedging.rs
+++ b/tests/decide/retries_and_hedging.rs
@@ -128,6 +128,34 @@
     assert_eq!(replacements.len(), 2, "the retry budget allows two replacements: {replacements:?}");
 }
 
+/// A request whose result is being streamed used to be cut off as if its engine were stuck, or given up as late.
+#[test]
+fn attempt_whose_result_is_streamed_is_not_cancelled() {
+    let mut settings = default_settings();
+    settings.may_cancel = true;
+    settings.classes[0].late_weight_share = 0.0;
+    let ends_request = |action: &Action| !matches!(action, Action::Timer { .. } | Action::CheckHealth { .. });
+    for is_streamed in [false, true] {
+        let mut gateway = TestGateway::new(settings.clone(), 6);
+        gateway.serve(200, 0, 50.0);
+        let (id, _) = gateway.receive(0);
+        if is_streamed {
+            gateway.run_cycle(&[Event::Streaming { id: RequestId(id) }]);
+        }
+        let is_cut = (0..400).any(|_| {
+            gateway.now += 10.0;
+            let actions = gateway.run_cycle(&[Event::Timer(0)]);
+            actions.iter().filter(|action| ends_request(action)).any(|action| match action {
+                Action::Cancel { id: cut, .. }
+                | Action::Reject { id: cut, .. }
+                | Action::Fail { id: cut, .. } => cut.0 == id,
+                _ => false,
+            })
+        });
+        assert_eq!(is_cut, !is_streamed);
+    }
+}
+
 /// In a fleet that is overloaded as a whole, replacements would only add load: with them, the result of a run with a burst on
 /// eight engines fell from 0.75 to 0.35.
 #[test]
