A derived idempotency key includes the values of query parameters

What callers would see: of two loads over HTTP that differ in param_x alone, the second is dropped by the engine as a repeat and answered as served.

Cause: derived_key hashed database, statement and data. Change: param_* is hashed as well, sorted; a key without parameters is unchanged.

--- a/src/net/engine/resp/command.rs
+++ b/src/net/engine/resp/command.rs
@@ -2,6 +2,8 @@
 
 use crate::core::Send;
 use crate::net::connection::frame::{Frame, Segment};
+use crate::net::http;
+use std::borrow::Cow;
 use std::io::Write;
 
 /// Initial capacity of the buffer of a command, in bytes. Most commands fit into it.
@@ -33,12 +35,22 @@
     Frame::for_attempt(send, encode_attempt)
 }
 
+/// Returns a value without characters that separate fields. A value that contains one, or the character of the encoding, is
+/// percent-encoded, so that different values stay different.
+fn field_value(value: &str) -> Cow<'_, str> {
+    let is_separator = |character: char| matches!(character, ',' | '=' | '%') || character.is_control();
+    match value.contains(is_separator) {
+        true => http::encode(value).into(),
+        false => value.into(),
+    }
+}
+
 /// Encodes an attempt. The statement is sent unchanged and is not copied; all attempts share it.
 fn encode_attempt(send: &Send) -> Vec<Segment> {
     let statement = &send.statement;
     let mut fields = format!("queue={},budget={:.0}", statement.class, send.time_left.max(1.0));
     if let Some(key) = &statement.key {
-        fields += &format!(",uniq={key}");
+        fields += &format!(",uniq={}", field_value(key));
     }
     if send.memory_mb >= 1.0 {
         fields += &format!(",mem={:.0}", send.memory_mb);
--- a/src/net/front/clickhouse/query.rs
+++ b/src/net/front/clickhouse/query.rs
@@ -12,6 +12,8 @@
 
 /// Maximum length of a query id, in bytes.
 const MAX_NAME_BYTES: usize = 256;
+/// Prefix of the names of parameters whose values are inserted into the query.
+const QUERY_PARAM_PREFIX: &str = "param_";
 /// Length of the digest prefix that is used as an idempotency key, in bytes.
 const DERIVED_KEY_BYTES: usize = 16;
 
@@ -121,7 +123,7 @@
     if !matches!(class.idempotency, Idempotency::Keyed { .. }) {
         return None;
     }
-    Some(token.unwrap_or_else(|| derived_key(request.param("database"), text, data)))
+    Some(token.unwrap_or_else(|| derived_key(request, text, data)))
 }
 
 /// Returns whether a name can be used in a header and in a field of an engine's command, in which `,` and `=` are
@@ -139,10 +141,15 @@
     }
 }
 
-/// Derives an idempotency key from a query, its data and its database, so that all gateways assign it the same key.
-fn derived_key(database: &str, text: &[u8], data: &[u8]) -> String {
+/// Derives an idempotency key from a query, its data, its database and the values of its query parameters, so that all gateways
+/// assign it the same key.
+fn derived_key(request: &Request, text: &[u8], data: &[u8]) -> String {
+    let is_query_param = |(name, _): &&(String, String)| name.starts_with(QUERY_PARAM_PREFIX);
+    let mut query_params: Vec<_> = request.params.iter().filter(is_query_param).collect();
+    query_params.sort();
+    let query_params = query_params.into_iter().flat_map(|(name, value)| [name.as_bytes(), value.as_bytes()]);
     let mut hash = Sha256::new();
-    for part in [database.as_bytes(), text, data] {
+    for part in [request.param("database").as_bytes(), text, data].into_iter().chain(query_params) {
         hash.update((part.len() as u64).to_be_bytes());
         hash.update(part);
     }
--- a/tests/clickhouse.rs
+++ b/tests/clickhouse.rs
@@ -109,6 +109,28 @@
     assert_eq!(runs.load(Ordering::SeqCst), 2);
 }
 
+/// Loads that differ only in the value of a query parameter used to have one idempotency key, so that engines dropped the second.
+#[test]
+fn loads_with_different_query_parameters_have_different_keys() {
+    let (address, log) = http_engine(answer_query);
+    let gateway = Gateway::start(&config(&[address], "clickhouse", 5000));
+    for target in ["/?param_x=1", "/?param_x=2", "/?param_x=2", "/?param_y=2", "/"] {
+        let load = post(target, "insert into s_1.t values ({x:String})");
+        assert!(http_request(&mut gateway.http_client(), &load).0.starts_with("HTTP/1.1 200"));
+    }
+    let log = log.lock().expect("log");
+    let key = |parts: &Vec<String>| {
+        parts[0]
+            .split('&')
+            .find_map(|pair| pair.strip_prefix("insert_deduplication_token="))
+            .map(str::to_owned)
+    };
+    let keys: Vec<_> = log.iter().filter_map(key).collect();
+    assert_eq!(keys.len(), 5);
+    assert_eq!(keys[1], keys[2], "a repeat has the same key");
+    assert_eq!(keys.iter().collect::<BTreeSet<_>>().len(), 4, "{keys:?}");
+}
+
 /// Returns the head and the first two chunks of a result without the final chunk.
 fn result_without_end() -> String {
     let chunk = format!("10000\r\n{}\r\n", "x".repeat(0x10000));
