A deduplication token with separators stays one field of an engine's command

What callers would see: a token with ',' or '=' over HTTP before RESP engines sets fields of the command, and two tokens that differ behind a comma are one key.

Cause: encode_attempt wrote the token unchecked. Evidence: in the new test the base sends four commands with more than four prio fields.

--- a/tests/clickhouse.rs
+++ b/tests/clickhouse.rs
@@ -3,6 +3,7 @@
 mod stand;
 
 use rstest::rstest;
+use stand::requests::served;
 use stand::*;
 use std::collections::BTreeSet;
 use std::io::{BufReader, Write};
@@ -131,6 +132,32 @@
     assert_eq!(keys.iter().collect::<BTreeSet<_>>().len(), 4, "{keys:?}");
 }
 
+/// A deduplication token with the separators of an engine's command used to become further fields of the command, and tokens that
+/// differ behind a separator were one key.
+#[test]
+fn deduplication_token_with_separators_stays_one_field() {
+    let (address, log) = resp_engine(served);
+    let gateway = Gateway::start(&config(&[address], "resp", 5000));
+    let tokens = ["a%2Cprio%3D3", "a%2Cprio%3D2", "a%252Cprio%253D3", "plain-1"];
+    for token in tokens {
+        let load = post(&format!("/?insert_deduplication_token={token}"), "insert into s_1.t values (1)");
+        assert!(http_request(&mut gateway.http_client(), &load).0.starts_with("HTTP/1.1 200"));
+    }
+    let log = log.lock().expect("log");
+    let attempts: Vec<_> = log.iter().filter(|parts| parts[0] == "want").collect();
+    let fields = |name: &str| -> Vec<_> {
+        attempts
+            .iter()
+            .flat_map(|parts| parts[2].split(','))
+            .filter_map(|field| field.strip_prefix(name))
+            .collect()
+    };
+    assert_eq!(fields("prio=").len(), tokens.len(), "{attempts:?}");
+    let keys = fields("uniq=");
+    assert_eq!(keys.iter().collect::<BTreeSet<_>>().len(), tokens.len(), "{keys:?}");
+    assert_eq!(keys[3], "plain-1");
+}
+
 /// Returns the head and the first two chunks of a result without the final chunk.
 fn result_without_end() -> String {
     let chunk = format!("10000\r\n{}\r\n", "x".repeat(0x10000));
