A request named like a health check gets its engine's reply

What callers would see: a request with a query_id or txn such as 'p5' before RESP engines ran and was rejected or expired.

Cause: health_check_tag took each reply whose id has that form for a health check's. Evidence: the new test, one attempt at the engine, no answer on the base. Change: a reply that names an attempt in flight belongs to it, unless it has the kind of a health check. Test: request_named_like_a_health_check_is_answered fails on the base and passes.

--- a/src/net/engine/replies.rs
+++ b/src/net/engine/replies.rs
@@ -10,6 +10,8 @@
 use crate::net::log;
 use tokio::time::Instant;
 
+/// Kind of the reply to a health check that succeeded.
+const HEALTHY: &[u8] = b"green";
 /// Kind of the reply that contains the first page of a result.
 const FIRST_PAGE: &[u8] = b"served";
 
@@ -26,7 +28,7 @@
 
 /// Applies a reply to the state of the connection on which it arrived.
 pub(super) fn handle_reply(connection: &Connection, reply: &Reply<'_>, limits: &Limits) -> ReplyEffect {
-    if let Some(tag) = health_check_tag(reply) {
+    if let Some(tag) = health_check_tag(connection, reply) {
         return handle_health_reply(connection, tag, reply);
     }
     match reply.kind {
@@ -39,9 +41,11 @@
     }
 }
 
-/// Returns the tag of the health check that a reply answers, if it answers one.
-fn health_check_tag(reply: &Reply<'_>) -> Option<u64> {
-    reply.id.strip_prefix('p')?.parse().ok()
+/// Returns the tag of the health check that a reply answers, if it answers one. Clients may give a request a name of the same form:
+/// unless it has the kind of a health check, a reply with the name of an attempt in flight belongs to the attempt.
+fn health_check_tag(connection: &Connection, reply: &Reply<'_>) -> Option<u64> {
+    let is_attempt = reply.kind != HEALTHY && connection.in_flight.borrow().contains_key(reply.id);
+    reply.id.strip_prefix('p').filter(|_| !is_attempt)?.parse().ok()
 }
 
 fn handle_health_reply(connection: &Connection, tag: u64, reply: &Reply<'_>) -> ReplyEffect {
@@ -51,7 +55,7 @@
     connection.last_used.set(Instant::now());
     ReplyEffect::Event(Event::HealthChecked {
         number: tag,
-        succeeded: reply.kind == b"green",
+        succeeded: reply.kind == HEALTHY,
         report: reply.load_report(),
     })
 }
--- a/tests/engine_responses.rs
+++ b/tests/engine_responses.rs
@@ -154,6 +154,19 @@
     }
 }
 
+/// A request with a name like the tag of a health check: the reply to it used to be taken for that of a health check and dropped.
+#[test]
+fn request_named_like_a_health_check_is_answered() {
+    let (address, _) = resp_engine(served);
+    let gateway = Gateway::start(&config(&[address], "resp", 2_000));
+    let (head, _) = post(&mut gateway.http_client(), "/?query_id=p5", "select 1");
+    assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    let mut client = gateway.thrift_client();
+    let fields = [("verb", "lookup"), ("txn", "p6"), ("limit", "2000")];
+    std::io::Write::write_all(&mut client, &call(1, &fields, "select 1")).expect("sent");
+    assert_eq!(answer(&mut client).1, "served");
+}
+
 /// A request over Thrift with the name of one that was served is not sent on the connection on which a copy of the earlier reply
 /// may still arrive.
 #[test]
