One decoder of chunked bodies for clients and engines; response heads in a module

Change: net::http::ChunkDecoder, a state machine without I/O, and net::engine::clickhouse::response_head.

--- a/src/net/engine/clickhouse/mod.rs
+++ b/src/net/engine/clickhouse/mod.rs
@@ -3,12 +3,13 @@
 //! its connection, which is how such an engine is notified.
 //!
 //! [`HttpEngines`] chooses a connection, `request` encodes the request of an attempt, `driver` owns the socket, and
-//! `response` reads the response.
+//! `response` reads the response, and `response_head` interprets it.
 
 mod connection;
 mod driver;
 mod request;
 mod response;
+mod response_head;
 
 use crate::core::{AttemptEnd, AttemptId, Event, Send};
 use crate::interface::{EngineId, Outcome};
--- a/src/net/engine/clickhouse/response.rs
+++ b/src/net/engine/clickhouse/response.rs
@@ -5,30 +5,21 @@
 //! not used again.
 
 use super::connection::{AttemptJob, Connection, Job};
-use crate::core::{AttemptEnd, EngineError, Event, ResultRows};
+use super::response_head::{attempt_end, ConnectionFailed, ResponseHead, OK};
+use crate::core::{AttemptEnd, Event, ResultRows};
 use crate::interface::Outcome;
 use crate::limits::Limits;
 use crate::net::connection::{ReadBuffer, ResultMemory};
-use crate::net::http::{self, Head, Length, Read};
+use crate::net::http::{self, ChunkDecoder, ChunkPart, Length, Read};
 use crate::net::log;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Sender;
 use tokio::time::timeout;
 
-/// ClickHouse error code of a query that the engine rejected before executing it.
-const TOO_MANY_SIMULTANEOUS_QUERIES: u32 = 202;
 /// HTTP status of an interim response, which the final response follows.
 const CONTINUE: u16 = 100;
-/// HTTP status of a response with a result.
-const OK: u16 = 200;
-/// Response header that contains the code of an exception.
-const EXCEPTION_CODE_HEADER: &str = "x-clickhouse-exception-code";
-/// Response header that contains the query id of the request.
-const QUERY_ID_HEADER: &str = "x-clickhouse-query-id";
 /// Maximum number of responses to other requests that are discarded before the response to the current one.
 const MAX_DISCARDED_RESPONSES: usize = 8;
-/// Prefix of the names of ClickHouse-specific headers.
-const CLICKHOUSE_HEADER_PREFIX: &str = "x-clickhouse-";
 /// Log line for bytes that follow a complete response or precede a request.
 const UNREQUESTED_BYTES: &str = "an engine sent bytes that belong to no request; closing the connection";
 
@@ -42,41 +33,6 @@
     Unknown,
 }
 
-/// Error for a connection that has ended, or on which an invalid response arrived.
-struct ConnectionFailed;
-
-/// Head of a response.
-struct ResponseHead {
-    status: u16,
-    /// Query id of the request that the engine responds to, if the response names it.
-    query_id: Option<String>,
-    /// Headers that are forwarded to the client.
-    headers: Vec<(String, String)>,
-    length: Length,
-    keep_alive: bool,
-}
-
-impl ResponseHead {
-    fn new(head: &Head<'_>) -> Result<Self, ConnectionFailed> {
-        let status = http::status(head).ok_or(ConnectionFailed)?;
-        let forwarded = head.headers.iter().filter(|(name, _)| is_forwarded(name));
-        Ok(Self {
-            status,
-            query_id: head.header(QUERY_ID_HEADER).map(str::to_owned),
-            headers: forwarded.map(|(name, value)| ((*name).to_owned(), (*value).to_owned())).collect(),
-            length: head.body(Length::Stream).ok_or(ConnectionFailed)?,
-            keep_alive: head.keeps_alive(head.method_or_version),
-        })
-    }
-}
-
-fn is_forwarded(header: &str) -> bool {
-    let prefix = CLICKHOUSE_HEADER_PREFIX.len();
-    let is_clickhouse_header =
-        header.len() > prefix && header[..prefix].eq_ignore_ascii_case(CLICKHOUSE_HEADER_PREFIX);
-    is_clickhouse_header || header.eq_ignore_ascii_case("content-type")
-}
-
 /// Part of a response that has been read.
 struct PartialResponse {
     status: u16,
@@ -97,23 +53,12 @@
     limits: &'a Limits,
     events: &'a Sender<Event>,
     buffer: ReadBuffer,
-    /// Position in a chunked body.
-    chunk: ChunkPosition,
+    /// Decoder of the current body, if it is chunked.
+    chunks: ChunkDecoder,
     /// Whether a result is being streamed to a client.
     is_streaming: bool,
 }
 
-/// Position in a chunked body.
-#[derive(Debug, Clone, Copy)]
-enum ChunkPosition {
-    /// Before the line with the length of a chunk.
-    Size,
-    /// Before this number of bytes of a chunk and the end of line after them.
-    Data(usize),
-    /// Before the trailer.
-    Trailer,
-}
-
 impl<'a> ResponseReader<'a> {
     /// Creates a reader with an empty buffer.
     pub(super) fn new(
@@ -123,7 +68,7 @@
         events: &'a Sender<Event>,
     ) -> Self {
         let buffer = ReadBuffer::new(connection.write_queue.shared());
-        Self { connection, stream, limits, events, buffer, chunk: ChunkPosition::Size, is_streaming: false }
+        Self { connection, stream, limits, events, buffer, chunks: ChunkDecoder::new(), is_streaming: false }
     }
 
     /// Reads responses until the connection can no longer be used.
@@ -276,6 +221,7 @@
                 Read::Complete(head, used) => {
                     let head = ResponseHead::new(&head)?;
                     self.buffer.consume(used);
+                    self.chunks = ChunkDecoder::new();
                     if head.status != CONTINUE {
                         return Ok(head);
                     }
@@ -341,41 +287,19 @@
     /// `None` if further bytes are needed.
     fn take_chunked(&mut self) -> Result<Option<Vec<u8>>, ConnectionFailed> {
         loop {
-            self.chunk = match self.chunk {
-                ChunkPosition::Size => match self.take_parsed(http::read_chunk_size)? {
-                    Some(0) => ChunkPosition::Trailer,
-                    Some(size) => ChunkPosition::Data(size),
-                    None => return Ok(None),
-                },
-                ChunkPosition::Data(0) => match self.take_parsed(http::read_line_end)? {
-                    Some(()) => ChunkPosition::Size,
-                    None => return Ok(None),
-                },
-                ChunkPosition::Data(length) => {
-                    let part = self.take_unread(length);
-                    self.chunk = ChunkPosition::Data(length - part.len());
-                    return Ok(Some(part).filter(|part| !part.is_empty()));
-                }
-                ChunkPosition::Trailer => {
-                    let trailer = self.take_parsed(http::read_trailer)?;
-                    if trailer.is_some() {
-                        self.chunk = ChunkPosition::Size;
+            match self.chunks.decode(self.buffer.unread()) {
+                Read::Complete(ChunkPart::Data, used) => return Ok(Some(self.take_unread(used))),
+                Read::Complete(part, used) => {
+                    self.buffer.consume(used);
+                    if part == ChunkPart::End {
+                        return Ok(Some(Vec::new()));
                     }
-                    return Ok(trailer.map(|()| Vec::new()));
                 }
-            };
-        }
-    }
-
-    /// Parses and consumes a short part between the chunks of a body, or returns `None` if it is incomplete.
-    fn take_parsed<T>(&mut self, parse: impl Fn(&[u8]) -> Read<T>) -> Result<Option<T>, ConnectionFailed> {
-        match parse(self.buffer.unread()) {
-            Read::Complete(part, used) => {
-                self.buffer.consume(used);
-                Ok(Some(part))
+                Read::Incomplete if self.buffer.unread().len() <= self.limits.max_head_bytes => {
+                    return Ok(None)
+                }
+                Read::Incomplete | Read::Invalid => return Err(ConnectionFailed),
             }
-            Read::Incomplete if self.buffer.unread().len() <= self.limits.max_head_bytes => Ok(None),
-            Read::Incomplete | Read::Invalid => Err(ConnectionFailed),
         }
     }
 
@@ -418,20 +342,3 @@
         Ok(())
     }
 }
-
-/// Returns the end of an attempt with a complete response.
-fn attempt_end(status: u16, rows: ResultRows) -> AttemptEnd {
-    let code = rows.headers.iter().find(|(name, _)| name.eq_ignore_ascii_case(EXCEPTION_CODE_HEADER));
-    let code = code.and_then(|(_, value)| value.parse().ok());
-    if status == OK && code.is_none() {
-        return AttemptEnd { rows, ..AttemptEnd::from_outcome(Outcome::Ok) };
-    }
-    let outcome = match (status, code) {
-        (_, Some(TOO_MANY_SIMULTANEOUS_QUERIES)) => Outcome::Full,
-        // The statement is invalid: the engine works, and another engine would give the same answer.
-        (400..=404 | 413 | 422, _) => Outcome::Ok,
-        _ => Outcome::Error,
-    };
-    let error = EngineError { status, code: code.unwrap_or(0), text: rows.parts.concat() };
-    AttemptEnd { error: Some(error), ..AttemptEnd::from_outcome(outcome) }
-}
--- a/src/net/front/clickhouse/request.rs
+++ b/src/net/front/clickhouse/request.rs
@@ -3,7 +3,7 @@
 use super::response::{Exception, Session};
 use crate::net::connection::frame::Frame;
 use crate::net::connection::ReadBuffer;
-use crate::net::http::{self, Head, Length, Read};
+use crate::net::http::{self, ChunkDecoder, ChunkPart, Head, Length, Read};
 use tokio::net::TcpStream;
 
 /// Headers that set a parameter, as pairs of the header's and the parameter's name. A parameter in the target takes
@@ -157,39 +157,38 @@
     /// Reads the chunks of a body, and the trailer that follows them.
     async fn read_chunks(&mut self) -> Result<(), ReadError> {
         let limits = &self.session.limits;
+        let mut decoder = ChunkDecoder::new();
         loop {
-            let size = self.read_part(http::read_chunk_size).await?;
-            if size == 0 {
-                return self.read_part(http::read_trailer).await;
-            }
-            let length = self.buffer.body_len() + size;
-            if length > limits.max_message_bytes {
-                return Err(BODY_TOO_LARGE);
-            }
-            if length > limits.read_chunk_bytes {
-                // The length of the whole body is not known.
-                self.buffer.expect_body(limits.max_message_bytes, length);
-            }
-            self.read_body_until(length).await?;
-            self.read_part(http::read_line_end).await?;
-        }
-    }
-
-    /// Reads and consumes a short part between the chunks of a body.
-    async fn read_part<T>(&mut self, parse: impl Fn(&[u8]) -> Read<T>) -> Result<T, ReadError> {
-        loop {
-            match parse(self.buffer.unread()) {
+            match decoder.decode(self.buffer.unread()) {
+                Read::Complete(ChunkPart::Data, used) => self.buffer.move_to_body(used),
                 Read::Complete(part, used) => {
                     self.buffer.consume(used);
-                    return Ok(part);
+                    match part {
+                        ChunkPart::Length(length) => self.expect_chunk(length)?,
+                        ChunkPart::End => return Ok(()),
+                        ChunkPart::Data | ChunkPart::Separator => {}
+                    }
                 }
-                Read::Incomplete if self.buffer.unread().len() <= self.session.limits.max_head_bytes => {
+                Read::Incomplete if self.buffer.unread().len() <= limits.max_head_bytes => {
                     self.fill().await?;
                 }
                 Read::Incomplete | Read::Invalid => return Err(invalid("The body cannot be read")),
             }
         }
     }
+
+    /// Prepares the buffer for a chunk of a body whose total length is not known.
+    fn expect_chunk(&mut self, chunk_bytes: usize) -> Result<(), ReadError> {
+        let limits = &self.session.limits;
+        let announced_bytes = self.buffer.body_len() + chunk_bytes;
+        if announced_bytes > limits.max_message_bytes {
+            return Err(BODY_TOO_LARGE);
+        }
+        if announced_bytes > limits.read_chunk_bytes {
+            self.buffer.expect_body(limits.max_message_bytes, announced_bytes);
+        }
+        Ok(())
+    }
 }
 
 fn invalid(message: &'static str) -> ReadError {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,7 +1,11 @@
 //! Parsing of HTTP/1.1 messages. Heads are parsed in place. Bodies are delimited by their length, by chunks or by the end of the
 //! stream.
 
-use winnow::ascii::{digit1, hex_uint};
+mod chunked;
+
+pub use chunked::{ChunkDecoder, ChunkPart};
+
+use winnow::ascii::digit1;
 use winnow::combinator::{opt, preceded, repeat, terminated};
 use winnow::error::{EmptyError, ErrMode};
 use winnow::prelude::*;
@@ -124,28 +128,6 @@
     Stream,
 }
 
-/// Parses the line before a chunk, with the length of the chunk. The length 0 ends the body, and a trailer follows.
-pub fn read_chunk_size(bytes: &[u8]) -> Read<usize> {
-    read(bytes, |input| {
-        let size: u32 = hex_uint.parse_next(input)?;
-        (take_till(0.., (b'\r', b'\n')), end_of_line).void().parse_next(input)?;
-        Ok(size as usize)
-    })
-}
-
-/// Parses the end of a line.
-pub fn read_line_end(bytes: &[u8]) -> Read<()> {
-    read(bytes, end_of_line)
-}
-
-/// Parses the headers after the last chunk, and the empty line that ends them.
-pub fn read_trailer(bytes: &[u8]) -> Read<()> {
-    read(bytes, |input| {
-        let _: Vec<_> = terminated(repeat(0.., header), end_of_line).parse_next(input)?;
-        Ok(())
-    })
-}
-
 /// Returns the status code of a response; `None` if the head is not that of a valid HTTP/1 response.
 pub fn status(head: &Head<'_>) -> Option<u16> {
     let code: Result<&str, EmptyError> = digit1.parse_next(&mut { head.target_or_status });
