Plain terms in the new comments

Change: comments, and the names of the settle time of connections to engines without query ids. Result: no behaviour depends on it.

--- a/src/net/connection/incoming_memory.rs
+++ b/src/net/connection/incoming_memory.rs
@@ -1,9 +1,9 @@
 //! Memory for messages that clients have not sent completely.
 //!
 //! A short message, or the first part of a long one, is counted as it arrives. Before the rest of a long message is read, its
-//! whole length is reserved, so that each message that is being read can be completed. Messages wait for their reservation, and
+//! complete length is reserved, so that each message that is being read can be completed. Messages wait for their reservation, and
 //! their bytes stay in the socket meanwhile: shorter ones go first, unless a longer one has waited for much longer. While one
-//! waits, connections that hold a reservation and have stopped sending are asked to release it.
+//! waits, connections that hold a reservation and have stopped sending are requested to release it.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -65,7 +65,7 @@
         self.release_requested.get()
     }
 
-    /// Returns whether memory is reserved for the whole message.
+    /// Returns whether memory is reserved for the complete message.
     pub(super) fn has_reservation(&self) -> bool {
         self.reserved.get() > 0
     }
@@ -104,9 +104,9 @@
         self.update(memory, |memory| memory.allocated.set(bytes));
     }
 
-    /// Reserves `bytes` for a whole message, once all messages together stay within `max_bytes` or no other has a reservation.
+    /// Reserves `bytes` for a complete message, once all messages together stay within `max_bytes` or no other has a reservation.
     /// `announced` is the length of the message as far as it is known, which determines its place among those that wait.
-    /// A call that is dropped keeps its place among the waiting messages until [`release`](Self::release).
+    /// A call that is dropped retains its position among the waiting messages until [`release`](Self::release).
     pub(super) async fn reserve(
         &self,
         memory: &Rc<MessageMemory>,
@@ -175,7 +175,7 @@
         }
     }
 
-    /// Asks the connections that have stopped sending to release their reservations.
+    /// Requests connections that have stopped sending to release their reservations.
     fn request_releases(&self) {
         for memory in self.reservations.borrow().iter().filter(|memory| memory.is_stalled()) {
             memory.request_release();
--- a/src/net/engine/clickhouse/connection.rs
+++ b/src/net/engine/clickhouse/connection.rs
@@ -15,8 +15,8 @@
 /// Maximum number of query ids that a connection remembers.
 const MAX_RECENT_QUERY_IDS: usize = 256;
 /// Time for which nothing should arrive after a response without a query id before the connection is used again: a copy of the
-/// response could not be told from the next one.
-const QUIET_TIME_WITHOUT_QUERY_ID: Duration = Duration::from_millis(100);
+/// response could not be distinguished from the next one.
+const SETTLE_TIME_WITHOUT_QUERY_ID: Duration = Duration::from_millis(100);
 
 /// Request that is in flight on a connection.
 #[derive(Clone)]
@@ -57,8 +57,8 @@
     job: RefCell<Option<Job>>,
     /// Query ids of the last attempts on the connection. A second copy of a response repeats one of them.
     recent_query_ids: RefCell<RecentNames>,
-    /// Time from which on the connection is quiet after a response without a query id.
-    quiet_until: Cell<Option<Instant>>,
+    /// Time at which the connection is settled after a response without a query id: no copy of the response is expected any more.
+    settled_at: Cell<Option<Instant>>,
     /// Whether the last response of the engine to an attempt had a query id; shared by its connections.
     pub(super) names_requests: Rc<Cell<bool>>,
     /// Notified when a job is assigned to the connection.
@@ -79,7 +79,7 @@
             write_queue: WriteQueue::new(shared),
             job: RefCell::default(),
             recent_query_ids: RefCell::new(RecentNames::new(MAX_RECENT_QUERY_IDS)),
-            quiet_until: Cell::new(None),
+            settled_at: Cell::new(None),
             names_requests,
             job_assigned: Notify::new(),
             closed: Cell::new(false),
@@ -105,8 +105,8 @@
     }
 
     /// Returns whether the last response had a query id, or nothing has arrived for a while since.
-    pub(super) fn is_quiet(&self) -> bool {
-        self.quiet_until.get().is_none_or(|until| until <= Instant::now())
+    pub(super) fn is_settled(&self) -> bool {
+        self.settled_at.get().is_none_or(|until| until <= Instant::now())
     }
 
     /// Returns whether an attempt with the query id of this job was recently sent on the connection.
@@ -118,7 +118,7 @@
     pub(super) fn set_answered(&self, has_query_id: bool) {
         let now = Instant::now();
         self.last_used.set(now);
-        self.quiet_until.set((!has_query_id).then(|| now + QUIET_TIME_WITHOUT_QUERY_ID));
+        self.settled_at.set((!has_query_id).then(|| now + SETTLE_TIME_WITHOUT_QUERY_ID));
     }
 
     /// Removes the current job and returns it.
--- a/src/net/engine/clickhouse/mod.rs
+++ b/src/net/engine/clickhouse/mod.rs
@@ -1,5 +1,5 @@
 //! Engines with the ClickHouse HTTP interface. A connection carries one attempt at a time. It is used again if nothing followed
-//! the response; after a response without a query id, preferably once it has been quiet for a while. An attempt is aborted by closing
+//! the response; after a response without a query id, preferably once it has settled. An attempt is aborted by closing
 //! its connection, which is how such an engine is notified.
 //!
 //! [`HttpEngines`] chooses a connection, `request` encodes the request of an attempt, `driver` owns the socket, and
@@ -24,9 +24,9 @@
 use std::rc::Rc;
 use tokio::sync::mpsc::Sender;
 
-/// Number of connections to an engine without query ids up to which another is opened, so that each can be quiet for a while
+/// Number of connections to an engine without query ids up to which another is opened, so that each can settle
 /// between two jobs.
-const MAX_CONNECTIONS_TO_BE_QUIET: usize = 2;
+const MAX_CONNECTIONS_TO_SETTLE: usize = 2;
 
 /// Connections to all engines with this interface, in pools by engine id. A separate task drives each connection.
 pub struct HttpEngines {
@@ -67,7 +67,7 @@
     fn free_connection(&self, engine: &EngineId, job: &Job) -> Option<Rc<Connection>> {
         let pool = self.pools.get(engine)?;
         let free = || pool.iter().filter(|connection| connection.is_free());
-        let clean = free().filter(|connection| connection.is_quiet() && !connection.has_carried(job));
+        let clean = free().filter(|connection| connection.is_settled() && !connection.has_carried(job));
         if let Some(connection) = clean.max_by_key(|connection| connection.last_used.get()) {
             return Some(connection.clone());
         }
@@ -77,12 +77,12 @@
         Some(unused_longest.clone()).filter(|_| !may_open)
     }
 
-    /// Returns whether a connection may be opened although another is free: a few in place of those that have not been quiet
+    /// Returns whether a connection may be opened although another is free: a few in place of those that have not settled
     /// yet, and up to half of the engine's share if a client uses a query id again.
     fn may_open_for_cleanliness(&self, pool: &[Rc<Connection>], repeats_query_id: bool) -> bool {
         let open = pool.iter().filter(|connection| !connection.closed.get()).count();
         let share = self.max_connections() / self.pools.len().max(1);
-        let max_open = if repeats_query_id { share / 2 } else { MAX_CONNECTIONS_TO_BE_QUIET };
+        let max_open = if repeats_query_id { share / 2 } else { MAX_CONNECTIONS_TO_SETTLE };
         open < max_open && self.open_connections() < self.max_connections()
     }
 
