A reservation of memory ends with its message, not with the next read

Cause: by reading, the reservation of a message was released at the next read; that none was used for the next message rested on reads that end exactly with a long message. Change: ReadBuffer::consume releases it. A case with pipelined messages in tests/memory.rs.

--- a/src/net/connection/read_buffer.rs
+++ b/src/net/connection/read_buffer.rs
@@ -113,6 +113,16 @@
         if self.body.is_none() {
             self.expected_bytes = 0;
             self.incomplete_since = Some(self.last_filled).filter(|_| !self.unread().is_empty());
+            self.release_reservation();
+        }
+    }
+
+    /// Releases the reservation of a message that has ended. The next message needs its own.
+    fn release_reservation(&self) {
+        if let Peer::Client(memory) = &self.peer {
+            if memory.has_reservation() {
+                self.shared.incoming.release(memory);
+            }
         }
     }
 
@@ -233,12 +243,7 @@
     fn count_capacity(&mut self) {
         let capacity = self.bytes.capacity() + self.body.as_ref().map_or(0, Vec::capacity);
         match &self.peer {
-            Peer::Client(memory) => {
-                self.shared.incoming.set_allocated(memory, capacity);
-                if self.expected_bytes == 0 && memory.has_reservation() {
-                    self.shared.incoming.release(memory);
-                }
-            }
+            Peer::Client(memory) => self.shared.incoming.set_allocated(memory, capacity),
             Peer::Other => self.shared.outgoing.update(capacity, self.counted_bytes),
         }
         self.counted_bytes = capacity;
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -17,6 +17,8 @@
 const SENT_BYTES: usize = 1_040_000;
 /// Length of the statements of usual clients that are longer than one read from a socket.
 const LONG_STATEMENT_BYTES: usize = 100_000;
+/// Number of bytes that one read from a socket requests.
+const READ_BYTES: usize = 16 << 10;
 /// Number of requests that each usual client sends after the crowd was first disconnected.
 const REQUESTS: usize = 20;
 
@@ -27,12 +29,14 @@
     HttpLength,
     HttpChunked,
     HttpContinue,
+    /// Over Thrift, behind a complete message of which the reservation must not serve for this one.
+    ThriftPipelined,
 }
 
 impl Form {
     fn address(self, gateway: &Gateway) -> SocketAddr {
         match self {
-            Self::Thrift => gateway.thrift,
+            Self::Thrift | Self::ThriftPipelined => gateway.thrift,
             _ => gateway.http.expect("an HTTP address"),
         }
     }
@@ -40,7 +44,9 @@
     /// Returns a message that announces `ANNOUNCED_BYTES`, of which only `SENT_BYTES` follow.
     fn incomplete_message(self) -> Vec<u8> {
         let head = match self {
-            Self::Thrift => [&(ANNOUNCED_BYTES as u32).to_be_bytes()[..], &[0x80, 1, 0, 1]].concat(),
+            Self::Thrift | Self::ThriftPipelined => {
+                [&(ANNOUNCED_BYTES as u32).to_be_bytes()[..], &[0x80, 1, 0, 1]].concat()
+            }
             Self::HttpChunked => {
                 format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{ANNOUNCED_BYTES:x}\r\n").into()
             }
@@ -48,7 +54,16 @@
                 format!("POST / HTTP/1.1\r\nContent-Length: {ANNOUNCED_BYTES}\r\n\r\n").into()
             }
         };
-        [head, vec![b'x'; SENT_BYTES]].concat()
+        let preceding = match self {
+            Self::ThriftPipelined => {
+                // A message without an answer that is a little longer than one read from a socket, and begins inside one.
+                let cancel = cancel(1);
+                let padding = cancel.repeat(READ_BYTES / 2 / cancel.len());
+                [padding, cancel_of_length(READ_BYTES + 1_000)].concat()
+            }
+            _ => Vec::new(),
+        };
+        [preceding, head, vec![b'x'; SENT_BYTES]].concat()
     }
 
     /// Sends a request whose statement has the given length, and asserts that it is served.
@@ -103,6 +118,21 @@
     }
 }
 
+/// Encodes a `cancel` with an unknown field of zeros, so that the message has about this length.
+fn cancel_of_length(bytes: usize) -> Vec<u8> {
+    let mut message = cancel(1);
+    let zeros = vec![0; bytes];
+    // The message ends with the byte that ends its fields.
+    message.pop();
+    message.extend([11, 0, 9]);
+    message.extend((zeros.len() as u32).to_be_bytes());
+    message.extend(zeros);
+    message.push(0);
+    let length = (message.len() - 4) as u32;
+    message[..4].copy_from_slice(&length.to_be_bytes());
+    message
+}
+
 fn with_memory(config: &str, memory_mb: usize) -> String {
     with_replacement(config, r#""memory_mb":192"#, &format!(r#""memory_mb":{memory_mb}"#))
 }
@@ -174,6 +204,7 @@
 #[case::http_with_length(Form::HttpLength)]
 #[case::http_chunked(Form::HttpChunked)]
 #[case::thrift(Form::Thrift)]
+#[case::thrift_pipelined(Form::ThriftPipelined)]
 fn incomplete_messages_stay_within_the_memory_limit(#[case] crowd: Form) {
     const MEMORY_MB: usize = 64;
     let peak = peak_memory_beside_crowd(crowd, Form::HttpLength, MEMORY_MB, 100);
