A request that its client withdraws adds nothing to the retry budget

Cause: requests were counted when they were read and stayed counted. Evidence, log at trace: the gateway that broke the rule read 438 requests in place of 238; 200 came within one second, each followed by its cancellation, none was sent.

Change: FrontendState::abandon and the decision module take a request out of their budgets that is withdrawn before its answer.

--- a/crates/decision/src/arrivals.rs
+++ b/crates/decision/src/arrivals.rs
@@ -29,11 +29,13 @@
         let over_quota = self.deduct_from_quota(details.tenant);
         self.enqueue_for_key(details);
         // Requests that arrived during a pause may have been waiting since the start of the pause.
-        self.retry_budget.record_request(self.now - self.paused_for);
+        let counted_at = self.now - self.paused_for;
+        self.retry_budget.record_request(counted_at);
         self.add_health_check_credit();
         let age = self.learn_time_left(details.class, details.deadline);
         let mut request = Request::new(details.clone(), self.now, relative_size, over_quota);
         request.received_at -= age;
+        request.counted_at = counted_at;
         request.share_draw = self.rng.f64();
         self.requests.insert(details.id, request);
     }
--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -116,8 +116,9 @@
                 }
             }
             Event::ClientDisconnected(id) => {
-                if let Some(request) = self.requests.get_mut(id) {
+                if let Some(request) = self.requests.get_mut(id).filter(|request| !request.closed) {
                     request.closed = true;
+                    self.retry_budget.remove_request(request.counted_at);
                 }
                 self.discard_if_done(*id);
             }
--- a/crates/decision/src/retry_budget.rs
+++ b/crates/decision/src/retry_budget.rs
@@ -32,6 +32,15 @@
         }
     }
 
+    /// Removes a request that was recorded at `at`: its client withdrew it before the final answer. Otherwise a client could
+    /// raise the budget with requests that it cancels at once.
+    pub fn remove_request(&mut self, at: Milliseconds) {
+        let index = self.received.partition_point(|recorded| *recorded < at);
+        if self.received.get(index) == Some(&at) {
+            self.received.remove(index);
+        }
+    }
+
     /// Records a retry sent at `at`.
     pub fn record_retry(&mut self, at: Milliseconds) {
         if self.settings.is_some() {
--- a/crates/decision/src/retry_budget/tests.rs
+++ b/crates/decision/src/retry_budget/tests.rs
@@ -39,3 +39,14 @@
     budget.discard_before_window(5_000.0, 0.0);
     assert!(budget.received.is_empty());
 }
+
+#[test]
+fn withdrawn_request_adds_nothing_to_the_budget() {
+    let mut budget = budget();
+    for at in [100.0, 200.0, 200.0, 300.0] {
+        budget.record_request(at);
+    }
+    budget.remove_request(200.0);
+    budget.remove_request(250.0);
+    assert_eq!(budget.received, [100.0, 200.0, 300.0]);
+}
--- a/crates/decision/src/state/request.rs
+++ b/crates/decision/src/state/request.rs
@@ -78,6 +78,8 @@
     pub(crate) details: RequestDetails,
     /// Time at which the request was received; estimated if it arrived during a pause of the process.
     pub(crate) received_at: Milliseconds,
+    /// Time at which the request was recorded in the retry budget.
+    pub(crate) counted_at: Milliseconds,
     /// Random number from 0 to 1, drawn once, that rounds this gateway's share of the concurrency limit up or down.
     pub(crate) share_draw: f64,
     /// Time since which the request has been waiting for an engine.
@@ -109,6 +111,7 @@
         Self {
             details,
             received_at: now,
+            counted_at: now,
             share_draw: 0.5,
             waiting_since: now,
             relative_size,
--- a/src/net/connection/shared_state.rs
+++ b/src/net/connection/shared_state.rs
@@ -56,12 +56,19 @@
         self.started.elapsed().as_secs_f64() * 1000.0
     }
 
-    /// Counts a request that was read, which adds a fraction of a retry to the retry budget.
-    pub fn count_request(&self) {
+    /// Counts a request that was read, which adds a fraction of a retry to the retry budget. Returns the time under which it is
+    /// counted.
+    pub fn count_request(&self) -> Milliseconds {
         let now = self.elapsed();
         let mut budget = self.retry_budget.borrow_mut();
         budget.record_request(now);
         budget.discard_before_window(now, 0.0);
+        now
+    }
+
+    /// Removes a request from the retry budget that was counted at `counted_at`, and that its client has withdrawn.
+    pub fn remove_request(&self, counted_at: Milliseconds) {
+        self.retry_budget.borrow_mut().remove_request(counted_at);
     }
 
     /// Returns whether a retry may be written now. If so, counts it as written.
--- a/src/net/front/state.rs
+++ b/src/net/front/state.rs
@@ -28,6 +28,8 @@
     name: String,
     response_writer: Box<dyn ResponseWriter>,
     statement: Rc<Statement>,
+    /// Time under which the request is counted in the retry budget; `None` once its client has withdrawn it.
+    counted_at: Cell<Option<Milliseconds>>,
 }
 
 /// State shared by all client protocols. Owns the pending requests and the list of client connections.
@@ -216,9 +218,10 @@
         let statement = Rc::new(received.statement);
         // Nothing is awaited from here on, so that a connection that ends cannot leave a partly submitted request.
         let Ok(event) = self.events.reserve().await else { return };
-        self.shared.count_request();
+        let counted_at = Cell::new(Some(self.shared.count_request()));
         self.ids_by_name.borrow_mut().insert(received.name.clone(), id);
-        let pending = PendingRequest { name: received.name, response_writer, statement: statement.clone() };
+        let pending =
+            PendingRequest { name: received.name, response_writer, statement: statement.clone(), counted_at };
         self.pending.borrow_mut().insert(id, pending);
         event.send(Event::RequestReceived(ClientRequest { details, statement }));
     }
@@ -246,11 +249,15 @@
         Some(removed.response_writer)
     }
 
-    /// Records that the clients of these requests have disconnected or cancelled them: no attempt of them may be sent any more.
+    /// Records that the clients of these requests have disconnected or cancelled them: no attempt of them may be sent any more,
+    /// and they add nothing to the retry budget.
     pub fn abandon(&self, ids: &[RequestId]) {
         let pending = self.pending.borrow();
         for request in ids.iter().filter_map(|id| pending.get(id)) {
             request.statement.abandon();
+            if let Some(counted_at) = request.counted_at.take() {
+                self.shared.remove_request(counted_at);
+            }
         }
     }
 
