--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -58,7 +58,8 @@
         self.abandoned.get()
     }
 
-    pub(super) fn bytes(&self) -> usize {
+    /// Returns the number of bytes of the text and the data.
+    pub fn bytes(&self) -> usize {
         self.text.len() + self.data.len()
     }
 }
--- a/src/net/connection/incoming_memory.rs
+++ b/src/net/connection/incoming_memory.rs
@@ -1,21 +1,22 @@
 //! Memory for messages that clients have not sent completely.
 //!
 //! A short message, or the first part of a long one, is counted as it arrives. Before the rest of a long message is read, its
-//! complete length is reserved, so that each message that is being read can be completed. Messages wait for their reservation, and
-//! their bytes stay in the socket meanwhile: shorter ones go first, unless a longer one has waited for much longer. While one
-//! waits, connections that hold a reservation and have stopped sending are requested to release it.
+//! complete length is reserved, so that each message that is being read can be completed. Once the memory is exhausted, short
+//! messages need a reservation as well. Messages wait for their reservation, and their bytes stay in the socket meanwhile: shorter
+//! ones go first, unless a longer one has waited for much longer. While one waits, connections that hold memory and have stopped
+//! sending are requested to release it. A message that is complete is counted until the reducer takes its request.
 
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::{timeout, Instant};
 
-/// Time without a received byte after which a reservation is released if another message waits for memory.
+/// Time without a received byte after which a message releases its memory if another message waits.
 const MAX_STALL_WHILE_OTHERS_WAIT: Duration = Duration::from_millis(250);
 /// Time by which a message that is one byte longer is served later, as if it had arrived later: 10 s for 1 MB.
 const DELAY_PER_BYTE: Duration = Duration::from_micros(10);
-/// Interval at which the first waiting message checks for reservations to release.
+/// Interval at which the first waiting message checks for memory to release.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Memory that the incomplete message of one client takes.
@@ -88,7 +89,10 @@
 #[derive(Debug, Default)]
 pub struct IncomingMemory {
     used_bytes: Cell<usize>,
-    reservations: RefCell<Vec<Rc<MessageMemory>>>,
+    /// Messages of all open connections.
+    messages: RefCell<Vec<Weak<MessageMemory>>>,
+    /// Number of messages with a reservation.
+    reservations: Cell<usize>,
     /// Messages that wait for a reservation.
     waiting: RefCell<Vec<Rc<MessageMemory>>>,
 }
@@ -99,6 +103,31 @@
         self.used_bytes.get()
     }
 
+    /// Creates the memory for the messages of a connection.
+    pub(super) fn add_connection(&self) -> Rc<MessageMemory> {
+        let memory = MessageMemory::new();
+        let mut messages = self.messages.borrow_mut();
+        messages.retain(|message| message.strong_count() > 0);
+        messages.push(Rc::downgrade(&memory));
+        memory
+    }
+
+    /// Returns whether fewer than `bytes` are left.
+    pub(super) fn is_exhausted(&self, bytes: usize, max_bytes: usize) -> bool {
+        self.used_bytes.get() + bytes > max_bytes
+    }
+
+    /// Counts the bytes of a complete message, until [`remove_submitted`](Self::remove_submitted).
+    pub fn add_submitted(&self, bytes: usize) {
+        self.used_bytes.set(self.used_bytes.get() + bytes);
+    }
+
+    /// Removes the bytes of a complete message: the reducer has taken its request, or its connection has ended.
+    pub fn remove_submitted(&self, bytes: usize) {
+        self.used_bytes.set(self.used_bytes.get() - bytes);
+        self.notify_first();
+    }
+
     /// Sets the number of bytes that are allocated for a message.
     pub(super) fn set_allocated(&self, memory: &MessageMemory, bytes: usize) {
         self.update(memory, |memory| memory.allocated.set(bytes));
@@ -125,7 +154,7 @@
             let _ = timeout(STALL_CHECK_INTERVAL, memory.may_reserve.notified()).await;
         }
         self.stop_waiting(memory);
-        self.reservations.borrow_mut().push(memory.clone());
+        self.reservations.set(self.reservations.get() + 1);
         memory.set_arrived(Instant::now());
         self.update(memory, |memory| memory.reserved.set(bytes));
         self.notify_first();
@@ -133,7 +162,9 @@
 
     /// Releases the reservation of a message, and its place among the waiting messages.
     pub(super) fn release(&self, memory: &Rc<MessageMemory>) {
-        remove(&self.reservations, memory);
+        if memory.has_reservation() {
+            self.reservations.set(self.reservations.get() - 1);
+        }
         self.stop_waiting(memory);
         self.update(memory, |memory| memory.reserved.set(0));
         self.notify_first();
@@ -141,7 +172,7 @@
 
     fn stop_waiting(&self, memory: &Rc<MessageMemory>) {
         if memory.rank.take().is_some() {
-            remove(&self.waiting, memory);
+            self.waiting.borrow_mut().retain(|waiting| !Rc::ptr_eq(waiting, memory));
         }
     }
 
@@ -158,7 +189,7 @@
     fn may_reserve(&self, memory: &Rc<MessageMemory>, bytes: usize, max_bytes: usize) -> bool {
         let additional = bytes.saturating_sub(memory.counted());
         let fits = self.used_bytes.get() + additional <= max_bytes;
-        self.is_first(memory) && (fits || self.reservations.borrow().is_empty())
+        self.is_first(memory) && (fits || self.reservations.get() == 0)
     }
 
     fn first_waiting(&self) -> Option<Rc<MessageMemory>> {
@@ -175,17 +206,15 @@
         }
     }
 
-    /// Requests connections that have stopped sending to release their reservations.
+    /// Requests connections that have stopped sending to release their memory.
     fn request_releases(&self) {
-        for memory in self.reservations.borrow().iter().filter(|memory| memory.is_stalled()) {
+        let messages = self.messages.borrow();
+        let stalled = messages.iter().filter_map(Weak::upgrade).filter(|memory| memory.is_stalled());
+        for memory in stalled.filter(|memory| memory.counted() > 0) {
             memory.request_release();
         }
     }
 }
 
-fn remove(list: &RefCell<Vec<Rc<MessageMemory>>>, memory: &Rc<MessageMemory>) {
-    list.borrow_mut().retain(|listed| !Rc::ptr_eq(listed, memory));
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/net/connection/incoming_memory/tests.rs
+++ b/src/net/connection/incoming_memory/tests.rs
@@ -20,7 +20,7 @@
 fn messages_of_similar_length_wait_in_the_order_of_their_arrival() {
     run(async {
         let pool = IncomingMemory::default();
-        let [first, second, third] = [MessageMemory::new(), MessageMemory::new(), MessageMemory::new()];
+        let [first, second, third] = [0; 3].map(|_| pool.add_connection());
         pool.reserve(&first, 60, 60, LIMIT).await;
         assert!(!is_ready(pool.reserve(&second, 60, 60, LIMIT)).await);
         tokio::time::sleep(DELAY_PER_BYTE * 60).await;
@@ -39,7 +39,7 @@
     const MEGABYTE: usize = 1_000_000;
     run(async {
         let pool = IncomingMemory::default();
-        let [first, long, short] = [MessageMemory::new(), MessageMemory::new(), MessageMemory::new()];
+        let [first, long, short] = [0; 3].map(|_| pool.add_connection());
         pool.reserve(&first, MEGABYTE, MEGABYTE, MEGABYTE).await;
         assert!(!is_ready(pool.reserve(&long, MEGABYTE, MEGABYTE, MEGABYTE)).await);
         assert!(!is_ready(pool.reserve(&short, 1, 1, MEGABYTE)).await);
@@ -53,7 +53,7 @@
 fn one_message_above_the_limit_is_read_at_a_time() {
     run(async {
         let pool = IncomingMemory::default();
-        let [first, second] = [MessageMemory::new(), MessageMemory::new()];
+        let [first, second] = [0; 2].map(|_| pool.add_connection());
         assert!(is_ready(pool.reserve(&first, 10 * LIMIT, 10 * LIMIT, LIMIT)).await);
         assert!(!is_ready(pool.reserve(&second, 1, 1, LIMIT)).await);
         pool.release(&first);
@@ -65,7 +65,7 @@
 fn a_stalled_reservation_is_released_only_if_another_message_waits() {
     run(async {
         let pool = IncomingMemory::default();
-        let [stalled, active, waiting] = [MessageMemory::new(), MessageMemory::new(), MessageMemory::new()];
+        let [stalled, active, waiting] = [0; 3].map(|_| pool.add_connection());
         pool.reserve(&stalled, 60, 60, LIMIT).await;
         pool.reserve(&active, 20, 20, LIMIT).await;
         let now = Instant::now();
@@ -83,7 +83,7 @@
 #[test]
 fn allocated_bytes_of_a_reservation_count_once() {
     let pool = IncomingMemory::default();
-    let memory = MessageMemory::new();
+    let memory = pool.add_connection();
     run(async {
         pool.set_allocated(&memory, 30);
         pool.reserve(&memory, 80, 80, LIMIT).await;
@@ -94,3 +94,38 @@
         assert_eq!(pool.used_bytes(), 0);
     });
 }
+
+#[test]
+fn short_messages_are_released_as_well_once_they_stall() {
+    run(async {
+        let pool = IncomingMemory::default();
+        let [stalled, idle, waiting] = [0; 3].map(|_| pool.add_connection());
+        pool.set_allocated(&stalled, LIMIT);
+        assert!(pool.is_exhausted(1, LIMIT) && !pool.is_exhausted(0, LIMIT));
+        let long_ago = Instant::now().checked_sub(MAX_STALL_WHILE_OTHERS_WAIT);
+        for memory in [&stalled, &idle] {
+            memory.set_arrived(long_ago.expect("the clock has run for longer"));
+        }
+        pool.reserve(&waiting, 10, 10, LIMIT).await;
+        let another = pool.add_connection();
+        assert!(!is_ready(pool.reserve(&another, 10, 10, LIMIT)).await);
+        assert!(stalled.is_release_requested(), "it holds memory and has stopped sending");
+        assert!(!idle.is_release_requested(), "it holds nothing");
+        pool.set_allocated(&stalled, 0);
+        assert!(is_ready(pool.reserve(&another, 10, 10, LIMIT)).await);
+    });
+}
+
+#[test]
+fn a_submitted_message_counts_until_it_is_taken() {
+    run(async {
+        let pool = IncomingMemory::default();
+        let memory = pool.add_connection();
+        pool.reserve(&memory, 10, 10, LIMIT).await;
+        pool.add_submitted(LIMIT);
+        let next = pool.add_connection();
+        assert!(!is_ready(pool.reserve(&next, 10, 10, LIMIT)).await);
+        pool.remove_submitted(LIMIT);
+        assert!(is_ready(pool.reserve(&next, 10, 10, LIMIT)).await);
+    });
+}
--- a/src/net/connection/read_buffer.rs
+++ b/src/net/connection/read_buffer.rs
@@ -9,6 +9,10 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+/// Divisor of the memory for incoming messages that gives the part for long ones. The rest is for short messages, which then do not
+/// wait for long ones.
+const LONG_MESSAGES_DIVISOR: usize = 2;
+
 /// Peer from which a buffer is filled.
 #[derive(Debug)]
 enum Peer {
@@ -52,7 +56,8 @@
 
     /// Creates an empty buffer for a client.
     pub fn for_client(shared: Rc<SharedState>) -> Self {
-        Self::with_peer(shared, Peer::Client(MessageMemory::new()))
+        let memory = shared.incoming.add_connection();
+        Self::with_peer(shared, Peer::Client(memory))
     }
 
     fn with_peer(shared: Rc<SharedState>, peer: Peer) -> Self {
@@ -176,9 +181,9 @@
     /// The connection failed.
     pub async fn fill(&mut self, stream: &TcpStream, limits: &Limits) -> io::Result<bool> {
         self.release_consumed();
-        self.reserve_message(limits).await;
         loop {
             stream.readable().await?;
+            self.reserve_message(stream, limits).await;
             self.reserve_space(limits);
             match stream.try_read_buf(&mut self.bytes) {
                 Ok(count) => {
@@ -197,13 +202,16 @@
         if matches!(self.peer, Peer::Other) {
             return self.bytes.reserve(limits.read_chunk_bytes);
         }
-        let missing = self.expected_bytes.saturating_sub(self.bytes.len());
-        let is_long = self.body.is_none() && self.expected_bytes > limits.read_chunk_bytes;
-        if !is_long || missing == 0 {
+        if self.bytes.capacity() == self.bytes.len() || !self.is_long(limits) || self.body.is_some() {
             self.bytes.reserve_exact(limits.read_chunk_bytes);
         }
     }
 
+    /// Returns whether the current message is longer than one read.
+    fn is_long(&self, limits: &Limits) -> bool {
+        self.expected_bytes > limits.read_chunk_bytes
+    }
+
     fn set_filled(&mut self) {
         self.last_filled = Instant::now();
         self.incomplete_since = self.incomplete_since.or(Some(self.last_filled));
@@ -212,18 +220,27 @@
         }
     }
 
-    /// Reserves the memory of a client's message that is longer than one read, unless it is reserved already.
-    async fn reserve_message(&mut self, limits: &Limits) {
+    /// Reserves the memory of a client's message if it is long, or if the memory for messages is exhausted. Nothing is reserved for
+    /// a client that has sent nothing further.
+    async fn reserve_message(&mut self, stream: &TcpStream, limits: &Limits) {
         let Peer::Client(memory) = &self.peer else { return };
-        if self.expected_bytes <= limits.read_chunk_bytes || memory.has_reservation() {
+        let max_bytes = self.shared.process_share(limits.max_incoming_bytes);
+        let is_long = self.is_long(limits);
+        let is_needed = is_long || self.shared.incoming.is_exhausted(limits.read_chunk_bytes, max_bytes);
+        if !is_needed || memory.has_reservation() || !matches!(rustix::io::ioctl_fionread(stream), Ok(1..)) {
             return;
         }
-        let max_bytes = self.shared.process_share(limits.max_incoming_bytes);
-        let (expected, announced) = (self.expected_bytes, self.announced_bytes);
+        let short_bytes = self.bytes.len() + limits.read_chunk_bytes;
+        let (expected, announced, max_bytes) = match is_long {
+            true => (self.expected_bytes, self.announced_bytes, max_bytes / LONG_MESSAGES_DIVISOR),
+            false => (short_bytes, short_bytes, max_bytes),
+        };
         self.shared.incoming.reserve(memory, expected, announced, max_bytes).await;
-        match &mut self.body {
-            Some(body) => body.reserve_exact(self.expected_bytes.saturating_sub(body.len())),
-            None => self.bytes.reserve_exact(self.expected_bytes.saturating_sub(self.bytes.len())),
+        if is_long {
+            match &mut self.body {
+                Some(body) => body.reserve_exact(expected.saturating_sub(body.len())),
+                None => self.bytes.reserve_exact(expected.saturating_sub(self.bytes.len())),
+            }
         }
         self.restart_message_timeout();
     }
--- a/src/net/connection/write_queue.rs
+++ b/src/net/connection/write_queue.rs
@@ -122,9 +122,9 @@
     }
 
     /// Returns the time from which on the peer has accepted no complete frame, if its socket accepts no more bytes and the
-    /// connection is not closing.
+    /// queue is not discarded. A connection that closes once its frames are written may be blocked as well.
     pub(super) fn blocked_since(&self) -> Option<Instant> {
-        self.blocked_since.get().filter(|_| !self.is_closing())
+        self.blocked_since.get().filter(|_| self.close_mode.get() != Some(CloseMode::Immediately))
     }
 
     /// Closes the connection of a client that does not read its answers, and discards them.
--- a/src/net/engine/connection.rs
+++ b/src/net/engine/connection.rs
@@ -154,13 +154,18 @@
     /// Ends attempts whose results have stopped arriving, with an error, as they were executed.
     pub(super) fn end_stalled_results(&self, limits: &Limits, events: &mut Vec<Event>) {
         for name in self.stalled_names(limits) {
-            let Some(attempt) = self.end_attempt(&name) else { continue };
-            self.write_queue.push(resp::command(&["shut", &name]), limits);
-            self.retire_name(name, limits);
-            events.push(Event::AttemptEnded(attempt.id, AttemptEnd::from_outcome(Outcome::Error)));
+            events.extend(self.abort_result(name, limits));
         }
     }
 
+    /// Ends an attempt of whose result a part has arrived, with an error, as it was executed.
+    pub(super) fn abort_result(&self, name: String, limits: &Limits) -> Option<Event> {
+        let attempt = self.end_attempt(&name)?;
+        self.write_queue.push(resp::command(&["shut", &name]), limits);
+        self.retire_name(name, limits);
+        Some(Event::AttemptEnded(attempt.id, AttemptEnd::from_outcome(Outcome::Error)))
+    }
+
     fn stalled_names(&self, limits: &Limits) -> Vec<String> {
         let in_flight = self.in_flight.borrow();
         let stalled = in_flight.iter().filter(|(_, attempt)| attempt.is_stalled(limits));
--- a/src/net/engine/replies.rs
+++ b/src/net/engine/replies.rs
@@ -116,12 +116,25 @@
     let effect = result.add(number, reply.body, limits);
     drop(in_flight);
     match effect {
+        PageEffect::Incomplete if exceeds_memory(connection, limits) => {
+            log::warn_rate_limited(
+                "the memory for results is exhausted; ending an attempt whose result is incomplete",
+            );
+            let event = connection.abort_result(reply.id.to_owned(), limits);
+            event.map_or(ReplyEffect::Ignored, ReplyEffect::Event)
+        }
         PageEffect::Duplicate | PageEffect::Incomplete => ReplyEffect::Ignored,
         PageEffect::Complete => end_with_result(connection, reply.id, limits),
         PageEffect::Invalid => ReplyEffect::ProtocolError,
     }
 }
 
+/// Returns whether the memory for results is exceeded, although clients that do not read were disconnected.
+fn exceeds_memory(connection: &Connection, limits: &Limits) -> bool {
+    let shared = connection.write_queue.shared();
+    !shared.outgoing.relieve(shared.process_share(limits.max_outgoing_bytes))
+}
+
 /// Requests all pages of a result after the first.
 fn request_further_pages(connection: &Connection, name: &str, count: usize, limits: &Limits) {
     for page in 1..count {
--- a/src/net/front/state.rs
+++ b/src/net/front/state.rs
@@ -65,6 +65,31 @@
     next_request_id: Cell<u64>,
 }
 
+/// Counts the bytes of a statement as incoming memory until it is dropped, or until the reducer takes the request.
+struct SubmittedMemory<'a> {
+    shared: &'a SharedState,
+    bytes: usize,
+}
+
+impl<'a> SubmittedMemory<'a> {
+    fn count(shared: &'a SharedState, statement: &Statement) -> Self {
+        let bytes = statement.bytes();
+        shared.incoming.add_submitted(bytes);
+        Self { shared, bytes }
+    }
+
+    /// Leaves the bytes counted, until [`FrontendState::request_taken`] removes them.
+    fn pass_on(mut self) {
+        self.bytes = 0;
+    }
+}
+
+impl Drop for SubmittedMemory<'_> {
+    fn drop(&mut self) {
+        self.shared.incoming.remove_submitted(self.bytes);
+    }
+}
+
 /// Reference held by everything that may still add a client connection: listeners, and accepted connections that wait
 /// for a slot.
 pub type ListenerGuard = Rc<()>;
@@ -216,8 +241,10 @@
             is_retry: received.is_retry,
         };
         let statement = Rc::new(received.statement);
+        let memory = SubmittedMemory::count(&self.shared, &statement);
         // Nothing is awaited from here on, so that a connection that ends cannot leave a partly submitted request.
         let Ok(event) = self.events.reserve().await else { return };
+        memory.pass_on();
         let counted_at = Cell::new(Some(self.shared.count_request()));
         self.ids_by_name.borrow_mut().insert(received.name.clone(), id);
         let pending =
@@ -226,6 +253,11 @@
         event.send(Event::RequestReceived(ClientRequest { details, statement }));
     }
 
+    /// Records that the reducer takes a submitted request, whose statement it counts from now on.
+    pub fn request_taken(&self, request: &ClientRequest) {
+        self.shared.incoming.remove_submitted(request.statement.bytes());
+    }
+
     /// Returns the name under which a request is sent to engines: the client's, or a new one if the client's was used recently,
     /// as a late copy of the earlier response would have the same name.
     pub fn engine_name(&self, name: &str, id: RequestId) -> String {
--- a/src/net/runtime/cycle.rs
+++ b/src/net/runtime/cycle.rs
@@ -54,8 +54,11 @@
     fn before_event(&mut self, now: Milliseconds, event: &Event, effects: &mut Vec<Effect>) {
         match event {
             Event::EndpointList { .. } => self.list_received = true,
-            Event::RequestReceived(request) if request.statement.key.is_some() => {
-                self.read_peer_keys(now, effects);
+            Event::RequestReceived(request) => {
+                self.frontend.request_taken(request);
+                if request.statement.key.is_some() {
+                    self.read_peer_keys(now, effects);
+                }
             }
             _ => {}
         }
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -31,12 +31,14 @@
     HttpContinue,
     /// Over Thrift, behind a complete message of which the reservation must not serve for this one.
     ThriftPipelined,
+    /// Over Thrift, with a part that is shorter than one read from a socket.
+    ThriftShort,
 }
 
 impl Form {
     fn address(self, gateway: &Gateway) -> SocketAddr {
         match self {
-            Self::Thrift | Self::ThriftPipelined => gateway.thrift,
+            Self::Thrift | Self::ThriftPipelined | Self::ThriftShort => gateway.thrift,
             _ => gateway.http.expect("an HTTP address"),
         }
     }
@@ -44,7 +46,7 @@
     /// Returns a message that announces `ANNOUNCED_BYTES`, of which only `SENT_BYTES` follow.
     fn incomplete_message(self) -> Vec<u8> {
         let head = match self {
-            Self::Thrift | Self::ThriftPipelined => {
+            Self::Thrift | Self::ThriftPipelined | Self::ThriftShort => {
                 [&(ANNOUNCED_BYTES as u32).to_be_bytes()[..], &[0x80, 1, 0, 1]].concat()
             }
             Self::HttpChunked => {
@@ -63,7 +65,8 @@
             }
             _ => Vec::new(),
         };
-        [preceding, head, vec![b'x'; SENT_BYTES]].concat()
+        let sent_bytes = if self == Self::ThriftShort { READ_BYTES - 1_000 } else { SENT_BYTES };
+        [preceding, head, vec![b'x'; sent_bytes]].concat()
     }
 
     /// Sends a request whose statement has the given length, and asserts that it is served.
@@ -199,6 +202,12 @@
     peak_memory_beside_crowd(crowd, usual, 16, 24);
 }
 
+/// Many clients that stop inside short messages, or inside the first part of long ones, take the memory together.
+#[test]
+fn requests_are_served_beside_a_crowd_that_stops_inside_short_messages() {
+    peak_memory_beside_crowd(Form::ThriftShort, Form::Thrift, 4, 120);
+}
+
 /// Bodies over HTTP used not to be counted: 120 clients that stop inside a body of 1 MB took over 120 MB.
 #[rstest]
 #[case::http_with_length(Form::HttpLength)]
