Logs and metrics of the event loop's cycles and of closed client connections

Cause: the incident's logs did not show whose connection was closed and why, nor what held up the event loop; a timer of the reducer that fired late was logged as 'the process was paused', also where the program itself had run all the time. Change: each poll of a task is measured (net::loop_profile); a cycle over 50 ms is logged with the time by kind of task, the CPU time used and the peer that took most, and as a pause only where hardly any CPU time was used. Each end of a client connection has a reason, a counter and a line with the client's address. Metrics gateway.closed.R, gateway.loop_time.T, gateway.loop_longest.T. No decision changed.

--- a/crates/admin/src/metrics.rs
+++ b/crates/admin/src/metrics.rs
@@ -20,7 +20,7 @@
 /// Documentation of a metric.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MetricDescription {
-    /// Name of the metric, in which `C` stands for the name of a class.
+    /// Name of the metric, in which `C` stands for the name of a class, `R` for a reason to close and `T` for a kind of task.
     pub name: &'static str,
     /// Unit of the metric.
     pub unit: &'static str,
@@ -33,7 +33,7 @@
 }
 
 /// Descriptions of all metrics.
-pub const TABLE: [MetricDescription; 9] = [
+pub const TABLE: [MetricDescription; 12] = [
     describe(
         "gateway.answered.C",
         "requests",
@@ -67,6 +67,21 @@
         "bytes",
         "taken by results and by answers that clients have not read, now",
     ),
+    describe(
+        "gateway.closed.R",
+        "connections",
+        "of clients that ended for the reason R since this process started",
+    ),
+    describe(
+        "gateway.loop_time.T",
+        "microseconds",
+        "that tasks of the kind T ran since this process started",
+    ),
+    describe(
+        "gateway.loop_longest.T",
+        "microseconds",
+        "the longest that a task of the kind T ran without letting others run, since this process started",
+    ),
 ];
 
 /// Index of a class and the event to count for it.
@@ -93,6 +108,29 @@
     pub memory_outgoing: usize,
 }
 
+/// Metrics whose names end with the name of a reason or of a kind of task.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct NamedCounts {
+    /// Numbers of client connections that ended, by reason.
+    pub closed: Vec<(&'static str, u64)>,
+    /// Time in microseconds that tasks ran, by kind.
+    pub loop_time: Vec<(&'static str, u64)>,
+    /// Longest time in microseconds that a task ran without letting others run, by kind.
+    pub loop_longest: Vec<(&'static str, u64)>,
+}
+
+impl NamedCounts {
+    fn write(&self, out: &mut String) {
+        let metrics =
+            [("closed", &self.closed), ("loop_time", &self.loop_time), ("loop_longest", &self.loop_longest)];
+        for (metric, counts) in metrics {
+            for (name, count) in counts {
+                let _ = writeln!(out, "gateway.{metric}.{name}={count}");
+            }
+        }
+    }
+}
+
 impl Metrics {
     /// Creates the counts of this number of classes, all zero.
     pub fn new(classes: usize) -> Self {
@@ -112,7 +150,7 @@
     }
 
     /// Formats all metrics, one per line, under the names of [`TABLE`]. `names` are the names of the classes.
-    pub fn text(&self, names: &[&str], gauges: Gauges) -> String {
+    pub fn text(&self, names: &[&str], gauges: Gauges, named_counts: &NamedCounts) -> String {
         let mut out = String::new();
         let counts =
             [("answered", Count::Answered), ("deferred", Count::Deferred), ("errored", Count::Errored)];
@@ -127,6 +165,7 @@
         let _ = writeln!(out, "gateway.cluster_unhealthy={}", gauges.cluster_unhealthy);
         let _ = writeln!(out, "gateway.memory_incoming={}", gauges.memory_incoming);
         let _ = writeln!(out, "gateway.memory_outgoing={}", gauges.memory_outgoing);
+        named_counts.write(&mut out);
         out
     }
 }
--- a/crates/admin/src/metrics/tests.rs
+++ b/crates/admin/src/metrics/tests.rs
@@ -13,7 +13,12 @@
         memory_incoming: 16,
         memory_outgoing: 32,
     };
-    let text = metrics.text(&["lookup", "load"], gauges);
+    let named_counts = NamedCounts {
+        closed: vec![("idle", 4), ("silent", 0)],
+        loop_time: vec![("client", 900)],
+        loop_longest: vec![("client", 60)],
+    };
+    let text = metrics.text(&["lookup", "load"], gauges, &named_counts);
     let lines: Vec<&str> = text.lines().collect();
     for line in [
         "gateway.answered.lookup=2",
@@ -21,14 +26,20 @@
         "gateway.sends=2",
         "gateway.current=3",
         "gateway.memory_outgoing=32",
+        "gateway.closed.idle=4",
+        "gateway.closed.silent=0",
+        "gateway.loop_time.client=900",
+        "gateway.loop_longest.client=60",
     ] {
         assert!(lines.contains(&line), "{line} is missing in {text}");
     }
     let names: Vec<&str> = lines.iter().filter_map(|l| l.split_once('=')).map(|(n, _)| n).collect();
-    let is_formatted = |name: &str| match name.strip_suffix(".C") {
-        Some(stem) => ["lookup", "load"].iter().all(|c| names.contains(&&*format!("{stem}.{c}"))),
-        None => names.contains(&name),
+    let is_formatted = |name: &str| match name.rsplit_once('.') {
+        Some((stem, "C")) => ["lookup", "load"].iter().all(|c| names.contains(&&*format!("{stem}.{c}"))),
+        Some((stem, "R")) => ["idle", "silent"].iter().all(|r| names.contains(&&*format!("{stem}.{r}"))),
+        Some((stem, "T")) => names.contains(&&*format!("{stem}.client")),
+        _ => names.contains(&name),
     };
     assert!(TABLE.iter().all(|metric| is_formatted(metric.name)), "{text}");
-    assert_eq!(names.len(), 3 * 2 + 6);
+    assert_eq!(names.len(), 3 * 2 + 6 + 4);
 }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -75,8 +75,6 @@
     pub max_waiting_connections: usize,
     /// Time between two maintenance ticks of the connections to engines.
     pub maintenance_interval: Duration,
-    /// Delay of a timer above which a pause of the process is logged.
-    pub pause_threshold: Milliseconds,
     /// Time after which a health check without a reply has failed.
     pub health_check_timeout: Milliseconds,
     /// Time after which a connection with an unanswered health check is retired or closed if it has received nothing.
@@ -275,7 +273,6 @@
             close_linger: duration(250.0),
             max_waiting_connections: (sockets / 20).clamp(2, 64),
             maintenance_interval: duration(250.0),
-            pause_threshold: 50.0,
             health_check_timeout: 300.0,
             health_check_connection_timeout: duration(300.0),
             decision_interval: MIN_DECISION_INTERVAL,
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -5,6 +5,7 @@
 use crate::net::connection::{ReadBuffer, SharedState, SocketRetry};
 use crate::net::http::{self, Length, Read};
 use crate::net::log;
+use crate::net::loop_profile::{profiled, Task, TaskKind};
 use crate::net::transient_errors::Backoff;
 use starlingplank_admin::calls::{self, Call, Reply};
 use std::cell::Cell;
@@ -97,11 +98,12 @@
     fn serve(&mut self, stream: TcpStream, context: AdminContext, guard: OpenConnectionGuard) {
         let connection = Rc::new(OperatorConnection { stream, is_answering: Cell::new(false) });
         let served = connection.clone();
-        let task = tokio::task::spawn_local(async move {
+        let profile = context.shared.profile.clone();
+        let task = tokio::task::spawn_local(profiled(profile, Task::new(TaskKind::Operator), async move {
             serve(&served, context).await;
             drop(served);
             drop(guard);
-        });
+        }));
         self.0.push_back(OpenConnection { connection, task });
     }
 
--- a/src/net/connection/mod.rs
+++ b/src/net/connection/mod.rs
@@ -21,4 +21,4 @@
 pub use read_buffer::ReadBuffer;
 pub use shared_state::SharedState;
 pub use socket_retry::SocketRetry;
-pub use write_queue::{CloseMode, WriteQueue};
+pub use write_queue::{CloseMode, WriteOverflow, WriteQueue};
--- a/src/net/connection/shared_state.rs
+++ b/src/net/connection/shared_state.rs
@@ -3,6 +3,7 @@
 use crate::net::connection::incoming_memory::IncomingMemory;
 use crate::net::connection::outgoing_memory::OutgoingMemory;
 use crate::net::connection::read_barrier::ReadBarrier;
+use crate::net::loop_profile::LoopProfile;
 use starlingplank_admin::metrics::Metrics;
 use starlingplank_decision::interface::{Milliseconds, RetryBudgetSettings};
 use starlingplank_decision::permission::counters::RuleCounters;
@@ -27,6 +28,8 @@
     /// Retry budget. Requests are counted when they are read, retries when they are written.
     retry_budget: RefCell<RetryBudget>,
     started: Instant,
+    /// Time that the tasks of the event loop take.
+    pub profile: Rc<LoopProfile>,
     /// Barrier that is passed before an attempt is written.
     pub read_barrier: ReadBarrier,
 }
@@ -47,6 +50,7 @@
             rule_counters: Rc::default(),
             retry_budget: RefCell::new(RetryBudget::new(retry_budget)),
             started: Instant::now(),
+            profile: Rc::default(),
             read_barrier: ReadBarrier::new(),
         })
     }
--- a/src/net/connection/write_queue.rs
+++ b/src/net/connection/write_queue.rs
@@ -13,6 +13,7 @@
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -27,6 +28,15 @@
     Immediately,
 }
 
+/// Reason for which a write queue closed its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WriteOverflow {
+    /// The queue would have exceeded its limit.
+    QueueFull,
+    /// All queues of clients together exceeded the memory for answers.
+    MemoryExhausted,
+}
+
 /// Frames that wait to be written to one peer. The length of the queue is limited. In the queue of a client, the bytes are
 /// also counted in [`SharedState::outgoing`]; in the queue to an engine, they are statements, which the reducer counts. One
 /// task writes the frames, by [`write_all`](Self::write_all).
@@ -42,6 +52,8 @@
     blocked_since: Cell<Option<Instant>>,
     shared: Rc<SharedState>,
     close_mode: Cell<Option<CloseMode>>,
+    /// Reason for which the queue closed the connection, if it did.
+    overflow: Cell<Option<WriteOverflow>>,
     /// Wakes the writing task after a frame was queued or a close was requested.
     changed: Notify,
     /// Wakes producers that wait for the queue to become shorter.
@@ -75,6 +87,7 @@
             blocked_since: Cell::new(None),
             shared,
             close_mode: Cell::new(None),
+            overflow: Cell::new(None),
             changed: Notify::new(),
             drained: Notify::new(),
             discarded_attempts: RefCell::default(),
@@ -108,9 +121,12 @@
         }
         let length = frame.len();
         if self.bytes.get() + length > limits.max_write_queue_bytes {
-            log::warn_rate_limited(
-                "write queue limit exceeded, as a peer reads too slowly; closing the connection",
-            );
+            self.overflow.set(Some(WriteOverflow::QueueFull));
+            if !self.is_for_client {
+                log::warn_rate_limited(
+                    "the write queue to an engine exceeds its limit; closing the connection",
+                );
+            }
             return self.close(CloseMode::Immediately);
         }
         self.count_bytes(length, 0);
@@ -129,9 +145,7 @@
 
     /// Closes the connection of a client that does not read its answers, and discards them.
     pub(super) fn evict_slow_reader(&self) {
-        log::warn_rate_limited(
-            "the memory for answers is exhausted; closing the connection of the client that has not read for the longest time",
-        );
+        self.overflow.set(Some(WriteOverflow::MemoryExhausted));
         self.close(CloseMode::Immediately);
         self.blocked_since.set(None);
         self.frames.borrow_mut().clear();
@@ -171,6 +185,16 @@
         self.close_mode.get()
     }
 
+    /// Returns the reason for which the queue closed the connection, if it did.
+    pub fn overflow(&self) -> Option<WriteOverflow> {
+        self.overflow.get()
+    }
+
+    /// Returns the time for which the socket has accepted no complete frame; zero if it accepts bytes.
+    pub fn blocked_for(&self) -> Duration {
+        self.blocked_since.get().map_or(Duration::ZERO, |since| since.elapsed())
+    }
+
     /// Returns whether a close was requested.
     pub fn is_closing(&self) -> bool {
         self.close_mode.get().is_some()
--- a/src/net/front/clickhouse/session.rs
+++ b/src/net/front/clickhouse/session.rs
@@ -6,8 +6,7 @@
 use crate::interface::RequestId;
 use crate::net::connection::{close_orderly, CloseMode, ReadBuffer};
 use crate::net::front::rules::ClassRules;
-use crate::net::front::{ClientConnection, FrontendState};
-use crate::net::log;
+use crate::net::front::{ClientConnection, CloseReason, FrontendState};
 use std::cell::Cell;
 use std::ops::ControlFlow;
 use std::rc::Rc;
@@ -31,7 +30,10 @@
     let session = Rc::new(Session::new(connection.clone(), limits.clone()));
     let open_query = Cell::new(None);
     let is_disconnected = tokio::select! {
-        written = connection.write_queue.write_all(&stream, &limits) => written.is_err(),
+        written = connection.write_queue.write_all(&stream, &limits) => {
+            connection.set_write_ended();
+            written.is_err()
+        }
         () = handle_requests(&stream, &session, &frontend, &rules, &open_query) => connection.is_disconnected(),
     };
     // The query is withdrawn even if a part of its result has been sent.
@@ -59,9 +61,7 @@
             Err(ReadError::Closed) => continue,
             Err(ReadError::Invalid(exception, message)) => {
                 session.keep_alive.set(false);
-                log::warn_rate_limited(
-                    "a client sent an invalid HTTP request; closing the connection after an error answer",
-                );
+                session.connection.set_close_reason(CloseReason::MalformedMessage);
                 session.send_exception(exception, message, &[]);
                 continue;
             }
@@ -77,6 +77,11 @@
         // A request that was sent meanwhile may have been read only in part.
         reader.buffer.restart_message_timeout();
     }
+    let connection = &session.connection;
+    connection.set_close_reason(match connection.closes_after_answer() {
+        true => CloseReason::Shutdown,
+        false => CloseReason::NotPersistent,
+    });
 }
 
 /// Waits until the open query is answered. Returns `Break` if the client has disconnected.
--- a/src/net/front/client_connection.rs
+++ b/src/net/front/client_connection.rs
@@ -2,11 +2,13 @@
 
 use crate::limits::Limits;
 use crate::net::connection::frame::Frame;
-use crate::net::connection::{CloseMode, MessageMemory, ReadBuffer, WriteQueue};
+use crate::net::connection::{CloseMode, MessageMemory, ReadBuffer, WriteOverflow, WriteQueue};
+use crate::net::front::close_reason::{CloseCounters, CloseReason};
 use crate::net::front::shutdown_phase::ShutdownPhase;
 use crate::net::log;
 use starlingplank_decision::permission::close::{may_close, may_close_mid_message, CloseConditions};
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -15,6 +17,8 @@
 /// A client's connection. The task that serves it owns the socket; [`FrontendState`](super::FrontendState) lists the
 /// connection until that task has ended.
 pub struct ClientConnection {
+    /// Address of the client.
+    pub peer: SocketAddr,
     /// Queue of responses to the client.
     pub write_queue: Rc<WriteQueue>,
     shutdown_phase: Rc<Cell<ShutdownPhase>>,
@@ -29,6 +33,9 @@
     eviction_requested: Cell<bool>,
     /// Whether the client closed the connection, or the connection failed.
     disconnected: Cell<bool>,
+    /// Reason for which the connection ended or is closed, once it is known.
+    close_reason: Cell<Option<CloseReason>>,
+    close_counters: Rc<CloseCounters>,
     open_requests: Cell<usize>,
     /// Number of received bytes that belong to no request yet: an incomplete message, or messages that follow an open request.
     incomplete_bytes: Cell<usize>,
@@ -37,26 +44,17 @@
     last_active: Cell<Instant>,
 }
 
-/// Reason for which the gateway closes a connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum CloseReason {
-    /// The process shuts down.
-    Shutdown,
-    /// Another client needs the slot of the connection.
-    Evicted,
-    /// The client stopped sending, before the first answer or inside a message.
-    Silent,
-    /// The client stopped sending inside a message, and the message of another client needs its memory.
-    MemoryExhausted,
-    /// No request was received or answered within the idle timeout.
-    Idle,
-}
-
 impl ClientConnection {
     /// Creates the state of a connection that was just accepted.
-    pub fn new(write_queue: Rc<WriteQueue>, shutdown_phase: Rc<Cell<ShutdownPhase>>) -> Self {
+    pub fn new(
+        peer: SocketAddr,
+        write_queue: Rc<WriteQueue>,
+        shutdown_phase: Rc<Cell<ShutdownPhase>>,
+        close_counters: Rc<CloseCounters>,
+    ) -> Self {
         let opened = Instant::now();
         Self {
+            peer,
             write_queue,
             shutdown_phase,
             answered_in_shutdown: Cell::new(false),
@@ -64,6 +62,8 @@
             was_read: Cell::new(false),
             eviction_requested: Cell::new(false),
             disconnected: Cell::new(false),
+            close_reason: Cell::new(None),
+            close_counters,
             open_requests: Cell::new(0),
             incomplete_bytes: Cell::new(0),
             was_answered: Cell::new(false),
@@ -127,7 +127,7 @@
             let deadline = match self.check(read_buffer, stream, limits) {
                 Ok(deadline) => deadline,
                 Err(reason) => {
-                    tracing::debug!(?reason, phase = ?self.shutdown_phase.get(), "client connection closed");
+                    self.set_close_reason(reason);
                     return false;
                 }
             };
@@ -135,7 +135,9 @@
                 filled = timeout_at(deadline, read_buffer.fill(stream, limits)) => {
                     if let Ok(filled) = filled {
                         let is_open = matches!(filled, Ok(true));
-                        self.disconnected.set(!is_open);
+                        if !is_open {
+                            self.set_disconnected();
+                        }
                         return is_open;
                     }
                 }
@@ -160,7 +162,7 @@
             return Err(CloseReason::Evicted);
         }
         if self.closes_for_memory(read_buffer, stream) {
-            return Err(CloseReason::MemoryExhausted);
+            return Err(CloseReason::IncomingMemoryExhausted);
         }
         // A connection with open requests stays open until they are answered, even if the client sends nothing.
         if self.open_requests.get() > 0 {
@@ -199,9 +201,38 @@
         }
     }
 
+    /// Records, counts and logs the reason for which the connection ends. Only the first reason counts.
+    pub fn set_close_reason(&self, reason: CloseReason) {
+        if self.close_reason.get().is_some() {
+            return;
+        }
+        self.close_reason.set(Some(reason));
+        self.close_counters.count(reason);
+        let (client, phase) = (self.peer, self.shutdown_phase.get());
+        let (open, queued) = (self.open_requests.get(), self.write_queue.queued_bytes());
+        let blocked_ms = self.write_queue.blocked_for().as_millis();
+        if let Some(warning) = reason.warning() {
+            let state =
+                format_args!("{open} open requests, {queued} bytes queued, blocked for {blocked_ms} ms");
+            log::warn_of_peer_rate_limited(warning, client, state);
+        }
+        let reason = reason.name();
+        tracing::debug!(%client, reason, open, queued, blocked_ms, ?phase, "client connection closed");
+    }
+
+    /// Records that the connection ended because writing to the client ended: it failed, or the queue closed the connection.
+    pub fn set_write_ended(&self) {
+        self.set_close_reason(match self.write_queue.overflow() {
+            Some(WriteOverflow::QueueFull) => CloseReason::WriteQueueFull,
+            Some(WriteOverflow::MemoryExhausted) => CloseReason::OutgoingMemoryExhausted,
+            None => CloseReason::WriteFailed,
+        });
+    }
+
     /// Records that the client closed the connection, or that the connection failed.
     pub fn set_disconnected(&self) {
         self.disconnected.set(true);
+        self.set_close_reason(CloseReason::ClientClosed);
     }
 
     /// Returns whether the client closed the connection, or the connection failed.
@@ -252,14 +283,8 @@
     /// message needs.
     fn closes_for_memory(&self, read_buffer: &ReadBuffer, stream: &TcpStream) -> bool {
         let memory = read_buffer.message_memory();
-        let closes = memory.is_some_and(|memory| memory.is_release_requested())
-            && may_close_mid_message(&self.close_conditions_ignoring_writes(read_buffer, stream)).is_ok();
-        if closes {
-            log::warn_rate_limited(
-                "the memory for incomplete messages is exhausted; closing the connection of a client that stopped sending",
-            );
-        }
-        closes
+        memory.is_some_and(|memory| memory.is_release_requested())
+            && may_close_mid_message(&self.close_conditions_ignoring_writes(read_buffer, stream)).is_ok()
     }
 
     fn close_conditions(&self, read_buffer: &ReadBuffer, stream: &TcpStream) -> CloseConditions {
--- a/src/net/front/client_connection/tests.rs
+++ b/src/net/front/client_connection/tests.rs
@@ -4,7 +4,8 @@
 use std::collections::BTreeMap;
 
 fn connection() -> ClientConnection {
-    ClientConnection::new(WriteQueue::for_client(SharedState::new(1)), Rc::default())
+    let peer = SocketAddr::from(([127, 0, 0, 1], 1));
+    ClientConnection::new(peer, WriteQueue::for_client(SharedState::new(1)), Rc::default(), Rc::default())
 }
 
 fn limits() -> Limits {
--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod clickhouse;
 mod client_connection;
+mod close_reason;
 mod requests;
 pub mod rules;
 mod shutdown_phase;
@@ -13,6 +14,7 @@
 pub mod thrift;
 
 pub use client_connection::ClientConnection;
+pub use close_reason::{CloseCounters, CloseReason};
 pub use requests::{ReceivedRequest, ResponseWriter};
 pub use shutdown_phase::ShutdownPhase;
 pub use state::{FrontendState, ListenerGuard};
--- a/src/net/front/state.rs
+++ b/src/net/front/state.rs
@@ -6,6 +6,7 @@
 use crate::net::clock::Clock;
 use crate::net::connection::{SharedState, WriteQueue};
 use crate::net::front::client_connection::ClientConnection;
+use crate::net::front::close_reason::CloseCounters;
 use crate::net::front::requests::{ReceivedRequest, ResponseWriter};
 use crate::net::front::shutdown_phase::ShutdownPhase;
 use crate::net::pause::PauseDetector;
@@ -13,6 +14,7 @@
 use crate::net::sql;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::mpsc::Sender;
@@ -57,6 +59,8 @@
     /// Names that clients over HTTP have used recently.
     recent_names: RefCell<RecentNames>,
     connections: RefCell<Vec<Rc<ClientConnection>>>,
+    /// Numbers of client connections that ended, by reason.
+    pub close_counters: Rc<CloseCounters>,
     listener_guard: ListenerGuard,
     /// Slots for accepted connections that are not served yet, for all listeners together.
     pub waiting_slots: Arc<Semaphore>,
@@ -112,16 +116,17 @@
             ids_by_name: RefCell::default(),
             recent_names: RefCell::new(RecentNames::new(MAX_RECENT_NAMES)),
             connections: RefCell::default(),
+            close_counters: Rc::default(),
             listener_guard: ListenerGuard::default(),
             connection_released: Notify::new(),
             next_request_id: Cell::new(1),
         })
     }
 
-    /// Registers a client's new connection. If all slots are in use, the connection that has been idle longest is evicted,
+    /// Registers the new connection of the client at the address `peer`. If all slots are in use, the connection that has been idle longest is evicted,
     /// because a new one is likely to send a request whose client waits for the answer. Returns `None` if no slot is
     /// released within `max_wait_for_slot`.
-    pub async fn accept_connection(&self) -> Option<Rc<ClientConnection>> {
+    pub async fn accept_connection(&self, peer: SocketAddr) -> Option<Rc<ClientConnection>> {
         let deadline = Instant::now() + self.limits.max_wait_for_slot;
         while !self.has_free_slot() {
             let next_check = self.request_eviction();
@@ -131,7 +136,8 @@
             }
         }
         let write_queue = WriteQueue::for_client(self.shared.clone());
-        let connection = Rc::new(ClientConnection::new(write_queue, self.shutdown_phase.clone()));
+        let (phase, counters) = (self.shutdown_phase.clone(), self.close_counters.clone());
+        let connection = Rc::new(ClientConnection::new(peer, write_queue, phase, counters));
         self.connections.borrow_mut().push(connection.clone());
         Some(connection)
     }
--- a/src/net/front/thrift/session.rs
+++ b/src/net/front/thrift/session.rs
@@ -9,8 +9,7 @@
 use crate::net::connection::frame::Frame;
 use crate::net::connection::{close_orderly, CloseMode, ReadBuffer};
 use crate::net::front::requests::count_of_answer;
-use crate::net::front::{ClientConnection, FrontendState, ResponseWriter};
-use crate::net::log;
+use crate::net::front::{ClientConnection, CloseReason, FrontendState, ResponseWriter};
 use starlingplank_admin::metrics::Count;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -30,7 +29,19 @@
 
 /// Error of a client that sent a sequence number out of order, or the name of a request that is still open on its
 /// connection. The connection is closed, because answers could not be matched to calls.
-struct ProtocolViolation;
+enum ProtocolViolation {
+    OutOfSequence,
+    DuplicateName,
+}
+
+impl ProtocolViolation {
+    fn close_reason(&self) -> CloseReason {
+        match self {
+            Self::OutOfSequence => CloseReason::OutOfSequence,
+            Self::DuplicateName => CloseReason::DuplicateName,
+        }
+    }
+}
 
 /// Writer of the answer to one call.
 struct CallResponse {
@@ -68,7 +79,10 @@
     });
     let _ = stream.set_nodelay(true);
     let is_disconnected = tokio::select! {
-        written = connection.write_queue.write_all(&stream, &limits) => written.is_err(),
+        written = connection.write_queue.write_all(&stream, &limits) => {
+            connection.set_write_ended();
+            written.is_err()
+        }
         () = read_messages(&stream, &session, &frontend) => connection.is_disconnected(),
     };
     let open_calls: Vec<_> = session.open_calls.borrow_mut().drain().map(|(_, id)| id).collect();
@@ -90,21 +104,17 @@
     loop {
         while let Some(length) = frame_len(read_buffer.unread()) {
             if length > limits.max_message_bytes {
-                return log::warn_rate_limited(
-                    "a client frame exceeds the maximum message size; closing the connection",
-                );
+                return session.connection.set_close_reason(CloseReason::MessageTooLong);
             }
             let Some(frame) = read_buffer.unread().get(FRAME_HEADER_BYTES..length) else {
                 read_buffer.expect_message(length);
                 break;
             };
             let Some(message) = message(frame) else {
-                return log::warn_rate_limited("a client message cannot be decoded; closing the connection");
+                return session.connection.set_close_reason(CloseReason::MalformedMessage);
             };
-            if let Err(ProtocolViolation) = session.handle_message(message, frontend).await {
-                return log::warn_rate_limited(
-                    "a client sent an out-of-order sequence number or duplicate name; closing the connection",
-                );
+            if let Err(violation) = session.handle_message(message, frontend).await {
+                return session.connection.set_close_reason(violation.close_reason());
             }
             read_buffer.consume(length);
         }
@@ -183,7 +193,7 @@
         }
         let same_name = fields.get("txn").and_then(|name| frontend.open_request_named(name));
         if same_name.is_some_and(|id| self.open_calls.borrow().values().any(|open| *open == id)) {
-            return Err(ProtocolViolation);
+            return Err(ProtocolViolation::DuplicateName);
         }
         let request = match read_request(fields, body, &self.connection, frontend) {
             Ok(request) => request,
@@ -211,7 +221,7 @@
     fn check_sequence(&self, seqid: i32) -> Result<(), ProtocolViolation> {
         let last = self.last_seqid.get();
         if seqid <= last || last == 0 && seqid != 1 {
-            return Err(ProtocolViolation);
+            return Err(ProtocolViolation::OutOfSequence);
         }
         self.last_seqid.set(seqid);
         Ok(())
--- a/src/net/log.rs
+++ b/src/net/log.rs
@@ -84,6 +84,18 @@
     }
 }
 
+/// Logs a warning about a peer and the state of its connection at a limited rate; suppressed repetitions are counted.
+pub fn warn_of_peer_rate_limited(message: &'static str, peer: impl Display, state: impl Display) {
+    if let Some(more) = suppressed_if_due(message) {
+        match more {
+            0 => tracing::warn!(%peer, %state, "{message}"),
+            more => {
+                tracing::warn!(%peer, %state, more, "{message} (suppressed {more} times since last logged)");
+            }
+        }
+    }
+}
+
 /// Logs an error with its cause at a limited rate; suppressed repetitions are counted.
 pub fn error_rate_limited(message: &'static str, cause: impl Display) {
     if let Some(more) = suppressed_if_due(message) {
@@ -103,7 +115,7 @@
 
 /// Returns the number of suppressed repetitions if a line of this text may be logged now; otherwise counts the line as
 /// suppressed and returns `None`.
-fn suppressed_if_due(message: &'static str) -> Option<u64> {
+pub(super) fn suppressed_if_due(message: &'static str) -> Option<u64> {
     LIMITED_LINES.with_borrow_mut(|lines| match lines.get_mut(message) {
         Some(line) if line.last_written.elapsed() < MIN_INTERVAL => {
             line.suppressed += 1;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,6 +10,7 @@
 pub mod hot_restart;
 pub mod http;
 pub mod log;
+pub mod loop_profile;
 pub mod pause;
 pub mod persistence;
 mod recent_names;
--- a/src/net/runtime/calls.rs
+++ b/src/net/runtime/calls.rs
@@ -2,9 +2,10 @@
 
 use crate::core::Event;
 use crate::net::hot_restart::ChangeError;
+use crate::net::loop_profile::{TaskKind, TimeByKind};
 use crate::net::runtime::Runtime;
 use starlingplank_admin::calls::{Call, Reply};
-use starlingplank_admin::metrics::Gauges;
+use starlingplank_admin::metrics::{Gauges, NamedCounts};
 use starlingplank_admin::operator_overrides::{OperatorOverrides, OverrideError};
 
 impl Runtime {
@@ -28,7 +29,7 @@
                     memory_incoming: shared.incoming.used_bytes(),
                     memory_outgoing: shared.outgoing.used_bytes(),
                 };
-                Reply { status: 200, text: shared.metrics.text(&names, gauges) }
+                Reply { status: 200, text: shared.metrics.text(&names, gauges, &self.named_counts()) }
             }
             Call::Exclude(id) => {
                 let (is_member, now) = (self.core.is_member(&id), self.frontend.clock.now());
@@ -43,6 +44,20 @@
         }
     }
 
+    /// Returns the metrics of closed connections and of the event loop.
+    pub(super) fn named_counts(&self) -> NamedCounts {
+        let profile = &self.frontend.shared.profile;
+        let by_kind = |times: TimeByKind| {
+            let microseconds = times.map(|time| time.as_micros() as u64);
+            TaskKind::ALL.iter().map(|kind| kind.name()).zip(microseconds).collect()
+        };
+        NamedCounts {
+            closed: self.frontend.close_counters.by_name().collect(),
+            loop_time: by_kind(profile.total_by_kind()),
+            loop_longest: by_kind(profile.longest_by_kind()),
+        }
+    }
+
     /// Excludes an engine or includes it again, and stores the change for the other processes of this gateway. `state` is the
     /// name of the engine's new state, for the log and the reply.
     fn change_exclusion(
--- a/src/net/runtime/listeners.rs
+++ b/src/net/runtime/listeners.rs
@@ -3,6 +3,7 @@
 use crate::config::{ClickHouseListener, Config};
 use crate::net::front::{clickhouse, thrift, ClientConnection, FrontendState, ListenerGuard};
 use crate::net::log;
+use crate::net::loop_profile::{profiled, Task, TaskKind};
 use crate::net::tasks::{TaskName, Tasks};
 use crate::net::transient_errors::{self, Backoff};
 use std::future::Future;
@@ -17,6 +18,13 @@
 /// Length of the kernel's queue of connections that are not accepted yet; the same value as tokio's default for listeners.
 const BACKLOG: u32 = 1024;
 
+/// An accepted connection.
+struct Accepted {
+    stream: TcpStream,
+    /// Address of the client.
+    peer: SocketAddr,
+}
+
 /// A permit for an accepted connection that waits for a connection slot; an error if the semaphore is closed.
 type WaitingSlot = Result<OwnedSemaphorePermit, AcquireError>;
 
@@ -72,7 +80,8 @@
     F: Future<Output = ()> + 'static,
 {
     let acceptor = Acceptor { frontend: frontend.clone(), serve, listener_guard: frontend.listener_guard() };
-    tasks.spawn(name, acceptor.run(listener));
+    let profile = frontend.shared.profile.clone();
+    tasks.spawn(name, profiled(profile, Task::new(TaskKind::Listener), acceptor.run(listener)));
 }
 
 /// Tracks since when connections may have been waiting in the kernel's accept queue. Their clients may already have sent
@@ -132,7 +141,9 @@
                 accepted = self.accept_one(listener, &mut queue) => accepted,
             };
             match accepted {
-                (slot, Ok(stream)) => self.spawn(stream, slot, queue.arrived(self.earliest_arrival())),
+                (slot, Ok(accepted)) => {
+                    self.spawn(accepted, slot, queue.arrived(self.earliest_arrival()));
+                }
                 // No descriptor is available, or the client has disconnected: other connections can still be served.
                 (_, Err(error)) => {
                     log::error_rate_limited("a connection cannot be accepted", &error);
@@ -152,7 +163,7 @@
         &self,
         listener: &TcpListener,
         queue: &mut ListenerQueue,
-    ) -> (WaitingSlot, io::Result<TcpStream>) {
+    ) -> (WaitingSlot, io::Result<Accepted>) {
         let slots = self.frontend.waiting_slots.clone();
         let slot = if let Ok(slot) = slots.clone().try_acquire_owned() {
             Ok(slot)
@@ -169,9 +180,9 @@
             }
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
                 queue.backoff.reset();
-                (slot, Ok(stream))
+                (slot, Ok(Accepted { stream, peer }))
             }
             Err(error) => {
                 queue.set_waiting(self.earliest_arrival());
@@ -195,11 +206,11 @@
                 return;
             };
             match queue.accept() {
-                Ok((stream, _)) => {
+                Ok((stream, peer)) => {
                     backoff.reset();
                     let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
                     if let Ok(stream) = stream {
-                        self.spawn(stream, slot, arrived);
+                        self.spawn(Accepted { stream, peer }, slot, arrived);
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
@@ -213,16 +224,19 @@
     }
 
     /// Starts a task that serves a connection; `arrived` is the earliest time at which it may have arrived.
-    fn spawn(&self, stream: TcpStream, slot: WaitingSlot, arrived: Instant) {
+    fn spawn(&self, accepted: Accepted, slot: WaitingSlot, arrived: Instant) {
         let (frontend, serve) = (self.frontend.clone(), self.serve.clone());
         let guard = self.listener_guard.clone();
-        tokio::task::spawn_local(serve_when_admitted(stream, arrived, frontend, serve, slot, guard));
+        let (profile, task) =
+            (frontend.shared.profile.clone(), Task::of_peer(TaskKind::Client, accepted.peer));
+        let served = serve_when_admitted(accepted, arrived, frontend, serve, slot, guard);
+        tokio::task::spawn_local(profiled(profile, task, served));
     }
 }
 
 /// Waits for a connection slot, and then serves the connection. Without a slot in time the connection is closed.
 async fn serve_when_admitted<S, F>(
-    stream: TcpStream,
+    Accepted { stream, peer }: Accepted,
     arrived: Instant,
     frontend: Rc<FrontendState>,
     serve: S,
@@ -232,7 +246,7 @@
     S: Fn(TcpStream, Rc<ClientConnection>) -> F,
     F: Future<Output = ()>,
 {
-    let Some(connection) = frontend.accept_connection().await else {
+    let Some(connection) = frontend.accept_connection(peer).await else {
         return log::warn_rate_limited("no connection slot became free in time: connection closed");
     };
     drop(waiting_slot);
--- a/src/net/runtime/mod.rs
+++ b/src/net/runtime/mod.rs
@@ -30,6 +30,7 @@
 use crate::net::front::{FrontendState, ShutdownPhase};
 use crate::net::hot_restart::HotRestart;
 use crate::net::log;
+use crate::net::loop_profile::{Task, TaskKind};
 use crate::net::persistence::{Persistence, PersistenceError};
 use crate::net::tasks::{TaskName, Tasks};
 use inputs::{Input, Inputs, OptionalInputs, Timers};
@@ -160,14 +161,16 @@
             }
             let due_at = self.core.next_due();
             let input = inputs.next(self.wake_by(due_at), self.optional_inputs()).await;
-            self.frontend.pauses.record_alive(Instant::now());
+            let woken_at = Instant::now();
+            self.frontend.pauses.record_alive(woken_at);
+            let delay = self.delay_since(due_at);
+            self.frontend.shared.profile.end_cycle(Duration::from_secs_f64(delay / 1000.0));
             if self.reload_is_due() {
                 self.reload(reload());
             }
             let mut events = Vec::new();
             self.handle_input(input, reload, &mut events);
             inputs.drain_events(&mut events, self.frontend.limits.event_queue_capacity);
-            let delay = self.check_delay(due_at);
             while let Some(PendingCall { call, reply_to }) = inputs.next_queued_call() {
                 drop(reply_to.send(self.answer_call(call, &mut events)));
             }
@@ -176,6 +179,7 @@
             self.run_decision_cycles(events);
             self.statistics.count_cycle(started_at);
             self.statistics.count_delay(delay);
+            self.frontend.shared.profile.record(Task::new(TaskKind::Reducer), woken_at.elapsed());
         }
     }
 
@@ -273,13 +277,8 @@
         self.persistence.save_snapshot(&self.core, self.frontend.clock.now());
     }
 
-    /// Returns the delay of the reducer's timer that was due at `due_at`. A long delay is logged as a pause of the process, which
-    /// explains answers that are late without any decision being the cause.
-    fn check_delay(&self, due_at: Option<Milliseconds>) -> Milliseconds {
-        let delay = due_at.map_or(0.0, |at| self.frontend.clock.now() - at);
-        if delay > self.frontend.limits.pause_threshold {
-            tracing::warn!(pause_ms = delay.round(), "the process was paused");
-        }
-        delay
+    /// Returns the delay of the reducer's timer that was due at `due_at`; 0 if it is not due yet.
+    fn delay_since(&self, due_at: Option<Milliseconds>) -> Milliseconds {
+        due_at.map_or(0.0, |at| (self.frontend.clock.now() - at).max(0.0))
     }
 }
--- a/tests/client_retries.rs
+++ b/tests/client_retries.rs
@@ -46,7 +46,7 @@
         let address = listener.local_addr().expect("bound");
         let mut client = tokio::net::TcpStream::connect(address).await.expect("connected");
         let (stream, _) = listener.accept().await.expect("a connection");
-        let connection = frontend.accept_connection().await.expect("room");
+        let connection = frontend.accept_connection(([127, 0, 0, 1], 1).into()).await.expect("room");
         if over_thrift {
             tokio::task::spawn_local(thrift::serve(stream, connection, frontend.clone()));
         } else {
--- a/tests/tenants.rs
+++ b/tests/tenants.rs
@@ -31,7 +31,7 @@
         let at = listener.local_addr().expect("bound");
         let mut client = tokio::net::TcpStream::connect(at).await.expect("up");
         let (stream, _) = listener.accept().await.expect("one");
-        let connection = frontend.accept_connection().await.expect("room");
+        let connection = frontend.accept_connection(([127, 0, 0, 1], 1).into()).await.expect("room");
         tokio::task::spawn_local(thrift::serve(stream, connection, frontend.clone()));
         let mut fields = vec![("verb", "short"), ("txn", "00000000000000a1"), ("limit", "1000")];
         fields.extend(team.map(|name| ("team", name)));
