--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unused_imports)]
 
 mod config;
+mod core_share;
 pub(crate) mod discovery;
 mod engines;
 pub(crate) mod faults;
@@ -15,6 +16,7 @@
 mod waits;
 
 pub(crate) use config::*;
+pub(crate) use core_share::*;
 pub(crate) use engines::*;
 pub(crate) use gateway::Gateway;
 pub(crate) use http::*;
