Connections take turns in the event loop, however fast their clients send

What callers saw: while one client sent small messages at full speed on one connection, the answers of all others came seconds late or never.

Cause: the task that reads a connection returned to the event loop only once its socket was empty: tokio's readiness and try_read use no cooperative budget, so a poll lasted as long as the client sent faster than it was read. Timers, engines, the reducer, signals and the writes of that very connection waited. Evidence: the log of the cycles, one poll of 3.2 s of one client's task at a quarter of a core with 0.8 s of CPU time; engines, reducer and discovery 0 ms.

Change: FairScheduler. Each poll of a task is measured; before each read and each message a task asks for its turn. As bytes may now wait in the socket, ReadProgress knows how far a connection is read: an attempt is kept back while bytes of its client have waited for over 50 ms (a cancellation may be among them), a request counts as arrived when its bytes may have arrived, and a client that has closed over unread bytes is noticed before they are read.

--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -25,6 +25,14 @@
     fn wait_for_capacity(&self, bytes: usize) -> Pin<Box<dyn Future<Output = ()> + '_>>;
 }
 
+/// Reading of the connection on which a request arrived. Front ends implement this trait where a client may cancel a request by a
+/// message, and writers to engines ask before the first byte of an attempt.
+pub trait ClientReading: Debug {
+    /// Returns whether the client may have cancelled the request or disconnected for longer than attempts may begin afterwards,
+    /// as bytes of it are not handled yet.
+    fn may_hold_withdrawal(&self) -> bool;
+}
+
 /// The part of a request that is transmitted to its engine. Decisions do not depend on it.
 #[derive(Debug, Default)]
 pub struct Statement {
@@ -42,6 +50,8 @@
     pub params: Vec<(String, String)>,
     /// Flow control, if the result can be streamed. Without it the result is sent once it is complete.
     pub flow: Option<Rc<dyn FlowControl>>,
+    /// Reading of the client's connection, if a message on it may cancel the request.
+    pub reading: Option<Rc<dyn ClientReading>>,
     /// Whether the client has disconnected or cancelled the request.
     pub abandoned: Cell<bool>,
 }
@@ -58,6 +68,11 @@
         self.abandoned.get()
     }
 
+    /// Returns whether a cancellation or a disconnect of the client may wait to be read.
+    pub fn may_be_withdrawn(&self) -> bool {
+        self.reading.as_ref().is_some_and(|reading| reading.may_hold_withdrawal())
+    }
+
     /// Returns the number of bytes of the text and the data.
     pub fn bytes(&self) -> usize {
         self.text.len() + self.data.len()
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -2,10 +2,10 @@
 //! behind clients' requests.
 
 use crate::limits::Limits;
-use crate::net::connection::{ReadBuffer, SharedState, SocketRetry};
+use crate::net::connection::{ReadBuffer, SharedState, SocketRetry, WorkShare};
 use crate::net::http::{self, Length, Read};
 use crate::net::log;
-use crate::net::loop_profile::{profiled, Task, TaskKind};
+use crate::net::loop_profile::{Task, TaskKind};
 use crate::net::transient_errors::Backoff;
 use starlingplank_admin::calls::{self, Call, Reply};
 use std::cell::Cell;
@@ -98,9 +98,10 @@
     fn serve(&mut self, stream: TcpStream, context: AdminContext, guard: OpenConnectionGuard) {
         let connection = Rc::new(OperatorConnection { stream, is_answering: Cell::new(false) });
         let served = connection.clone();
-        let profile = context.shared.profile.clone();
-        let task = tokio::task::spawn_local(profiled(profile, Task::new(TaskKind::Operator), async move {
-            serve(&served, context).await;
+        let share = context.shared.scheduler.unlimited(Task::new(TaskKind::Operator));
+        let reader_share = share.clone();
+        let task = tokio::task::spawn_local(share.run(async move {
+            serve(&served, context, reader_share).await;
             drop(served);
             drop(guard);
         }));
@@ -137,10 +138,10 @@
     }
 }
 
-async fn serve(connection: &OperatorConnection, context: AdminContext) {
+async fn serve(connection: &OperatorConnection, context: AdminContext, share: Rc<WorkShare>) {
     let limits = &context.limits;
     let stream = &connection.stream;
-    let mut read_buffer = ReadBuffer::new(context.shared.clone());
+    let mut read_buffer = ReadBuffer::new(context.shared.clone(), share);
     let deadline = Instant::now() + limits.admin_call_timeout;
     let read = match timeout_at(deadline, read_call(stream, &mut read_buffer, limits)).await {
         Ok(None) => return,
--- a/src/net/connection/close.rs
+++ b/src/net/connection/close.rs
@@ -1,9 +1,11 @@
 //! Orderly close of a connection: flush, half-close, read and discard within limits, close.
 
 use crate::limits::Limits;
+use crate::net::connection::fair_share::WorkShare;
 use crate::net::connection::socket_retry::SocketRetry;
 use crate::net::connection::write_queue::{CloseMode, WriteQueue};
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -15,6 +17,7 @@
 pub async fn close_orderly(
     mut stream: TcpStream,
     write_queue: &WriteQueue,
+    share: &Rc<WorkShare>,
     linger: Duration,
     limits: &Limits,
 ) {
@@ -24,17 +27,18 @@
             write_queue.write_all(&stream, limits).await?;
         }
         stream.shutdown().await?;
-        discard_incoming(&stream, limits).await
+        discard_incoming(&stream, share, limits).await
     };
     let _: Result<io::Result<()>, _> = timeout(linger, close).await;
 }
 
 /// Reads and discards until the peer closes, or has sent more than `max_message_bytes`.
-async fn discard_incoming(stream: &TcpStream, limits: &Limits) -> io::Result<()> {
+async fn discard_incoming(stream: &TcpStream, share: &Rc<WorkShare>, limits: &Limits) -> io::Result<()> {
     let mut discarded = vec![0; limits.read_chunk_bytes];
     let mut remaining = limits.max_message_bytes;
     loop {
         stream.readable().await?;
+        share.turn().await;
         match stream.try_read(&mut discarded) {
             Ok(0) => return Ok(()),
             Ok(count) if count > remaining => return Ok(()),
--- a/src/net/connection/frame.rs
+++ b/src/net/connection/frame.rs
@@ -132,6 +132,11 @@
         Ok(())
     }
 
+    /// Returns whether the message transmits an attempt whose client may have withdrawn the request by bytes that are not handled yet.
+    pub fn may_be_withdrawn(&self) -> bool {
+        self.queued_attempt.as_ref().is_some_and(|queued| queued.send.statement.may_be_withdrawn())
+    }
+
     /// Encodes an attempt again if its encoding is older than `ENCODE_AGAIN_AFTER`, with the current remaining time.
     pub fn encode_again_if_stale(&mut self) {
         let Some(queued) = &mut self.queued_attempt else { return };
--- a/src/net/connection/read_barrier.rs
+++ b/src/net/connection/read_barrier.rs
@@ -20,7 +20,7 @@
 /// Time of the last read of client sockets, shared by all writers of a process.
 #[derive(Debug)]
 pub struct ReadBarrier {
-    /// All bytes that arrived before this time have been read.
+    /// All bytes that arrived before this time have been read, or their connections count as not read up to then.
     read_until: Cell<Instant>,
 }
 
@@ -30,6 +30,11 @@
         Self { read_until: Cell::new(Instant::now()) }
     }
 
+    /// Returns the time before which all bytes that have arrived were read, or their reading tasks woken.
+    pub fn read_until(&self) -> Instant {
+        self.read_until.get()
+    }
+
     /// Returns whether client sockets were read recently enough for an attempt to be written now.
     pub fn is_fresh(&self) -> bool {
         self.read_until.get().elapsed() <= MAX_READ_AGE
--- a/src/net/connection/read_buffer.rs
+++ b/src/net/connection/read_buffer.rs
@@ -1,7 +1,10 @@
 //! Read buffer of a connection: bytes that have arrived and are not consumed yet.
 
 use crate::limits::Limits;
+use crate::net::connection::fair_share::WorkShare;
 use crate::net::connection::incoming_memory::MessageMemory;
+use crate::net::connection::peer_close::is_closed_by_peer;
+use crate::net::connection::read_progress::ReadProgress;
 use crate::net::connection::shared_state::SharedState;
 use crate::net::connection::socket_retry::SocketRetry;
 use std::io;
@@ -17,11 +20,18 @@
 #[derive(Debug)]
 enum Peer {
     /// A client: the buffer counts as memory for incoming messages, and long messages wait for a reservation.
-    Client(Rc<MessageMemory>),
+    Client(ClientReader),
     /// An engine or an operator: the buffer counts as memory for results.
     Other,
 }
 
+/// State of reading from a client.
+#[derive(Debug)]
+struct ClientReader {
+    memory: Rc<MessageMemory>,
+    progress: Rc<ReadProgress>,
+}
+
 /// Bytes that were read and are not consumed yet. The buffer grows only as bytes arrive. Its capacity is counted in
 /// [`SharedState`] until it is dropped.
 ///
@@ -43,6 +53,8 @@
     counted_bytes: usize,
     peer: Peer,
     shared: Rc<SharedState>,
+    /// Share of the reading task in the event loop.
+    share: Rc<WorkShare>,
     /// Time at which the first byte of the incomplete message arrived.
     incomplete_since: Option<Instant>,
     last_filled: Instant,
@@ -50,17 +62,17 @@
 
 impl ReadBuffer {
     /// Creates an empty buffer for an engine or an operator.
-    pub fn new(shared: Rc<SharedState>) -> Self {
-        Self::with_peer(shared, Peer::Other)
+    pub fn new(shared: Rc<SharedState>, share: Rc<WorkShare>) -> Self {
+        Self::with_peer(shared, share, Peer::Other)
     }
 
     /// Creates an empty buffer for a client.
-    pub fn for_client(shared: Rc<SharedState>) -> Self {
+    pub fn for_client(shared: Rc<SharedState>, share: Rc<WorkShare>, progress: Rc<ReadProgress>) -> Self {
         let memory = shared.incoming.add_connection();
-        Self::with_peer(shared, Peer::Client(memory))
+        Self::with_peer(shared, share, Peer::Client(ClientReader { memory, progress }))
     }
 
-    fn with_peer(shared: Rc<SharedState>, peer: Peer) -> Self {
+    fn with_peer(shared: Rc<SharedState>, share: Rc<WorkShare>, peer: Peer) -> Self {
         Self {
             bytes: Vec::new(),
             consumed: 0,
@@ -70,6 +82,7 @@
             counted_bytes: 0,
             peer,
             shared,
+            share,
             incomplete_since: None,
             last_filled: Instant::now(),
         }
@@ -78,7 +91,7 @@
     /// Returns the memory of the current message, if the peer is a client.
     pub fn message_memory(&self) -> Option<Rc<MessageMemory>> {
         match &self.peer {
-            Peer::Client(memory) => Some(memory.clone()),
+            Peer::Client(client) => Some(client.memory.clone()),
             Peer::Other => None,
         }
     }
@@ -96,12 +109,20 @@
     }
 
     /// Counts the time of an incomplete message from now on, after a time in which the connection was not read.
-    pub fn restart_message_timeout(&mut self) {
+    fn restart_message_timeout(&mut self) {
         let now = Instant::now();
         self.last_filled = now;
         self.incomplete_since = self.incomplete_since.map(|_| now);
     }
 
+    /// Begins the next message after the answer to an earlier one, for which it waited.
+    pub fn begin_after_answer(&mut self) {
+        self.restart_message_timeout();
+        if let Peer::Client(client) = &self.peer {
+            client.progress.restart_arrival();
+        }
+    }
+
     /// Returns the time at which bytes last arrived.
     pub fn last_filled(&self) -> Instant {
         self.last_filled
@@ -115,6 +136,9 @@
     /// Marks bytes at the front as consumed. Outside of a body they end a message, and the remaining bytes belong to the next.
     pub fn consume(&mut self, count: usize) {
         self.consumed = (self.consumed + count).min(self.bytes.len());
+        if let Peer::Client(client) = &self.peer {
+            client.progress.set_handled(self.bytes.len() - self.consumed);
+        }
         if self.body.is_none() {
             self.expected_bytes = 0;
             self.incomplete_since = Some(self.last_filled).filter(|_| !self.unread().is_empty());
@@ -124,7 +148,7 @@
 
     /// Releases the reservation of a message that has ended. The next message needs its own.
     fn release_reservation(&self) {
-        if let Peer::Client(memory) = &self.peer {
+        if let Peer::Client(ClientReader { memory, .. }) = &self.peer {
             if memory.has_reservation() {
                 self.shared.incoming.release(memory);
             }
@@ -174,8 +198,9 @@
         body
     }
 
-    /// Waits for bytes and reads them. Returns false at the end of the stream. The rest of a long message from a client is
-    /// read once its memory is reserved.
+    /// Waits for bytes and for the task's turn, and reads. Returns false at the end of the stream. The rest of a long message from a
+    /// client is read once its memory is reserved. The bytes of a client that has sent faster than it was read, and has closed
+    /// its connection since, are not read.
     ///
     /// # Errors
     /// The connection failed.
@@ -183,16 +208,59 @@
         self.release_consumed();
         loop {
             stream.readable().await?;
+            self.set_readable();
             self.reserve_message(stream, limits).await;
+            if !self.share.may_continue() {
+                self.set_checkpoint(stream);
+                self.share.turn().await;
+                if matches!(self.peer, Peer::Client(_)) && is_closed_by_peer(stream) {
+                    return Ok(false);
+                }
+            }
             self.reserve_space(limits);
+            let read_at = Instant::now();
             match stream.try_read_buf(&mut self.bytes) {
                 Ok(count) => {
                     self.count_capacity();
-                    self.set_filled();
+                    self.set_filled(count);
                     return Ok(count > 0);
                 }
-                Err(error) if SocketRetry::after(&error).is_some() => {}
-                Err(error) => return Err(error),
+                Err(error) => match SocketRetry::after(&error) {
+                    Some(SocketRetry::WhenReady) => self.set_idle(read_at),
+                    Some(SocketRetry::Immediately) => {}
+                    None => return Err(error),
+                },
+            }
+        }
+    }
+
+    /// Waits for the task's turn to handle the next message in the buffer.
+    pub async fn turn(&self, stream: &TcpStream) {
+        if !self.share.may_continue() {
+            self.set_checkpoint(stream);
+            self.share.turn().await;
+        }
+    }
+
+    fn set_readable(&self) {
+        if let Peer::Client(client) = &self.peer {
+            client.progress.set_readable(self.shared.read_barrier.read_until());
+        }
+    }
+
+    fn set_idle(&self, arrived_by: Instant) {
+        if let Peer::Client(client) = &self.peer {
+            client.progress.set_idle(arrived_by);
+        }
+    }
+
+    /// Records how far the bytes reach that have arrived by now, before a wait.
+    pub fn set_checkpoint(&self, stream: &TcpStream) {
+        let Peer::Client(ClientReader { progress, .. }) = &self.peer else { return };
+        if progress.needs_checkpoint() {
+            let now = Instant::now();
+            if let Ok(unread) = rustix::io::ioctl_fionread(stream) {
+                progress.set_checkpoint(unread as usize, now);
             }
         }
     }
@@ -212,18 +280,19 @@
         self.expected_bytes > limits.read_chunk_bytes
     }
 
-    fn set_filled(&mut self) {
+    fn set_filled(&mut self, count: usize) {
         self.last_filled = Instant::now();
         self.incomplete_since = self.incomplete_since.or(Some(self.last_filled));
-        if let Peer::Client(memory) = &self.peer {
-            memory.set_arrived(self.last_filled);
+        if let Peer::Client(client) = &self.peer {
+            client.memory.set_arrived(self.last_filled);
+            client.progress.add_read(count);
         }
     }
 
     /// Reserves the memory of a client's message if it is long, or if the memory for messages is exhausted. Nothing is reserved for
     /// a client that has sent nothing further.
     async fn reserve_message(&mut self, stream: &TcpStream, limits: &Limits) {
-        let Peer::Client(memory) = &self.peer else { return };
+        let Peer::Client(ClientReader { memory, .. }) = &self.peer else { return };
         let max_bytes = self.shared.process_share(limits.max_incoming_bytes);
         let is_long = self.is_long(limits);
         let is_needed = is_long || self.shared.incoming.is_exhausted(limits.read_chunk_bytes, max_bytes);
@@ -235,6 +304,7 @@
             true => (self.expected_bytes, self.announced_bytes, max_bytes / LONG_MESSAGES_DIVISOR),
             false => (short_bytes, short_bytes, max_bytes),
         };
+        self.set_checkpoint(stream);
         self.shared.incoming.reserve(memory, expected, announced, max_bytes).await;
         if is_long {
             match &mut self.body {
@@ -260,7 +330,7 @@
     fn count_capacity(&mut self) {
         let capacity = self.bytes.capacity() + self.body.as_ref().map_or(0, Vec::capacity);
         match &self.peer {
-            Peer::Client(memory) => self.shared.incoming.set_allocated(memory, capacity),
+            Peer::Client(client) => self.shared.incoming.set_allocated(&client.memory, capacity),
             Peer::Other => self.shared.outgoing.update(capacity, self.counted_bytes),
         }
         self.counted_bytes = capacity;
@@ -270,7 +340,7 @@
 impl Drop for ReadBuffer {
     fn drop(&mut self) {
         match &self.peer {
-            Peer::Client(memory) => {
+            Peer::Client(ClientReader { memory, .. }) => {
                 self.shared.incoming.set_allocated(memory, 0);
                 self.shared.incoming.release(memory);
             }
--- a/src/net/connection/shared_state.rs
+++ b/src/net/connection/shared_state.rs
@@ -1,5 +1,6 @@
 //! State shared by all connections of a process: memory in use, counters and retry budget.
 
+use crate::net::connection::fair_share::FairScheduler;
 use crate::net::connection::incoming_memory::IncomingMemory;
 use crate::net::connection::outgoing_memory::OutgoingMemory;
 use crate::net::connection::read_barrier::ReadBarrier;
@@ -28,6 +29,8 @@
     /// Retry budget. Requests are counted when they are read, retries when they are written.
     retry_budget: RefCell<RetryBudget>,
     started: Instant,
+    /// Shares of the tasks in the event loop.
+    pub scheduler: Rc<FairScheduler>,
     /// Time that the tasks of the event loop take.
     pub profile: Rc<LoopProfile>,
     /// Barrier that is passed before an attempt is written.
@@ -42,6 +45,7 @@
 
     /// Creates the state of a single process, with an optional retry budget.
     pub fn with_retry_budget(classes: usize, retry_budget: Option<RetryBudgetSettings>) -> Rc<Self> {
+        let profile = Rc::<LoopProfile>::default();
         Rc::new(Self {
             incoming: IncomingMemory::default(),
             outgoing: OutgoingMemory::default(),
@@ -50,7 +54,8 @@
             rule_counters: Rc::default(),
             retry_budget: RefCell::new(RetryBudget::new(retry_budget)),
             started: Instant::now(),
-            profile: Rc::default(),
+            scheduler: FairScheduler::new(profile.clone()),
+            profile,
             read_barrier: ReadBarrier::new(),
         })
     }
--- a/src/net/connection/write_queue.rs
+++ b/src/net/connection/write_queue.rs
@@ -17,7 +17,10 @@
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{timeout, Instant};
+
+/// Interval at which attempts are checked again whose client may have withdrawn the request.
+const POSTPONED_CHECK_INTERVAL: Duration = Duration::from_millis(2);
 
 /// Mode in which a connection is closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,6 +46,8 @@
 #[derive(Debug)]
 pub struct WriteQueue {
     frames: RefCell<VecDeque<Frame>>,
+    /// Frames of attempts that wait until the bytes of their clients are handled. No byte of them is written.
+    postponed: RefCell<Vec<Frame>>,
     /// Number of bytes of the first frame that are written.
     first_frame_written: Cell<usize>,
     bytes: Cell<usize>,
@@ -81,6 +86,7 @@
     fn with_peer(shared: Rc<SharedState>, is_for_client: bool) -> Self {
         Self {
             frames: RefCell::default(),
+            postponed: RefCell::default(),
             first_frame_written: Cell::new(0),
             bytes: Cell::new(0),
             is_for_client,
@@ -207,11 +213,17 @@
 
     /// Returns whether frames are queued of which no byte is written.
     pub fn awaits_first_byte(&self) -> bool {
-        self.first_frame_written.get() == 0 && !self.frames.borrow().is_empty()
+        let has_frames = !self.frames.borrow().is_empty() || self.has_postponed();
+        self.first_frame_written.get() == 0 && has_frames
+    }
+
+    fn has_postponed(&self) -> bool {
+        !self.postponed.borrow().is_empty()
     }
 
     /// Withdraws the message of an attempt if no byte of it is written. Returns whether it was withdrawn.
     pub fn withdraw(&self, attempt: AttemptId) -> bool {
+        self.restore_postponed();
         let mut frames = self.frames.borrow_mut();
         let mut unwritten = self.partly_written_frames()..frames.len();
         let Some(index) = unwritten.find(|index| frames[*index].attempt == Some(attempt)) else {
@@ -224,6 +236,7 @@
 
     /// Returns the attempts of which no byte is written, including discarded ones that are not reported yet.
     pub fn unsent_attempts(&self) -> Vec<AttemptId> {
+        self.restore_postponed();
         let frames = self.frames.borrow();
         let queued = frames.iter().skip(self.partly_written_frames()).filter_map(|frame| frame.attempt);
         queued.chain(self.discarded_attempts.borrow().iter().copied()).collect()
@@ -236,11 +249,29 @@
         next.into_iter().any(|frame| frame.attempt.is_some())
     }
 
-    /// Checks each attempt that may begin in the next write, and discards those that must not be written. Attempts whose
-    /// encoding is stale are encoded again.
+    /// Moves postponed frames back to the end of the queue.
+    fn restore_postponed(&self) {
+        self.frames.borrow_mut().extend(self.postponed.borrow_mut().drain(..));
+    }
+
+    /// Postpones the frame at this index if its client may have withdrawn the request. Returns whether it did.
+    fn postpone(&self, index: usize) -> bool {
+        let mut frames = self.frames.borrow_mut();
+        if !frames.get(index).is_some_and(Frame::may_be_withdrawn) {
+            return false;
+        }
+        self.postponed.borrow_mut().extend(frames.remove(index));
+        true
+    }
+
+    /// Checks each attempt that may begin in the next write, discards those that must not be written, and postpones those whose client
+    /// may have withdrawn the request. Attempts whose encoding is stale are encoded again.
     fn check_next_frames(&self, limits: &Limits) {
         let mut index = self.partly_written_frames();
         while index < limits.max_gathered_slices.min(self.frames.borrow().len()) {
+            if self.postpone(index) {
+                continue;
+            }
             match self.check_frame(index) {
                 Ok(()) => index += 1,
                 Err(refusal) => self.discard_refused(index, refusal),
@@ -313,6 +344,7 @@
             if self.close_mode.get() == Some(CloseMode::Immediately) {
                 return Ok(());
             }
+            self.restore_postponed();
             let begins_attempt = self.may_begin_attempt(limits);
             if begins_attempt && !self.shared.read_barrier.is_fresh() {
                 self.shared.read_barrier.pass().await;
@@ -323,6 +355,10 @@
                 if self.is_closing() {
                     return Ok(());
                 }
+                if self.has_postponed() {
+                    let _ = timeout(POSTPONED_CHECK_INTERVAL, self.changed.notified()).await;
+                    continue;
+                }
                 self.recheck.notify_one();
                 self.changed.notified().await;
                 continue;
--- a/src/net/engine/clickhouse/connection.rs
+++ b/src/net/engine/clickhouse/connection.rs
@@ -3,7 +3,8 @@
 use crate::core::{AttemptId, FlowControl};
 use crate::limits::Limits;
 use crate::net::connection::frame::Frame;
-use crate::net::connection::{SharedState, WriteQueue};
+use crate::net::connection::{SharedState, WorkShare, WriteQueue};
+use crate::net::loop_profile::{Task, TaskKind};
 use crate::net::recent_names::RecentNames;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -52,6 +53,8 @@
 pub(super) struct Connection {
     /// Address that the connection is opened to.
     pub(super) address: SocketAddr,
+    /// Share of the task that drives the connection in the event loop.
+    pub(super) share: Rc<WorkShare>,
     /// Queue of requests to the engine.
     pub(super) write_queue: WriteQueue,
     job: RefCell<Option<Job>>,
@@ -76,6 +79,7 @@
     pub(super) fn new(address: SocketAddr, shared: Rc<SharedState>, names_requests: Rc<Cell<bool>>) -> Self {
         Self {
             address,
+            share: shared.scheduler.unlimited(Task::of_peer(TaskKind::Engine, address)),
             write_queue: WriteQueue::new(shared),
             job: RefCell::default(),
             recent_query_ids: RefCell::new(RecentNames::new(MAX_RECENT_QUERY_IDS)),
--- a/src/net/engine/clickhouse/mod.rs
+++ b/src/net/engine/clickhouse/mod.rs
@@ -18,7 +18,6 @@
 use crate::net::connection::{CloseMode, SharedState};
 use crate::net::engine::Engines;
 use crate::net::log;
-use crate::net::loop_profile::{profiled, Task, TaskKind};
 use connection::{AttemptJob, Connection, Job};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -103,8 +102,7 @@
         let connection = Rc::new(Connection::new(address, self.shared.clone(), names_requests));
         pool.push(connection.clone());
         let run = driver::run(connection.clone(), self.limits.clone(), self.events.clone());
-        let (profile, task) = (self.shared.profile.clone(), Task::of_peer(TaskKind::Engine, address));
-        tokio::task::spawn_local(profiled(profile, task, run));
+        tokio::task::spawn_local(connection.share.clone().run(run));
         connection
     }
 
--- a/src/net/engine/clickhouse/response.rs
+++ b/src/net/engine/clickhouse/response.rs
@@ -67,7 +67,7 @@
         limits: &'a Limits,
         events: &'a Sender<Event>,
     ) -> Self {
-        let buffer = ReadBuffer::new(connection.write_queue.shared());
+        let buffer = ReadBuffer::new(connection.write_queue.shared(), connection.share.clone());
         Self { connection, stream, limits, events, buffer, chunks: ChunkDecoder::new(), is_streaming: false }
     }
 
--- a/src/net/engine/connection.rs
+++ b/src/net/engine/connection.rs
@@ -3,9 +3,10 @@
 use crate::core::{AttemptEnd, AttemptId, Event};
 use crate::interface::Outcome;
 use crate::limits::Limits;
-use crate::net::connection::{SharedState, WriteQueue};
+use crate::net::connection::{SharedState, WorkShare, WriteQueue};
 use crate::net::engine::partial_result::PartialResult;
 use crate::net::engine::resp;
+use crate::net::loop_profile::{Task, TaskKind};
 use crate::net::recent_names::RecentNames;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -46,6 +47,8 @@
 pub(super) struct Connection {
     /// Address that the connection is opened to.
     pub address: SocketAddr,
+    /// Share of the task that drives the connection in the event loop.
+    pub share: Rc<WorkShare>,
     /// Queue of commands to the engine.
     pub write_queue: WriteQueue,
     /// Time at which the connection was established; `None` while it is being opened.
@@ -74,6 +77,7 @@
     pub(super) fn new(address: SocketAddr, shared: Rc<SharedState>) -> Self {
         Self {
             address,
+            share: shared.scheduler.unlimited(Task::of_peer(TaskKind::Engine, address)),
             write_queue: WriteQueue::new(shared),
             connected_at: Cell::new(None),
             closed: Cell::new(false),
--- a/src/net/engine/driver.rs
+++ b/src/net/engine/driver.rs
@@ -57,7 +57,7 @@
 
 /// Reads replies until the engine closes the connection or sends an invalid reply.
 async fn read_replies(connection: &Connection, stream: &TcpStream, limits: &Limits, events: &Sender<Event>) {
-    let mut read_buffer = ReadBuffer::new(connection.write_queue.shared());
+    let mut read_buffer = ReadBuffer::new(connection.write_queue.shared(), connection.share.clone());
     loop {
         if handle_buffered_replies(connection, &mut read_buffer, limits, events).await.is_break() {
             return;
@@ -77,6 +77,7 @@
 ) -> ControlFlow<()> {
     let max_unread = MAX_REPLY_IN_RESULTS * limits.max_result_bytes;
     loop {
+        connection.share.turn().await;
         // The slot for the event is reserved before the reply changes any state, as this future may be dropped while it waits.
         let Ok(slot) = events.reserve().await else { return ControlFlow::Break(()) };
         let (effect, used) = match resp::read(read_buffer.unread(), limits.max_result_bytes) {
--- a/src/net/engine/pool.rs
+++ b/src/net/engine/pool.rs
@@ -8,7 +8,6 @@
 use crate::net::engine::connection::{Connection, InFlight};
 use crate::net::engine::{driver, resp, Engines};
 use crate::net::log;
-use crate::net::loop_profile::{profiled, Task, TaskKind};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -102,8 +101,7 @@
         let connection = Rc::new(Connection::new(address, self.shared.clone()));
         self.pools.entry(engine.clone()).or_default().push(connection.clone());
         let run = driver::run(connection.clone(), self.limits.clone(), self.events.clone());
-        let (profile, task) = (self.shared.profile.clone(), Task::of_peer(TaskKind::Engine, address));
-        tokio::task::spawn_local(profiled(profile, task, run));
+        tokio::task::spawn_local(connection.share.clone().run(run));
         connection
     }
 
--- a/src/net/front/clickhouse/query.rs
+++ b/src/net/front/clickhouse/query.rs
@@ -90,6 +90,7 @@
         data,
         params: request.params,
         flow: request.may_stream.then(|| -> Rc<dyn FlowControl> { session.connection.write_queue.clone() }),
+        reading: Some(session.connection.progress.clone()),
         abandoned: Cell::default(),
     };
     let received = ReceivedRequest {
--- a/src/net/front/clickhouse/session.rs
+++ b/src/net/front/clickhouse/session.rs
@@ -4,15 +4,15 @@
 use super::request::{ReadError, RequestReader};
 use super::response::Session;
 use crate::interface::RequestId;
-use crate::net::connection::{close_orderly, CloseMode, ReadBuffer};
+use crate::net::connection::{close_orderly, is_closed_by_peer, CloseMode, ReadBuffer, ReadProgress};
 use crate::net::front::rules::ClassRules;
 use crate::net::front::{ClientConnection, CloseReason, FrontendState};
 use std::cell::Cell;
 use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::Interest;
 use tokio::net::TcpStream;
+use tokio::time::{sleep, Instant};
 
 /// Interval of checks whether a client has disconnected while its pipelined bytes are not read. It is short enough for the
 /// reducer to be notified of a disconnect within 100 ms.
@@ -43,7 +43,8 @@
     if is_disconnected {
         connection.write_queue.close(CloseMode::Immediately);
     } else {
-        close_orderly(stream, &connection.write_queue, connection.close_linger(&limits), &limits).await;
+        let linger = connection.close_linger(&limits);
+        close_orderly(stream, &connection.write_queue, &connection.share, linger, &limits).await;
     }
 }
 
@@ -54,8 +55,9 @@
     rules: &ClassRules,
     open_query: &Cell<Option<RequestId>>,
 ) {
-    let mut reader = RequestReader::new(stream, session, ReadBuffer::for_client(frontend.shared.clone()));
+    let mut reader = RequestReader::new(stream, session, session.connection.read_buffer());
     while session.keep_alive.get() {
+        reader.buffer.turn(stream).await;
         let request = match reader.read().await {
             Ok(request) => request,
             Err(ReadError::Closed) => continue,
@@ -75,7 +77,7 @@
         }
         open_query.set(None);
         // A request that was sent meanwhile may have been read only in part.
-        reader.buffer.restart_message_timeout();
+        reader.buffer.begin_after_answer();
     }
     let connection = &session.connection;
     connection.set_close_reason(match connection.closes_after_answer() {
@@ -99,7 +101,7 @@
                 session.connection.set_incomplete(buffer);
             }
             // A disconnect is detected even while unread bytes precede it.
-            () = read_closed(stream), if !may_read => {
+            () = read_closed(stream, &session.connection.progress), if !may_read => {
                 session.connection.set_disconnected();
                 return ControlFlow::Break(());
             }
@@ -108,8 +110,13 @@
 }
 
 /// Waits until the client has closed the connection, even if bytes of it are still unread.
-async fn read_closed(stream: &TcpStream) {
-    while stream.ready(Interest::READABLE).await.is_ok_and(|ready| !ready.is_read_closed()) {
-        tokio::time::sleep(DISCONNECT_CHECK_INTERVAL).await;
+async fn read_closed(stream: &TcpStream, progress: &ReadProgress) {
+    loop {
+        let checked_at = Instant::now();
+        if is_closed_by_peer(stream) {
+            return;
+        }
+        progress.set_connected_at(checked_at);
+        sleep(DISCONNECT_CHECK_INTERVAL).await;
     }
 }
--- a/src/net/front/client_connection.rs
+++ b/src/net/front/client_connection.rs
@@ -2,7 +2,9 @@
 
 use crate::limits::Limits;
 use crate::net::connection::frame::Frame;
-use crate::net::connection::{CloseMode, MessageMemory, ReadBuffer, WriteOverflow, WriteQueue};
+use crate::net::connection::{
+    CloseMode, MessageMemory, ReadBuffer, ReadProgress, WorkShare, WriteOverflow, WriteQueue,
+};
 use crate::net::front::close_reason::{CloseCounters, CloseReason};
 use crate::net::front::shutdown_phase::ShutdownPhase;
 use crate::net::log;
@@ -19,6 +21,10 @@
 pub struct ClientConnection {
     /// Address of the client.
     pub peer: SocketAddr,
+    /// Share of the task that serves the connection in the event loop.
+    pub share: Rc<WorkShare>,
+    /// How far the connection is read.
+    pub progress: Rc<ReadProgress>,
     /// Queue of responses to the client.
     pub write_queue: Rc<WriteQueue>,
     shutdown_phase: Rc<Cell<ShutdownPhase>>,
@@ -48,6 +54,7 @@
     /// Creates the state of a connection that was just accepted.
     pub fn new(
         peer: SocketAddr,
+        share: Rc<WorkShare>,
         write_queue: Rc<WriteQueue>,
         shutdown_phase: Rc<Cell<ShutdownPhase>>,
         close_counters: Rc<CloseCounters>,
@@ -55,6 +62,8 @@
         let opened = Instant::now();
         Self {
             peer,
+            share,
+            progress: ReadProgress::new(write_queue.shared().read_barrier.read_until()),
             write_queue,
             shutdown_phase,
             answered_in_shutdown: Cell::new(false),
@@ -71,6 +80,11 @@
         }
     }
 
+    /// Creates an empty buffer for the messages of the client.
+    pub fn read_buffer(&self) -> ReadBuffer {
+        ReadBuffer::for_client(self.write_queue.shared(), self.share.clone(), self.progress.clone())
+    }
+
     /// Requests the eviction of the connection. The reading task first checks whether a request has arrived.
     pub fn request_eviction(&self) {
         self.eviction_requested.set(true);
@@ -88,13 +102,19 @@
         self.arrived_at.get()
     }
 
+    /// Returns the earliest time at which the message that is handled now may have arrived in the socket.
+    pub fn earliest_read(&self, now: Instant) -> Instant {
+        self.progress.earliest_arrival(now)
+    }
+
     /// Sets the earliest time at which the client may have connected.
     pub fn set_arrived_at(&self, at: Instant) {
         self.arrived_at.set(Some(at));
     }
 
-    /// Counts a received request as open.
+    /// Counts a received request as open, and the processing time of the reducer for it as used by this client.
     pub fn request_opened(&self) {
+        self.share.deduct_request();
         self.open_requests.set(self.open_requests.get() + 1);
         self.last_active.set(Instant::now());
     }
--- a/src/net/front/client_connection/tests.rs
+++ b/src/net/front/client_connection/tests.rs
@@ -5,7 +5,9 @@
 
 fn connection() -> ClientConnection {
     let peer = SocketAddr::from(([127, 0, 0, 1], 1));
-    ClientConnection::new(peer, WriteQueue::for_client(SharedState::new(1)), Rc::default(), Rc::default())
+    let shared = SharedState::new(1);
+    let share = shared.scheduler.new_connection(peer);
+    ClientConnection::new(peer, share, WriteQueue::for_client(shared), Rc::default(), Rc::default())
 }
 
 fn limits() -> Limits {
--- a/src/net/front/state.rs
+++ b/src/net/front/state.rs
@@ -4,7 +4,7 @@
 use crate::interface::{DataSet, Milliseconds, RequestDetails, RequestId, Settings};
 use crate::limits::Limits;
 use crate::net::clock::Clock;
-use crate::net::connection::{SharedState, WriteQueue};
+use crate::net::connection::{SharedState, WorkShare, WriteQueue};
 use crate::net::front::client_connection::ClientConnection;
 use crate::net::front::close_reason::CloseCounters;
 use crate::net::front::requests::{ReceivedRequest, ResponseWriter};
@@ -123,10 +123,14 @@
         })
     }
 
-    /// Registers the new connection of the client at the address `peer`. If all slots are in use, the connection that has been idle longest is evicted,
+    /// Registers the new connection of the client at the address `peer`, which is served by a task with this share. If all slots are in use, the connection that has been idle longest is evicted,
     /// because a new one is likely to send a request whose client waits for the answer. Returns `None` if no slot is
     /// released within `max_wait_for_slot`.
-    pub async fn accept_connection(&self, peer: SocketAddr) -> Option<Rc<ClientConnection>> {
+    pub async fn accept_connection(
+        &self,
+        peer: SocketAddr,
+        share: Rc<WorkShare>,
+    ) -> Option<Rc<ClientConnection>> {
         let deadline = Instant::now() + self.limits.max_wait_for_slot;
         while !self.has_free_slot() {
             let next_check = self.request_eviction();
@@ -137,7 +141,7 @@
         }
         let write_queue = WriteQueue::for_client(self.shared.clone());
         let (phase, counters) = (self.shutdown_phase.clone(), self.close_counters.clone());
-        let connection = Rc::new(ClientConnection::new(peer, write_queue, phase, counters));
+        let connection = Rc::new(ClientConnection::new(peer, share, write_queue, phase, counters));
         self.connections.borrow_mut().push(connection.clone());
         Some(connection)
     }
@@ -214,11 +218,12 @@
         self.clock.at(self.pauses.earliest_arrival(Instant::now()))
     }
 
-    /// Returns the earliest time at which the bytes that are read now from a connection may have arrived: possibly while the
-    /// process was paused, or while the connection waited to be accepted.
+    /// Returns the earliest time at which the message that is handled now may have arrived on a connection: possibly while the process
+    /// was paused, while the connection waited to be accepted, or while it was not read.
     pub fn arrival_time(&self, connection: &ClientConnection) -> Milliseconds {
         let now = Instant::now();
-        self.clock.at(self.pauses.earliest_arrival(now).min(connection.earliest_arrival().unwrap_or(now)))
+        let accepted = connection.earliest_arrival().unwrap_or(now);
+        self.clock.at(self.pauses.earliest_arrival(now).min(accepted).min(connection.earliest_read(now)))
     }
 
     /// Returns a new id for a request that is about to be submitted.
--- a/src/net/front/thrift/call.rs
+++ b/src/net/front/thrift/call.rs
@@ -101,6 +101,7 @@
             class: verb.to_owned(),
             text: body.to_vec(),
             key: key.map(str::to_owned),
+            reading: Some(connection.progress.clone()),
             ..Statement::default()
         },
     })
--- a/src/net/front/thrift/session.rs
+++ b/src/net/front/thrift/session.rs
@@ -7,7 +7,7 @@
 use crate::interface::{ClassId, RequestId};
 use crate::limits::Limits;
 use crate::net::connection::frame::Frame;
-use crate::net::connection::{close_orderly, CloseMode, ReadBuffer};
+use crate::net::connection::{close_orderly, CloseMode};
 use crate::net::front::requests::count_of_answer;
 use crate::net::front::{ClientConnection, CloseReason, FrontendState, ResponseWriter};
 use starlingplank_admin::metrics::Count;
@@ -93,16 +93,18 @@
     if is_disconnected {
         connection.write_queue.close(CloseMode::Immediately);
     } else {
-        close_orderly(stream, &connection.write_queue, connection.close_linger(&limits), &limits).await;
+        let linger = connection.close_linger(&limits);
+        close_orderly(stream, &connection.write_queue, &connection.share, linger, &limits).await;
     }
 }
 
 /// Reads and handles messages until the connection has ended or has to be closed.
 async fn read_messages(stream: &TcpStream, session: &Rc<Session>, frontend: &Rc<FrontendState>) {
     let limits = &session.limits;
-    let mut read_buffer = ReadBuffer::for_client(frontend.shared.clone());
+    let mut read_buffer = session.connection.read_buffer();
     loop {
         while let Some(length) = frame_len(read_buffer.unread()) {
+            read_buffer.turn(stream).await;
             if length > limits.max_message_bytes {
                 return session.connection.set_close_reason(CloseReason::MessageTooLong);
             }
--- a/src/net/loop_profile.rs
+++ b/src/net/loop_profile.rs
@@ -1,23 +1,19 @@
 //! Profile of the event loop: the time that each kind of task takes, and the tasks that hold up the loop.
 //!
 //! All tasks of a process share one thread, so a task that runs for long delays timers, engines, signals and all clients.
-//! [`profiled`] measures each poll of a task. The event loop ends a cycle of the profile each time it runs, and logs a cycle that took
+//! Each poll of a task is recorded. The event loop ends a cycle of the profile each time it runs, and logs a cycle that took
 //! long with the tasks that ran in it.
 
 use crate::net::log;
 use rustix::time::{clock_gettime, ClockId};
 use std::cell::{Cell, RefCell};
 use std::fmt;
-use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
-use std::pin::pin;
-use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
 
-/// Duration of a cycle from which on it is logged.
+/// Time for which a cycle holds up the event loop from which on it is logged.
 const LONG_CYCLE: Duration = Duration::from_millis(50);
-/// Divisor of the duration of a cycle that gives the CPU time up to which the process counts as paused in it.
+/// Divisor of the time for which a cycle holds up the loop that gives the CPU time up to which the process counts as paused in it.
 const PAUSED_CPU_DIVISOR: u32 = 20;
 
 /// Kind of a task.
@@ -136,12 +132,12 @@
     }
 
     /// Ends the current cycle and begins the next one. `delay` is the time by which the event loop runs later than it was asked to. A
-    /// cycle that took long is logged: as a pause if the process got hardly any CPU time in it, and otherwise with the tasks that
-    /// ran.
+    /// cycle that held up the loop, by a delay or by one task that ran for long, is logged: as a pause if the process got hardly
+    /// any CPU time in it, and otherwise with the tasks that ran.
     pub fn end_cycle(&self, delay: Duration) {
         let ended = self.cycle.replace(Cycle::start());
-        let busy: Duration = ended.time_by_kind.iter().sum();
-        let taken = busy.max(delay);
+        let longest = ended.longest.map_or(Duration::ZERO, |(longest, _)| longest);
+        let taken = longest.max(delay);
         self.longest_cycle.set(self.longest_cycle.get().max(taken));
         if taken < LONG_CYCLE {
             return;
@@ -164,7 +160,7 @@
         *self.longest_by_kind.borrow()
     }
 
-    /// Returns the duration of the longest cycle since the start of the process.
+    /// Returns the longest time for which a cycle held up the loop since the start of the process.
     pub fn longest_cycle(&self) -> Duration {
         self.longest_cycle.get()
     }
@@ -205,17 +201,5 @@
     );
 }
 
-/// Runs a task and measures each of its polls.
-pub async fn profiled<F: Future>(profile: Rc<LoopProfile>, task: Task, future: F) -> F::Output {
-    let mut future = pin!(future);
-    poll_fn(|context| {
-        let started_at = Instant::now();
-        let polled = future.as_mut().poll(context);
-        profile.record(task, started_at.elapsed());
-        polled
-    })
-    .await
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/net/runtime/listeners.rs
+++ b/src/net/runtime/listeners.rs
@@ -1,9 +1,9 @@
 //! Listeners for clients. Each connection is served by its own task after it has obtained a connection slot.
 
 use crate::config::{ClickHouseListener, Config};
+use crate::net::connection::WorkShare;
 use crate::net::front::{clickhouse, thrift, ClientConnection, FrontendState, ListenerGuard};
 use crate::net::log;
-use crate::net::loop_profile::{profiled, Task, TaskKind};
 use crate::net::tasks::{TaskName, Tasks};
 use crate::net::transient_errors::{self, Backoff};
 use std::future::Future;
@@ -79,33 +79,83 @@
     S: Fn(TcpStream, Rc<ClientConnection>) -> F + Clone + 'static,
     F: Future<Output = ()> + 'static,
 {
-    let acceptor = Acceptor { frontend: frontend.clone(), serve, listener_guard: frontend.listener_guard() };
-    let profile = frontend.shared.profile.clone();
-    tasks.spawn(name, profiled(profile, Task::new(TaskKind::Listener), acceptor.run(listener)));
+    let acceptor = Acceptor {
+        frontend: frontend.clone(),
+        serve,
+        share: frontend.shared.scheduler.listener(),
+        listener_guard: frontend.listener_guard(),
+    };
+    let share = acceptor.share.clone();
+    tasks.spawn(name, share.run(acceptor.run(listener)));
 }
 
 /// Tracks since when connections may have been waiting in the kernel's accept queue. Their clients may already have sent
 /// requests, and deadlines count from then.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct ListenerQueue {
     waiting_since: Option<Instant>,
+    /// Time at which the accept queue was last found empty.
+    empty_at: Instant,
+    checkpoint: Option<QueueCheckpoint>,
     backoff: Backoff,
 }
 
+/// A time at which the accept queue held no more than its maximum. Connections that are accepted after as many others have arrived
+/// later.
+#[derive(Debug)]
+struct QueueCheckpoint {
+    at: Instant,
+    /// Number of connections that may have been in the queue at that time and are not accepted yet.
+    remaining: u32,
+}
+
+impl QueueCheckpoint {
+    fn now() -> Self {
+        Self { at: Instant::now(), remaining: BACKLOG + 1 }
+    }
+}
+
+/// Times at which an accepted connection may have arrived.
+#[derive(Debug, Clone, Copy)]
+struct Arrival {
+    /// Earliest time, as far as pauses of the process are known. Deadlines count from then.
+    from: Instant,
+    /// Time before which the connection has certainly not arrived.
+    after: Instant,
+}
+
 impl ListenerQueue {
+    /// Creates the queue of a listener that begins to listen now.
+    fn new() -> Self {
+        Self { waiting_since: None, empty_at: Instant::now(), checkpoint: None, backoff: Backoff::default() }
+    }
+
     /// Records that connections may have been waiting to be accepted since `earliest`.
     fn set_waiting(&mut self, earliest: Instant) {
         self.waiting_since.get_or_insert(earliest);
+        self.checkpoint.get_or_insert_with(QueueCheckpoint::now);
     }
 
-    /// Records that the accept queue is empty.
-    fn set_empty(&mut self) {
+    /// Records that the accept queue was empty at a time.
+    fn set_empty(&mut self, at: Instant) {
+        self.empty_at = at;
         self.waiting_since = None;
+        self.checkpoint = None;
     }
 
-    /// Earliest time at which a connection that is accepted now may have arrived; `earliest` if none had to wait.
-    fn arrived(&self, earliest: Instant) -> Instant {
-        self.waiting_since.unwrap_or(earliest)
+    /// Records that a connection was accepted.
+    fn count_accepted(&mut self) {
+        let Some(checkpoint) = &mut self.checkpoint else { return };
+        checkpoint.remaining -= 1;
+        if checkpoint.remaining == 0 {
+            self.waiting_since = Some(checkpoint.at);
+            self.checkpoint = Some(QueueCheckpoint::now());
+        }
+    }
+
+    /// Returns when a connection that is accepted now may have arrived; from `earliest` on if none had to wait.
+    fn arrived(&self, earliest: Instant) -> Arrival {
+        Arrival { from: self.waiting_since.unwrap_or(earliest), after: self.empty_at }
     }
 }
 
@@ -114,6 +164,8 @@
     frontend: Rc<FrontendState>,
     /// Serves one connection with the listener's protocol.
     serve: S,
+    /// Share of the accepting task in the event loop.
+    share: Rc<WorkShare>,
     /// Signals, until dropped, that further connections may be accepted.
     listener_guard: ListenerGuard,
 }
@@ -129,11 +181,11 @@
     }
 
     /// Accepts connections until another process takes over or this one is about to exit. Several accepted connections may wait
-    /// for a slot at the same time, so that one that waits does not block the others. Returns the earliest time at which
-    /// connections that are still in the accept queue may have arrived.
-    async fn accept_until_closing(&self, listener: &TcpListener) -> Instant {
+    /// for a slot at the same time, so that one that waits does not block the others. Returns when connections that are still in the
+    /// accept queue may have arrived.
+    async fn accept_until_closing(&self, listener: &TcpListener) -> Arrival {
         let mut stop_accepting = self.frontend.stop_accepting.subscribe();
-        let mut queue = ListenerQueue::default();
+        let mut queue = ListenerQueue::new();
         loop {
             let accepted = tokio::select! {
                 biased;
@@ -164,6 +216,10 @@
         listener: &TcpListener,
         queue: &mut ListenerQueue,
     ) -> (WaitingSlot, io::Result<Accepted>) {
+        if !self.share.may_continue() {
+            queue.set_waiting(self.earliest_arrival());
+            self.share.turn().await;
+        }
         let slots = self.frontend.waiting_slots.clone();
         let slot = if let Ok(slot) = slots.clone().try_acquire_owned() {
             Ok(slot)
@@ -171,17 +227,19 @@
             queue.set_waiting(self.earliest_arrival());
             slots.acquire_owned().await
         };
+        let checked_at = Instant::now();
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
             () = std::future::ready(()) => {
-                queue.set_empty();
+                queue.set_empty(checked_at);
                 listener.accept().await
             }
         };
         match accepted {
             Ok((stream, peer)) => {
                 queue.backoff.reset();
+                queue.count_accepted();
                 (slot, Ok(Accepted { stream, peer }))
             }
             Err(error) => {
@@ -193,7 +251,7 @@
 
     /// Accepts the connections that remain in the kernel's queue, since closing the listener would reset them. The listener is
     /// closed as soon as a call finds the queue empty, or after the maximum wait for a slot.
-    async fn empty_backlog(&self, listener: TcpListener, arrived: Instant) {
+    async fn empty_backlog(&self, listener: TcpListener, arrived: Arrival) {
         let deadline = Instant::now() + self.frontend.limits.max_wait_for_slot;
         let slots = self.frontend.waiting_slots.clone();
         let Ok(queue) = listener.into_std() else { return };
@@ -223,21 +281,21 @@
         }
     }
 
-    /// Starts a task that serves a connection; `arrived` is the earliest time at which it may have arrived.
-    fn spawn(&self, accepted: Accepted, slot: WaitingSlot, arrived: Instant) {
+    /// Starts a task that serves a connection.
+    fn spawn(&self, accepted: Accepted, slot: WaitingSlot, arrived: Arrival) {
         let (frontend, serve) = (self.frontend.clone(), self.serve.clone());
         let guard = self.listener_guard.clone();
-        let (profile, task) =
-            (frontend.shared.profile.clone(), Task::of_peer(TaskKind::Client, accepted.peer));
-        let served = serve_when_admitted(accepted, arrived, frontend, serve, slot, guard);
-        tokio::task::spawn_local(profiled(profile, task, served));
+        let share = frontend.shared.scheduler.new_connection(accepted.peer);
+        let served = serve_when_admitted(accepted, share.clone(), arrived, frontend, serve, slot, guard);
+        tokio::task::spawn_local(share.run(served));
     }
 }
 
 /// Waits for a connection slot, and then serves the connection. Without a slot in time the connection is closed.
 async fn serve_when_admitted<S, F>(
     Accepted { stream, peer }: Accepted,
-    arrived: Instant,
+    share: Rc<WorkShare>,
+    arrived: Arrival,
     frontend: Rc<FrontendState>,
     serve: S,
     waiting_slot: WaitingSlot,
@@ -246,11 +304,12 @@
     S: Fn(TcpStream, Rc<ClientConnection>) -> F,
     F: Future<Output = ()>,
 {
-    let Some(connection) = frontend.accept_connection(peer).await else {
+    let Some(connection) = frontend.accept_connection(peer, share).await else {
         return log::warn_rate_limited("no connection slot became free in time: connection closed");
     };
     drop(waiting_slot);
-    connection.set_arrived_at(arrived);
+    connection.set_arrived_at(arrived.from);
+    connection.progress.set_connected(arrived.after);
     let served = ServedConnection { frontend, connection };
     serve(stream, served.connection.clone()).await;
 }
--- a/src/net/runtime/mod.rs
+++ b/src/net/runtime/mod.rs
@@ -176,7 +176,9 @@
             }
             let started_at = Instant::now();
             self.requests_finished = false;
+            let requests = events.iter().filter(|event| matches!(event, Event::RequestReceived(_))).count();
             self.run_decision_cycles(events);
+            self.frontend.shared.scheduler.record_requests(requests, started_at.elapsed());
             self.statistics.count_cycle(started_at);
             self.statistics.count_delay(delay);
             self.frontend.shared.profile.record(Task::new(TaskKind::Reducer), woken_at.elapsed());
--- a/src/net/runtime/shutdown.rs
+++ b/src/net/runtime/shutdown.rs
@@ -99,9 +99,10 @@
         let longest = self.statistics.longest_cycle.as_secs_f64() * 1000.0;
         let max_delay = self.statistics.max_delay;
         tracing::info!("loop: longest cycle {longest:.3} ms, largest timer delay {max_delay:.3} ms");
+        let held_up_ms = self.frontend.shared.profile.longest_cycle().as_secs_f64() * 1000.0;
         let counts = self.named_counts();
         tracing::info!(
-            "loop: microseconds by task {:?}, longest {:?}; client connections closed {:?}",
+            "loop: held up for at most {held_up_ms:.3} ms; microseconds by task {:?}, longest {:?}; client connections closed {:?}",
             counts.loop_time.into_iter().collect::<BTreeMap<_, _>>(),
             counts.loop_longest.into_iter().collect::<BTreeMap<_, _>>(),
             counts.closed.into_iter().filter(|(_, count)| *count > 0).collect::<BTreeMap<_, _>>(),
--- a/src/net/runtime/startup.rs
+++ b/src/net/runtime/startup.rs
@@ -12,7 +12,7 @@
 use crate::net::engine::Engines;
 use crate::net::front::FrontendState;
 use crate::net::hot_restart::{self, HotRestart};
-use crate::net::loop_profile::{profiled, Task, TaskKind};
+use crate::net::loop_profile::{Task, TaskKind};
 use crate::net::persistence::{self, Persistence, PersistenceError};
 use crate::net::runtime::listeners::bind;
 use crate::net::runtime::{LoopStatistics, Runtime, ServeError};
@@ -244,8 +244,8 @@
             buffer: vec![0; self.frontend.limits.max_datagram_bytes],
         };
         let address = self.name_service.subscribe();
-        let profile = self.frontend.shared.profile.clone();
-        let task = profiled(profile, Task::new(TaskKind::Discovery), poller.run(address));
+        let share = self.frontend.shared.scheduler.unlimited(Task::new(TaskKind::Discovery));
+        let task = share.run(poller.run(address));
         self.tasks.spawn("name service", task);
     }
 }
--- a/tests/busy_clients.rs
+++ b/tests/busy_clients.rs
@@ -284,6 +284,7 @@
 /// and engines waited.
 #[rstest]
 #[case::one(1)]
+#[case::six(6)]
 fn usual_clients_are_answered_beside_health_checks_at_full_speed(#[case] busy_clients: usize) {
     assert_rules_hold_beside(Message::Health, Reading::All, busy_clients, BUSY_THREADS);
 }
