Unread answers are counted with their frames, and stop the reading of their client

What callers saw: a hundred clients that sent small messages and read nothing took 684 MB of 48 MB, and were closed as slow readers although no write had been tried ('blocked for 0 ms' in the new line).

Cause: a queued answer was counted by its bytes on the wire, 50 for a health check, while its frame takes several hundred; and messages were handled however many answers waited, up to 2 MiB of such bytes for each client.

Change: Frame::memory is counted, for the limit of a queue and for the memory of all answers. A client whose queue takes more than its part of that memory (half of it, divided by the client connections; 4 to 256 KiB) is not read on, over both fronts; disconnects are noticed meanwhile. The queue to a client takes turns as reading does.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -27,6 +27,8 @@
     pub max_result_bytes: usize,
     /// Maximum number of bytes queued for one peer. A peer that reads so slowly that the queue exceeds this is disconnected.
     pub max_write_queue_bytes: usize,
+    /// Memory of the answers that wait for one client, in bytes, above which no further messages of the client are handled.
+    pub max_unread_answer_bytes: usize,
     /// Maximum number of bytes of the statements of open requests.
     pub max_buffered_bytes: usize,
     /// Maximum number of bytes of all incomplete messages from clients.
@@ -57,7 +59,7 @@
     /// Time after which an idle engine connection is closed. Shorter than the idle timeout of the engine, so that no attempt is sent
     /// on a connection that the engine is closing.
     pub engine_idle_timeout: Duration,
-    /// Time after which a client connection without open requests is closed.
+    /// Time after which a client connection without open requests is closed; also if the client does not read its answers.
     pub client_idle_timeout: Duration,
     /// Time after which a client connection is closed if it has no open request and either received no answer yet, or stopped in
     /// the middle of a message.
@@ -156,6 +158,10 @@
 const INCOMING_SHARE: f64 = 0.2;
 /// Share of the memory that results and queued answers may take.
 const OUTGOING_SHARE: f64 = 0.2;
+/// Lower bound of [`Limits::max_unread_answer_bytes`].
+const MIN_UNREAD_ANSWER_BYTES: usize = 4 << 10;
+/// Upper bound of [`Limits::max_unread_answer_bytes`].
+const MAX_UNREAD_ANSWER_BYTES: usize = 256 << 10;
 /// Ratio of this side's idle timeout of engine connections to the engine's idle timeout.
 const IDLE_TIMEOUT_SHARE: f64 = 0.8;
 /// Maximum number of open requests. Settings can only lower it.
@@ -199,6 +205,13 @@
     kill_after - (kill_after * SHUTDOWN_MARGIN_SHARE).max(MIN_SHUTDOWN_MARGIN)
 }
 
+/// Returns the memory of the answers that may wait for one client: if no client reads, the answers to messages that are answered
+/// directly take half of the memory for answers.
+fn max_unread_answer_bytes(max_outgoing_bytes: usize, max_client_connections: usize) -> usize {
+    let share = max_outgoing_bytes / (2 * max_client_connections);
+    share.clamp(MIN_UNREAD_ANSWER_BYTES, MAX_UNREAD_ANSWER_BYTES)
+}
+
 impl Limits {
     /// Returns these limits with shutdown deadlines for a gateway whose requests have deadlines of up to `longest_deadline`. SIGKILL
     /// follows SIGTERM after that time, capped at a maximum, plus 0.7 s; open requests are answered earlier.
@@ -242,8 +255,10 @@
     /// Returns the limits for a machine with these numbers of file descriptors and bytes of memory. Limits that the settings may
     /// override have their defaults.
     fn of_machine(sockets: usize, memory_bytes: f64) -> Self {
+        let max_client_connections = sockets * 60 / 100;
+        let max_outgoing_bytes = (memory_bytes * OUTGOING_SHARE) as usize;
         Self {
-            max_client_connections: sockets * 60 / 100,
+            max_client_connections,
             max_engine_connections: sockets * 25 / 100,
             max_open_per_connection: 32,
             max_open_requests: MAX_OPEN_REQUESTS as usize,
@@ -253,7 +268,8 @@
             max_write_queue_bytes: 2 << 20,
             max_buffered_bytes: (memory_bytes * BUFFERED_SHARE) as usize,
             max_incoming_bytes: (memory_bytes * INCOMING_SHARE) as usize,
-            max_outgoing_bytes: (memory_bytes * OUTGOING_SHARE) as usize,
+            max_outgoing_bytes,
+            max_unread_answer_bytes: max_unread_answer_bytes(max_outgoing_bytes, max_client_connections),
             read_chunk_bytes: 16 << 10,
             max_gathered_slices: 64,
             event_queue_capacity: 1024,
--- a/src/net/connection/frame.rs
+++ b/src/net/connection/frame.rs
@@ -47,7 +47,7 @@
     /// Deadline for the write of the first byte, after which the message is discarded.
     pub transmit_before: Option<Instant>,
     /// Attempt that the message transmits, with the data to check it and to encode it again before it is written.
-    pub queued_attempt: Option<QueuedAttempt>,
+    pub queued_attempt: Option<Box<QueuedAttempt>>,
 }
 
 /// An attempt in a write queue, with the data to encode it again.
@@ -98,14 +98,14 @@
             segments: encode(&send),
             counter_key: Some((send.class.0, Count::Sends)),
             transmit_before: Some(send.transmit_within.map_or(deadline, after).min(deadline)),
-            queued_attempt: Some(QueuedAttempt {
+            queued_attempt: Some(Box::new(QueuedAttempt {
                 send,
                 encode,
                 deadline,
                 queued_at: now,
                 encoded_at: now,
                 retry_budget_checked: false,
-            }),
+            })),
         }
     }
 
@@ -160,6 +160,15 @@
         Self { counter_key: Some(counter_key), ..self }
     }
 
+    /// Returns the memory that the message takes while it is queued, in bytes. Statements are shared, and not counted.
+    pub fn memory(&self) -> usize {
+        let owned = self.segments.iter().map(|segment| match segment {
+            Segment::Owned(bytes) => bytes.capacity(),
+            Segment::StatementText(_) | Segment::StatementData(_) => 0,
+        });
+        size_of::<Self>() + self.segments.capacity() * size_of::<Segment>() + owned.sum::<usize>()
+    }
+
     /// Returns the length of the message in bytes.
     #[allow(clippy::len_without_is_empty)]
     pub fn len(&self) -> usize {
--- a/src/net/connection/write_queue.rs
+++ b/src/net/connection/write_queue.rs
@@ -2,6 +2,7 @@
 
 use crate::core::{AttemptId, FlowControl};
 use crate::limits::Limits;
+use crate::net::connection::fair_share::WorkShare;
 use crate::net::connection::frame::Frame;
 use crate::net::connection::shared_state::SharedState;
 use crate::net::connection::socket_retry::SocketRetry;
@@ -40,9 +41,9 @@
     MemoryExhausted,
 }
 
-/// Frames that wait to be written to one peer. The length of the queue is limited. In the queue of a client, the bytes are
-/// also counted in [`SharedState::outgoing`]; in the queue to an engine, they are statements, which the reducer counts. One
-/// task writes the frames, by [`write_all`](Self::write_all).
+/// Frames that wait to be written to one peer. The length of the queue is limited. The memory of the queue of a client is also counted
+/// in [`SharedState::outgoing`]; the queue to an engine holds statements, which the reducer counts. One task writes the frames,
+/// by [`write_all`](Self::write_all).
 #[derive(Debug)]
 pub struct WriteQueue {
     frames: RefCell<VecDeque<Frame>>,
@@ -50,9 +51,12 @@
     postponed: RefCell<Vec<Frame>>,
     /// Number of bytes of the first frame that are written.
     first_frame_written: Cell<usize>,
+    /// Number of bytes that are queued and not written yet.
     bytes: Cell<usize>,
-    /// Whether the peer is a client.
-    is_for_client: bool,
+    /// Memory that the queued frames of a client take, in bytes.
+    memory: Cell<usize>,
+    /// Share in the event loop of the task that serves a client; `None` for the queue to an engine.
+    client_share: Option<Rc<WorkShare>>,
     /// Time from which on the socket has accepted no complete frame, if it accepts no more bytes.
     blocked_since: Cell<Option<Instant>>,
     shared: Rc<SharedState>,
@@ -73,23 +77,24 @@
 impl WriteQueue {
     /// Creates an empty queue to an engine.
     pub fn new(shared: Rc<SharedState>) -> Self {
-        Self::with_peer(shared, false)
+        Self::with_peer(shared, None)
     }
 
-    /// Creates an empty queue to a client.
-    pub fn for_client(shared: Rc<SharedState>) -> Rc<Self> {
-        let queue = Rc::new(Self::with_peer(shared, true));
+    /// Creates an empty queue to a client that is served by a task with this share.
+    pub fn for_client(shared: Rc<SharedState>, share: Rc<WorkShare>) -> Rc<Self> {
+        let queue = Rc::new(Self::with_peer(shared, Some(share)));
         queue.shared.outgoing.register(&queue);
         queue
     }
 
-    fn with_peer(shared: Rc<SharedState>, is_for_client: bool) -> Self {
+    fn with_peer(shared: Rc<SharedState>, client_share: Option<Rc<WorkShare>>) -> Self {
         Self {
             frames: RefCell::default(),
             postponed: RefCell::default(),
             first_frame_written: Cell::new(0),
             bytes: Cell::new(0),
-            is_for_client,
+            memory: Cell::new(0),
+            client_share,
             blocked_since: Cell::new(None),
             shared,
             close_mode: Cell::new(None),
@@ -112,13 +117,32 @@
         self.bytes.get()
     }
 
+    fn is_for_client(&self) -> bool {
+        self.client_share.is_some()
+    }
+
+    /// Returns the memory that the queued frames of a client take, in bytes.
+    pub fn memory(&self) -> usize {
+        self.memory.get()
+    }
+
     fn count_bytes(&self, added: usize, removed: usize) {
         self.bytes.set(self.bytes.get() + added - removed);
-        if self.is_for_client {
+    }
+
+    fn count_memory(&self, added: usize, removed: usize) {
+        if self.is_for_client() {
+            self.memory.set(self.memory.get() + added - removed);
             self.shared.outgoing.update(added, removed);
         }
     }
 
+    /// Counts a frame that has left the queue, of which `unwritten` bytes were not written.
+    fn count_removed(&self, frame: &Frame, unwritten: usize) {
+        self.count_bytes(0, unwritten);
+        self.count_memory(0, frame.memory());
+    }
+
     /// Queues a message. If the queue would exceed its limit, the connection is closed. If all answers together exceed the
     /// memory for them, the connections of clients that do not read theirs are closed.
     pub fn push(&self, frame: Frame, limits: &Limits) {
@@ -126,9 +150,12 @@
             return;
         }
         let length = frame.len();
-        if self.bytes.get() + length > limits.max_write_queue_bytes {
+        let memory = frame.memory();
+        let queued =
+            if self.is_for_client() { self.memory.get() + memory } else { self.bytes.get() + length };
+        if queued > limits.max_write_queue_bytes {
             self.overflow.set(Some(WriteOverflow::QueueFull));
-            if !self.is_for_client {
+            if !self.is_for_client() {
                 log::warn_rate_limited(
                     "the write queue to an engine exceeds its limit; closing the connection",
                 );
@@ -136,9 +163,10 @@
             return self.close(CloseMode::Immediately);
         }
         self.count_bytes(length, 0);
+        self.count_memory(memory, 0);
         self.frames.borrow_mut().push_back(frame);
         self.changed.notify_one();
-        if self.is_for_client {
+        if self.is_for_client() {
             self.shared.outgoing.relieve(self.shared.process_share(limits.max_outgoing_bytes));
         }
     }
@@ -157,6 +185,7 @@
         self.frames.borrow_mut().clear();
         self.first_frame_written.set(0);
         self.count_bytes(0, self.bytes.get());
+        self.count_memory(0, self.memory.get());
     }
 
     /// Requests the close of the connection. Frames that are pushed afterwards are discarded.
@@ -168,6 +197,13 @@
         self.changed.notify_one();
     }
 
+    /// Waits until the queued frames of a client take at most this memory, or the connection closes.
+    pub async fn wait_for_memory(&self, max_bytes: usize) {
+        while self.memory.get() > max_bytes && !self.is_closing() {
+            self.drained.notified().await;
+        }
+    }
+
     /// Waits for a request to close immediately. Must not be used while [`write_all`](Self::write_all) runs, as it consumes
     /// the notifications of the writing task.
     pub async fn closed_immediately(&self) {
@@ -229,8 +265,9 @@
         let Some(index) = unwritten.find(|index| frames[*index].attempt == Some(attempt)) else {
             return false;
         };
-        let length = frames.remove(index).map_or(0, |frame| frame.len());
-        self.count_bytes(0, length);
+        if let Some(frame) = frames.remove(index) {
+            self.count_removed(&frame, frame.len());
+        }
         true
     }
 
@@ -293,7 +330,7 @@
 
     fn discard_refused(&self, index: usize, refusal: SendRefusal) {
         let Some(frame) = self.frames.borrow_mut().remove(index) else { return };
-        self.count_bytes(0, frame.len());
+        self.count_removed(&frame, frame.len());
         self.shared.rule_counters.count(refusal);
         if let Some(AttemptId { request, number: attempt }) = frame.attempt {
             tracing::debug!(request = request.0, attempt, reason = refusal.name(), "attempt not written");
@@ -326,7 +363,9 @@
         while let Some(length) = frames.front().map(Frame::len).filter(|length| *length <= written) {
             written -= length;
             self.blocked_since.set(None);
-            if let Some(counter_key) = frames.pop_front().and_then(|frame| frame.counter_key) {
+            let Some(frame) = frames.pop_front() else { break };
+            self.count_removed(&frame, 0);
+            if let Some(counter_key) = frame.counter_key {
                 self.shared.metrics.add(counter_key);
             }
         }
@@ -363,6 +402,9 @@
                 self.changed.notified().await;
                 continue;
             }
+            if let Some(share) = &self.client_share {
+                share.turn().await;
+            }
             // The process may have been paused since the check of the barrier.
             if begins_attempt && !self.shared.read_barrier.is_fresh() {
                 continue;
@@ -421,6 +463,6 @@
 
 impl Drop for WriteQueue {
     fn drop(&mut self) {
-        self.count_bytes(0, self.bytes.get());
+        self.count_memory(0, self.memory.get());
     }
 }
--- a/src/net/front/clickhouse/session.rs
+++ b/src/net/front/clickhouse/session.rs
@@ -5,19 +5,15 @@
 use super::response::Session;
 use crate::interface::RequestId;
 use crate::net::connection::{close_orderly, is_closed_by_peer, CloseMode, ReadBuffer, ReadProgress};
+use crate::net::front::client_connection::DISCONNECT_CHECK_INTERVAL;
 use crate::net::front::rules::ClassRules;
 use crate::net::front::{ClientConnection, CloseReason, FrontendState};
 use std::cell::Cell;
 use std::ops::ControlFlow;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Instant};
 
-/// Interval of checks whether a client has disconnected while its pipelined bytes are not read. It is short enough for the
-/// reducer to be notified of a disconnect within 100 ms.
-const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(25);
-
 /// Serves one client until its connection ends, then withdraws the query that is still open.
 pub async fn serve(
     stream: TcpStream,
@@ -58,6 +54,9 @@
     let mut reader = RequestReader::new(stream, session, session.connection.read_buffer());
     while session.keep_alive.get() {
         reader.buffer.turn(stream).await;
+        if !session.connection.wait_for_reader(&reader.buffer, stream, &session.limits).await {
+            return;
+        }
         let request = match reader.read().await {
             Ok(request) => request,
             Err(ReadError::Closed) => continue,
--- a/src/net/front/client_connection.rs
+++ b/src/net/front/client_connection.rs
@@ -3,7 +3,8 @@
 use crate::limits::Limits;
 use crate::net::connection::frame::Frame;
 use crate::net::connection::{
-    CloseMode, MessageMemory, ReadBuffer, ReadProgress, WorkShare, WriteOverflow, WriteQueue,
+    is_closed_by_peer, CloseMode, MessageMemory, ReadBuffer, ReadProgress, WorkShare, WriteOverflow,
+    WriteQueue,
 };
 use crate::net::front::close_reason::{CloseCounters, CloseReason};
 use crate::net::front::shutdown_phase::ShutdownPhase;
@@ -14,7 +15,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
+
+/// Interval of checks whether a client has disconnected while its bytes are not read. It is short enough for the reducer to be
+/// notified of a disconnect within 100 ms.
+pub(super) const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
 /// A client's connection. The task that serves it owns the socket; [`FrontendState`](super::FrontendState) lists the
 /// connection until that task has ended.
@@ -167,6 +172,34 @@
         }
     }
 
+    /// Waits while the client leaves more answers unread than may wait for it, so that a client that sends faster than it reads is not
+    /// read. Returns false if the connection has ended or has to be closed.
+    pub async fn wait_for_reader(
+        &self,
+        read_buffer: &ReadBuffer,
+        stream: &TcpStream,
+        limits: &Limits,
+    ) -> bool {
+        if self.write_queue.memory() <= limits.max_unread_answer_bytes {
+            return true;
+        }
+        read_buffer.set_checkpoint(stream);
+        loop {
+            tokio::select! {
+                () = self.write_queue.wait_for_memory(limits.max_unread_answer_bytes) => return true,
+                () = sleep(DISCONNECT_CHECK_INTERVAL) => {}
+            }
+            if is_closed_by_peer(stream) {
+                self.set_disconnected();
+                return false;
+            }
+            if self.open_requests.get() == 0 && self.write_queue.blocked_for() >= limits.client_idle_timeout {
+                self.set_close_reason(CloseReason::NotReading);
+                return false;
+            }
+        }
+    }
+
     /// Checks whether the connection stays open. Returns the time of the next check if nothing arrives, or the reason to
     /// close.
     fn check(
--- a/src/net/front/client_connection/tests.rs
+++ b/src/net/front/client_connection/tests.rs
@@ -7,7 +7,13 @@
     let peer = SocketAddr::from(([127, 0, 0, 1], 1));
     let shared = SharedState::new(1);
     let share = shared.scheduler.new_connection(peer);
-    ClientConnection::new(peer, share, WriteQueue::for_client(shared), Rc::default(), Rc::default())
+    ClientConnection::new(
+        peer,
+        share.clone(),
+        WriteQueue::for_client(shared, share),
+        Rc::default(),
+        Rc::default(),
+    )
 }
 
 fn limits() -> Limits {
--- a/src/net/front/close_reason.rs
+++ b/src/net/front/close_reason.rs
@@ -31,13 +31,15 @@
     NotPersistent,
     /// The answers that wait to be written exceed the limit for one connection.
     WriteQueueFull,
+    /// The client has no open request, and has not read its answers within the idle timeout.
+    NotReading,
     /// The memory for answers is exhausted, and this client has not read its answers for the longest time.
     OutgoingMemoryExhausted,
 }
 
 impl CloseReason {
     /// All reasons, in the order of their discriminants.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::ClientClosed,
         Self::WriteFailed,
         Self::Shutdown,
@@ -51,6 +53,7 @@
         Self::DuplicateName,
         Self::NotPersistent,
         Self::WriteQueueFull,
+        Self::NotReading,
         Self::OutgoingMemoryExhausted,
     ];
 
@@ -70,6 +73,7 @@
             Self::DuplicateName => "duplicate_name",
             Self::NotPersistent => "not_persistent",
             Self::WriteQueueFull => "write_queue_full",
+            Self::NotReading => "not_reading",
             Self::OutgoingMemoryExhausted => "outgoing_memory",
         }
     }
@@ -96,6 +100,9 @@
             Self::WriteQueueFull => {
                 Some("the answers that wait for a client exceed the limit of its connection; closing the connection")
             }
+            Self::NotReading => {
+                Some("a client has not read its answers within the idle timeout; closing the connection")
+            }
             Self::OutgoingMemoryExhausted => Some(
                 "the memory for answers is exhausted; closing the connection of the client that has not read for the longest time",
             ),
--- a/src/net/front/state.rs
+++ b/src/net/front/state.rs
@@ -139,7 +139,7 @@
                 return None;
             }
         }
-        let write_queue = WriteQueue::for_client(self.shared.clone());
+        let write_queue = WriteQueue::for_client(self.shared.clone(), share.clone());
         let (phase, counters) = (self.shutdown_phase.clone(), self.close_counters.clone());
         let connection = Rc::new(ClientConnection::new(peer, share, write_queue, phase, counters));
         self.connections.borrow_mut().push(connection.clone());
--- a/src/net/front/thrift/session.rs
+++ b/src/net/front/thrift/session.rs
@@ -105,6 +105,9 @@
     loop {
         while let Some(length) = frame_len(read_buffer.unread()) {
             read_buffer.turn(stream).await;
+            if !session.connection.wait_for_reader(&read_buffer, stream, limits).await {
+                return;
+            }
             if length > limits.max_message_bytes {
                 return session.connection.set_close_reason(CloseReason::MessageTooLong);
             }
--- a/tests/busy_clients.rs
+++ b/tests/busy_clients.rs
@@ -150,14 +150,15 @@
 /// How long the answers of usual clients took.
 #[derive(Debug, Default)]
 struct UsualAnswers {
-    times: Mutex<Vec<Duration>>,
+    /// Times from requests to their answers, with the kinds of the clients.
+    times: Mutex<Vec<(Duration, &'static str)>>,
     missing: AtomicUsize,
 }
 
 impl UsualAnswers {
-    fn record(&self, sent_at: Instant, is_answered: bool) {
+    fn record(&self, sent_at: Instant, kind: &'static str, is_answered: bool) {
         if is_answered {
-            self.times.lock().expect("times").push(sent_at.elapsed());
+            self.times.lock().expect("times").push((sent_at.elapsed(), kind));
         } else {
             self.missing.fetch_add(1, Ordering::SeqCst);
         }
@@ -167,7 +168,7 @@
     fn assert_in_time(&self) {
         let mut times = self.times.lock().expect("times").clone();
         times.sort();
-        let late = times.iter().filter(|time| **time > LIMIT + SLACK).count();
+        let late = times.iter().filter(|(time, _)| *time > LIMIT + SLACK).count();
         let (missing, count) = (self.missing.load(Ordering::SeqCst), times.len());
         let (median, worst) = (times.get(count / 2).copied(), times.last().copied());
         eprintln!("{count} answers, median {median:?}, worst {worst:?}; {late} late, {missing} missing");
@@ -212,7 +213,8 @@
         let sent_at = Instant::now();
         let is_answered =
             client.write_all(&call(sequence, &fields, "select 1")).is_ok() && reads_answer(&mut client);
-        answers.record(sent_at, is_answered);
+        let kind = if renew { "thrift, new connection" } else { "thrift" };
+        answers.record(sent_at, kind, is_answered);
         if !is_answered {
             client = connect_usual(address);
             sequence = 0;
@@ -230,7 +232,7 @@
         let sent_at = Instant::now();
         let is_answered = client.write_all(request.as_bytes()).is_ok()
             && read_http(&mut BufReader::new(&mut client)).is_some();
-        answers.record(sent_at, is_answered);
+        answers.record(sent_at, "http", is_answered);
         if !is_answered {
             client = connect_usual(address);
         }
