A request that must not run twice is remembered after its client has left

What callers saw: a request of a class that must not run twice arrived at its engine again, under the same id, when it came again after its client had left, also while the first attempt was out.

Cause: names were known as long as a request waited for its answer. A disconnect or a cancellation removed the name at once, and an answer as well; nothing compared a later request with attempts that may have run.

Change: SentRequests in the reducer: the identity of a request (txn; over HTTP query_id, statement and data) from its first transmission on, for 10 minutes, in 4 % of the memory; forgotten at once if no attempt has run. A repetition is answered as failed, since it may have run; where nothing further can be remembered (all sent within 30 s), new ones are rejected. The processes of a gateway exchange identities as they do keys, in sent-N of their folder: each records its own before it looks for the other's. The files are rewritten when they have four records for each key (at least 2,048), as more than 1,024 keys led to a rewrite at each send.

--- a/crates/persistence/src/lib.rs
+++ b/crates/persistence/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod idempotency_log;
 pub mod inspection;
 pub mod recovery;
+pub mod sent_requests;
 pub mod snapshot;
 pub mod snapshot_records;
 pub mod snapshot_store;
--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -146,7 +146,7 @@
         deadline: Milliseconds,
         effects: &mut Vec<Effect>,
     ) {
-        if !self.may_send(now, id, deadline, effects) {
+        if !self.may_send(now, id, deadline, effects) || !self.remember(now, id.request) {
             return self.end_attempt(now, id, AttemptEnd::from_outcome(Outcome::NotExecuted), effects);
         }
         let Some(send) = self.send_message(now, id, deadline) else { return };
@@ -154,6 +154,12 @@
         self.set_timer(deadline, TimerKind::AttemptTimeout(id));
     }
 
+    /// Remembers a request that must not run twice as sent. Returns whether it may be sent.
+    fn remember(&mut self, now: Milliseconds, id: RequestId) -> bool {
+        let identity = self.requests.get(&id).and_then(|request| request.statement.identity);
+        identity.is_none_or(|identity| self.sent_requests.record(identity, now))
+    }
+
     fn send_message(&self, now: Milliseconds, id: AttemptId, deadline: Milliseconds) -> Option<Send> {
         let request = self.requests.get(&id.request)?;
         let attempt = request.attempt(id.number)?;
--- a/src/core/messages.rs
+++ b/src/core/messages.rs
@@ -70,6 +70,8 @@
     InheritedMembership(InheritedMembership),
     /// Another process of this gateway has sent requests with these keys.
     PeerKeys(Vec<(Key, KeySends)>),
+    /// Another process of this gateway has sent requests with these identities, which must not run twice.
+    PeerRequests(Vec<(Key, KeySends)>),
     /// The current number of running processes of this gateway.
     ProcessCount(usize),
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -42,6 +42,7 @@
 use starlingplank_pacing::startup::InitialHealthChecks;
 use starlingplank_persistence::deduplication_window::DeduplicationWindow;
 use starlingplank_persistence::recovery::RestoredState;
+use starlingplank_persistence::sent_requests::SentRequests;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::rc::Rc;
 use timers::Timer;
@@ -89,6 +90,8 @@
     requests: BTreeMap<RequestId, Request>,
     /// The deduplication window: recent sends by idempotency key.
     deduplication: DeduplicationWindow,
+    /// Requests that must not run twice and may have run.
+    sent_requests: SentRequests,
     /// Attempts that wait for the record of a keyed send to become durable, by the record's number.
     pending_records: BTreeMap<u64, AttemptId>,
     /// State learned by an earlier incarnation, held until the membership lists the engines that it is about.
@@ -133,6 +136,7 @@
     /// # Errors
     /// Fails if the settings are inconsistent.
     pub fn new(settings: Settings, limits: Limits, now: Milliseconds) -> Result<Self, SettingsError> {
+        let max_sent_requests = limits.max_sent_requests;
         Ok(Self {
             balancer: Balancer::new(settings.clone(), now)?,
             counts: vec![Counts::default(); settings.classes.len()],
@@ -160,6 +164,7 @@
             engines: BTreeMap::new(),
             requests: BTreeMap::new(),
             deduplication: DeduplicationWindow::in_memory(),
+            sent_requests: SentRequests::new(max_sent_requests),
             pending_records: BTreeMap::new(),
             restored_state: None,
             health_checks: BTreeMap::new(),
@@ -225,6 +230,7 @@
             Event::LogRewritten(keys) => self.log_rewritten(now, &keys, effects),
             Event::MaintenanceTick => self.maintain_log(now, effects),
             Event::PeerKeys(keys) => self.add_peer_keys(now, keys),
+            Event::PeerRequests(requests) => self.add_peer_requests(&requests),
             Event::HealthChecked { number, succeeded: ok, report } => {
                 self.end_health_check(now, number, ok, report);
             }
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -6,7 +6,8 @@
 use crate::interface::{
     ClassId, Event as DecisionEvent, Idempotency, Milliseconds, Outcome, RequestDetails, RequestId,
 };
-use starlingplank_persistence::deduplication_window::{self, Admission};
+use starlingplank_persistence::deduplication_window::{self, Admission, Key, KeySends};
+use starlingplank_persistence::sent_requests::Repetition;
 
 /// The idempotency key of an admitted request, and the time limit on its transmission.
 struct Admitted {
@@ -15,6 +16,20 @@
     send_by: Milliseconds,
 }
 
+/// The reason for which a request is not admitted.
+enum Refusal {
+    /// The request is rejected, and its client may retry.
+    Rejected(Rejection),
+    /// An earlier request of the same identity may have run, and must not run twice.
+    MayHaveRun,
+}
+
+impl From<Rejection> for Refusal {
+    fn from(rejection: Rejection) -> Self {
+        Self::Rejected(rejection)
+    }
+}
+
 /// The reason for which a request is rejected, and the time after which its client should retry.
 struct Rejection {
     reason: &'static str,
@@ -37,15 +52,35 @@
         self.counts[class.0].received += 1;
         match self.admit(now, &request) {
             Ok(admitted) => self.accept(now, request, admitted),
-            Err(rejection) => self.reject(id, class, rejection, effects),
+            Err(Refusal::Rejected(rejection)) => self.reject(id, class, rejection, effects),
+            // Only a failure tells the client that the request may have run.
+            Err(Refusal::MayHaveRun) => effects.push(Effect::Answer(id, Answer::Failed(None))),
         }
     }
 
-    fn admit(&mut self, now: Milliseconds, request: &ClientRequest) -> Result<Admitted, Rejection> {
+    fn admit(&mut self, now: Milliseconds, request: &ClientRequest) -> Result<Admitted, Refusal> {
+        self.check_repetition(now, request)?;
         self.check_capacity(request)?;
         self.check_membership(now)?;
         self.check_shutdown(now)?;
-        self.check_deduplication(now, request)
+        Ok(self.check_deduplication(now, request)?)
+    }
+
+    /// Refuses a request that must not run twice if an earlier one of the same identity may have run.
+    fn check_repetition(&mut self, now: Milliseconds, request: &ClientRequest) -> Result<(), Refusal> {
+        let Some(identity) = &request.statement.identity else { return Ok(()) };
+        match self.sent_requests.check(identity, now) {
+            Repetition::None => Ok(()),
+            Repetition::MayHaveRun => Err(Refusal::MayHaveRun),
+            Repetition::Full => Err(self.rejection("limits").into()),
+        }
+    }
+
+    /// Adds requests that another process of this gateway has sent and that must not run twice.
+    pub(super) fn add_peer_requests(&mut self, requests: &[(Key, KeySends)]) {
+        for (identity, sends) in requests {
+            self.sent_requests.merge_peer(*identity, sends.last);
+        }
     }
 
     /// Rejects a request that would exceed the limits on open requests or buffered bytes, without a decision. This bounds memory.
@@ -201,6 +236,10 @@
             return;
         }
         self.buffered_bytes -= request.statement.bytes();
+        let may_have_run = request.attempts.iter().any(Attempt::may_have_run);
+        if let Some(identity) = request.statement.identity.filter(|_| !may_have_run) {
+            self.sent_requests.forget(&identity);
+        }
         self.requests.remove(&id);
     }
 
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -1,6 +1,7 @@
 //! The plain data types that the reducer shares with front ends, engine connections and the runtime.
 
 use crate::interface::*;
+use starlingplank_persistence::sent_requests::Key;
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::fmt::Debug;
@@ -44,6 +45,8 @@
     pub text: Vec<u8>,
     /// The idempotency key, if any.
     pub key: Option<String>,
+    /// The identity of a request that must not run twice, if the client has named the request.
+    pub identity: Option<Key>,
     /// The data that follows the statement.
     pub data: Vec<u8>,
     /// Further parameters and credentials, where the engine's protocol has them.
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -31,6 +31,8 @@
     pub max_unread_answer_bytes: usize,
     /// Maximum number of bytes of the statements of open requests.
     pub max_buffered_bytes: usize,
+    /// Maximum number of requests that are remembered as sent, of classes that must not run twice.
+    pub max_sent_requests: usize,
     /// Maximum number of bytes of all incomplete messages from clients.
     pub max_incoming_bytes: usize,
     /// Maximum number of bytes of all results that are being received and answers that are queued for clients.
@@ -158,6 +160,10 @@
 const INCOMING_SHARE: f64 = 0.2;
 /// Share of the memory that results and queued answers may take.
 const OUTGOING_SHARE: f64 = 0.2;
+/// Share of the memory that requests may take that are remembered as sent.
+const SENT_REQUESTS_SHARE: f64 = 0.04;
+/// Memory that one request takes that is remembered as sent, here and in the folder's state, in bytes.
+const SENT_REQUEST_BYTES: usize = 192;
 /// Lower bound of [`Limits::max_unread_answer_bytes`].
 const MIN_UNREAD_ANSWER_BYTES: usize = 4 << 10;
 /// Upper bound of [`Limits::max_unread_answer_bytes`].
@@ -267,6 +273,7 @@
             max_result_bytes: 64 << 10,
             max_write_queue_bytes: 2 << 20,
             max_buffered_bytes: (memory_bytes * BUFFERED_SHARE) as usize,
+            max_sent_requests: (memory_bytes * SENT_REQUESTS_SHARE) as usize / SENT_REQUEST_BYTES,
             max_incoming_bytes: (memory_bytes * INCOMING_SHARE) as usize,
             max_outgoing_bytes,
             max_unread_answer_bytes: max_unread_answer_bytes(max_outgoing_bytes, max_client_connections),
--- a/src/net/front/clickhouse/query.rs
+++ b/src/net/front/clickhouse/query.rs
@@ -7,6 +7,7 @@
 use crate::net::front::rules::ClassRules;
 use crate::net::front::{FrontendState, ReceivedRequest};
 use sha2::{Digest, Sha256};
+use starlingplank_persistence::sent_requests::{self, Key};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -72,7 +73,9 @@
     let max_wait = take_max_wait(&mut request, class);
     let key = take_key(&mut request, class, &text, &data);
     let id = frontend.allocate_request_id();
-    let name = request.take_param("query_id").unwrap_or_else(|| format!("{:016x}", fastrand::u64(..)));
+    let query_id = request.take_param("query_id");
+    let identity = query_id.as_ref().and_then(|query_id| identity_of(class, query_id, &text, &data));
+    let name = query_id.unwrap_or_else(|| format!("{:016x}", fastrand::u64(..)));
     if !is_valid_name(&name) {
         session.send_exception(Exception::BAD_REQUEST, "The query id cannot be used", &[]);
         return None;
@@ -87,6 +90,7 @@
         class: class.name.clone(),
         text,
         key,
+        identity,
         data,
         params: request.params,
         flow: request.may_stream.then(|| -> Rc<dyn FlowControl> { session.connection.write_queue.clone() }),
@@ -127,6 +131,12 @@
     Some(token.unwrap_or_else(|| derived_key(request, text, data)))
 }
 
+/// Returns the identity of a query that must not run twice: clients may use a query id again for another statement.
+fn identity_of(class: &Class, query_id: &str, text: &[u8], data: &[u8]) -> Option<Key> {
+    (class.idempotency == Idempotency::NotIdempotent)
+        .then(|| sent_requests::identity(&[query_id.as_bytes(), text, data]))
+}
+
 /// Returns whether a name can be used in a header and in a field of an engine's command, in which `,` and `=` are
 /// separators.
 fn is_valid_name(name: &str) -> bool {
--- a/src/net/front/thrift/call.rs
+++ b/src/net/front/thrift/call.rs
@@ -3,6 +3,7 @@
 use crate::core::Statement;
 use crate::interface::{ClassId, Idempotency, TenantId};
 use crate::net::front::{ClientConnection, FrontendState, ReceivedRequest};
+use starlingplank_persistence::sent_requests;
 use std::collections::BTreeMap;
 use thiserror::Error;
 
@@ -101,6 +102,8 @@
             class: verb.to_owned(),
             text: body.to_vec(),
             key: key.map(str::to_owned),
+            identity: (class.idempotency == Idempotency::NotIdempotent)
+                .then(|| sent_requests::identity(&[name.as_bytes()])),
             reading: Some(connection.progress.clone()),
             ..Statement::default()
         },
--- a/src/net/hot_restart/folder.rs
+++ b/src/net/hot_restart/folder.rs
@@ -15,6 +15,8 @@
 pub(super) const PROCESS_PREFIX: &str = "life";
 /// Prefix of the files in which processes record the idempotency keys that they send.
 pub(super) const KEYS_PREFIX: &str = "keys";
+/// Prefix of the files in which processes record the requests that they send and that must not run twice.
+pub(super) const REQUESTS_PREFIX: &str = "sent";
 /// Prefix of the files in which learned state is passed to a successor.
 pub(super) const LEARNED_PREFIX: &str = "learned";
 /// Prefix of the files in which membership is passed to a successor.
--- a/src/net/hot_restart/keys.rs
+++ b/src/net/hot_restart/keys.rs
@@ -1,7 +1,6 @@
-//! Exchange of idempotency keys between processes: each process appends its sends to its own file and reads the files of the
-//! other processes.
+//! Exchange of idempotency keys, and of the identities of requests that must not run twice, between processes: each process appends its
+//! sends to its own files and reads the files of the other processes.
 
-use super::folder::{file_name, KEYS_PREFIX};
 use crate::interface::Milliseconds;
 use starlingplank_persistence::clock_offset::ClockOffset;
 use starlingplank_persistence::deduplication_window::{Key, KeySend, KeySends};
@@ -16,6 +15,8 @@
 
 /// Number of records, about 80 KiB, after which the file is rewritten.
 const REWRITE_AFTER_RECORDS: usize = 2_048;
+/// Number of records for each key in the file after which it is rewritten, if that is more.
+const MAX_RECORDS_PER_KEY: usize = 4;
 /// Maximum number of bytes of another process's file that are read at a time.
 const MAX_READ_BYTES: u64 = 8 << 20;
 
@@ -23,10 +24,13 @@
 #[derive(Debug)]
 pub(super) struct SharedKeys {
     folder: PathBuf,
-    incarnation: u64,
+    /// Name of the file.
+    name: String,
     file: File,
     /// Number of records in the file.
     records: usize,
+    /// Number of keys in the file when it was last rewritten.
+    rewritten_keys: usize,
     /// Whether the file may end with an incomplete record because a write failed.
     may_end_in_partial_record: bool,
     /// Keys whose deduplication window may not have ended, with times of this process's clock.
@@ -35,9 +39,18 @@
 }
 
 impl SharedKeys {
-    pub(super) fn new(folder: &Path, incarnation: u64, file: File, offset: ClockOffset) -> Self {
+    pub(super) fn new(folder: &Path, name: String, file: File, offset: ClockOffset) -> Self {
         let (folder, tracked) = (folder.to_owned(), HashMap::new());
-        Self { folder, incarnation, file, records: 0, may_end_in_partial_record: false, tracked, offset }
+        Self {
+            folder,
+            name,
+            file,
+            records: 0,
+            rewritten_keys: 0,
+            may_end_in_partial_record: false,
+            tracked,
+            offset,
+        }
     }
 
     /// Returns the id of the boot from which stored times count.
@@ -66,7 +79,8 @@
     /// Appends a record. Instead, the file is rewritten if it has reached its maximum length or may end with an incomplete
     /// record, at which readers stop.
     fn write(&mut self, key: Key, send: KeySend) -> io::Result<()> {
-        if self.may_end_in_partial_record || self.records >= REWRITE_AFTER_RECORDS {
+        let max_records = REWRITE_AFTER_RECORDS.max(MAX_RECORDS_PER_KEY * self.rewritten_keys);
+        if self.may_end_in_partial_record || self.records >= max_records {
             return self.rewrite(send.at);
         }
         let record = Record::KeySend(key, self.offset.stored_send(send));
@@ -90,10 +104,10 @@
             let stored = self.offset.stored_sends(*sends);
             bytes.extend(Record::for_sends(*key, &stored).flat_map(|record| record.bytes()));
         }
-        let name = file_name(KEYS_PREFIX, self.incarnation);
-        disk::replace(&mut Files::new(&self.folder), &name, &bytes)?;
-        self.file = OpenOptions::new().append(true).open(self.folder.join(name))?;
+        disk::replace(&mut Files::new(&self.folder), &self.name, &bytes)?;
+        self.file = OpenOptions::new().append(true).open(self.folder.join(&self.name))?;
         self.records = 2 * self.tracked.len();
+        self.rewritten_keys = self.tracked.len();
         self.may_end_in_partial_record = false;
         Ok(())
     }
--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -16,7 +16,7 @@
 use crate::net::log;
 use folder::{
     create_new, create_private, file_name, incarnations, lock, lock_file, KEYS_PREFIX, LEARNED_PREFIX,
-    MEMBERSHIP_PREFIX, PROCESS_PREFIX,
+    MEMBERSHIP_PREFIX, PROCESS_PREFIX, REQUESTS_PREFIX,
 };
 use keys::SharedKeys;
 use overrides::SharedOverrides;
@@ -38,6 +38,9 @@
 /// Maximum number of other processes that are observed at once; far more than ever run.
 const MAX_PEERS: usize = 64;
 
+/// Sends of other processes, by key or identity.
+type PeerSends = Vec<(Key, KeySends)>;
+
 /// Changes observed since the last poll of the other processes.
 #[derive(Debug, Default)]
 pub struct Observation {
@@ -45,6 +48,8 @@
     pub overrides: Option<OperatorOverrides>,
     /// Idempotency keys that other processes have sent.
     pub keys: Vec<(Key, KeySends)>,
+    /// Identities of requests that other processes have sent and that must not run twice.
+    pub requests: Vec<(Key, KeySends)>,
     /// Incarnations of later processes that wait for this process's state.
     pub waiting_successors: Vec<u64>,
 }
@@ -57,6 +62,8 @@
     incarnation: u64,
     process_file: File,
     keys: SharedKeys,
+    /// Requests that must not run twice, by their identities.
+    requests: SharedKeys,
     peers: BTreeMap<u64, Peer>,
     overrides: SharedOverrides,
 }
@@ -75,17 +82,23 @@
         lock_file(&process_file)?;
         let boot = BootTime::read();
         let offset = ClockOffset { by: boot.now - now, boot_id: boot.boot_id.unwrap_or_default() };
-        let keys_file = create_new(&path.join(file_name(KEYS_PREFIX, incarnation)))?;
+        let shared_keys = |prefix| -> io::Result<SharedKeys> {
+            let name = file_name(prefix, incarnation);
+            let file = create_new(&path.join(&name))?;
+            Ok(SharedKeys::new(path, name, file, offset))
+        };
         let mut hot_restart = Self {
             path: path.to_owned(),
             incarnation,
             process_file,
-            keys: SharedKeys::new(path, incarnation, keys_file, offset),
+            keys: shared_keys(KEYS_PREFIX)?,
+            requests: shared_keys(REQUESTS_PREFIX)?,
             peers: BTreeMap::new(),
             overrides: SharedOverrides::new(path),
         };
         hot_restart.publish_stage(Stage::Starting)?;
         hot_restart.keys.rewrite(now)?;
+        hot_restart.requests.rewrite(now)?;
         hot_restart.add_peers(earlier);
         hot_restart.overrides.refresh();
         Ok(hot_restart)
@@ -151,6 +164,7 @@
         }
         // Keys are read before checking which processes have exited, so that a process's last keys are not missed.
         let mut keys = self.peer_keys(now);
+        let mut requests = self.peer_requests(now);
         let mut waiting_successors = Vec::new();
         let mut exited = Vec::new();
         for (incarnation, peer) in &mut self.peers {
@@ -163,35 +177,38 @@
             }
         }
         if !exited.is_empty() {
-            keys.extend(self.take_over_exited(exited, now));
+            let (last_keys, last_requests) = self.take_over_exited(exited, now);
+            keys.extend(last_keys);
+            requests.extend(last_requests);
         }
         self.overrides.refresh();
-        Observation { overrides: self.overrides.take_unreported(), keys, waiting_successors }
+        Observation { overrides: self.overrides.take_unreported(), keys, requests, waiting_successors }
     }
 
-    /// Takes over the keys of processes that have exited, and returns keys that were not read before. A process that has just
+    /// Takes over the keys and requests of processes that have exited, and returns those that were not read before. A process that has just
     /// created its file holds the folder's lock until it has locked that file, so the check is repeated under the folder's lock.
-    fn take_over_exited(&mut self, mut exited: Vec<u64>, now: Milliseconds) -> Vec<(Key, KeySends)> {
-        let Ok(_lock) = lock(&self.path) else { return Vec::new() };
+    fn take_over_exited(&mut self, mut exited: Vec<u64>, now: Milliseconds) -> (PeerSends, PeerSends) {
+        let Ok(_lock) = lock(&self.path) else { return (Vec::new(), Vec::new()) };
         exited.retain(|incarnation| self.peers.get(incarnation).is_some_and(Peer::has_exited));
-        let keys = self.peer_keys(now);
+        let (keys, requests) = (self.peer_keys(now), self.peer_requests(now));
         for incarnation in exited {
             self.remove_exited(incarnation, now);
         }
-        keys
+        (keys, requests)
     }
 
     /// Removes a process that has exited and its files, after its keys are written to this process's file.
     fn remove_exited(&mut self, incarnation: u64, now: Milliseconds) {
         self.peers.remove(&incarnation);
-        if let Err(error) = self.keys.rewrite(now) {
+        let rewritten = self.keys.rewrite(now).and_then(|()| self.requests.rewrite(now));
+        if let Err(error) = rewritten {
             return log::error_rate_limited(
                 "the keys of a process that has exited cannot be taken over; retrying at the next poll",
                 error,
             );
         }
         // The names are matched as prefixes, so that temporary files and files for successors are removed as well.
-        let prefixes = [KEYS_PREFIX, LEARNED_PREFIX, MEMBERSHIP_PREFIX, PROCESS_PREFIX]
+        let prefixes = [KEYS_PREFIX, REQUESTS_PREFIX, LEARNED_PREFIX, MEMBERSHIP_PREFIX, PROCESS_PREFIX]
             .map(|prefix| file_name(prefix, incarnation));
         for name in Files::new(&self.path).names().unwrap_or_default() {
             if prefixes.iter().any(|prefix| name.starts_with(prefix)) {
@@ -201,16 +218,25 @@
     }
 
     /// Returns the keys that other processes have sent since the last call.
-    pub fn peer_keys(&mut self, now: Milliseconds) -> Vec<(Key, KeySends)> {
-        let mut keys = Vec::new();
-        for (incarnation, peer) in &mut self.peers {
-            for (key, send) in peer.read_new_sends(&self.path, *incarnation, self.keys.boot_id()) {
-                if let Some(sends) = self.keys.merge(key, send, now) {
-                    keys.push((key, sends));
-                }
-            }
-        }
-        keys
+    pub fn peer_keys(&mut self, now: Milliseconds) -> PeerSends {
+        let boot_id = self.keys.boot_id();
+        let sends = self.peers.values_mut().flat_map(|peer| peer.read_new_keys(boot_id));
+        sends.filter_map(|(key, send)| Some((key, self.keys.merge(key, send, now)?))).collect()
+    }
+
+    /// Returns the requests that other processes have sent since the last call and that must not run twice.
+    pub fn peer_requests(&mut self, now: Milliseconds) -> PeerSends {
+        let boot_id = self.requests.boot_id();
+        let sends = self.peers.values_mut().flat_map(|peer| peer.read_new_requests(boot_id));
+        sends.filter_map(|(key, send)| Some((key, self.requests.merge(key, send, now)?))).collect()
+    }
+
+    /// Records that a request is about to be sent that must not run twice.
+    ///
+    /// # Errors
+    /// The record cannot be written; the request must not be sent.
+    pub fn record_request(&mut self, identity: Key, send: KeySend) -> io::Result<()> {
+        self.requests.record(identity, send)
     }
 
     /// Records that a key is about to be sent.
--- a/src/net/runtime/cycle.rs
+++ b/src/net/runtime/cycle.rs
@@ -59,11 +59,23 @@
                 if request.statement.key.is_some() {
                     self.read_peer_keys(now, effects);
                 }
+                if request.statement.identity.is_some() {
+                    self.read_peer_requests(now, effects);
+                }
             }
             _ => {}
         }
     }
 
+    /// Passes requests to the reducer that other processes have recently sent and that must not run twice.
+    fn read_peer_requests(&mut self, now: Milliseconds, effects: &mut Vec<Effect>) {
+        let Some(hot_restart) = &mut self.hot_restart else { return };
+        let requests = hot_restart.peer_requests(now);
+        if !requests.is_empty() {
+            self.core.handle(now, Event::PeerRequests(requests), effects);
+        }
+    }
+
     /// Passes idempotency keys that other processes have recently sent to the reducer, so that it treats a request with one of
     /// these keys as a repetition.
     fn read_peer_keys(&mut self, now: Milliseconds, effects: &mut Vec<Effect>) {
--- a/src/net/runtime/effects.rs
+++ b/src/net/runtime/effects.rs
@@ -5,6 +5,7 @@
 use crate::net::log;
 use crate::net::runtime::Runtime;
 use starlingplank_persistence::deduplication_window::{self, KeySend};
+use starlingplank_persistence::sent_requests;
 
 impl Runtime {
     /// Performs one effect. Events that result immediately are pushed to `new_events`.
@@ -50,9 +51,13 @@
         }
     }
 
-    /// Sends an attempt. A keyed attempt that cannot be recorded for the other processes is not sent and ends as not executed.
+    /// Sends an attempt. An attempt that cannot be recorded for the other processes, or whose request another process has sent and
+    /// must not run twice, is not sent and ends as not executed.
     fn send(&mut self, send: Send, new_events: &mut Vec<Event>) {
-        if self.record_for_peers(&send) {
+        let may_send = self.record_for_peers(&send)
+            && self.record_request_for_peers(&send)
+            && !self.was_sent_by_peer(&send, new_events);
+        if may_send {
             self.engines.send(send, new_events);
         } else {
             let end = AttemptEnd::from_outcome(Outcome::NotExecuted);
@@ -60,6 +65,36 @@
         }
     }
 
+    /// Records a request that must not run twice for the other processes of this gateway. Returns `false` if the record failed.
+    fn record_request_for_peers(&mut self, send: &Send) -> bool {
+        let (Some(hot_restart), Some(identity)) = (&mut self.hot_restart, send.statement.identity) else {
+            return true;
+        };
+        let sent = KeySend { at: self.frontend.clock.now(), window: sent_requests::RETENTION };
+        let recorded = hot_restart.record_request(identity, sent);
+        if let Err(error) = &recorded {
+            log::error_rate_limited(
+                "request that must not run twice not sent: it cannot be recorded for the other processes",
+                error,
+            );
+        }
+        recorded.is_ok()
+    }
+
+    /// Returns whether another process of this gateway has sent a request that must not run twice. As each process first records its
+    /// own, at least one of two that send at the same time notices the other.
+    fn was_sent_by_peer(&mut self, send: &Send, new_events: &mut Vec<Event>) -> bool {
+        let (Some(hot_restart), Some(identity)) = (&mut self.hot_restart, send.statement.identity) else {
+            return false;
+        };
+        let requests = hot_restart.peer_requests(self.frontend.clock.now());
+        let is_repeated = requests.iter().any(|(sent, _)| *sent == identity);
+        if !requests.is_empty() {
+            new_events.push(Event::PeerRequests(requests));
+        }
+        is_repeated
+    }
+
     /// Records a keyed send for the other processes of this gateway. Returns `false` if the record failed: the attempt must not
     /// be sent.
     fn record_for_peers(&mut self, send: &Send) -> bool {
--- a/src/net/runtime/peers.rs
+++ b/src/net/runtime/peers.rs
@@ -50,6 +50,9 @@
         if !observation.keys.is_empty() {
             events.push(Event::PeerKeys(observation.keys));
         }
+        if !observation.requests.is_empty() {
+            events.push(Event::PeerRequests(observation.requests));
+        }
         self.update_process_count(process_lifecycle::process_count(&peers), &mut events);
         if self.frontend.shutdown_phase() == ShutdownPhase::Draining
             && process_lifecycle::successor_listens(incarnation, &peers)
--- a/src/net/runtime/startup.rs
+++ b/src/net/runtime/startup.rs
@@ -161,7 +161,9 @@
     async fn inherit_from_peers(&mut self) -> Vec<Event> {
         let Some(hot_restart) = &mut self.hot_restart else { return Vec::new() };
         let (config, clock, limits) = (&self.config, &self.frontend.clock, &self.frontend.limits);
-        let mut inherited = vec![Event::PeerKeys(hot_restart.observe(clock.now()).keys)];
+        let observation = hot_restart.observe(clock.now());
+        let mut inherited =
+            vec![Event::PeerKeys(observation.keys), Event::PeerRequests(observation.requests)];
         // The persistence folder may be locked by another process of this gateway, whose log can then be used, or by another
         // gateway, whose log is of no use.
         if !hot_restart.peers().is_empty() {
