Parameters and fields of requests are limited in number and counted as memory

Cause: decoded parameters (two strings each, about 100 bytes for two on the wire) were in no total, neither while the body was awaited nor in the statement of an open request. Fields of a call over Thrift were not limited either: 116,000 in a message of 1 MB.

Change: at most 1,000 parameters and 1,000 fields; more is an error answer. Parameters count as memory of the incomplete message, then of the statement. Headers are decoded for a moment only, and are not kept.

Tests: incomplete_messages_stay_within_the_memory_limit, many_parameters (68 MiB of 64 before) and many_headers (within the limit before as well).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -50,8 +50,8 @@
 pub use membership::ServiceMembership;
 pub use messages::{Effect, Event, Send};
 pub use types::{
-    Answer, AttemptEnd, AttemptId, ClientReading, ClientRequest, Counts, Endpoint, EngineError, FlowControl,
-    ResultRows, Statement,
+    params_memory, Answer, AttemptEnd, AttemptId, ClientReading, ClientRequest, Counts, Endpoint,
+    EngineError, FlowControl, ResultRows, Statement,
 };
 
 /// The reducer and the complete state of one gateway process.
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -76,12 +76,22 @@
         self.reading.as_ref().is_some_and(|reading| reading.may_hold_withdrawal())
     }
 
-    /// Returns the number of bytes of the text and the data.
+    /// Returns the memory that the statement takes: its text, its data and its parameters, in bytes.
     pub fn bytes(&self) -> usize {
-        self.text.len() + self.data.len()
+        self.text.len() + self.data.len() + params_memory(&self.params)
     }
 }
 
+/// Memory of one parameter in addition to its name and value, in bytes.
+const PARAM_OVERHEAD: usize = size_of::<(String, String)>() + 2 * MIN_ALLOCATION;
+/// Memory that an allocation takes at least, in bytes.
+const MIN_ALLOCATION: usize = 24;
+
+/// Returns the memory that parameters take, in bytes.
+pub fn params_memory(params: &[(String, String)]) -> usize {
+    params.iter().map(|(name, value)| name.len() + value.len() + PARAM_OVERHEAD).sum()
+}
+
 /// A result: its bytes in the parts in which they were received, and the headers that describe them.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResultRows {
--- a/src/net/connection/read_buffer.rs
+++ b/src/net/connection/read_buffer.rs
@@ -45,6 +45,8 @@
     /// Decoded part of the body of the current message, between [`begin_body`](Self::begin_body) and
     /// [`take_body`](Self::take_body).
     body: Option<Vec<u8>>,
+    /// Memory of the decoded head of the current message, while its body is awaited.
+    head_memory: usize,
     /// Maximum length of the current message or body, if it is known.
     expected_bytes: usize,
     /// Length of the current message or body as far as it is announced.
@@ -77,6 +79,7 @@
             bytes: Vec::new(),
             consumed: 0,
             body: None,
+            head_memory: 0,
             expected_bytes: 0,
             announced_bytes: 0,
             counted_bytes: 0,
@@ -167,12 +170,14 @@
         self.announced_bytes = announced_bytes;
     }
 
-    /// Consumes the head of a message whose body of at most `max_bytes` follows. The message stays incomplete until
-    /// [`take_body`](Self::take_body).
-    pub fn begin_body(&mut self, head_bytes: usize, max_bytes: usize) {
+    /// Consumes the head of a message whose body of at most `max_bytes` follows, and whose decoded form takes `head_memory`. The message
+    /// stays incomplete until [`take_body`](Self::take_body).
+    pub fn begin_body(&mut self, head_bytes: usize, head_memory: usize, max_bytes: usize) {
         self.body = Some(Vec::new());
+        self.head_memory = head_memory;
         self.expect_message(max_bytes);
         self.consume(head_bytes);
+        self.count_capacity();
     }
 
     /// Returns the number of decoded bytes of the body.
@@ -192,6 +197,7 @@
     /// Ends the message, and returns its body.
     pub fn take_body(&mut self) -> Vec<u8> {
         let mut body = self.body.take().unwrap_or_default();
+        self.head_memory = 0;
         body.shrink_to_fit();
         self.consume(0);
         self.count_capacity();
@@ -328,7 +334,7 @@
     }
 
     fn count_capacity(&mut self) {
-        let capacity = self.bytes.capacity() + self.body.as_ref().map_or(0, Vec::capacity);
+        let capacity = self.bytes.capacity() + self.body.as_ref().map_or(0, Vec::capacity) + self.head_memory;
         match &self.peer {
             Peer::Client(client) => self.shared.incoming.set_allocated(&client.memory, capacity),
             Peer::Other => self.shared.outgoing.update(capacity, self.counted_bytes),
--- a/src/net/front/clickhouse/request.rs
+++ b/src/net/front/clickhouse/request.rs
@@ -1,6 +1,7 @@
 //! Reading of HTTP requests: the head, then the body.
 
 use super::response::{Exception, Session};
+use crate::core::params_memory;
 use crate::net::connection::frame::Frame;
 use crate::net::connection::ReadBuffer;
 use crate::net::http::{self, ChunkDecoder, ChunkPart, Head, Length, Read};
@@ -16,6 +17,9 @@
     ("Authorization", "Authorization"),
 ];
 
+/// Maximum number of parameters in a target. Each takes about a hundred times the memory of its shortest form.
+const MAX_PARAMS: usize = 1_000;
+
 /// An HTTP request with its body.
 pub(super) struct Request {
     /// HTTP method.
@@ -33,8 +37,11 @@
 }
 
 impl Request {
-    /// Creates a request from its head, without the body.
-    fn new(head: &Head<'_>) -> Self {
+    /// Creates a request from its head, without the body. `None` if it has too many parameters.
+    fn new(head: &Head<'_>) -> Option<Self> {
+        if head.target_or_status.split('&').count() > MAX_PARAMS {
+            return None;
+        }
         let (path, mut params) = http::target(head.target_or_status);
         for (header, name) in PARAMETER_HEADERS {
             if let Some(value) =
@@ -43,14 +50,14 @@
                 params.push((name.to_owned(), value.to_owned()));
             }
         }
-        Self {
+        Some(Self {
             method: head.method_or_version.to_owned(),
             path,
             params,
             keep_alive: head.keeps_alive(head.version_or_reason),
             may_stream: head.version_or_reason != "HTTP/1.0",
             body: Vec::new(),
-        }
+        })
     }
 
     /// Removes a parameter and returns its value; `None` if it is missing or empty.
@@ -130,8 +137,9 @@
                         let frame = Frame::plain(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec());
                         connection.write_queue.push(frame, limits);
                     }
-                    let request = Request::new(&head);
-                    self.buffer.begin_body(used, body_bytes);
+                    let request = Request::new(&head).ok_or(invalid("There are too many parameters"))?;
+                    let head_memory = params_memory(&request.params);
+                    self.buffer.begin_body(used, head_memory, body_bytes);
                     return Ok((request, length));
                 }
                 Read::Invalid => return Err(invalid("The request cannot be read")),
--- a/src/net/front/thrift/decode.rs
+++ b/src/net/front/thrift/decode.rs
@@ -10,6 +10,8 @@
 /// Length of the header of a frame, which contains the length of the frame.
 pub(super) const FRAME_HEADER_BYTES: usize = 4;
 
+/// Maximum number of fields of a call. A decoded field takes several times the memory of a short encoded one.
+const MAX_FIELDS: i32 = 1_000;
 /// Maximum nesting depth of unknown fields, which are skipped recursively.
 const MAX_DEPTH: usize = 16;
 
@@ -57,7 +59,7 @@
     if length == 0 {
         return Ok(map);
     }
-    if length < 0 || key_type != STRING || value_type != STRING {
+    if !(0..=MAX_FIELDS).contains(&length) || key_type != STRING || value_type != STRING {
         return Err(EmptyError);
     }
     for _ in 0..length {
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -17,6 +17,8 @@
 const SENT_BYTES: usize = 1_040_000;
 /// Length of the statements of usual clients that are longer than one read from a socket.
 const LONG_STATEMENT_BYTES: usize = 100_000;
+/// Length of a head that is just accepted, in bytes.
+const HEAD_BYTES: usize = 16_000;
 /// Number of bytes that one read from a socket requests.
 const READ_BYTES: usize = 16 << 10;
 /// Number of requests that each usual client sends after the crowd was first disconnected.
@@ -33,6 +35,10 @@
     ThriftPipelined,
     /// Over Thrift, with a part that is shorter than one read from a socket.
     ThriftShort,
+    /// Over HTTP, with as many short parameters as fit into a head, and the beginning of a short body.
+    HttpManyParameters,
+    /// Over HTTP, with as many short headers as fit into a head, and the beginning of a short body.
+    HttpManyHeaders,
 }
 
 impl Form {
@@ -55,6 +61,14 @@
             Self::HttpLength | Self::HttpContinue => {
                 format!("POST / HTTP/1.1\r\nContent-Length: {ANNOUNCED_BYTES}\r\n\r\n").into()
             }
+            Self::HttpManyParameters => {
+                let parameters = "a&".repeat(HEAD_BYTES / 2);
+                format!("POST /?{parameters} HTTP/1.1\r\nContent-Length: 100\r\n\r\n").into()
+            }
+            Self::HttpManyHeaders => {
+                let headers = "a:\n".repeat(HEAD_BYTES / 3);
+                format!("POST / HTTP/1.1\r\nContent-Length: 100\r\n{headers}\r\n").into()
+            }
         };
         let preceding = match self {
             Self::ThriftPipelined => {
@@ -65,7 +79,11 @@
             }
             _ => Vec::new(),
         };
-        let sent_bytes = if self == Self::ThriftShort { READ_BYTES - 1_000 } else { SENT_BYTES };
+        let sent_bytes = match self {
+            Self::ThriftShort => READ_BYTES - 1_000,
+            Self::HttpManyParameters | Self::HttpManyHeaders => 10,
+            _ => SENT_BYTES,
+        };
         [preceding, head, vec![b'x'; sent_bytes]].concat()
     }
 
@@ -214,6 +232,8 @@
 #[case::http_chunked(Form::HttpChunked)]
 #[case::thrift(Form::Thrift)]
 #[case::thrift_pipelined(Form::ThriftPipelined)]
+#[case::many_parameters(Form::HttpManyParameters)]
+#[case::many_headers(Form::HttpManyHeaders)]
 fn incomplete_messages_stay_within_the_memory_limit(#[case] crowd: Form) {
     const MEMORY_MB: usize = 64;
     let peak = peak_memory_beside_crowd(crowd, Form::HttpLength, MEMORY_MB, 100);
