Queued attempts of an engine that has moved are not sent to its former address

Cause: a list that gives an engine another address retired its connections only when the next attempt was queued, and retired connections write what is queued on them. A connection that was being opened to the former address was completed by whichever process listened there later.

Change: a list with another address for an engine drops what is queued for it, as for an engine that has gone; connections that are being opened to an engine that has moved, drains or has gone are given up, on both wires.

--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -270,16 +270,17 @@
         }
     }
 
-    /// Replaces the engines in use. Attempts queued for draining and removed engines are dropped; attempts in flight on removed
-    /// ones are aborted after a grace period.
+    /// Replaces the engines in use. Attempts queued for draining and removed engines, and for engines that have another address now,
+    /// are dropped, as another process may have the former address. Attempts in flight on removed ones are aborted after a
+    /// grace period.
     fn replace_engines(&mut self, now: Milliseconds, endpoints: &[Endpoint], effects: &mut Vec<Effect>) {
         let mut unlisted = std::mem::take(&mut self.engines);
         for endpoint in endpoints {
             let engine = &endpoint.member.engine;
-            unlisted.remove(engine);
+            let has_moved = unlisted.remove(engine).is_some_and(|former| former.address != endpoint.address);
             // While the list has expired, the connection writers withhold new work by themselves; dropping the queues here
             // would also retire connections to healthy engines.
-            if !is_live(endpoint) && !self.list_expired {
+            if has_moved || !is_live(endpoint) && !self.list_expired {
                 effects.push(Effect::DropQueued(engine.clone()));
             }
             self.engines.insert(engine.clone(), endpoint.clone());
--- a/src/net/engine/clickhouse/mod.rs
+++ b/src/net/engine/clickhouse/mod.rs
@@ -188,6 +188,10 @@
                     events.push(Event::AttemptEnded(id, AttemptEnd::from_outcome(Outcome::NotExecuted)));
                 }
             }
+            // Another process may accept a connection that is being opened.
+            if connection.has_no_job() || connection.write_queue.awaits_first_byte() {
+                connection.write_queue.close(CloseMode::Immediately);
+            }
         }
     }
 
--- a/src/net/engine/driver.rs
+++ b/src/net/engine/driver.rs
@@ -20,7 +20,10 @@
 
 /// Opens a connection, writes and reads until it ends, and reports the end of everything that was in flight on it.
 pub(super) async fn run(connection: Rc<Connection>, limits: Rc<Limits>, events: Sender<Event>) {
-    let stream = connect(connection.address, &limits).await;
+    let stream = tokio::select! {
+        stream = connect(connection.address, &limits) => stream,
+        () = connection.write_queue.closed_immediately() => Err(ConnectError::Aborted),
+    };
     match &stream {
         Ok(stream) => exchange(&connection, stream, &limits, &events).await,
         Err(error) => tracing::debug!(address = %connection.address, %error, "connecting to engine failed"),
--- a/src/net/engine/pool.rs
+++ b/src/net/engine/pool.rs
@@ -192,6 +192,10 @@
     fn drop_queued(&mut self, engine: &EngineId, events: &mut Vec<Event>) {
         for connection in self.pools.get(engine).into_iter().flatten() {
             connection.retired.set(true);
+            // Another process may accept a connection that is being opened.
+            if connection.connected_at.get().is_none() {
+                connection.write_queue.close(CloseMode::Immediately);
+            }
             for id in connection.withdraw_unsent() {
                 self.placements.remove(&id);
                 events.push(Event::AttemptEnded(id, AttemptEnd::from_outcome(Outcome::NotExecuted)));
