State passed to a process that has exited is not left to the next one

What callers would see: a new process could start with the list of drained engines and the learned state that were passed to another process, which had ended before it read them.

Cause: processes of a gateway are numbered, and the number of one that has exited is given again once its files are removed; the files 'for' that number were not among them.

Change: with a process that has exited, the files that were written for it are removed.

Test: state_passed_to_a_process_that_has_exited_is_not_left_to_the_next_one, which failed before: both files were there.

--- a/src/net/hot_restart/folder.rs
+++ b/src/net/hot_restart/folder.rs
@@ -84,7 +84,12 @@
 
 /// Returns the name of a file that the process `from` writes for the process `to`.
 pub(super) fn passed_file_name(prefix: &str, from: u64, to: u64) -> String {
-    format!("{}-for-{to:016x}", file_name(prefix, from))
+    format!("{}{}", file_name(prefix, from), passed_suffix(to))
+}
+
+/// Returns the end of the names of the files that are written for the process `to`.
+pub(super) fn passed_suffix(to: u64) -> String {
+    format!("-for-{to:016x}")
 }
 
 fn incarnation_of(name: &str) -> Option<u64> {
--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -15,8 +15,8 @@
 use crate::interface::Milliseconds;
 use crate::net::log;
 use folder::{
-    create_new, create_private, file_name, incarnations, lock, lock_file, KEYS_PREFIX, LEARNED_PREFIX,
-    MEMBERSHIP_PREFIX, PROCESS_PREFIX, REQUESTS_PREFIX,
+    create_new, create_private, file_name, incarnations, lock, lock_file, passed_suffix, KEYS_PREFIX,
+    LEARNED_PREFIX, MEMBERSHIP_PREFIX, PROCESS_PREFIX, REQUESTS_PREFIX,
 };
 use keys::SharedKeys;
 use overrides::SharedOverrides;
@@ -207,11 +207,13 @@
                 error,
             );
         }
-        // The names are matched as prefixes, so that temporary files and files for successors are removed as well.
+        // The names are matched as prefixes, so that temporary files and files for successors are removed as well. Files for this
+        // process are removed, as the next process may have its number.
+        let passed = passed_suffix(incarnation);
         let prefixes = [KEYS_PREFIX, REQUESTS_PREFIX, LEARNED_PREFIX, MEMBERSHIP_PREFIX, PROCESS_PREFIX]
             .map(|prefix| file_name(prefix, incarnation));
         for name in Files::new(&self.path).names().unwrap_or_default() {
-            if prefixes.iter().any(|prefix| name.starts_with(prefix)) {
+            if prefixes.iter().any(|prefix| name.starts_with(prefix)) || name.ends_with(&passed) {
                 let _ = std::fs::remove_file(self.path.join(name));
             }
         }
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -49,6 +49,25 @@
     assert!(!left.iter().any(|name| name.to_string_lossy().ends_with("0001")), "{left:?}");
 }
 
+/// A process that ends before it has read the state that was passed to it: the next one has the same number, and must not take that
+/// state for what is passed to it.
+#[test]
+fn state_passed_to_a_process_that_has_exited_is_not_left_to_the_next_one() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("shared");
+    let mut first = open(&path);
+    let second = open(&path);
+    assert_eq!(first.observe(NOW).waiting_successors, [2]);
+    let passed = ["learned", "heard"].map(|state| path.join(format!("{state}-{:016x}-for-{:016x}", 1, 2)));
+    passed.each_ref().map(|file| std::fs::write(file, "state").expect("written"));
+    drop(second);
+    first.observe(NOW);
+    let next = open(&path);
+    assert_eq!(next.incarnation(), 2);
+    assert!(passed.iter().all(|file| !file.exists()), "{passed:?}");
+    assert_eq!(first.observe(NOW).waiting_successors, [2], "the next process waits for state of its own");
+}
+
 /// Guards against a repeated key that runs twice: a successor applies the deduplication window of sends by its predecessors,
 /// whether these still run, have exited or were killed.
 #[test]
