An attempt waits until nothing of its client can be on the way, also behind a full window

What callers would see: 0.15 to 1.2 s after a client had closed its connection an attempt of its requests began.

Cause: the lag of a connection was reset where all bytes were handled that had arrived at a check. A client that sends faster than it is read has more bytes on its own side, which wait for the receive window, and the end of its connection behind them; none of that can be seen here.

Change: only an empty socket shows that everything is handled; after a burst of several messages, or after bytes have waited for 50 ms, it has to stay empty for 20 ms.

--- a/src/net/connection/read_buffer.rs
+++ b/src/net/connection/read_buffer.rs
@@ -139,10 +139,8 @@
     /// Marks bytes at the front as consumed. Outside of a body they end a message, and the remaining bytes belong to the next.
     pub fn consume(&mut self, count: usize) {
         self.consumed = (self.consumed + count).min(self.bytes.len());
-        if let Peer::Client(client) = &self.peer {
-            client.progress.set_handled(self.bytes.len() - self.consumed);
-        }
         if self.body.is_none() {
+            self.add_message();
             self.expected_bytes = 0;
             self.incomplete_since = Some(self.last_filled).filter(|_| !self.unread().is_empty());
             self.release_reservation();
@@ -217,7 +215,6 @@
             self.set_readable();
             self.reserve_message(stream, limits).await;
             if !self.share.may_continue() {
-                self.set_checkpoint(stream);
                 self.share.turn().await;
                 if matches!(self.peer, Peer::Client(_)) && is_closed_by_peer(stream) {
                     return Ok(false);
@@ -241,10 +238,13 @@
     }
 
     /// Waits for the task's turn to handle the next message in the buffer.
-    pub async fn turn(&self, stream: &TcpStream) {
-        if !self.share.may_continue() {
-            self.set_checkpoint(stream);
-            self.share.turn().await;
+    pub async fn turn(&self) {
+        self.share.turn().await;
+    }
+
+    fn add_message(&self) {
+        if let Peer::Client(client) = &self.peer {
+            client.progress.add_message();
         }
     }
 
@@ -260,17 +260,6 @@
         }
     }
 
-    /// Records how far the bytes reach that have arrived by now, before a wait.
-    pub fn set_checkpoint(&self, stream: &TcpStream) {
-        let Peer::Client(ClientReader { progress, .. }) = &self.peer else { return };
-        if progress.needs_checkpoint() {
-            let now = Instant::now();
-            if let Ok(unread) = rustix::io::ioctl_fionread(stream) {
-                progress.set_checkpoint(unread as usize, now);
-            }
-        }
-    }
-
     /// Allocates space for the next read. A long message of a client has its own space already.
     fn reserve_space(&mut self, limits: &Limits) {
         if matches!(self.peer, Peer::Other) {
@@ -310,7 +299,6 @@
             true => (self.expected_bytes, self.announced_bytes, max_bytes / LONG_MESSAGES_DIVISOR),
             false => (short_bytes, short_bytes, max_bytes),
         };
-        self.set_checkpoint(stream);
         self.shared.incoming.reserve(memory, expected, announced, max_bytes).await;
         if is_long {
             match &mut self.body {
--- a/src/net/connection/read_progress.rs
+++ b/src/net/connection/read_progress.rs
@@ -1,4 +1,7 @@
-//! How far a client's connection is read: whether a cancellation may have arrived that is not handled yet.
+//! How far a client's connection is read: whether a cancellation or a disconnect may have happened that is not handled yet.
+//!
+//! Only an empty socket shows that everything is handled. While it has bytes, the client may have sent more that wait on its side for the
+//! receive window to open, and may have closed the connection behind them.
 
 use crate::core::ClientReading;
 use std::cell::Cell;
@@ -9,13 +12,10 @@
 /// Maximum time for which bytes of a client may wait to be handled while attempts of its requests begin: half of the 100 ms
 /// within which a disconnect has to take effect.
 const MAX_UNHANDLED_TIME: Duration = Duration::from_millis(50);
-
-/// A position in the stream of received bytes, with the time at which all bytes before it had arrived.
-#[derive(Debug, Clone, Copy)]
-struct Checkpoint {
-    position: u64,
-    arrived_by: Instant,
-}
+/// Time for which a socket has to stay empty after a burst, as the window has to open for the bytes that wait at the client.
+const SETTLE_TIME: Duration = Duration::from_millis(20);
+/// Number of bytes from which on several messages without a break are a burst, which may fill the receive window.
+const BURST_BYTES: usize = 32 << 10;
 
 /// Progress of the task that reads a connection, shared with the requests of its client.
 #[derive(Debug)]
@@ -28,9 +28,12 @@
     is_idle: Cell<bool>,
     /// Whether the socket was found empty since the connection was accepted. Before, it takes no part in reads of all sockets.
     was_idle: Cell<bool>,
-    /// Number of bytes that were read.
-    read_bytes: Cell<u64>,
-    checkpoint: Cell<Option<Checkpoint>>,
+    /// Time from which on an empty socket shows that everything is handled.
+    settled_at: Cell<Instant>,
+    /// Number of bytes that were read since the socket was last empty for [`SETTLE_TIME`].
+    burst_bytes: Cell<usize>,
+    /// Number of messages among them.
+    burst_messages: Cell<usize>,
 }
 
 impl ReadProgress {
@@ -41,8 +44,9 @@
             arrived_from: Cell::new(Instant::now()),
             is_idle: Cell::new(true),
             was_idle: Cell::new(false),
-            read_bytes: Cell::new(0),
-            checkpoint: Cell::new(None),
+            settled_at: Cell::new(handled_until),
+            burst_bytes: Cell::new(0),
+            burst_messages: Cell::new(0),
         })
     }
 
@@ -72,7 +76,12 @@
         if !self.is_idle.replace(false) {
             return;
         }
-        self.arrived_from.set(Instant::now());
+        let now = Instant::now();
+        self.arrived_from.set(now);
+        if now.saturating_duration_since(self.handled_until.get()) >= SETTLE_TIME {
+            self.burst_bytes.set(0);
+            self.burst_messages.set(0);
+        }
         if self.was_idle.get() {
             self.handled_until.set(read_until.max(self.handled_until.get()));
         }
@@ -88,44 +97,38 @@
         self.arrived_from.set(Instant::now());
     }
 
-    /// Records that all bytes are handled that had arrived at a time.
-    pub(super) fn set_idle(&self, arrived_by: Instant) {
-        self.is_idle.set(true);
-        self.was_idle.set(true);
-        self.handled_until.set(arrived_by);
-        self.checkpoint.set(None);
-    }
-
-    /// Returns whether the position of the bytes that have arrived is needed to determine the lag.
-    pub(super) fn needs_checkpoint(&self) -> bool {
-        !self.is_idle.get() && self.checkpoint.get().is_none()
+    /// Records that bytes were read.
+    pub(super) fn add_read(&self, bytes: usize) {
+        self.burst_bytes.set(self.burst_bytes.get() + bytes);
     }
 
-    /// Records that `unread` bytes have arrived and are not read yet.
-    pub(super) fn set_checkpoint(&self, unread: usize, arrived_by: Instant) {
-        let position = self.read_bytes.get() + unread as u64;
-        self.checkpoint.set(Some(Checkpoint { position, arrived_by }));
+    /// Records that a message was handled.
+    pub(super) fn add_message(&self) {
+        self.burst_messages.set(self.burst_messages.get() + 1);
     }
 
-    /// Records that bytes were read.
-    pub(super) fn add_read(&self, bytes: usize) {
-        self.read_bytes.set(self.read_bytes.get() + bytes as u64);
+    /// Returns whether so much was read without a break that more may wait at the client. A client that waits for the answer to one
+    /// long message has sent no more.
+    fn is_burst(&self) -> bool {
+        self.burst_bytes.get() >= BURST_BYTES && self.burst_messages.get() > 1
     }
 
-    /// Records that all bytes are handled that were read, but for the last `unhandled` ones.
-    pub(super) fn set_handled(&self, unhandled: usize) {
-        let handled = self.read_bytes.get().saturating_sub(unhandled as u64);
-        if let Some(checkpoint) = self.checkpoint.get().filter(|checkpoint| checkpoint.position <= handled) {
-            self.handled_until.set(checkpoint.arrived_by);
-            self.arrived_from.set(checkpoint.arrived_by);
-            self.checkpoint.set(None);
+    /// Records that all bytes are handled that had arrived at a time.
+    pub(super) fn set_idle(&self, arrived_by: Instant) {
+        let waited = arrived_by.saturating_duration_since(self.earliest_arrival(arrived_by));
+        if waited > MAX_UNHANDLED_TIME || self.is_burst() {
+            self.settled_at.set(arrived_by + SETTLE_TIME);
         }
+        self.is_idle.set(true);
+        self.was_idle.set(true);
+        self.handled_until.set(arrived_by);
     }
 }
 
 impl ClientReading for ReadProgress {
     fn may_hold_withdrawal(&self) -> bool {
-        self.lag(Instant::now()) > MAX_UNHANDLED_TIME
+        let now = Instant::now();
+        now < self.settled_at.get() || self.lag(now) > MAX_UNHANDLED_TIME
     }
 }
 
--- a/src/net/connection/read_progress/tests.rs
+++ b/src/net/connection/read_progress/tests.rs
@@ -4,57 +4,56 @@
     Instant::now() + Duration::from_millis(ms)
 }
 
+/// Returns the progress of a connection whose socket was found empty.
+fn idle() -> Rc<ReadProgress> {
+    let progress = ReadProgress::new(Instant::now());
+    progress.set_readable(Instant::now());
+    progress.set_idle(Instant::now());
+    progress
+}
+
 #[test]
 fn connection_that_waits_for_bytes_does_not_lag() {
-    let progress = ReadProgress::new(Instant::now());
+    let progress = idle();
     assert_eq!(progress.lag(after(5_000)), Duration::ZERO);
+    assert!(!progress.may_hold_withdrawal());
     progress.set_readable(Instant::now());
-    progress.add_read(100);
     assert!(progress.lag(after(5_000)) >= Duration::from_millis(4_900));
-    progress.set_idle(Instant::now());
+    progress.set_idle(after(10));
     assert_eq!(progress.lag(after(5_000)), Duration::ZERO);
+    assert!(!progress.may_hold_withdrawal());
 }
 
+/// The client may have sent more that waits on its side, and may have closed the connection behind it.
 #[test]
-fn lag_counts_from_the_bytes_that_are_handled_though_more_arrive() {
-    let progress = ReadProgress::new(Instant::now());
+fn socket_has_to_stay_empty_after_bytes_have_waited() {
+    let progress = idle();
     progress.set_readable(Instant::now());
-    assert!(progress.needs_checkpoint());
-    let arrived_by = after(1_000);
-    progress.set_checkpoint(150, arrived_by);
-    assert!(!progress.needs_checkpoint());
-    progress.add_read(100);
-    progress.set_handled(0);
-    let before = progress.lag(after(3_000));
-    assert!(before >= Duration::from_millis(2_900), "{before:?}");
-    // 200 bytes are read, of which 50 are not handled: the position of the checkpoint is reached.
-    progress.add_read(100);
-    progress.set_handled(51);
-    assert!(progress.lag(after(3_000)) >= Duration::from_millis(2_900));
-    progress.set_handled(50);
-    let lag = progress.lag(after(3_000));
-    assert!(lag < Duration::from_millis(2_100), "{lag:?}");
-    assert!(progress.needs_checkpoint());
+    progress.set_idle(after(400));
+    assert!(progress.may_hold_withdrawal());
+    assert!(progress.settled_at.get() >= after(400));
 }
 
 #[test]
-fn message_counts_as_arrived_when_earlier_bytes_were_handled() {
-    let progress = ReadProgress::new(Instant::now());
+fn message_counts_as_arrived_when_the_socket_became_readable() {
+    let progress = idle();
     progress.set_readable(Instant::now());
     let now = after(700);
     assert!(progress.earliest_arrival(now) <= now - Duration::from_millis(690));
+    progress.restart_arrival();
+    assert!(progress.earliest_arrival(now) >= now - Duration::from_millis(700));
+    progress.set_idle(now);
+    assert_eq!(progress.earliest_arrival(now), now);
 }
 
 /// A connection counts as read up to the last time at which all sockets were read, as the process may have been paused since.
 #[test]
 fn bytes_that_arrive_during_a_pause_count_from_its_start() {
-    let progress = ReadProgress::new(Instant::now());
+    let progress = idle();
     let (read_until, resumed_at) = (after(1_000), after(2_000));
-    progress.set_readable(Instant::now());
-    progress.set_idle(Instant::now());
     progress.set_readable(read_until);
     assert!(progress.lag(resumed_at) >= Duration::from_millis(990));
-    progress.set_idle(Instant::now());
+    let progress = idle();
     progress.set_readable(read_until - Duration::from_secs(5));
     assert!(progress.lag(Instant::now()) < Duration::from_millis(100));
 }
@@ -69,3 +68,26 @@
     progress.set_readable(now);
     assert!(progress.lag(now) >= Duration::from_millis(400));
 }
+
+/// Over HTTP a disconnect is noticed although bytes are unread.
+#[test]
+fn connection_that_is_known_to_be_open_does_not_lag() {
+    let progress = idle();
+    progress.set_readable(Instant::now());
+    progress.set_connected_at(after(1_000));
+    assert!(progress.lag(after(1_010)) <= Duration::from_millis(50));
+}
+
+#[test]
+fn socket_has_to_stay_empty_after_a_burst_of_several_messages() {
+    let progress = idle();
+    progress.set_readable(Instant::now());
+    progress.add_read(BURST_BYTES);
+    progress.add_message();
+    progress.set_idle(Instant::now());
+    assert!(!progress.may_hold_withdrawal(), "one long message is no burst");
+    progress.set_readable(Instant::now());
+    progress.add_message();
+    progress.set_idle(Instant::now());
+    assert!(progress.may_hold_withdrawal());
+}
--- a/src/net/front/clickhouse/session.rs
+++ b/src/net/front/clickhouse/session.rs
@@ -53,8 +53,8 @@
 ) {
     let mut reader = RequestReader::new(stream, session, session.connection.read_buffer());
     while session.keep_alive.get() {
-        reader.buffer.turn(stream).await;
-        if !session.connection.wait_for_reader(&reader.buffer, stream, &session.limits).await {
+        reader.buffer.turn().await;
+        if !session.connection.wait_for_reader(stream, &session.limits).await {
             return;
         }
         let request = match reader.read().await {
--- a/src/net/front/client_connection.rs
+++ b/src/net/front/client_connection.rs
@@ -174,16 +174,10 @@
 
     /// Waits while the client leaves more answers unread than may wait for it, so that a client that sends faster than it reads is not
     /// read. Returns false if the connection has ended or has to be closed.
-    pub async fn wait_for_reader(
-        &self,
-        read_buffer: &ReadBuffer,
-        stream: &TcpStream,
-        limits: &Limits,
-    ) -> bool {
+    pub async fn wait_for_reader(&self, stream: &TcpStream, limits: &Limits) -> bool {
         if self.write_queue.memory() <= limits.max_unread_answer_bytes {
             return true;
         }
-        read_buffer.set_checkpoint(stream);
         loop {
             tokio::select! {
                 () = self.write_queue.wait_for_memory(limits.max_unread_answer_bytes) => return true,
--- a/src/net/front/thrift/session.rs
+++ b/src/net/front/thrift/session.rs
@@ -104,8 +104,8 @@
     let mut read_buffer = session.connection.read_buffer();
     loop {
         while let Some(length) = frame_len(read_buffer.unread()) {
-            read_buffer.turn(stream).await;
-            if !session.connection.wait_for_reader(&read_buffer, stream, limits).await {
+            read_buffer.turn().await;
+            if !session.connection.wait_for_reader(stream, limits).await {
                 return;
             }
             if length > limits.max_message_bytes {
--- a/tests/busy_clients.rs
+++ b/tests/busy_clients.rs
@@ -82,7 +82,7 @@
     /// Calls with numbers out of sequence, each of which ends its connection.
     OutOfSequence,
     /// Frames that are no messages, each of which ends its connection.
-    NoMessage,
+    Garbage,
     /// Health checks over HTTP.
     Ping,
     /// Requests for a path that does not exist.
@@ -92,13 +92,13 @@
     /// Queries over HTTP with as many parameters as are decoded.
     ManyParameters,
     /// Requests that are no HTTP, each of which ends its connection.
-    NoHttp,
+    HttpGarbage,
 }
 
 impl Message {
     fn address(self, gateway: &Gateway) -> SocketAddr {
         match self {
-            Self::Ping | Self::UnknownPath | Self::Queries | Self::ManyParameters | Self::NoHttp => {
+            Self::Ping | Self::UnknownPath | Self::Queries | Self::ManyParameters | Self::HttpGarbage => {
                 gateway.http.expect("an HTTP address")
             }
             _ => gateway.thrift,
@@ -139,7 +139,7 @@
             Self::ManyFields => call(sequence, &[("a", "b"); 990], "select 1"),
             Self::LongUnsoundCall => call(sequence, &[("a", "b"); 5_000], "select 1"),
             Self::OutOfSequence => call(sequence + 7, &[("verb", "lookup")], "select 1"),
-            Self::NoMessage => vec![0, 0, 0, 8, 1, 2, 3, 4, 5, 6, 7, 8],
+            Self::Garbage => vec![0, 0, 0, 8, 1, 2, 3, 4, 5, 6, 7, 8],
             Self::Ping => b"GET /ping HTTP/1.1\r\n\r\n".to_vec(),
             Self::UnknownPath => b"GET /x HTTP/1.1\r\na:b\r\n\r\n".to_vec(),
             Self::Queries => {
@@ -149,7 +149,7 @@
                 let parameters = "a=b&".repeat(990);
                 format!("GET /x?{parameters} HTTP/1.1\r\n\r\n").into_bytes()
             }
-            Self::NoHttp => b"\r\n\r\n".to_vec(),
+            Self::HttpGarbage => b"\r\n\r\n".to_vec(),
         }
     }
 }
@@ -422,12 +422,12 @@
         Message::ManyFields,
         Message::LongUnsoundCall,
         Message::OutOfSequence,
-        Message::NoMessage,
+        Message::Garbage,
         Message::Ping,
         Message::UnknownPath,
         Message::Queries,
         Message::ManyParameters,
-        Message::NoHttp
+        Message::HttpGarbage
     )]
     message: Message,
     #[values(Reading::All, Reading::Nothing)] reading: Reading,
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -59,7 +59,9 @@
     let second = open(&path);
     assert_eq!(first.observe(NOW).waiting_successors, [2]);
     let passed = ["learned", "heard"].map(|state| path.join(format!("{state}-{:016x}-for-{:016x}", 1, 2)));
-    passed.each_ref().map(|file| std::fs::write(file, "state").expect("written"));
+    for file in &passed {
+        std::fs::write(file, "state").expect("written");
+    }
     drop(second);
     first.observe(NOW);
     let next = open(&path);
