A client that sends faster than its share is given time to show what follows; others are not

Cause: a burst was counted in bytes and messages without a break, which a usual client that sends one short request after the other reaches as well: its attempts would then have waited for 20 ms each. Found by reading, before any measurement. Change: only a client without credit in the event loop has to leave its socket empty for 20 ms. Bytes of any client may wait for 25 ms in place of 50 before its attempts are kept back. The tests of closing_clients run one at a time.

--- a/src/net/connection/fair_share.rs
+++ b/src/net/connection/fair_share.rs
@@ -313,6 +313,12 @@
         }
     }
 
+    /// Returns whether the task has used less than its share recently.
+    pub fn is_within_share(&self) -> bool {
+        let now = Instant::now();
+        self.has_credit(now, self.used_in_poll(now))
+    }
+
     /// Returns whether the task has credit beyond the time that it has used in the current poll.
     fn has_credit(&self, now: Instant, used: Duration) -> bool {
         let rate = self.scheduler.credit_rate();
--- a/src/net/connection/read_buffer.rs
+++ b/src/net/connection/read_buffer.rs
@@ -140,7 +140,6 @@
     pub fn consume(&mut self, count: usize) {
         self.consumed = (self.consumed + count).min(self.bytes.len());
         if self.body.is_none() {
-            self.add_message();
             self.expected_bytes = 0;
             self.incomplete_since = Some(self.last_filled).filter(|_| !self.unread().is_empty());
             self.release_reservation();
@@ -225,7 +224,7 @@
             match stream.try_read_buf(&mut self.bytes) {
                 Ok(count) => {
                     self.count_capacity();
-                    self.set_filled(count);
+                    self.set_filled();
                     return Ok(count > 0);
                 }
                 Err(error) => match SocketRetry::after(&error) {
@@ -242,12 +241,6 @@
         self.share.turn().await;
     }
 
-    fn add_message(&self) {
-        if let Peer::Client(client) = &self.peer {
-            client.progress.add_message();
-        }
-    }
-
     fn set_readable(&self) {
         if let Peer::Client(client) = &self.peer {
             client.progress.set_readable(self.shared.read_barrier.read_until());
@@ -256,7 +249,7 @@
 
     fn set_idle(&self, arrived_by: Instant) {
         if let Peer::Client(client) = &self.peer {
-            client.progress.set_idle(arrived_by);
+            client.progress.set_idle(arrived_by, !self.share.is_within_share());
         }
     }
 
@@ -275,12 +268,11 @@
         self.expected_bytes > limits.read_chunk_bytes
     }
 
-    fn set_filled(&mut self, count: usize) {
+    fn set_filled(&mut self) {
         self.last_filled = Instant::now();
         self.incomplete_since = self.incomplete_since.or(Some(self.last_filled));
         if let Peer::Client(client) = &self.peer {
             client.memory.set_arrived(self.last_filled);
-            client.progress.add_read(count);
         }
     }
 
--- a/src/net/connection/read_progress.rs
+++ b/src/net/connection/read_progress.rs
@@ -9,13 +9,12 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Maximum time for which bytes of a client may wait to be handled while attempts of its requests begin: half of the 100 ms
+/// Maximum time for which bytes of a client may wait to be handled while attempts of its requests begin: a fraction of the 100 ms
 /// within which a disconnect has to take effect.
-const MAX_UNHANDLED_TIME: Duration = Duration::from_millis(50);
-/// Time for which a socket has to stay empty after a burst, as the window has to open for the bytes that wait at the client.
+const MAX_UNHANDLED_TIME: Duration = Duration::from_millis(25);
+/// Time for which the socket of a client that sends faster than its share has to stay empty, as the window has to open for the bytes that
+/// wait at the client.
 const SETTLE_TIME: Duration = Duration::from_millis(20);
-/// Number of bytes from which on several messages without a break are a burst, which may fill the receive window.
-const BURST_BYTES: usize = 32 << 10;
 
 /// Progress of the task that reads a connection, shared with the requests of its client.
 #[derive(Debug)]
@@ -30,10 +29,6 @@
     was_idle: Cell<bool>,
     /// Time from which on an empty socket shows that everything is handled.
     settled_at: Cell<Instant>,
-    /// Number of bytes that were read since the socket was last empty for [`SETTLE_TIME`].
-    burst_bytes: Cell<usize>,
-    /// Number of messages among them.
-    burst_messages: Cell<usize>,
 }
 
 impl ReadProgress {
@@ -45,8 +40,6 @@
             is_idle: Cell::new(true),
             was_idle: Cell::new(false),
             settled_at: Cell::new(handled_until),
-            burst_bytes: Cell::new(0),
-            burst_messages: Cell::new(0),
         })
     }
 
@@ -76,12 +69,7 @@
         if !self.is_idle.replace(false) {
             return;
         }
-        let now = Instant::now();
-        self.arrived_from.set(now);
-        if now.saturating_duration_since(self.handled_until.get()) >= SETTLE_TIME {
-            self.burst_bytes.set(0);
-            self.burst_messages.set(0);
-        }
+        self.arrived_from.set(Instant::now());
         if self.was_idle.get() {
             self.handled_until.set(read_until.max(self.handled_until.get()));
         }
@@ -97,26 +85,11 @@
         self.arrived_from.set(Instant::now());
     }
 
-    /// Records that bytes were read.
-    pub(super) fn add_read(&self, bytes: usize) {
-        self.burst_bytes.set(self.burst_bytes.get() + bytes);
-    }
-
-    /// Records that a message was handled.
-    pub(super) fn add_message(&self) {
-        self.burst_messages.set(self.burst_messages.get() + 1);
-    }
-
-    /// Returns whether so much was read without a break that more may wait at the client. A client that waits for the answer to one
-    /// long message has sent no more.
-    fn is_burst(&self) -> bool {
-        self.burst_bytes.get() >= BURST_BYTES && self.burst_messages.get() > 1
-    }
-
-    /// Records that all bytes are handled that had arrived at a time.
-    pub(super) fn set_idle(&self, arrived_by: Instant) {
+    /// Records that all bytes are handled that had arrived at a time. `exceeds_share` tells whether the client sends faster than its share
+    /// of the event loop.
+    pub(super) fn set_idle(&self, arrived_by: Instant, exceeds_share: bool) {
         let waited = arrived_by.saturating_duration_since(self.earliest_arrival(arrived_by));
-        if waited > MAX_UNHANDLED_TIME || self.is_burst() {
+        if waited > MAX_UNHANDLED_TIME || exceeds_share {
             self.settled_at.set(arrived_by + SETTLE_TIME);
         }
         self.is_idle.set(true);
--- a/tests/closing_clients.rs
+++ b/tests/closing_clients.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -26,6 +26,9 @@
 /// Number of bytes that follow the requests of a client.
 const FOLLOWING_BYTES: usize = 3 << 20;
 
+/// The tests run one at a time, as each measures times while the gateway has a part of a core.
+static RUNNING: Mutex<()> = Mutex::new(());
+
 /// Times at which attempts arrived, by the names of their requests.
 type Arrivals = Arc<Mutex<BTreeMap<String, Vec<Instant>>>>;
 
@@ -105,6 +108,7 @@
     #[values(Close::Reset, Close::Side)] close: Close,
     #[values(Following::Nothing, Following::HealthChecks, Following::Cancels)] following: Following,
 ) {
+    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
     let (engine, arrivals) = slow_engine();
     let text = with_long_latency_objectives(&config(&[engine], "resp", 60_000));
     let core = CoreShare::beside(BUSY_THREADS);
