A request that arrives during a pause counts from its start, however late it is read

Cause: the detector of pauses counts what is read within 50 ms of a pause as arrived at its start; since connections take turns, some are read later (a request sent in a pause that ended at 2.663 s was counted from about 2.74 s). The lag of a connection counted from the time it became readable, which is after the pause.

Change: the detector is asked as the socket becomes readable, and the message counts from then.

--- a/src/net/connection/read_buffer.rs
+++ b/src/net/connection/read_buffer.rs
@@ -243,7 +243,8 @@
 
     fn set_readable(&self) {
         if let Peer::Client(client) = &self.peer {
-            client.progress.set_readable(self.shared.read_barrier.read_until());
+            let arrived_from = self.shared.pauses.earliest_arrival(Instant::now());
+            client.progress.set_readable(self.shared.read_barrier.read_until(), arrived_from);
         }
     }
 
--- a/src/net/connection/read_progress.rs
+++ b/src/net/connection/read_progress.rs
@@ -21,7 +21,7 @@
 pub struct ReadProgress {
     /// Everything that arrived before this time is handled, also if the process was paused since.
     handled_until: Cell<Instant>,
-    /// Earliest time at which the bytes that are handled now may have arrived, if the process was not paused.
+    /// Earliest time at which the bytes that are handled now may have arrived.
     arrived_from: Cell<Instant>,
     /// Whether everything that has arrived is handled, as far as the task knows: it waits for the socket.
     is_idle: Cell<bool>,
@@ -43,7 +43,7 @@
         })
     }
 
-    /// Returns the earliest time at which the message that is handled now may have arrived, if the process was not paused.
+    /// Returns the earliest time at which the message that is handled now may have arrived.
     pub fn earliest_arrival(&self, now: Instant) -> Instant {
         match self.is_idle.get() {
             true => now,
@@ -64,12 +64,13 @@
         self.handled_until.set(after.min(self.handled_until.get()));
     }
 
-    /// Records that the socket has bytes. All sockets were read that had bytes at `read_until`.
-    pub(super) fn set_readable(&self, read_until: Instant) {
+    /// Records that the socket has bytes, which may have arrived from `arrived_from` on: the process may have been paused. All sockets
+    /// were read that had bytes at `read_until`.
+    pub(super) fn set_readable(&self, read_until: Instant, arrived_from: Instant) {
         if !self.is_idle.replace(false) {
             return;
         }
-        self.arrived_from.set(Instant::now());
+        self.arrived_from.set(arrived_from);
         if self.was_idle.get() {
             self.handled_until.set(read_until.max(self.handled_until.get()));
         }
--- a/src/net/connection/read_progress/tests.rs
+++ b/src/net/connection/read_progress/tests.rs
@@ -7,7 +7,7 @@
 /// Returns the progress of a connection whose socket was found empty.
 fn idle() -> Rc<ReadProgress> {
     let progress = ReadProgress::new(Instant::now());
-    progress.set_readable(Instant::now());
+    progress.set_readable(Instant::now(), Instant::now());
     progress.set_idle(Instant::now(), false);
     progress
 }
@@ -17,7 +17,7 @@
     let progress = idle();
     assert_eq!(progress.lag(after(5_000)), Duration::ZERO);
     assert!(!progress.may_hold_withdrawal());
-    progress.set_readable(Instant::now());
+    progress.set_readable(Instant::now(), Instant::now());
     assert!(progress.lag(after(5_000)) >= Duration::from_millis(4_900));
     progress.set_idle(after(10), false);
     assert_eq!(progress.lag(after(5_000)), Duration::ZERO);
@@ -28,7 +28,7 @@
 #[test]
 fn socket_has_to_stay_empty_after_bytes_have_waited() {
     let progress = idle();
-    progress.set_readable(Instant::now());
+    progress.set_readable(Instant::now(), Instant::now());
     progress.set_idle(after(400), false);
     assert!(progress.may_hold_withdrawal());
     assert!(progress.settled_at.get() >= after(400));
@@ -37,7 +37,7 @@
 #[test]
 fn message_counts_as_arrived_when_the_socket_became_readable() {
     let progress = idle();
-    progress.set_readable(Instant::now());
+    progress.set_readable(Instant::now(), Instant::now());
     let now = after(700);
     assert!(progress.earliest_arrival(now) <= now - Duration::from_millis(690));
     progress.restart_arrival();
@@ -51,10 +51,10 @@
 fn bytes_that_arrive_during_a_pause_count_from_its_start() {
     let progress = idle();
     let (read_until, resumed_at) = (after(1_000), after(2_000));
-    progress.set_readable(read_until);
+    progress.set_readable(read_until, Instant::now());
     assert!(progress.lag(resumed_at) >= Duration::from_millis(990));
     let progress = idle();
-    progress.set_readable(read_until - Duration::from_secs(5));
+    progress.set_readable(read_until - Duration::from_secs(5), Instant::now());
     assert!(progress.lag(Instant::now()) < Duration::from_millis(100));
 }
 
@@ -65,7 +65,7 @@
     let progress = ReadProgress::new(now);
     progress.set_connected(now - Duration::from_millis(400));
     // All sockets were read after the pause, but this connection was not accepted yet.
-    progress.set_readable(now);
+    progress.set_readable(now, Instant::now());
     assert!(progress.lag(now) >= Duration::from_millis(400));
 }
 
@@ -73,7 +73,7 @@
 #[test]
 fn connection_that_is_known_to_be_open_does_not_lag() {
     let progress = idle();
-    progress.set_readable(Instant::now());
+    progress.set_readable(Instant::now(), Instant::now());
     progress.set_connected_at(after(1_000));
     assert!(progress.lag(after(1_010)) <= Duration::from_millis(50));
 }
@@ -81,8 +81,17 @@
 #[test]
 fn socket_of_a_client_that_exceeds_its_share_has_to_stay_empty() {
     let progress = idle();
-    progress.set_readable(Instant::now());
+    progress.set_readable(Instant::now(), Instant::now());
     progress.set_idle(Instant::now(), true);
     assert!(progress.may_hold_withdrawal());
     assert!(progress.settled_at.get() <= after(50));
 }
+
+/// A request that arrives during a pause counts from its start, however long it waits to be read afterwards.
+#[test]
+fn message_counts_from_the_start_of_a_pause() {
+    let progress = idle();
+    let (paused_at, read_at) = (after(1_000), after(2_000));
+    progress.set_readable(Instant::now(), paused_at);
+    assert_eq!(progress.earliest_arrival(read_at), paused_at);
+}
--- a/src/net/connection/shared_state.rs
+++ b/src/net/connection/shared_state.rs
@@ -5,6 +5,7 @@
 use crate::net::connection::outgoing_memory::OutgoingMemory;
 use crate::net::connection::read_barrier::ReadBarrier;
 use crate::net::loop_profile::LoopProfile;
+use crate::net::pause::PauseDetector;
 use starlingplank_admin::metrics::Metrics;
 use starlingplank_decision::interface::{Milliseconds, RetryBudgetSettings};
 use starlingplank_decision::permission::counters::RuleCounters;
@@ -29,6 +30,8 @@
     /// Retry budget. Requests are counted when they are read, retries when they are written.
     retry_budget: RefCell<RetryBudget>,
     started: Instant,
+    /// Detects pauses of the process, which arrival times take into account.
+    pub pauses: PauseDetector,
     /// Shares of the tasks in the event loop.
     pub scheduler: Rc<FairScheduler>,
     /// Time that the tasks of the event loop take.
@@ -54,6 +57,7 @@
             rule_counters: Rc::default(),
             retry_budget: RefCell::new(RetryBudget::new(retry_budget)),
             started: Instant::now(),
+            pauses: PauseDetector::new(Instant::now()),
             scheduler: FairScheduler::new(profile.clone()),
             profile,
             read_barrier: ReadBarrier::new(),
--- a/src/net/front/state.rs
+++ b/src/net/front/state.rs
@@ -9,7 +9,6 @@
 use crate::net::front::close_reason::CloseCounters;
 use crate::net::front::requests::{ReceivedRequest, ResponseWriter};
 use crate::net::front::shutdown_phase::ShutdownPhase;
-use crate::net::pause::PauseDetector;
 use crate::net::recent_names::RecentNames;
 use crate::net::sql;
 use std::cell::{Cell, RefCell};
@@ -42,8 +41,6 @@
     pub limits: Rc<Limits>,
     /// Clock of the gateway, in which arrival times and deadlines are given.
     pub clock: Clock,
-    /// Detects pauses of the process, which arrival times take into account.
-    pub pauses: PauseDetector,
     /// Queue of events for the reducer.
     pub events: Sender<Event>,
     /// State shared by all connections, of clients and to engines.
@@ -107,7 +104,6 @@
             waiting_slots: Arc::new(Semaphore::new(limits.max_waiting_connections)),
             limits,
             clock: Clock::start(),
-            pauses: PauseDetector::new(Instant::now()),
             events,
             shutdown_phase: Rc::default(),
             awaits_endpoint_list: Cell::new(false),
@@ -215,7 +211,7 @@
     /// Returns the earliest time at which an event that is observed now may have happened: the process may have been paused
     /// since.
     pub fn earliest_arrival(&self) -> Milliseconds {
-        self.clock.at(self.pauses.earliest_arrival(Instant::now()))
+        self.clock.at(self.shared.pauses.earliest_arrival(Instant::now()))
     }
 
     /// Returns the earliest time at which the message that is handled now may have arrived on a connection: possibly while the process
@@ -223,7 +219,12 @@
     pub fn arrival_time(&self, connection: &ClientConnection) -> Milliseconds {
         let now = Instant::now();
         let accepted = connection.earliest_arrival().unwrap_or(now);
-        self.clock.at(self.pauses.earliest_arrival(now).min(accepted).min(connection.earliest_read(now)))
+        self.clock.at(self
+            .shared
+            .pauses
+            .earliest_arrival(now)
+            .min(accepted)
+            .min(connection.earliest_read(now)))
     }
 
     /// Returns a new id for a request that is about to be submitted.
--- a/src/net/runtime/listeners.rs
+++ b/src/net/runtime/listeners.rs
@@ -208,7 +208,7 @@
     /// Earliest time at which a connection that is accepted now may have arrived; after a pause of the process, the start of
     /// the pause.
     fn earliest_arrival(&self) -> Instant {
-        self.frontend.pauses.earliest_arrival(Instant::now())
+        self.frontend.shared.pauses.earliest_arrival(Instant::now())
     }
 
     async fn accept_one(
--- a/src/net/runtime/mod.rs
+++ b/src/net/runtime/mod.rs
@@ -162,7 +162,7 @@
             let due_at = self.core.next_due();
             let input = inputs.next(self.wake_by(due_at), self.optional_inputs()).await;
             let woken_at = Instant::now();
-            self.frontend.pauses.record_alive(woken_at);
+            self.frontend.shared.pauses.record_alive(woken_at);
             let delay = self.delay_since(due_at);
             self.frontend.shared.profile.end_cycle(Duration::from_secs_f64(delay / 1000.0));
             if self.reload_is_due() {
@@ -271,7 +271,7 @@
         tracing::info!("SIGTERM: shutting down");
         // SIGKILL follows SIGTERM after a fixed time. SIGTERM may have arrived during a pause of the process, so the time counts
         // from the start of the pause.
-        let requested_at = self.frontend.pauses.earliest_arrival(Instant::now());
+        let requested_at = self.frontend.shared.pauses.earliest_arrival(Instant::now());
         self.terminated_at = Some(requested_at);
         self.frontend.enter_shutdown_phase(ShutdownPhase::Draining);
         events.push(Event::Terminate { requested_at: self.frontend.clock.at(requested_at) });
--- a/src/net/runtime/shutdown.rs
+++ b/src/net/runtime/shutdown.rs
@@ -29,7 +29,7 @@
             no_connections: closes_idle && self.frontend.has_no_connections(),
             // Requests that clients sent while the process was paused are read before it exits.
             close_window_expired: waited >= window + self.frontend.limits.connection_close_wait
-                && !self.frontend.pauses.has_backlog(Instant::now()),
+                && !self.frontend.shared.pauses.has_backlog(Instant::now()),
         })
     }
 
