A listener takes its accept queue as empty only when it is, and does not wait for clients

Cause: a listener that had used its slice, or whose accept had failed, waited behind clients before each further call; and it took its queue as empty when the runtime had not noticed connections yet. Change: the queue is checked with poll(2); a listener with credit runs at once.

--- a/src/net/connection/fair_share.rs
+++ b/src/net/connection/fair_share.rs
@@ -286,9 +286,11 @@
         now.saturating_duration_since(self.poll_started_at.get())
     }
 
-    /// Returns whether a task with a limit may run without waiting.
+    /// Returns whether a task with a limit may run without waiting. A listener with credit does not wait for clients: it may have to
+    /// repeat calls that failed, and would wait again before each of them.
     fn runs_at_once(&self, now: Instant, used: Duration) -> bool {
-        self.has_credit(now, used) && !self.scheduler.is_round_full()
+        let is_listener = self.task.kind == TaskKind::Listener;
+        self.has_credit(now, used) && (is_listener || !self.scheduler.is_round_full())
     }
 
     /// Waits until the task may continue. A call that is dropped keeps the task's place in its queue.
--- a/src/net/runtime/listeners.rs
+++ b/src/net/runtime/listeners.rs
@@ -6,6 +6,7 @@
 use crate::net::log;
 use crate::net::tasks::{TaskName, Tasks};
 use crate::net::transient_errors::{self, Backoff};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -232,7 +233,12 @@
             biased;
             accepted = listener.accept() => accepted,
             () = std::future::ready(()) => {
-                queue.set_empty(checked_at);
+                // Connections may be queued that the runtime has not noticed yet.
+                if has_connections(listener) {
+                    queue.set_waiting(self.earliest_arrival());
+                } else {
+                    queue.set_empty(checked_at);
+                }
                 listener.accept().await
             }
         };
@@ -291,6 +297,13 @@
     }
 }
 
+/// Returns whether the accept queue of a listener holds connections. If the system call fails, it may.
+fn has_connections(listener: &TcpListener) -> bool {
+    const NO_WAIT: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
+    let mut descriptors = [PollFd::new(listener, PollFlags::IN)];
+    poll(&mut descriptors, Some(&NO_WAIT)).map_or(true, |ready| ready > 0)
+}
+
 /// Waits for a connection slot, and then serves the connection. Without a slot in time the connection is closed.
 async fn serve_when_admitted<S, F>(
     Accepted { stream, peer }: Accepted,
