A test of two processes connects before the first of them is asked to end

The race is the test's. Change: the idle client connects, and gets an answer, before the second process starts.

--- a/tests/returning_requests.rs
+++ b/tests/returning_requests.rs
@@ -7,10 +7,10 @@
 use gateway_processes::SharedGateway;
 use rstest::rstest;
 use stand::{
-    answer, cancel, http_engine, http_request, resp_engine, wait_for_log, with_non_idempotent_loads, Gateway,
-    Log,
+    answer, cancel, health, http_engine, http_request, resp_engine, wait_for_log, with_non_idempotent_loads,
+    Gateway, Log,
 };
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use unsafe_requests::*;
 
@@ -121,6 +121,9 @@
     let mut gateway = SharedGateway::new(&[address]);
     gateway.config = with_non_idempotent_loads(&gateway.config);
     let old = gateway.start();
+    let mut idle = old.client();
+    idle.write_all(&health(1)).expect("sent");
+    assert_eq!(answer(&mut idle).1, "served");
     let mut first = old.client();
     first.write_all(&request(1, "load", NAME, 20_000)).expect("sent");
     wait_for_attempt(&log);
@@ -132,8 +135,7 @@
         let new = gateway.start();
         old.signal("-TERM");
         // The old process closes the connection of an idle client once the new one has taken over.
-        let mut idle = old.client();
-        while std::io::Read::read(&mut idle, &mut [0]).is_ok_and(|count| count > 0) {}
+        assert_eq!(idle.read(&mut [0]).expect("closed"), 0);
         assert_refused(&mut new.client());
     }
     assert_eq!(attempt_count(&log, NAME), 1);
