The wait of a connection to be accepted counts for all parts of its first message

Cause: the time from which such a connection may have had bytes was dropped with the second read. A message longer than one read (16 KiB), or read in parts because reads return less than has arrived, counted from that second read.

Change: that time is kept by ReadProgress until the socket is found empty, beside the other reasons for which a message may have arrived earlier.

--- a/src/net/connection/read_progress.rs
+++ b/src/net/connection/read_progress.rs
@@ -64,9 +64,12 @@
         }
     }
 
-    /// Records that the client may have connected at any time from `after` on.
-    pub fn set_connected(&self, after: Instant) {
+    /// Records that the connection was accepted. The client may have connected at any time from `after` on, and as far as pauses of the
+    /// process are known from `arrived_from` on. What it sent meanwhile counts as arrived then, until the socket is empty.
+    pub fn set_connected(&self, after: Instant, arrived_from: Instant) {
         self.handled_until.set(after.min(self.handled_until.get()));
+        self.arrived_from.set(arrived_from);
+        self.is_idle.set(false);
     }
 
     /// Records that the socket has bytes, which may have arrived from `arrived_from` on: the process may have been paused. All sockets
@@ -99,7 +102,7 @@
 
     /// Records that all bytes are handled that had arrived at a time. `exceeds_share` tells whether the client sends faster than its share
     /// of the event loop.
-    pub(super) fn set_idle(&self, arrived_by: Instant, exceeds_share: bool) {
+    pub fn set_idle(&self, arrived_by: Instant, exceeds_share: bool) {
         let waited = arrived_by.saturating_duration_since(self.earliest_arrival(arrived_by));
         let is_burst = exceeds_share && self.burst_bytes.get() >= BURST_BYTES;
         if waited > MAX_UNHANDLED_TIME || is_burst {
--- a/src/net/connection/read_progress/tests.rs
+++ b/src/net/connection/read_progress/tests.rs
@@ -62,11 +62,18 @@
 #[test]
 fn bytes_of_a_connection_that_waited_to_be_accepted_count_from_its_arrival() {
     let now = after(1_000);
+    let connected_at = now - Duration::from_millis(400);
     let progress = ReadProgress::new(now);
-    progress.set_connected(now - Duration::from_millis(400));
-    // All sockets were read after the pause, but this connection was not accepted yet.
-    progress.set_readable(now, Instant::now());
-    assert!(progress.lag(now) >= Duration::from_millis(400));
+    progress.set_connected(connected_at, connected_at);
+    // All sockets were read after the pause, but this connection was not accepted yet. It is read in several parts.
+    for _ in 0..2 {
+        progress.set_readable(now, now);
+        assert_eq!(progress.earliest_arrival(now), connected_at);
+        assert!(progress.lag(now) >= Duration::from_millis(400));
+    }
+    progress.set_idle(now, false);
+    progress.set_readable(now, now);
+    assert_eq!(progress.earliest_arrival(now), now);
 }
 
 /// Over HTTP a disconnect is noticed although bytes are unread.
--- a/src/net/front/client_connection.rs
+++ b/src/net/front/client_connection.rs
@@ -35,9 +35,6 @@
     shutdown_phase: Rc<Cell<ShutdownPhase>>,
     /// Whether an answer was sent since the shutdown phase requires connections to close after an answer.
     answered_in_shutdown: Cell<bool>,
-    /// Earliest time at which the client may have connected; it may have waited to be accepted. Cleared once the bytes that
-    /// were sent in that wait are read.
-    arrived_at: Cell<Option<Instant>>,
     /// Whether the connection was read from.
     was_read: Cell<bool>,
     /// Whether eviction was requested, as another client needs the slot, and is not decided yet.
@@ -72,7 +69,6 @@
             write_queue,
             shutdown_phase,
             answered_in_shutdown: Cell::new(false),
-            arrived_at: Cell::new(None),
             was_read: Cell::new(false),
             eviction_requested: Cell::new(false),
             disconnected: Cell::new(false),
@@ -101,22 +97,11 @@
         self.eviction_requested.get()
     }
 
-    /// Returns the earliest time at which the bytes that are read now may have arrived, if they may have been sent before the
-    /// connection was accepted.
-    pub fn earliest_arrival(&self) -> Option<Instant> {
-        self.arrived_at.get()
-    }
-
-    /// Returns the earliest time at which the message that is handled now may have arrived in the socket.
-    pub fn earliest_read(&self, now: Instant) -> Instant {
+    /// Returns the earliest time at which the message that is handled now may have arrived.
+    pub fn earliest_arrival(&self, now: Instant) -> Instant {
         self.progress.earliest_arrival(now)
     }
 
-    /// Sets the earliest time at which the client may have connected.
-    pub fn set_arrived_at(&self, at: Instant) {
-        self.arrived_at.set(Some(at));
-    }
-
     /// Counts a received request as open, and the processing time of the reducer for it as used by this client.
     pub fn request_opened(&self) {
         self.share.deduct_request();
@@ -141,10 +126,11 @@
     /// Reads from the client. Returns false if the connection has ended or has to be closed. The connection of a client that
     /// sends nothing, stops inside a message, or only sends messages without an answer, is closed after a short timeout.
     pub async fn read(&self, read_buffer: &mut ReadBuffer, stream: &TcpStream, limits: &Limits) -> bool {
-        // Only bytes that arrived before the first read may have been sent before the connection was accepted.
+        // Bytes that arrive later were not sent while the connection waited to be accepted.
+        let checked_at = Instant::now();
         let is_first = !self.was_read.replace(true);
-        if !is_first || self.close_conditions(read_buffer, stream).unread == 0 {
-            self.arrived_at.set(None);
+        if is_first && self.close_conditions(read_buffer, stream).unread == 0 {
+            self.progress.set_idle(checked_at, false);
         }
         self.set_incomplete(read_buffer);
         let memory = read_buffer.message_memory();
--- a/src/net/front/state.rs
+++ b/src/net/front/state.rs
@@ -218,13 +218,7 @@
     /// was paused, while the connection waited to be accepted, or while it was not read.
     pub fn arrival_time(&self, connection: &ClientConnection) -> Milliseconds {
         let now = Instant::now();
-        let accepted = connection.earliest_arrival().unwrap_or(now);
-        self.clock.at(self
-            .shared
-            .pauses
-            .earliest_arrival(now)
-            .min(accepted)
-            .min(connection.earliest_read(now)))
+        self.clock.at(self.shared.pauses.earliest_arrival(now).min(connection.earliest_arrival(now)))
     }
 
     /// Returns a new id for a request that is about to be submitted.
--- a/src/net/runtime/listeners.rs
+++ b/src/net/runtime/listeners.rs
@@ -321,8 +321,7 @@
         return log::warn_rate_limited("no connection slot became free in time: connection closed");
     };
     drop(waiting_slot);
-    connection.set_arrived_at(arrived.from);
-    connection.progress.set_connected(arrived.after);
+    connection.progress.set_connected(arrived.after, arrived.from);
     let served = ServedConnection { frontend, connection };
     serve(stream, served.connection.clone()).await;
 }
--- a/tests/deadlines.rs
+++ b/tests/deadlines.rs
@@ -213,6 +213,42 @@
     assert_within_remaining_time(sent, arrival);
 }
 
+/// A message that is longer than one read from a socket. The wait of its connection to be accepted used to count for the first part
+/// alone.
+#[rstest]
+#[case::thrift(false)]
+#[case::http(true)]
+fn deadline_counts_from_the_arrival_of_a_message_that_is_read_in_parts(#[case] over_http: bool) {
+    const PAUSE: Duration = Duration::from_millis(600);
+    const FAILING: Duration = Duration::from_millis(120);
+    const STATEMENT_BYTES: usize = 60_000;
+    let (address, arrived) = recording_engine();
+    let faults = Faults::new("accept=1");
+    let config = with_long_latency_objectives(&config(&[address], "resp", 60_000));
+    let gateway = Gateway::start_with_faults(&config, &faults);
+    gateway.stop();
+    faults.begin();
+    let statement = format!("select 1 -- {}", "x".repeat(STATEMENT_BYTES));
+    let message = if over_http {
+        let target = format!("/?max_execution_time={}", CLIENT_TIMEOUT_MS / 1_000);
+        format!("POST {target} HTTP/1.1\r\nContent-Length: {}\r\n\r\n{statement}", statement.len()).into()
+    } else {
+        let fields = [("verb", "lookup"), ("txn", &*name(1)), ("limit", &*CLIENT_TIMEOUT_MS.to_string())];
+        call(1, &fields, &statement)
+    };
+    let mut client = if over_http { gateway.http_client() } else { gateway.thrift_client() };
+    let sent = Instant::now();
+    client.write_all(&message).expect("sent");
+    std::thread::sleep(PAUSE);
+    gateway.resume();
+    faults.wait_for_fault("accept");
+    std::thread::sleep(FAILING);
+    faults.end();
+    wait_until(|| arrived.lock().expect("seen").is_some());
+    let arrival = arrived.lock().expect("seen").expect("an arrival");
+    assert_within_remaining_time(sent, arrival);
+}
+
 /// Over HTTP the deadline is passed in seconds; rounding must not raise it above the client's limit by more than the tolerance.
 #[rstest]
 #[case::between_two_seconds("1.3")]
