--- a/crates/admin/src/metrics.rs
+++ b/crates/admin/src/metrics.rs
@@ -33,7 +33,7 @@
 }
 
 /// Descriptions of all metrics.
-pub const TABLE: [MetricDescription; 12] = [
+pub const TABLE: [MetricDescription; 16] = [
     describe(
         "gateway.answered.C",
         "requests",
@@ -67,6 +67,14 @@
         "bytes",
         "taken by results and by answers that clients have not read, now",
     ),
+    describe("gateway.memory.O", "bytes", "counted for the owner O, now; `resident`: of the process, as the kernel counts it"),
+    describe("gateway.memory_peak.O", "bytes", "the largest value of `gateway.memory.O` since this process started"),
+    describe("gateway.waiting.W", "connections", "of clients that wait for the resource W, now"),
+    describe(
+        "gateway.longest_wait.W",
+        "microseconds",
+        "the longest wait of a client's connection for the resource W that has ended since this process started",
+    ),
     describe(
         "gateway.closed.R",
         "connections",
@@ -108,9 +116,17 @@
     pub memory_outgoing: usize,
 }
 
-/// Metrics whose names end with the name of a reason or of a kind of task.
+/// Metrics whose names end with the name of an owner, a resource, a reason or a kind of task.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct NamedCounts {
+    /// Bytes that are counted now, by owner.
+    pub memory: Vec<(&'static str, u64)>,
+    /// Largest numbers of bytes that were counted, by owner.
+    pub memory_peak: Vec<(&'static str, u64)>,
+    /// Numbers of client connections that wait now, by resource.
+    pub waiting: Vec<(&'static str, u64)>,
+    /// Longest waits in microseconds, by resource.
+    pub longest_wait: Vec<(&'static str, u64)>,
     /// Numbers of client connections that ended, by reason.
     pub closed: Vec<(&'static str, u64)>,
     /// Time in microseconds that tasks ran, by kind.
@@ -121,8 +137,15 @@
 
 impl NamedCounts {
     fn write(&self, out: &mut String) {
-        let metrics =
-            [("closed", &self.closed), ("loop_time", &self.loop_time), ("loop_longest", &self.loop_longest)];
+        let metrics = [
+            ("memory", &self.memory),
+            ("memory_peak", &self.memory_peak),
+            ("waiting", &self.waiting),
+            ("longest_wait", &self.longest_wait),
+            ("closed", &self.closed),
+            ("loop_time", &self.loop_time),
+            ("loop_longest", &self.loop_longest),
+        ];
         for (metric, counts) in metrics {
             for (name, count) in counts {
                 let _ = writeln!(out, "gateway.{metric}.{name}={count}");
--- a/crates/admin/src/metrics/tests.rs
+++ b/crates/admin/src/metrics/tests.rs
@@ -14,6 +14,10 @@
         memory_outgoing: 32,
     };
     let named_counts = NamedCounts {
+        memory: vec![("incoming", 16), ("resident", 5_000)],
+        memory_peak: vec![("incoming", 20), ("resident", 6_000)],
+        waiting: vec![("memory", 2)],
+        longest_wait: vec![("memory", 70)],
         closed: vec![("idle", 4), ("silent", 0)],
         loop_time: vec![("client", 900)],
         loop_longest: vec![("client", 60)],
@@ -26,6 +30,10 @@
         "gateway.sends=2",
         "gateway.current=3",
         "gateway.memory_outgoing=32",
+        "gateway.memory.incoming=16",
+        "gateway.memory_peak.resident=6000",
+        "gateway.waiting.memory=2",
+        "gateway.longest_wait.memory=70",
         "gateway.closed.idle=4",
         "gateway.closed.silent=0",
         "gateway.loop_time.client=900",
@@ -37,9 +45,13 @@
     let is_formatted = |name: &str| match name.rsplit_once('.') {
         Some((stem, "C")) => ["lookup", "load"].iter().all(|c| names.contains(&&*format!("{stem}.{c}"))),
         Some((stem, "R")) => ["idle", "silent"].iter().all(|r| names.contains(&&*format!("{stem}.{r}"))),
+        Some((stem, "O")) => {
+            ["incoming", "resident"].iter().all(|o| names.contains(&&*format!("{stem}.{o}")))
+        }
+        Some((stem, "W")) => names.contains(&&*format!("{stem}.memory")),
         Some((stem, "T")) => names.contains(&&*format!("{stem}.client")),
         _ => names.contains(&name),
     };
     assert!(TABLE.iter().all(|metric| is_formatted(metric.name)), "{text}");
-    assert_eq!(names.len(), 3 * 2 + 6 + 4);
+    assert_eq!(names.len(), 3 * 2 + 6 + 4 + 6);
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -28,6 +28,7 @@
 use crate::decide::Balancer;
 use crate::interface::{EngineId, Event as DecisionEvent, Milliseconds, RequestId, Settings, SettingsError};
 use crate::limits::Limits;
+use crate::used_memory::UsedMemory;
 use health_checks::HealthCheck;
 use membership::PreviousAddress;
 use request_state::Request;
@@ -103,8 +104,8 @@
     timers: BinaryHeap<Timer>,
     /// The last sequence number assigned to a timer, a health check or a record.
     last_number: u64,
-    /// Size of the statements of all requests, in bytes.
-    buffered_bytes: usize,
+    /// Memory that the statements of all requests take.
+    statement_memory: UsedMemory,
     /// Number of requests without a final answer.
     open_requests: usize,
     /// Counts of the sends refused, by rule.
@@ -131,6 +132,11 @@
 }
 
 impl Core {
+    /// Returns the memory that the statements of all requests take.
+    pub fn statement_memory(&self) -> &UsedMemory {
+        &self.statement_memory
+    }
+
     /// Creates a gateway without requests or members.
     ///
     /// # Errors
@@ -170,7 +176,7 @@
             health_checks: BTreeMap::new(),
             timers: BinaryHeap::new(),
             last_number: 0,
-            buffered_bytes: 0,
+            statement_memory: UsedMemory::default(),
             open_requests: 0,
             pending_events: Vec::new(),
             next_decision_at: now,
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -86,7 +86,9 @@
     /// Rejects a request that would exceed the limits on open requests or buffered bytes, without a decision. This bounds memory.
     fn check_capacity(&self, request: &ClientRequest) -> Result<(), Rejection> {
         let is_full = self.open_requests >= self.limits.max_open_requests;
-        if is_full || self.buffered_bytes + request.statement.bytes() > self.limits.max_buffered_bytes {
+        if is_full
+            || self.statement_memory.bytes() + request.statement.bytes() > self.limits.max_buffered_bytes
+        {
             return Err(self.rejection("limits"));
         }
         Ok(())
@@ -136,7 +138,7 @@
         let ClientRequest { details, statement } = request;
         let RequestDetails { id, class, deadline, .. } = details;
         self.open_requests += 1;
-        self.buffered_bytes += statement.bytes();
+        self.statement_memory.update(statement.bytes(), 0);
         let request = Request {
             statement,
             class,
@@ -235,7 +237,7 @@
         if !request.is_closed() || request.attempts.iter().any(Attempt::is_in_flight) {
             return;
         }
-        self.buffered_bytes -= request.statement.bytes();
+        self.statement_memory.update(0, request.statement.bytes());
         let may_have_run = request.attempts.iter().any(Attempt::may_have_run);
         if let Some(identity) = request.statement.identity.filter(|_| !may_have_run) {
             self.sent_requests.forget(&identity);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod limits;
 pub mod net;
 pub mod simulator;
+pub mod used_memory;
 
 #[cfg(doctest)]
 #[doc = include_str!("../README.md")]
--- a/src/net/connection/fair_share.rs
+++ b/src/net/connection/fair_share.rs
@@ -16,6 +16,7 @@
 //! Only time counts, whatever the messages are: small, long, invalid, rejected or costly.
 
 use crate::net::loop_profile::{LoopProfile, Task, TaskKind};
+use crate::net::wait_profile::{Resource, WaitProfile};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::future::{poll_fn, Future};
@@ -126,11 +127,12 @@
     /// Mean processing time of the reducer for one request.
     request_seconds: Cell<f64>,
     profile: Rc<LoopProfile>,
+    waits: Rc<WaitProfile>,
 }
 
 impl FairScheduler {
-    /// Creates a scheduler without tasks, which records the time that tasks take in `profile`.
-    pub(super) fn new(profile: Rc<LoopProfile>) -> Rc<Self> {
+    /// Creates a scheduler without tasks, which records the time that tasks take in `profile`, and their waits in `waits`.
+    pub(super) fn new(profile: Rc<LoopProfile>, waits: Rc<WaitProfile>) -> Rc<Self> {
         let max_seconds = MAX_NEW_CONNECTIONS_CREDIT_SECONDS;
         Rc::new(Self {
             with_credit: WaitQueue::default(),
@@ -140,6 +142,7 @@
             new_connections: Credit::new(max_seconds, max_seconds),
             request_seconds: Cell::new(0.0),
             profile,
+            waits,
         })
     }
 
@@ -343,6 +346,7 @@
             let now = Instant::now();
             self.scheduler.enqueue(self, self.has_credit(now, self.used_in_poll(now)));
         }
+        let _wait = self.scheduler.waits.begin(Resource::Turn);
         while self.place.get() == Place::Queued {
             self.granted.notified().await;
         }
--- a/src/net/connection/fair_share/tests.rs
+++ b/src/net/connection/fair_share/tests.rs
@@ -41,7 +41,7 @@
 #[test]
 fn other_tasks_run_between_the_slices_of_tasks_that_work_without_end() {
     run(async {
-        let scheduler = FairScheduler::new(Rc::default());
+        let scheduler = FairScheduler::new(Rc::default(), Rc::default());
         let steps: Vec<_> = (1..=100).map(|port| spawn_work_without_end(&scheduler, port)).collect();
         // The credit of new connections is used up after some rounds.
         while scheduler.without_credit.len() < 90 {
@@ -62,7 +62,7 @@
 #[test]
 fn slices_are_granted_in_turn() {
     run(async {
-        let scheduler = FairScheduler::new(Rc::default());
+        let scheduler = FairScheduler::new(Rc::default(), Rc::default());
         let steps: Vec<_> = (1..=8).map(|port| spawn_work_without_end(&scheduler, port)).collect();
         for _ in 0..400 {
             yield_now().await;
@@ -77,7 +77,7 @@
 #[test]
 fn tasks_with_credit_take_turns() {
     run(async {
-        let scheduler = FairScheduler::new(Rc::default());
+        let scheduler = FairScheduler::new(Rc::default(), Rc::default());
         let steps: Vec<_> = (1..=60)
             .map(|_| {
                 let share = WorkShare::new(&scheduler, Task::new(TaskKind::Listener), Some(f64::INFINITY));
@@ -98,7 +98,7 @@
 #[test]
 fn task_with_credit_does_not_wait_in_the_queue() {
     run(async {
-        let scheduler = FairScheduler::new(Rc::default());
+        let scheduler = FairScheduler::new(Rc::default(), Rc::default());
         let usual = WorkShare::new(&scheduler, Task::new(TaskKind::Listener), Some(MAX_CREDIT_SECONDS));
         for port in 1..=100 {
             spawn_work_without_end(&scheduler, port);
@@ -123,7 +123,7 @@
 #[test]
 fn task_that_ends_while_it_waits_is_passed_over() {
     run(async {
-        let scheduler = FairScheduler::new(Rc::default());
+        let scheduler = FairScheduler::new(Rc::default(), Rc::default());
         let (gone, other) = (scheduler.new_connection(peer(1)), scheduler.new_connection(peer(2)));
         for share in [&gone, &other] {
             share.deduct(1.0);
@@ -140,7 +140,7 @@
 #[test]
 fn dropped_wait_keeps_its_place() {
     run(async {
-        let scheduler = FairScheduler::new(Rc::default());
+        let scheduler = FairScheduler::new(Rc::default(), Rc::default());
         let share = scheduler.new_connection(peer(1));
         share.deduct(1.0);
         let task = spawn_local(share.clone().run(async move {
@@ -156,7 +156,7 @@
 /// New connections have no credit once those that came shortly before them have used the common one.
 #[test]
 fn many_new_connections_share_their_first_credit() {
-    let scheduler = FairScheduler::new(Rc::default());
+    let scheduler = FairScheduler::new(Rc::default(), Rc::default());
     let now = Instant::now();
     let shares: Vec<_> = (1..=200).map(|port| scheduler.new_connection(peer(port))).collect();
     let with_credit = shares.iter().filter(|share| share.has_credit(now, Duration::ZERO)).count();
--- a/src/net/connection/incoming_memory.rs
+++ b/src/net/connection/incoming_memory.rs
@@ -6,6 +6,7 @@
 //! ones go first, unless a longer one has waited for much longer. While one waits, connections that hold memory and have stopped
 //! sending are requested to release it. A message that is complete is counted until the reducer takes its request.
 
+use crate::used_memory::UsedMemory;
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -88,7 +89,10 @@
 /// Memory for the incomplete messages of all clients.
 #[derive(Debug, Default)]
 pub struct IncomingMemory {
-    used_bytes: Cell<usize>,
+    /// Memory that is allocated or reserved.
+    pub used: UsedMemory,
+    /// The part of it that complete messages take until the reducer takes their requests.
+    pub submitted: UsedMemory,
     /// Messages of all open connections.
     messages: RefCell<Vec<Weak<MessageMemory>>>,
     /// Number of messages with a reservation.
@@ -98,11 +102,6 @@
 }
 
 impl IncomingMemory {
-    /// Returns the number of bytes that are allocated or reserved.
-    pub fn used_bytes(&self) -> usize {
-        self.used_bytes.get()
-    }
-
     /// Creates the memory for the messages of a connection.
     pub(super) fn add_connection(&self) -> Rc<MessageMemory> {
         let memory = MessageMemory::new();
@@ -114,17 +113,19 @@
 
     /// Returns whether fewer than `bytes` are left.
     pub(super) fn is_exhausted(&self, bytes: usize, max_bytes: usize) -> bool {
-        self.used_bytes.get() + bytes > max_bytes
+        self.used.bytes() + bytes > max_bytes
     }
 
     /// Counts the bytes of a complete message, until [`remove_submitted`](Self::remove_submitted).
     pub fn add_submitted(&self, bytes: usize) {
-        self.used_bytes.set(self.used_bytes.get() + bytes);
+        self.used.update(bytes, 0);
+        self.submitted.update(bytes, 0);
     }
 
     /// Removes the bytes of a complete message: the reducer has taken its request, or its connection has ended.
     pub fn remove_submitted(&self, bytes: usize) {
-        self.used_bytes.set(self.used_bytes.get() - bytes);
+        self.used.update(0, bytes);
+        self.submitted.update(0, bytes);
         self.notify_first();
     }
 
@@ -180,7 +181,7 @@
         let before = memory.counted();
         change(memory);
         let after = memory.counted();
-        self.used_bytes.set(self.used_bytes.get() + after - before);
+        self.used.update(after, before);
         if after < before {
             self.notify_first();
         }
@@ -188,7 +189,7 @@
 
     fn may_reserve(&self, memory: &Rc<MessageMemory>, bytes: usize, max_bytes: usize) -> bool {
         let additional = bytes.saturating_sub(memory.counted());
-        let fits = self.used_bytes.get() + additional <= max_bytes;
+        let fits = self.used.bytes() + additional <= max_bytes;
         self.is_first(memory) && (fits || self.reservations.get() == 0)
     }
 
--- a/src/net/connection/incoming_memory/tests.rs
+++ b/src/net/connection/incoming_memory/tests.rs
@@ -30,7 +30,7 @@
         assert!(!is_ready(pool.reserve(&third, 10, 10, LIMIT)).await);
         assert!(is_ready(pool.reserve(&second, 60, 60, LIMIT)).await);
         assert!(is_ready(pool.reserve(&third, 10, 10, LIMIT)).await);
-        assert_eq!(pool.used_bytes(), 70);
+        assert_eq!(pool.used.bytes(), 70);
     });
 }
 
@@ -88,10 +88,10 @@
         pool.set_allocated(&memory, 30);
         pool.reserve(&memory, 80, 80, LIMIT).await;
         pool.set_allocated(&memory, 80);
-        assert_eq!(pool.used_bytes(), 80);
+        assert_eq!(pool.used.bytes(), 80);
         pool.release(&memory);
         pool.set_allocated(&memory, 0);
-        assert_eq!(pool.used_bytes(), 0);
+        assert_eq!(pool.used.bytes(), 0);
     });
 }
 
--- a/src/net/connection/outgoing_memory.rs
+++ b/src/net/connection/outgoing_memory.rs
@@ -2,26 +2,23 @@
 
 use crate::net::connection::shared_state::SharedState;
 use crate::net::connection::write_queue::WriteQueue;
-use std::cell::{Cell, RefCell};
+use crate::used_memory::UsedMemory;
+use std::cell::RefCell;
 use std::rc::{Rc, Weak};
 
 /// Memory for results that are being received and for queued answers. When it is exceeded, the clients pay that do not read
 /// their answers.
 #[derive(Debug, Default)]
 pub struct OutgoingMemory {
-    used_bytes: Cell<usize>,
+    /// Memory that is in use.
+    pub used: UsedMemory,
     client_queues: RefCell<Vec<Weak<WriteQueue>>>,
 }
 
 impl OutgoingMemory {
-    /// Returns the number of bytes in use.
-    pub fn used_bytes(&self) -> usize {
-        self.used_bytes.get()
-    }
-
     /// Counts bytes that were added and removed.
     pub(super) fn update(&self, added: usize, removed: usize) {
-        self.used_bytes.set(self.used_bytes.get() + added - removed);
+        self.used.update(added, removed);
     }
 
     /// Registers the write queue of a client, which may be evicted.
@@ -34,7 +31,7 @@
     /// While more than `max_bytes` are in use, closes the connection of the client that has blocked its queue for the longest
     /// time. Returns whether the limit is kept: queues that are not blocked are not evicted.
     pub fn relieve(&self, max_bytes: usize) -> bool {
-        while self.used_bytes.get() > max_bytes {
+        while self.used.bytes() > max_bytes {
             match self.longest_blocked() {
                 Some(queue) => queue.evict_slow_reader(),
                 None => return false,
--- a/src/net/connection/read_buffer.rs
+++ b/src/net/connection/read_buffer.rs
@@ -7,6 +7,7 @@
 use crate::net::connection::read_progress::ReadProgress;
 use crate::net::connection::shared_state::SharedState;
 use crate::net::connection::socket_retry::SocketRetry;
+use crate::net::wait_profile::Resource;
 use std::io;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -293,7 +294,9 @@
             true => (self.expected_bytes, self.announced_bytes, max_bytes / LONG_MESSAGES_DIVISOR),
             false => (short_bytes, short_bytes, max_bytes),
         };
+        let wait = self.shared.waits.begin(Resource::Memory);
         self.shared.incoming.reserve(memory, expected, announced, max_bytes).await;
+        drop(wait);
         if is_long {
             match &mut self.body {
                 Some(body) => body.reserve_exact(expected.saturating_sub(body.len())),
--- a/src/net/connection/shared_state.rs
+++ b/src/net/connection/shared_state.rs
@@ -6,6 +6,7 @@
 use crate::net::connection::read_barrier::ReadBarrier;
 use crate::net::loop_profile::LoopProfile;
 use crate::net::pause::PauseDetector;
+use crate::net::wait_profile::WaitProfile;
 use starlingplank_admin::metrics::Metrics;
 use starlingplank_decision::interface::{Milliseconds, RetryBudgetSettings};
 use starlingplank_decision::permission::counters::RuleCounters;
@@ -36,6 +37,8 @@
     pub scheduler: Rc<FairScheduler>,
     /// Time that the tasks of the event loop take.
     pub profile: Rc<LoopProfile>,
+    /// What the tasks of clients wait for.
+    pub waits: Rc<WaitProfile>,
     /// Barrier that is passed before an attempt is written.
     pub read_barrier: ReadBarrier,
 }
@@ -49,6 +52,7 @@
     /// Creates the state of a single process, with an optional retry budget.
     pub fn with_retry_budget(classes: usize, retry_budget: Option<RetryBudgetSettings>) -> Rc<Self> {
         let profile = Rc::<LoopProfile>::default();
+        let waits = Rc::<WaitProfile>::default();
         Rc::new(Self {
             incoming: IncomingMemory::default(),
             outgoing: OutgoingMemory::default(),
@@ -58,8 +62,9 @@
             retry_budget: RefCell::new(RetryBudget::new(retry_budget)),
             started: Instant::now(),
             pauses: PauseDetector::new(Instant::now()),
-            scheduler: FairScheduler::new(profile.clone()),
+            scheduler: FairScheduler::new(profile.clone(), waits.clone()),
             profile,
+            waits,
             read_barrier: ReadBarrier::new(),
         })
     }
--- a/src/net/front/state.rs
+++ b/src/net/front/state.rs
@@ -11,6 +11,7 @@
 use crate::net::front::shutdown_phase::ShutdownPhase;
 use crate::net::recent_names::RecentNames;
 use crate::net::sql;
+use crate::net::wait_profile::Resource;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -128,6 +129,7 @@
         share: Rc<WorkShare>,
     ) -> Option<Rc<ClientConnection>> {
         let deadline = Instant::now() + self.limits.max_wait_for_slot;
+        let wait = self.shared.waits.begin(Resource::Slot);
         while !self.has_free_slot() {
             let next_check = self.request_eviction();
             let released = timeout_at(next_check.min(deadline), self.connection_released.notified()).await;
@@ -135,6 +137,7 @@
                 return None;
             }
         }
+        drop(wait);
         let write_queue = WriteQueue::for_client(self.shared.clone(), share.clone());
         let (phase, counters) = (self.shutdown_phase.clone(), self.close_counters.clone());
         let connection = Rc::new(ClientConnection::new(peer, share, write_queue, phase, counters));
--- a/src/net/runtime/calls.rs
+++ b/src/net/runtime/calls.rs
@@ -3,6 +3,7 @@
 use crate::core::Event;
 use crate::net::hot_restart::ChangeError;
 use crate::net::loop_profile::{TaskKind, TimeByKind};
+use crate::net::resident_memory::ResidentMemory;
 use crate::net::runtime::Runtime;
 use starlingplank_admin::calls::{Call, Reply};
 use starlingplank_admin::metrics::{Gauges, NamedCounts};
@@ -26,8 +27,8 @@
                     current: self.frontend.pending_requests(),
                     cluster_size,
                     cluster_unhealthy,
-                    memory_incoming: shared.incoming.used_bytes(),
-                    memory_outgoing: shared.outgoing.used_bytes(),
+                    memory_incoming: shared.incoming.used.bytes(),
+                    memory_outgoing: shared.outgoing.used.bytes(),
                 };
                 Reply { status: 200, text: shared.metrics.text(&names, gauges, &self.named_counts()) }
             }
@@ -44,14 +45,26 @@
         }
     }
 
-    /// Returns the metrics of closed connections and of the event loop.
+    /// Returns the metrics of memory, waits, closed connections and of the event loop.
     pub(super) fn named_counts(&self) -> NamedCounts {
         let profile = &self.frontend.shared.profile;
         let by_kind = |times: TimeByKind| {
             let microseconds = times.map(|time| time.as_micros() as u64);
             TaskKind::ALL.iter().map(|kind| kind.name()).zip(microseconds).collect()
         };
+        let (resident, shared) = (ResidentMemory::read(), &self.frontend.shared);
+        let owners = [
+            ("incoming", shared.incoming.used.bytes(), shared.incoming.used.peak()),
+            ("submitted", shared.incoming.submitted.bytes(), shared.incoming.submitted.peak()),
+            ("outgoing", shared.outgoing.used.bytes(), shared.outgoing.used.peak()),
+            ("statements", self.core.statement_memory().bytes(), self.core.statement_memory().peak()),
+            ("resident", resident.bytes, resident.peak),
+        ];
         NamedCounts {
+            memory: owners.iter().map(|(owner, bytes, _)| (*owner, *bytes as u64)).collect(),
+            memory_peak: owners.iter().map(|(owner, _, peak)| (*owner, *peak as u64)).collect(),
+            waiting: shared.waits.waiting().collect(),
+            longest_wait: shared.waits.longest().collect(),
             closed: self.frontend.close_counters.by_name().collect(),
             loop_time: by_kind(profile.total_by_kind()),
             loop_longest: by_kind(profile.longest_by_kind()),
--- a/src/net/runtime/shutdown.rs
+++ b/src/net/runtime/shutdown.rs
@@ -107,6 +107,11 @@
             counts.loop_longest.into_iter().collect::<BTreeMap<_, _>>(),
             counts.closed.into_iter().filter(|(_, count)| *count > 0).collect::<BTreeMap<_, _>>(),
         );
+        tracing::info!(
+            "memory: largest numbers of bytes {:?}; longest waits of clients in microseconds {:?}",
+            counts.memory_peak.into_iter().collect::<BTreeMap<_, _>>(),
+            counts.longest_wait.into_iter().collect::<BTreeMap<_, _>>(),
+        );
     }
 
     /// Logs the number of attempts that the rules withheld, by reason, and how many of them were violations.
--- /dev/null
+++ b/tests/crowds.rs
@@ -0,0 +1,246 @@
+//! Hundreds of clients that do not complete their messages, beside usual clients, on one core: the resident memory of the process
+//! stays within its limit, and usual clients get their answers in time.
+
+mod stand;
+
+use stand::requests::{name, served};
+use stand::*;
+use std::io::{ErrorKind, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Mutex;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Number of file descriptors in the settings of the gateway.
+const DESCRIPTORS: usize = 1_024;
+/// Length of the long messages that the crowds announce, in bytes.
+const LONG_BYTES: usize = 1_040_000;
+/// Length of a head that is just accepted, in bytes.
+const HEAD_BYTES: usize = 16_000;
+/// Time for which usual clients wait for an answer, and the slack of the rule on time limits.
+const LIMIT: Duration = Duration::from_millis(1_800);
+const SLACK: Duration = Duration::from_millis(50);
+/// Time for which a usual client waits beyond its limit, to tell a late answer from a missing one.
+const LATE_ANSWER_WAIT: Duration = Duration::from_secs(3);
+/// Time between two requests of a usual client.
+const THINK_TIME: Duration = Duration::from_millis(100);
+/// Time for which usual clients send requests.
+const DURATION: Duration = Duration::from_secs(3);
+/// Number of usual clients.
+const USUAL_CLIENTS: usize = 24;
+/// Form of the message that a crowd does not complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Form {
+    /// A long call over Thrift.
+    Thrift,
+    /// A call over Thrift that is a little shorter than one read from a socket.
+    ThriftShort,
+    /// A long body over HTTP, with its length.
+    HttpLength,
+    /// A long body over HTTP, in chunks of 1,000 bytes.
+    HttpChunks,
+    /// A long body over HTTP, in one chunk.
+    HttpChunk,
+    /// A head over HTTP with as many short headers as fit.
+    HttpManyHeaders,
+    /// A head over HTTP with as many short parameters as fit.
+    HttpManyParameters,
+    /// The same number of short headers, and the body that follows.
+    HttpManyHeadersAndBody,
+}
+
+impl Form {
+    fn address(self, gateway: &Gateway) -> SocketAddr {
+        match self {
+            Self::Thrift | Self::ThriftShort => gateway.thrift,
+            _ => gateway.http.expect("an HTTP address"),
+        }
+    }
+
+    fn message(self) -> Vec<u8> {
+        let fields = [("verb", "lookup"), ("txn", "0123456789abcdef"), ("limit", "20000")];
+        let short_headers = "a:\n".repeat((HEAD_BYTES - 100) / 3);
+        match self {
+            Self::Thrift => call(1, &fields, &"x".repeat(LONG_BYTES)),
+            Self::ThriftShort => call(1, &fields, &"x".repeat(16_000)),
+            Self::HttpLength => {
+                let head = format!("POST / HTTP/1.1\r\nContent-Length: {LONG_BYTES}\r\n\r\n");
+                [head.into_bytes(), vec![b'x'; LONG_BYTES]].concat()
+            }
+            Self::HttpChunk => {
+                let head = format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{LONG_BYTES:x}\r\n");
+                [head.into_bytes(), vec![b'x'; LONG_BYTES]].concat()
+            }
+            Self::HttpChunks => {
+                let chunk = format!("{:x}\r\n{}\r\n", 1_000, "x".repeat(1_000));
+                let chunks = chunk.repeat(LONG_BYTES / 1_000);
+                format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}").into()
+            }
+            Self::HttpManyHeaders => format!("GET /ping HTTP/1.1\r\n{short_headers}\r\n").into(),
+            Self::HttpManyParameters => {
+                format!("GET /?{} HTTP/1.1\r\n\r\n", "a&".repeat(HEAD_BYTES / 2)).into()
+            }
+            Self::HttpManyHeadersAndBody => {
+                let head = format!("POST /?{} HTTP/1.1\r\nContent-Length: 1000\r\n", "a&".repeat(900));
+                let headers = "a:\n".repeat((HEAD_BYTES - head.len()) / 3);
+                format!("{head}{headers}\r\n{}", "x".repeat(1_000)).into()
+            }
+        }
+    }
+}
+
+/// What the usual clients of one run saw.
+#[derive(Debug, Default)]
+struct Answers {
+    requests: usize,
+    served: usize,
+    /// Requests that were answered after their limit.
+    late: Vec<Duration>,
+    /// Requests whose connection ended without an answer, or that got none.
+    unanswered: usize,
+}
+
+impl Answers {
+    fn add(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.served += other.served;
+        self.late.extend(other.late);
+        self.unanswered += other.unanswered;
+    }
+}
+
+/// Sends requests one after the other, on one connection or each on a new one.
+fn run_usual_client(address: SocketAddr, number: usize, keeps_connection: bool) -> Answers {
+    let mut answers = Answers::default();
+    let began = Instant::now();
+    let (mut client, mut sequence) = (None, 0);
+    while began.elapsed() < DURATION {
+        let mut stream = client.take().unwrap_or_else(|| {
+            sequence = 0;
+            TcpStream::connect(address).expect("connected")
+        });
+        sequence += 1;
+        answers.requests += 1;
+        let sent_at = Instant::now();
+        let name = name(number * 1_000_000 + answers.requests);
+        let limit = LIMIT.as_millis().to_string();
+        let fields = [("verb", "lookup"), ("txn", &*name), ("limit", &*limit)];
+        let sent = stream.write_all(&call(sequence, &fields, "select 1"));
+        match sent.and_then(|()| read_answer(&mut stream)) {
+            Ok(kind) => {
+                answers.served += usize::from(kind == "served");
+                if sent_at.elapsed() > LIMIT + SLACK {
+                    answers.late.push(sent_at.elapsed());
+                }
+                client = Some(stream).filter(|_| keeps_connection);
+            }
+            Err(_) => answers.unanswered += 1,
+        }
+        thread::sleep(THINK_TIME);
+    }
+    answers
+}
+
+/// Waits for an answer and reads it.
+fn read_answer(stream: &mut TcpStream) -> std::io::Result<&'static str> {
+    stream.set_read_timeout(Some(LIMIT + LATE_ANSWER_WAIT))?;
+    let mut next = [0];
+    if stream.peek(&mut next)? == 0 {
+        return Err(ErrorKind::UnexpectedEof.into());
+    }
+    Ok(answer(stream).1)
+}
+
+/// Runs a crowd beside usual clients, and asserts that the gateway keeps its memory limit and answers the usual clients in time.
+fn assert_bounded_beside(form: Form, sending: Sending, clients: usize, memory_mb: usize) {
+    let (engine, _) = resp_engine(served);
+    let text = with_long_latency_objectives(&config(&[engine], "resp", 60_000));
+    let text = with_replacement(&text, r#""memory_mb":192"#, &format!(r#""memory_mb":{memory_mb}"#));
+    let text = with_replacement(&text, r#""sockets":256"#, &format!(r#""sockets":{DESCRIPTORS}"#));
+    let core = CoreShare::beside(0);
+    let gateway = core.run(|| Gateway::start(&text));
+    let crowd = Crowd::start(form.address(&gateway), form.message(), sending, clients);
+    wait_until(|| crowd.connected() >= clients * 9 / 10);
+    let answers = thread::scope(|scope| {
+        let usual: Vec<_> = (0..USUAL_CLIENTS)
+            .map(|number| {
+                let address = gateway.thrift;
+                scope.spawn(move || run_usual_client(address, number + 1, number % 2 == 0))
+            })
+            .collect();
+        let mut all = Answers::default();
+        usual.into_iter().for_each(|client| all.add(client.join().expect("a usual client")));
+        all
+    });
+    let peak = gateway.peak_memory();
+    drop(crowd);
+    println!("{:?}", gateway.log_lines("memory: "));
+    println!("{form:?} {sending:?} {clients} clients, {memory_mb} MiB: peak {} KiB, {answers:?}", peak >> 10);
+    assert!(peak <= memory_mb << 20, "{} KiB of {memory_mb} MiB", peak >> 10);
+    assert!(answers.late.is_empty() && answers.unanswered == 0, "{answers:?}");
+    assert!(answers.served * 2 >= answers.requests, "{answers:?}");
+}
+
+/// A crowd: the form of its message, how it sends it, the number of clients, and the memory of the gateway in MiB.
+type Case = (Form, Sending, usize, usize);
+
+/// Runs several cases at a time, and asserts that none of them fails.
+fn assert_all_bounded(cases: Vec<Case>) {
+    const CONCURRENT_CASES: usize = 2;
+    let number = cases.len();
+    let (remaining, failed) = (Mutex::new(cases), Mutex::new(Vec::new()));
+    thread::scope(|scope| {
+        for _ in 0..CONCURRENT_CASES {
+            scope.spawn(|| loop {
+                let Some(case) = remaining.lock().expect("cases").pop() else { break };
+                let (form, sending, clients, memory_mb) = case;
+                let run = scope.spawn(move || assert_bounded_beside(form, sending, clients, memory_mb));
+                if run.join().is_err() {
+                    failed.lock().expect("failed").push(case);
+                }
+            });
+        }
+    });
+    let failed = failed.into_inner().expect("failed");
+    assert!(failed.is_empty(), "{} of {number} cases failed: {failed:?}", failed.len());
+}
+
+const THRIFT_AND_HTTP: [Form; 8] = [
+    Form::Thrift,
+    Form::ThriftShort,
+    Form::HttpLength,
+    Form::HttpChunk,
+    Form::HttpChunks,
+    Form::HttpManyHeaders,
+    Form::HttpManyParameters,
+    Form::HttpManyHeadersAndBody,
+];
+
+/// Each client used to get a reservation for a short message, which then served for the rest of a long one.
+#[test]
+fn clients_that_stop_in_a_message_do_not_exceed_the_memory() {
+    let sizes = [(500, 48), (600, 16), (300, 24)];
+    let case = |form, (clients, memory_mb), share| (form, Sending::StopAt(share), clients, memory_mb);
+    let cases = THRIFT_AND_HTTP
+        .into_iter()
+        .flat_map(|form| sizes.map(|size| [0.6, 0.999].map(|share| case(form, size, share))));
+    assert_all_bounded(cases.flatten().collect());
+}
+
+/// Usual clients used to wait for memory that was held by clients whose bytes were not read.
+#[test]
+fn clients_that_drip_do_not_delay_usual_clients() {
+    let sending = Sending::Drip(1_024, Duration::from_millis(50));
+    let forms = [Form::Thrift, Form::HttpLength, Form::HttpChunks];
+    let cases = forms.map(|form| [(500, 48), (600, 16)].map(|(clients, mb)| (form, sending, clients, mb)));
+    assert_all_bounded(cases.concat());
+}
+
+/// Usual clients used to wait behind clients that had left, in every queue of the gateway.
+#[test]
+fn clients_that_stop_anywhere_and_close_do_not_delay_usual_clients() {
+    let sending = Sending::StopAnywhereAndClose(Duration::from_millis(500));
+    let forms = [Form::Thrift, Form::HttpLength, Form::HttpManyHeaders];
+    let cases = forms.map(|form| [(500, 96), (600, 16)].map(|(clients, mb)| (form, sending, clients, mb)));
+    assert_all_bounded(cases.concat());
+}
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -158,13 +158,6 @@
     with_replacement(config, r#""memory_mb":192"#, &format!(r#""memory_mb":{memory_mb}"#))
 }
 
-/// Returns the maximum resident memory of the process so far, in bytes.
-fn peak_memory(gateway: &Gateway) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.child.id())).expect("a process");
-    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
-    peak.trim().trim_end_matches(" kB").parse::<usize>().expect("a number") * 1024
-}
-
 /// Runs a crowd with incomplete messages beside clients whose requests must be served, and returns the peak memory.
 fn peak_memory_beside_crowd(crowd: Form, usual: Form, memory_mb: usize, crowd_size: usize) -> usize {
     const USUAL_CLIENTS: usize = 4;
@@ -201,7 +194,7 @@
         stop.store(true, Ordering::SeqCst);
         assert!(results.iter().all(Result::is_ok), "a request of a usual client was not served");
     });
-    peak_memory(&gateway)
+    gateway.peak_memory()
 }
 
 /// The memory for incomplete messages is exhausted by clients that stopped sending. Requests of other clients used to be
@@ -280,6 +273,6 @@
             Form::Thrift.assert_served(&mut client, seq, seq, 1);
         }
     });
-    let peak = peak_memory(&gateway);
+    let peak = gateway.peak_memory();
     assert!(peak < MEMORY_MB << 20, "{} MiB of {MEMORY_MB}", peak >> 20);
 }
--- a/tests/stand/gateway.rs
+++ b/tests/stand/gateway.rs
@@ -157,18 +157,30 @@
     }
 
     /// Terminates the gateway, and returns the counts of each class that it logs on exit.
-    pub(crate) fn request_counts(mut self) -> Vec<String> {
+    pub(crate) fn request_counts(self) -> Vec<String> {
+        self.log_lines(" received, ")
+    }
+
+    /// Terminates the gateway, and returns the lines of its log on standard output that contain a text.
+    pub(crate) fn log_lines(mut self, text: &str) -> Vec<String> {
         self.terminate();
         assert!(self.child.wait().expect("the process exits").success());
         let output = self.output.take().expect("once").join().expect("read");
         output
             .iter()
-            .filter(|l| l.contains(" received, "))
+            .filter(|line| line.contains(text))
             .filter_map(|l| l.split_once(" INFO "))
             .map(|(_, l)| l.to_owned())
             .collect()
     }
 
+    /// Returns the maximum resident memory of the process so far, in bytes.
+    pub(crate) fn peak_memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("a process");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+        peak.trim().trim_end_matches(" kB").parse::<usize>().expect("a number") * 1024
+    }
+
     pub(crate) fn thrift_client(&self) -> TcpStream {
         connect(self.thrift)
     }
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -4,6 +4,7 @@
 
 mod config;
 mod core_share;
+mod crowd;
 pub(crate) mod discovery;
 mod engines;
 pub(crate) mod faults;
@@ -17,6 +18,7 @@
 
 pub(crate) use config::*;
 pub(crate) use core_share::*;
+pub(crate) use crowd::*;
 pub(crate) use engines::*;
 pub(crate) use gateway::Gateway;
 pub(crate) use http::*;
