Closing connections share one buffer for the bytes that they discard

The bytes are read without a pause of the task, so one buffer of the process serves all connections.

--- a/src/net/connection/close.rs
+++ b/src/net/connection/close.rs
@@ -27,19 +27,24 @@
             write_queue.write_all(&stream, limits).await?;
         }
         stream.shutdown().await?;
-        discard_incoming(&stream, share, limits).await
+        discard_incoming(&stream, write_queue, share, limits).await
     };
     let _: Result<io::Result<()>, _> = timeout(linger, close).await;
 }
 
 /// Reads and discards until the peer closes, or has sent more than `max_message_bytes`.
-async fn discard_incoming(stream: &TcpStream, share: &Rc<WorkShare>, limits: &Limits) -> io::Result<()> {
-    let mut discarded = vec![0; limits.read_chunk_bytes];
+async fn discard_incoming(
+    stream: &TcpStream,
+    write_queue: &WriteQueue,
+    share: &Rc<WorkShare>,
+    limits: &Limits,
+) -> io::Result<()> {
+    let shared = write_queue.shared();
     let mut remaining = limits.max_message_bytes;
     loop {
         stream.readable().await?;
         share.turn().await;
-        match stream.try_read(&mut discarded) {
+        match shared.discard_buffer.try_discard(stream, limits.read_chunk_bytes) {
             Ok(0) => return Ok(()),
             Ok(count) if count > remaining => return Ok(()),
             Ok(count) => remaining -= count,
--- a/src/net/connection/mod.rs
+++ b/src/net/connection/mod.rs
@@ -5,6 +5,7 @@
 //! so that clients that do not complete their messages cannot take the memory for the answers to others.
 
 mod close;
+mod discard_buffer;
 mod fair_share;
 pub mod frame;
 mod incoming_memory;
--- a/src/net/connection/shared_state.rs
+++ b/src/net/connection/shared_state.rs
@@ -1,5 +1,6 @@
 //! State shared by all connections of a process: memory in use, counters and retry budget.
 
+use crate::net::connection::discard_buffer::DiscardBuffer;
 use crate::net::connection::fair_share::FairScheduler;
 use crate::net::connection::incoming_memory::IncomingMemory;
 use crate::net::connection::outgoing_memory::OutgoingMemory;
@@ -20,6 +21,8 @@
 pub struct SharedState {
     /// Memory for messages that clients have not sent completely.
     pub incoming: IncomingMemory,
+    /// Buffer for bytes that are discarded.
+    pub(super) discard_buffer: DiscardBuffer,
     /// Memory for results and queued answers.
     pub outgoing: OutgoingMemory,
     /// Numbers of answers and attempts that were written, by class.
@@ -55,6 +58,7 @@
         let waits = Rc::<WaitProfile>::default();
         Rc::new(Self {
             incoming: IncomingMemory::default(),
+            discard_buffer: DiscardBuffer::default(),
             outgoing: OutgoingMemory::default(),
             metrics: Metrics::new(classes),
             process_count: Cell::new(1),
