--- a/src/net/connection/incoming_memory.rs
+++ b/src/net/connection/incoming_memory.rs
@@ -1,24 +1,60 @@
 //! Memory for messages that clients have not sent completely.
 //!
-//! A short message, or the first part of a long one, is counted as it arrives. Before the rest of a long message is read, its
-//! complete length is reserved, so that each message that is being read can be completed. Once the memory is exhausted, short
-//! messages need a reservation as well. Messages wait for their reservation, and their bytes stay in the socket meanwhile: shorter
-//! ones go first, unless a longer one has waited for much longer. While one waits, connections that hold memory and have stopped
-//! sending are requested to release it. A message that is complete is counted until the reducer takes its request.
+//! Memory is counted before it is allocated, and no task can run between the check of the limit and the allocation. The complete length
+//! of a long message is reserved before the rest of it is read, so that each message that is being read can be completed; a
+//! reservation serves for the length that it was made for, and for one message. Messages wait for memory, and their bytes stay in the
+//! socket meanwhile: shorter ones go first, unless a longer one has waited for much longer. While one waits, messages that will not be
+//! complete soon are requested to release their memory, those first that would take the most memory for the longest time. A message
+//! that is complete is counted until the reducer takes its request.
 
 use crate::used_memory::UsedMemory;
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::{timeout, Instant};
 
-/// Time without a received byte after which a message releases its memory if another message waits.
-const MAX_STALL_WHILE_OTHERS_WAIT: Duration = Duration::from_millis(250);
+/// Time until a message is complete, as it is estimated, from which on it releases its memory if another message waits.
+const MAX_REMAINING_TIME_WHILE_OTHERS_WAIT: Duration = Duration::from_millis(250);
 /// Time by which a message that is one byte longer is served later, as if it had arrived later: 10 s for 1 MB.
 const DELAY_PER_BYTE: Duration = Duration::from_micros(10);
 /// Interval at which the first waiting message checks for memory to release.
-const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+const RELEASE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for which a long message waits for a reservation. Afterwards it is rejected, unless all of it has arrived.
+const MAX_LONG_MESSAGE_WAIT: Duration = Duration::from_secs(1);
+/// Memory of a message, in bytes, up to which it is not requested to release it.
+const MIN_RELEASED_BYTES: usize = 1 << 10;
+
+/// How far a message has arrived.
+#[derive(Debug, Clone, Copy)]
+struct Progress {
+    /// Time from which on the message was read.
+    began_at: Instant,
+    last_arrival: Instant,
+    received_bytes: usize,
+    /// Length of the message; 0 while it is not known.
+    expected_bytes: usize,
+}
+
+impl Progress {
+    fn begin(now: Instant) -> Self {
+        Self { began_at: now, last_arrival: now, received_bytes: 0, expected_bytes: 0 }
+    }
+
+    /// Estimates the time until the message is complete, if it arrives as fast as so far. A message of unknown length counts as half
+    /// received. No message is complete before it has been silent for as long again.
+    fn remaining_time(&self, now: Instant) -> Duration {
+        let silence = now.saturating_duration_since(self.last_arrival);
+        let elapsed = now.saturating_duration_since(self.began_at).as_secs_f64();
+        let received = self.received_bytes.max(1);
+        let remaining = match self.expected_bytes {
+            0 => received,
+            expected => expected.saturating_sub(received),
+        };
+        silence.max(Duration::from_secs_f64(elapsed * remaining as f64 / received as f64))
+    }
+}
 
 /// Memory that the incomplete message of one client takes.
 #[derive(Debug)]
@@ -31,7 +67,9 @@
     rank: Cell<Option<Instant>>,
     /// Notified when the message may have become the first of those that wait, or memory was released.
     may_reserve: Notify,
-    last_arrival: Cell<Instant>,
+    progress: Cell<Progress>,
+    /// Whether the reading task can release the memory: it waits for further bytes.
+    awaits_bytes: Cell<bool>,
     release_requested: Cell<bool>,
     /// Notified when the release is requested.
     release: Notify,
@@ -45,39 +83,60 @@
             reserved: Cell::new(0),
             rank: Cell::new(None),
             may_reserve: Notify::new(),
-            last_arrival: Cell::new(Instant::now()),
+            progress: Cell::new(Progress::begin(Instant::now())),
+            awaits_bytes: Cell::new(false),
             release_requested: Cell::new(false),
             release: Notify::new(),
         })
     }
 
-    /// Records that bytes of the message have arrived.
-    pub(super) fn set_arrived(&self, at: Instant) {
-        self.last_arrival.set(at);
+    /// Records that a message begins to be read.
+    pub(super) fn begin_message(&self) {
+        self.progress.set(Progress::begin(Instant::now()));
         self.release_requested.set(false);
     }
 
-    /// Waits until the release of the memory is requested.
-    pub async fn release_requested(&self) {
-        self.release.notified().await;
+    /// Records that bytes of the message have arrived: `received` of the `expected` ones in all, which are 0 if not known. They withdraw
+    /// a request to release the memory if the message will be complete soon.
+    pub(super) fn set_arrived(&self, at: Instant, received: usize, expected: usize) {
+        let progress = Progress {
+            last_arrival: at,
+            received_bytes: received,
+            expected_bytes: expected,
+            ..self.progress.get()
+        };
+        self.progress.set(progress);
+        if progress.remaining_time(at) < MAX_REMAINING_TIME_WHILE_OTHERS_WAIT {
+            self.release_requested.set(false);
+        }
     }
 
-    /// Returns whether the release of the memory is requested, and no bytes have arrived since.
-    pub fn is_release_requested(&self) -> bool {
-        self.release_requested.get()
+    /// Begins a wait for further bytes, in which the memory can be released. It ends when the returned value is dropped.
+    pub fn await_bytes(self: &Rc<Self>) -> AwaitedBytes {
+        self.awaits_bytes.set(true);
+        AwaitedBytes(self.clone())
     }
 
-    /// Returns whether memory is reserved for the complete message.
+    /// Returns whether memory is reserved.
     pub(super) fn has_reservation(&self) -> bool {
         self.reserved.get() > 0
     }
 
+    /// Returns whether this number of bytes is counted already.
+    pub(super) fn covers(&self, bytes: usize) -> bool {
+        self.counted() >= bytes
+    }
+
     fn counted(&self) -> usize {
         self.allocated.get().max(self.reserved.get())
     }
 
-    fn is_stalled(&self) -> bool {
-        self.last_arrival.get().elapsed() >= MAX_STALL_WHILE_OTHERS_WAIT
+    /// Returns the memory times the time for which it will be taken, if it is worth releasing.
+    fn releasable(&self, now: Instant) -> Option<u128> {
+        let remaining_time = self.progress.get().remaining_time(now);
+        let is_slow = remaining_time >= MAX_REMAINING_TIME_WHILE_OTHERS_WAIT;
+        (is_slow && self.awaits_bytes.get() && self.counted() > MIN_RELEASED_BYTES)
+            .then(|| self.counted() as u128 * remaining_time.as_micros())
     }
 
     fn request_release(&self) {
@@ -86,6 +145,42 @@
     }
 }
 
+/// A wait for further bytes of a message, in which its memory can be released.
+#[derive(Debug)]
+pub struct AwaitedBytes(Rc<MessageMemory>);
+
+impl AwaitedBytes {
+    /// Waits until the release of the memory is requested.
+    pub async fn release_requested(&self) {
+        self.0.release.notified().await;
+    }
+
+    /// Returns whether the release of the memory is requested.
+    pub fn is_release_requested(&self) -> bool {
+        self.0.release_requested.get()
+    }
+}
+
+impl Drop for AwaitedBytes {
+    fn drop(&mut self) {
+        self.0.awaits_bytes.set(false);
+    }
+}
+
+/// Memory that a message needs, and the limit that holds for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Need {
+    /// Number of bytes for the complete message.
+    pub bytes: usize,
+    /// Length of the message as far as it is known, which determines its place among those that wait.
+    pub announced: usize,
+    /// Maximum number of bytes of all messages together.
+    pub max_bytes: usize,
+    /// Whether the message is longer than one read. It may exceed the limit if no other one has a reservation, so that it can be read at
+    /// all, and is not awaited for longer than [`MAX_LONG_MESSAGE_WAIT`] unless it has arrived.
+    pub is_long: bool,
+}
+
 /// Memory for the incomplete messages of all clients.
 #[derive(Debug, Default)]
 pub struct IncomingMemory {
@@ -111,11 +206,6 @@
         memory
     }
 
-    /// Returns whether fewer than `bytes` are left.
-    pub(super) fn is_exhausted(&self, bytes: usize, max_bytes: usize) -> bool {
-        self.used.bytes() + bytes > max_bytes
-    }
-
     /// Counts the bytes of a complete message, until [`remove_submitted`](Self::remove_submitted).
     pub fn add_submitted(&self, bytes: usize) {
         self.used.update(bytes, 0);
@@ -134,40 +224,52 @@
         self.update(memory, |memory| memory.allocated.set(bytes));
     }
 
-    /// Reserves `bytes` for a complete message, once all messages together stay within `max_bytes` or no other has a reservation.
-    /// `announced` is the length of the message as far as it is known, which determines its place among those that wait.
+    /// Counts `bytes` as allocated for a message, if all messages together stay within `max_bytes`. The caller allocates them
+    /// next. Returns whether they are counted.
+    pub(super) fn try_allocate(&self, memory: &MessageMemory, bytes: usize, max_bytes: usize) -> bool {
+        let is_covered = memory.covers(bytes);
+        let fits = self.used.bytes() + bytes.saturating_sub(memory.counted()) <= max_bytes;
+        if fits || is_covered {
+            self.set_allocated(memory, bytes.max(memory.allocated.get()));
+        }
+        fits || is_covered
+    }
+
+    /// Reserves memory for a complete message, once it is available and no message waits that goes first.
     /// A call that is dropped retains its position among the waiting messages until [`release`](Self::release).
-    pub(super) async fn reserve(
-        &self,
-        memory: &Rc<MessageMemory>,
-        bytes: usize,
-        announced: usize,
-        max_bytes: usize,
-    ) {
+    pub(super) async fn reserve(&self, memory: &Rc<MessageMemory>, need: Need) {
         if memory.rank.get().is_none() {
-            memory.rank.set(Some(Instant::now() + DELAY_PER_BYTE * announced.try_into().unwrap_or(u32::MAX)));
+            let delay = DELAY_PER_BYTE * need.announced.try_into().unwrap_or(u32::MAX);
+            memory.rank.set(Some(Instant::now() + delay));
             self.waiting.borrow_mut().push(memory.clone());
         }
-        while !self.may_reserve(memory, bytes, max_bytes) {
+        let refused_at = Instant::now() + MAX_LONG_MESSAGE_WAIT;
+        while !self.may_reserve(memory, need) {
             if self.is_first(memory) {
-                self.request_releases();
+                self.request_releases(memory, need);
+            }
+            if need.is_long && Instant::now() >= refused_at {
+                memory.request_release();
             }
-            let _ = timeout(STALL_CHECK_INTERVAL, memory.may_reserve.notified()).await;
+            let _ = timeout(RELEASE_CHECK_INTERVAL, memory.may_reserve.notified()).await;
         }
         self.stop_waiting(memory);
-        self.reservations.set(self.reservations.get() + 1);
-        memory.set_arrived(Instant::now());
-        self.update(memory, |memory| memory.reserved.set(bytes));
+        self.set_reserved(memory, need.bytes);
+        memory.begin_message();
         self.notify_first();
     }
 
+    fn set_reserved(&self, memory: &MessageMemory, bytes: usize) {
+        let count = |bytes: usize| usize::from(bytes > 0);
+        self.reservations.set(self.reservations.get() + count(bytes) - count(memory.reserved.get()));
+        self.update(memory, |memory| memory.reserved.set(bytes));
+    }
+
     /// Releases the reservation of a message, and its place among the waiting messages.
     pub(super) fn release(&self, memory: &Rc<MessageMemory>) {
-        if memory.has_reservation() {
-            self.reservations.set(self.reservations.get() - 1);
-        }
         self.stop_waiting(memory);
-        self.update(memory, |memory| memory.reserved.set(0));
+        self.set_reserved(memory, 0);
+        memory.begin_message();
         self.notify_first();
     }
 
@@ -187,10 +289,15 @@
         }
     }
 
-    fn may_reserve(&self, memory: &Rc<MessageMemory>, bytes: usize, max_bytes: usize) -> bool {
-        let additional = bytes.saturating_sub(memory.counted());
-        let fits = self.used.bytes() + additional <= max_bytes;
-        self.is_first(memory) && (fits || self.reservations.get() == 0)
+    fn may_reserve(&self, memory: &Rc<MessageMemory>, need: Need) -> bool {
+        let is_alone = self.reservations.get() == usize::from(memory.has_reservation());
+        self.is_first(memory) && (self.missing(memory, need) == 0 || (need.is_long && is_alone))
+    }
+
+    /// Returns the number of bytes that other messages have to release.
+    fn missing(&self, memory: &MessageMemory, need: Need) -> usize {
+        let additional = need.bytes.saturating_sub(memory.counted());
+        (self.used.bytes() + additional).saturating_sub(need.max_bytes)
     }
 
     fn first_waiting(&self) -> Option<Rc<MessageMemory>> {
@@ -207,11 +314,19 @@
         }
     }
 
-    /// Requests connections that have stopped sending to release their memory.
-    fn request_releases(&self) {
+    /// Requests slow messages to release as much memory as another one needs.
+    fn request_releases(&self, waiting: &Rc<MessageMemory>, need: Need) {
+        let now = Instant::now();
         let messages = self.messages.borrow();
-        let stalled = messages.iter().filter_map(Weak::upgrade).filter(|memory| memory.is_stalled());
-        for memory in stalled.filter(|memory| memory.counted() > 0) {
+        let others = messages.iter().filter_map(Weak::upgrade).filter(|other| !Rc::ptr_eq(other, waiting));
+        let mut slow: Vec<_> = others.filter_map(|memory| Some((memory.releasable(now)?, memory))).collect();
+        slow.sort_by_key(|(taken, _)| Reverse(*taken));
+        let mut missing = self.missing(waiting, need);
+        for (_, memory) in slow {
+            if missing == 0 {
+                return;
+            }
+            missing = missing.saturating_sub(memory.counted());
             memory.request_release();
         }
     }
--- a/src/net/connection/incoming_memory/tests.rs
+++ b/src/net/connection/incoming_memory/tests.rs
@@ -2,11 +2,29 @@
 use std::future::Future;
 
 const LIMIT: usize = 100;
+/// A limit far above the memory that is not worth releasing.
+const LARGE: usize = 100 * MIN_RELEASED_BYTES;
 
 fn run(test: impl Future<Output = ()>) {
     tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime").block_on(test);
 }
 
+/// Returns the need of a long message that has this length.
+fn long_need(bytes: usize, max_bytes: usize) -> Need {
+    Need { bytes, announced: bytes, max_bytes, is_long: true }
+}
+
+/// Returns the need of a short message that has this length.
+fn short_need(bytes: usize, max_bytes: usize) -> Need {
+    Need { is_long: false, ..long_need(bytes, max_bytes) }
+}
+
+/// Returns a time at which a message that has been silent since then is slow.
+fn long_ago() -> Instant {
+    let time = Instant::now().checked_sub(MAX_REMAINING_TIME_WHILE_OTHERS_WAIT);
+    time.expect("the clock has run for longer")
+}
+
 /// Returns whether the future is ready now, without waiting.
 async fn is_ready(future: impl Future<Output = ()>) -> bool {
     tokio::select! {
@@ -21,15 +39,15 @@
     run(async {
         let pool = IncomingMemory::default();
         let [first, second, third] = [0; 3].map(|_| pool.add_connection());
-        pool.reserve(&first, 60, 60, LIMIT).await;
-        assert!(!is_ready(pool.reserve(&second, 60, 60, LIMIT)).await);
+        pool.reserve(&first, long_need(60, LIMIT)).await;
+        assert!(!is_ready(pool.reserve(&second, long_need(60, LIMIT))).await);
         tokio::time::sleep(DELAY_PER_BYTE * 60).await;
         // The third message would fit, but the second has waited for longer.
-        assert!(!is_ready(pool.reserve(&third, 10, 10, LIMIT)).await);
+        assert!(!is_ready(pool.reserve(&third, long_need(10, LIMIT))).await);
         pool.release(&first);
-        assert!(!is_ready(pool.reserve(&third, 10, 10, LIMIT)).await);
-        assert!(is_ready(pool.reserve(&second, 60, 60, LIMIT)).await);
-        assert!(is_ready(pool.reserve(&third, 10, 10, LIMIT)).await);
+        assert!(!is_ready(pool.reserve(&third, long_need(10, LIMIT))).await);
+        assert!(is_ready(pool.reserve(&second, long_need(60, LIMIT))).await);
+        assert!(is_ready(pool.reserve(&third, long_need(10, LIMIT))).await);
         assert_eq!(pool.used.bytes(), 70);
     });
 }
@@ -40,12 +58,12 @@
     run(async {
         let pool = IncomingMemory::default();
         let [first, long, short] = [0; 3].map(|_| pool.add_connection());
-        pool.reserve(&first, MEGABYTE, MEGABYTE, MEGABYTE).await;
-        assert!(!is_ready(pool.reserve(&long, MEGABYTE, MEGABYTE, MEGABYTE)).await);
-        assert!(!is_ready(pool.reserve(&short, 1, 1, MEGABYTE)).await);
+        pool.reserve(&first, long_need(MEGABYTE, MEGABYTE)).await;
+        assert!(!is_ready(pool.reserve(&long, long_need(MEGABYTE, MEGABYTE))).await);
+        assert!(!is_ready(pool.reserve(&short, long_need(1, MEGABYTE))).await);
         pool.release(&first);
-        assert!(!is_ready(pool.reserve(&long, MEGABYTE, MEGABYTE, MEGABYTE)).await);
-        assert!(is_ready(pool.reserve(&short, 1, 1, MEGABYTE)).await);
+        assert!(!is_ready(pool.reserve(&long, long_need(MEGABYTE, MEGABYTE))).await);
+        assert!(is_ready(pool.reserve(&short, long_need(1, MEGABYTE))).await);
     });
 }
 
@@ -54,10 +72,10 @@
     run(async {
         let pool = IncomingMemory::default();
         let [first, second] = [0; 2].map(|_| pool.add_connection());
-        assert!(is_ready(pool.reserve(&first, 10 * LIMIT, 10 * LIMIT, LIMIT)).await);
-        assert!(!is_ready(pool.reserve(&second, 1, 1, LIMIT)).await);
+        assert!(is_ready(pool.reserve(&first, long_need(10 * LIMIT, LIMIT))).await);
+        assert!(!is_ready(pool.reserve(&second, long_need(1, LIMIT))).await);
         pool.release(&first);
-        assert!(is_ready(pool.reserve(&second, 1, 1, LIMIT)).await);
+        assert!(is_ready(pool.reserve(&second, long_need(1, LIMIT))).await);
     });
 }
 
@@ -66,17 +84,81 @@
     run(async {
         let pool = IncomingMemory::default();
         let [stalled, active, waiting] = [0; 3].map(|_| pool.add_connection());
-        pool.reserve(&stalled, 60, 60, LIMIT).await;
-        pool.reserve(&active, 20, 20, LIMIT).await;
-        let now = Instant::now();
-        stalled
-            .set_arrived(now.checked_sub(MAX_STALL_WHILE_OTHERS_WAIT).expect("the clock has run for longer"));
-        assert!(!stalled.is_release_requested());
-        assert!(!is_ready(pool.reserve(&waiting, 60, 60, LIMIT)).await);
-        assert!(stalled.is_release_requested() && !active.is_release_requested());
+        pool.reserve(&stalled, long_need(LARGE * 6 / 10, LARGE)).await;
+        pool.reserve(&active, long_need(LARGE * 2 / 10, LARGE)).await;
+        let _awaited = [stalled.await_bytes(), active.await_bytes()];
+        stalled.set_arrived(long_ago(), 1, LARGE);
+        assert!(!stalled.release_requested.get());
+        assert!(!is_ready(pool.reserve(&waiting, long_need(LARGE * 6 / 10, LARGE))).await);
+        assert!(stalled.release_requested.get() && !active.release_requested.get());
         // Bytes that arrive withdraw the request.
-        stalled.set_arrived(now);
-        assert!(!stalled.is_release_requested());
+        stalled.set_arrived(Instant::now(), LARGE, LARGE);
+        assert!(!stalled.release_requested.get());
+    });
+}
+
+#[test]
+fn a_message_that_drips_is_released_before_one_that_is_nearly_complete() {
+    run(async {
+        let pool = IncomingMemory::default();
+        let [dripping, fast, waiting] = [0; 3].map(|_| pool.add_connection());
+        for memory in [&dripping, &fast] {
+            pool.reserve(memory, long_need(LARGE / 2, LARGE)).await;
+        }
+        let _awaited = [dripping.await_bytes(), fast.await_bytes()];
+        tokio::time::sleep(MAX_REMAINING_TIME_WHILE_OTHERS_WAIT / 10).await;
+        dripping.set_arrived(Instant::now(), LARGE / 200, LARGE / 2);
+        fast.set_arrived(Instant::now(), LARGE / 2 - 1, LARGE / 2);
+        assert!(!is_ready(pool.reserve(&waiting, short_need(10, LARGE))).await);
+        assert!(dripping.release_requested.get() && !fast.release_requested.get());
+    });
+}
+
+#[test]
+fn memory_of_a_message_that_cannot_be_released_now_is_not_requested() {
+    run(async {
+        let pool = IncomingMemory::default();
+        let [complete, stalled, waiting] = [0; 3].map(|_| pool.add_connection());
+        for memory in [&complete, &stalled] {
+            assert!(pool.try_allocate(memory, 2 * MIN_RELEASED_BYTES, 4 * MIN_RELEASED_BYTES));
+            memory.set_arrived(long_ago(), 1, 0);
+        }
+        let _awaited = stalled.await_bytes();
+        assert!(!is_ready(pool.reserve(&waiting, short_need(10, 4 * MIN_RELEASED_BYTES))).await);
+        assert!(!complete.release_requested.get() && stalled.release_requested.get());
+    });
+}
+
+/// The reservation of a short message used to serve for the rest of a long one.
+#[test]
+fn a_reservation_covers_no_more_than_it_was_made_for() {
+    run(async {
+        let pool = IncomingMemory::default();
+        let memory = pool.add_connection();
+        pool.reserve(&memory, short_need(10, LIMIT)).await;
+        assert!(memory.covers(10) && !memory.covers(11));
+        assert!(pool.try_allocate(&memory, 10, 0), "it is counted already");
+        assert!(!pool.try_allocate(&memory, LIMIT + 1, LIMIT));
+        pool.reserve(&memory, long_need(60, LIMIT)).await;
+        assert_eq!(pool.used.bytes(), 60);
+        pool.set_allocated(&memory, 0);
+        pool.release(&memory);
+        assert_eq!((pool.used.bytes(), pool.reservations.get()), (0, 0));
+    });
+}
+
+#[test]
+fn a_long_message_is_rejected_that_waits_for_too_long() {
+    run(async {
+        let pool = IncomingMemory::default();
+        let [first, waiting] = [0; 2].map(|_| pool.add_connection());
+        pool.reserve(&first, long_need(LIMIT, LIMIT)).await;
+        let released = waiting.await_bytes();
+        tokio::select! {
+            () = pool.reserve(&waiting, long_need(LIMIT, LIMIT)) => panic!("no memory is available"),
+            () = released.release_requested() => {}
+        }
+        assert!(released.is_release_requested() && !first.release_requested.get());
     });
 }
 
@@ -86,7 +168,7 @@
     let memory = pool.add_connection();
     run(async {
         pool.set_allocated(&memory, 30);
-        pool.reserve(&memory, 80, 80, LIMIT).await;
+        pool.reserve(&memory, long_need(80, LIMIT)).await;
         pool.set_allocated(&memory, 80);
         assert_eq!(pool.used.bytes(), 80);
         pool.release(&memory);
@@ -100,19 +182,17 @@
     run(async {
         let pool = IncomingMemory::default();
         let [stalled, idle, waiting] = [0; 3].map(|_| pool.add_connection());
-        pool.set_allocated(&stalled, LIMIT);
-        assert!(pool.is_exhausted(1, LIMIT) && !pool.is_exhausted(0, LIMIT));
-        let long_ago = Instant::now().checked_sub(MAX_STALL_WHILE_OTHERS_WAIT);
+        assert!(pool.try_allocate(&stalled, LARGE, LARGE));
+        assert!(!pool.try_allocate(&waiting, 1, LARGE), "the memory is exhausted");
+        let _awaited = [stalled.await_bytes(), idle.await_bytes()];
         for memory in [&stalled, &idle] {
-            memory.set_arrived(long_ago.expect("the clock has run for longer"));
+            memory.set_arrived(long_ago(), 1, 0);
         }
-        pool.reserve(&waiting, 10, 10, LIMIT).await;
-        let another = pool.add_connection();
-        assert!(!is_ready(pool.reserve(&another, 10, 10, LIMIT)).await);
-        assert!(stalled.is_release_requested(), "it holds memory and has stopped sending");
-        assert!(!idle.is_release_requested(), "it holds nothing");
+        assert!(!is_ready(pool.reserve(&waiting, short_need(10, LARGE))).await);
+        assert!(stalled.release_requested.get(), "it holds memory and has stopped sending");
+        assert!(!idle.release_requested.get(), "it holds nothing");
         pool.set_allocated(&stalled, 0);
-        assert!(is_ready(pool.reserve(&another, 10, 10, LIMIT)).await);
+        assert!(is_ready(pool.reserve(&waiting, short_need(10, LARGE))).await);
     });
 }
 
@@ -121,11 +201,11 @@
     run(async {
         let pool = IncomingMemory::default();
         let memory = pool.add_connection();
-        pool.reserve(&memory, 10, 10, LIMIT).await;
+        pool.reserve(&memory, long_need(10, LIMIT)).await;
         pool.add_submitted(LIMIT);
         let next = pool.add_connection();
-        assert!(!is_ready(pool.reserve(&next, 10, 10, LIMIT)).await);
+        assert!(!is_ready(pool.reserve(&next, long_need(10, LIMIT))).await);
         pool.remove_submitted(LIMIT);
-        assert!(is_ready(pool.reserve(&next, 10, 10, LIMIT)).await);
+        assert!(is_ready(pool.reserve(&next, long_need(10, LIMIT))).await);
     });
 }
--- a/src/net/connection/mod.rs
+++ b/src/net/connection/mod.rs
@@ -20,7 +20,7 @@
 
 pub use close::close_orderly;
 pub use fair_share::{FairScheduler, WorkShare};
-pub use incoming_memory::MessageMemory;
+pub use incoming_memory::{AwaitedBytes, MessageMemory};
 pub use outgoing_memory::ResultMemory;
 pub use peer_close::is_closed_by_peer;
 pub use read_barrier::ReadBarrier;
--- a/src/net/connection/read_buffer.rs
+++ b/src/net/connection/read_buffer.rs
@@ -2,8 +2,8 @@
 
 use crate::limits::Limits;
 use crate::net::connection::fair_share::WorkShare;
-use crate::net::connection::incoming_memory::MessageMemory;
-use crate::net::connection::peer_close::is_closed_by_peer;
+use crate::net::connection::incoming_memory::{MessageMemory, Need};
+use crate::net::connection::peer_close::{closed_by_peer, is_closed_by_peer};
 use crate::net::connection::read_progress::ReadProgress;
 use crate::net::connection::shared_state::SharedState;
 use crate::net::connection::socket_retry::SocketRetry;
@@ -17,6 +17,9 @@
 /// wait for long ones.
 const LONG_MESSAGES_DIVISOR: usize = 2;
 
+/// Minimum space for a read from a client, in bytes.
+const MIN_READ_BYTES: usize = 256;
+
 /// Peer from which a buffer is filled.
 #[derive(Debug)]
 enum Peer {
@@ -52,6 +55,8 @@
     expected_bytes: usize,
     /// Length of the current message or body as far as it is announced.
     announced_bytes: usize,
+    /// Number of bytes at the end of the current message that are discarded as they arrive.
+    discarded_bytes: usize,
     /// Capacity of this buffer that is counted.
     counted_bytes: usize,
     peer: Peer,
@@ -83,6 +88,7 @@
             head_memory: 0,
             expected_bytes: 0,
             announced_bytes: 0,
+            discarded_bytes: 0,
             counted_bytes: 0,
             peer,
             shared,
@@ -104,7 +110,17 @@
     /// if none of its bytes have arrived.
     pub fn incomplete_bytes(&self) -> usize {
         let body_bytes = self.body.as_ref().map_or(0, |body| body.len().max(1));
-        self.unread().len() + body_bytes
+        self.unread().len() + body_bytes + self.discarded_bytes
+    }
+
+    /// Returns whether the rest of the current message is longer than this number of bytes, as far as its length is announced.
+    pub fn needs_more_than(&self, bytes: usize) -> bool {
+        self.announced_bytes > self.received_bytes() + bytes
+    }
+
+    /// Returns the number of bytes of the current message, or of its body, that have arrived.
+    fn received_bytes(&self) -> usize {
+        self.body_len() + self.unread().len()
     }
 
     /// Returns the time at which the incomplete message started to arrive, or `None` if no message is incomplete.
@@ -142,6 +158,7 @@
         self.consumed = (self.consumed + count).min(self.bytes.len());
         if self.body.is_none() {
             self.expected_bytes = 0;
+            self.announced_bytes = 0;
             self.incomplete_since = Some(self.last_filled).filter(|_| !self.unread().is_empty());
             self.release_reservation();
         }
@@ -150,12 +167,28 @@
     /// Releases the reservation of a message that has ended. The next message needs its own.
     fn release_reservation(&self) {
         if let Peer::Client(ClientReader { memory, .. }) = &self.peer {
-            if memory.has_reservation() {
-                self.shared.incoming.release(memory);
-            }
+            self.shared.incoming.release(memory);
         }
     }
 
+    /// Ends the message at the front, which is incomplete and has this length: what has arrived is dropped, and the rest is
+    /// discarded as it arrives.
+    pub fn discard_message(&mut self, length: usize) {
+        let rest = length.saturating_sub(self.received_bytes());
+        let incomplete_since = self.incomplete_since;
+        self.body = None;
+        self.head_memory = 0;
+        self.consume(self.unread().len());
+        self.release_consumed();
+        self.discarded_bytes = rest;
+        self.incomplete_since = incomplete_since;
+    }
+
+    /// Returns whether the rest of a message is being discarded.
+    pub fn is_discarding(&self) -> bool {
+        self.discarded_bytes > 0
+    }
+
     /// Sets the total length of the message at the front, as its header states it.
     pub fn expect_message(&mut self, bytes: usize) {
         self.expected_bytes = bytes;
@@ -187,9 +220,12 @@
     pub fn move_to_body(&mut self, count: usize) {
         let unread = &self.bytes[self.consumed..];
         let body = self.body.get_or_insert_default();
-        body.extend_from_slice(&unread[..count.min(unread.len())]);
+        let moved = &unread[..count.min(unread.len())];
+        body.reserve_exact(moved.len());
+        body.extend_from_slice(moved);
         self.consume(count);
-        self.count_capacity();
+        // The bytes stand in one place only before others are read.
+        self.release_consumed();
     }
 
     /// Ends the message, and returns its body.
@@ -202,9 +238,9 @@
         body
     }
 
-    /// Waits for bytes and for the task's turn, and reads. Returns false at the end of the stream. The rest of a long message from a
-    /// client is read once its memory is reserved. The bytes of a client that has sent faster than it was read, and has closed
-    /// its connection since, are not read.
+    /// Waits for bytes, for the task's turn and for memory, and reads. Returns false at the end of the stream. Memory is counted before it
+    /// is allocated; no other task runs in between. The bytes of a client that has sent faster than it was read, or has to wait for
+    /// memory, and has closed its connection since, are not read.
     ///
     /// # Errors
     /// The connection failed.
@@ -213,18 +249,21 @@
         loop {
             stream.readable().await?;
             self.set_readable();
-            self.reserve_message(stream, limits).await;
             if !self.share.may_continue() {
                 self.share.turn().await;
                 if matches!(self.peer, Peer::Client(_)) && is_closed_by_peer(stream) {
                     return Ok(false);
                 }
             }
-            self.reserve_space(limits);
+            if let Some(need) = self.allocate_space(stream, limits) {
+                tokio::select! {
+                    () = self.reserve(need) => continue,
+                    () = closed_by_peer(stream) => return Ok(false),
+                }
+            }
             let read_at = Instant::now();
-            match stream.try_read_buf(&mut self.bytes) {
+            match self.try_read(stream) {
                 Ok(count) => {
-                    self.count_capacity();
                     self.set_filled(count);
                     return Ok(count > 0);
                 }
@@ -237,6 +276,18 @@
         }
     }
 
+    /// Reads into the allocated space, or discards the rest of a message.
+    fn try_read(&mut self, stream: &TcpStream) -> io::Result<usize> {
+        if self.discarded_bytes > 0 {
+            let count = self.shared.discard_buffer.try_discard(stream, self.discarded_bytes)?;
+            self.discarded_bytes -= count;
+            return Ok(count);
+        }
+        let count = stream.try_read_buf(&mut self.bytes);
+        self.count_capacity();
+        count
+    }
+
     /// Waits for the task's turn to handle the next message in the buffer.
     pub async fn turn(&self) {
         self.share.turn().await;
@@ -255,14 +306,68 @@
         }
     }
 
-    /// Allocates space for the next read. A long message of a client has its own space already.
-    fn reserve_space(&mut self, limits: &Limits) {
-        if matches!(self.peer, Peer::Other) {
-            return self.bytes.reserve(limits.read_chunk_bytes);
+    /// Allocates space for the next read. Returns the memory that a client's message has to wait for, if it is not available.
+    fn allocate_space(&mut self, stream: &TcpStream, limits: &Limits) -> Option<Need> {
+        let Some(memory) = self.message_memory() else {
+            self.bytes.reserve(limits.read_chunk_bytes);
+            return None;
+        };
+        if self.discarded_bytes > 0 {
+            return None;
+        }
+        let max_bytes = self.shared.process_share(limits.max_incoming_bytes);
+        let is_long = self.is_long(limits);
+        if is_long {
+            let need = self.long_message_need(max_bytes, limits);
+            if !memory.covers(need.bytes) {
+                return Some(need);
+            }
+            self.allocate_long_message();
+        }
+        let has_space = self.bytes.capacity() > self.bytes.len();
+        if is_long && has_space && self.body.is_none() {
+            return None;
         }
-        if self.bytes.capacity() == self.bytes.len() || !self.is_long(limits) || self.body.is_some() {
-            self.bytes.reserve_exact(limits.read_chunk_bytes);
+        // If the system call fails, the space of a complete read is taken.
+        let available =
+            rustix::io::ioctl_fionread(stream).map_or(limits.read_chunk_bytes, |bytes| bytes as usize);
+        let additional = available.clamp(MIN_READ_BYTES, limits.read_chunk_bytes);
+        let capacity = self.capacity() - self.bytes.capacity() + self.bytes.len() + additional;
+        if self.shared.incoming.try_allocate(&memory, capacity, max_bytes) {
+            self.bytes.reserve_exact(additional);
+            return None;
         }
+        Some(Need { bytes: capacity, announced: capacity, max_bytes, is_long: false })
+    }
+
+    /// Returns the memory for a long message, or for a head and a long body that is read in parts.
+    fn long_message_need(&self, max_bytes: usize, limits: &Limits) -> Need {
+        let max_long_bytes = max_bytes / LONG_MESSAGES_DIVISOR;
+        let parts = if self.body.is_some() { self.head_memory + limits.read_chunk_bytes } else { 0 };
+        Need {
+            bytes: self.expected_bytes + parts,
+            announced: self.announced_bytes,
+            max_bytes: max_long_bytes,
+            is_long: true,
+        }
+    }
+
+    /// Allocates the memory for a long message, which is reserved.
+    fn allocate_long_message(&mut self) {
+        let expected = self.expected_bytes;
+        match &mut self.body {
+            Some(body) => body.reserve_exact(expected.saturating_sub(body.len())),
+            None => self.bytes.reserve_exact(expected.saturating_sub(self.bytes.len())),
+        }
+    }
+
+    /// Waits until memory for the current message is reserved.
+    async fn reserve(&mut self, need: Need) {
+        let Peer::Client(ClientReader { memory, .. }) = &self.peer else { return };
+        let wait = self.shared.waits.begin(Resource::Memory);
+        self.shared.incoming.reserve(memory, need).await;
+        drop(wait);
+        self.restart_message_timeout();
     }
 
     /// Returns whether the current message is longer than one read.
@@ -274,38 +379,11 @@
         self.last_filled = Instant::now();
         self.incomplete_since = self.incomplete_since.or(Some(self.last_filled));
         if let Peer::Client(client) = &self.peer {
-            client.memory.set_arrived(self.last_filled);
+            client.memory.set_arrived(self.last_filled, self.received_bytes(), self.announced_bytes);
             client.progress.add_read(count);
         }
     }
 
-    /// Reserves the memory of a client's message if it is long, or if the memory for messages is exhausted. Nothing is reserved for
-    /// a client that has sent nothing further.
-    async fn reserve_message(&mut self, stream: &TcpStream, limits: &Limits) {
-        let Peer::Client(ClientReader { memory, .. }) = &self.peer else { return };
-        let max_bytes = self.shared.process_share(limits.max_incoming_bytes);
-        let is_long = self.is_long(limits);
-        let is_needed = is_long || self.shared.incoming.is_exhausted(limits.read_chunk_bytes, max_bytes);
-        if !is_needed || memory.has_reservation() || !matches!(rustix::io::ioctl_fionread(stream), Ok(1..)) {
-            return;
-        }
-        let short_bytes = self.bytes.len() + limits.read_chunk_bytes;
-        let (expected, announced, max_bytes) = match is_long {
-            true => (self.expected_bytes, self.announced_bytes, max_bytes / LONG_MESSAGES_DIVISOR),
-            false => (short_bytes, short_bytes, max_bytes),
-        };
-        let wait = self.shared.waits.begin(Resource::Memory);
-        self.shared.incoming.reserve(memory, expected, announced, max_bytes).await;
-        drop(wait);
-        if is_long {
-            match &mut self.body {
-                Some(body) => body.reserve_exact(expected.saturating_sub(body.len())),
-                None => self.bytes.reserve_exact(expected.saturating_sub(self.bytes.len())),
-            }
-        }
-        self.restart_message_timeout();
-    }
-
     /// Removes consumed bytes. An empty buffer releases its memory, as most connections are idle most of the time.
     fn release_consumed(&mut self) {
         self.bytes.drain(..self.consumed);
@@ -318,8 +396,13 @@
         self.count_capacity();
     }
 
+    /// Returns the memory of the buffer and of the decoded parts of the current message.
+    fn capacity(&self) -> usize {
+        self.bytes.capacity() + self.body.as_ref().map_or(0, Vec::capacity) + self.head_memory
+    }
+
     fn count_capacity(&mut self) {
-        let capacity = self.bytes.capacity() + self.body.as_ref().map_or(0, Vec::capacity) + self.head_memory;
+        let capacity = self.capacity();
         match &self.peer {
             Peer::Client(client) => self.shared.incoming.set_allocated(&client.memory, capacity),
             Peer::Other => self.shared.outgoing.update(capacity, self.counted_bytes),
--- a/src/net/front/clickhouse/request.rs
+++ b/src/net/front/clickhouse/request.rs
@@ -4,6 +4,7 @@
 use crate::core::params_memory;
 use crate::net::connection::frame::Frame;
 use crate::net::connection::ReadBuffer;
+use crate::net::front::ReadOutcome;
 use crate::net::http::{self, ChunkDecoder, ChunkPart, Head, Length, Read};
 use tokio::net::TcpStream;
 
@@ -76,6 +77,10 @@
 pub(super) enum ReadError {
     /// The connection has ended or has to be closed.
     Closed,
+    /// Other messages need the memory of the request, which is incomplete and was not read to its end.
+    MemoryRefused,
+    /// Other messages needed the memory of the request, which was read to its end. Whether the client may send another request.
+    Rejected { keep_alive: bool },
     /// The request is invalid: the exception to answer with, and its message.
     Invalid(Exception, &'static str),
 }
@@ -99,22 +104,42 @@
     /// Reads the next request with its body.
     pub(super) async fn read(&mut self) -> Result<Request, ReadError> {
         let (mut request, length) = self.read_head().await?;
-        match length {
-            Length::Bytes(length) => self.read_body_until(length).await?,
-            Length::Chunked | Length::Stream => self.read_chunks().await?,
+        let read = match length {
+            Length::Bytes(length) => self.read_body_until(length).await,
+            Length::Chunked | Length::Stream => self.read_chunks().await,
+        };
+        if let (Err(ReadError::MemoryRefused), Length::Bytes(length)) = (&read, length) {
+            let keep_alive = request.keep_alive;
+            drop(request);
+            self.discard_body(length).await?;
+            return Err(ReadError::Rejected { keep_alive });
         }
+        read?;
         request.body = self.buffer.take_body();
         Ok(request)
     }
 
+    /// Discards a body of this length.
+    async fn discard_body(&mut self, length: usize) -> Result<(), ReadError> {
+        self.buffer.discard_message(length);
+        while self.buffer.is_discarding() {
+            self.fill().await?;
+        }
+        Ok(())
+    }
+
     async fn fill(&mut self) -> Result<(), ReadError> {
         let Session { connection, limits, keep_alive, .. } = self.session;
-        let is_open = connection.read(&mut self.buffer, self.stream, limits).await;
-        keep_alive.set(keep_alive.get() && is_open);
-        if is_open {
-            Ok(())
-        } else {
-            Err(ReadError::Closed)
+        match connection.read(&mut self.buffer, self.stream, limits).await {
+            ReadOutcome::Received => Ok(()),
+            ReadOutcome::Ended => {
+                keep_alive.set(false);
+                Err(ReadError::Closed)
+            }
+            ReadOutcome::MemoryRefused => {
+                connection.warn_of_refused_memory();
+                Err(ReadError::MemoryRefused)
+            }
         }
     }
 
--- a/src/net/front/clickhouse/response.rs
+++ b/src/net/front/clickhouse/response.rs
@@ -118,6 +118,15 @@
         self.send_response(status, &[PLAIN_TEXT], vec![text.as_bytes().to_vec()]);
     }
 
+    /// Sends the exception of a rejected query, with additional headers. `Retry-After` is rounded up to full seconds, and omitted if the
+    /// time is 0.
+    pub(super) fn send_rejection(&self, retry_after: Milliseconds, extra_headers: &[Header<'_>]) {
+        let seconds = (retry_after / 1000.0).ceil().to_string();
+        let retry_after_header = (retry_after > 0.0).then_some(("Retry-After", &*seconds));
+        let headers: Vec<_> = retry_after_header.into_iter().chain(extra_headers.iter().copied()).collect();
+        self.send_exception(Exception::TOO_MANY_QUERIES, "Too many simultaneous queries", &headers);
+    }
+
     /// Sends an exception with additional headers.
     pub(super) fn send_exception(&self, exception: Exception, message: &str, extra_headers: &[Header<'_>]) {
         let Exception { status, code, name } = exception;
@@ -148,15 +157,6 @@
         headers
     }
 
-    /// Sends the exception of a rejected query. `Retry-After` is rounded up to full seconds, and omitted if the time is 0.
-    fn send_rejection(&self, retry_after: Milliseconds) {
-        let seconds = (retry_after / 1000.0).ceil().to_string();
-        let retry_after_header = (retry_after > 0.0).then_some(("Retry-After", &*seconds));
-        let headers: Vec<_> =
-            retry_after_header.into_iter().chain([(QUERY_ID_HEADER, &*self.name)]).collect();
-        self.session.send_exception(Exception::TOO_MANY_QUERIES, "Too many simultaneous queries", &headers);
-    }
-
     /// Forwards the error of an engine.
     fn send_engine_error(&self, error: EngineError) {
         let EngineError { status, code, text } = error;
@@ -195,7 +195,7 @@
                 session.keep_alive.set(false);
                 session.connection.write_queue.shared().metrics.add(counter_key);
             }
-            Answer::Rejected(retry_after) => self.send_rejection(retry_after),
+            Answer::Rejected(retry_after) => session.send_rejection(retry_after, &[query_id]),
             Answer::Expired => session.send_exception(Exception::TIMEOUT, "Timeout exceeded", &[query_id]),
             Answer::Failed(None) => {
                 let message = "The query failed at its engine and may have run";
--- a/src/net/front/clickhouse/session.rs
+++ b/src/net/front/clickhouse/session.rs
@@ -60,6 +60,17 @@
         let request = match reader.read().await {
             Ok(request) => request,
             Err(ReadError::Closed) => continue,
+            Err(ReadError::Rejected { keep_alive }) => {
+                session.keep_alive.set(keep_alive);
+                session.send_rejection(frontend.settings.max_retry_after, &[]);
+                continue;
+            }
+            Err(ReadError::MemoryRefused) => {
+                session.keep_alive.set(false);
+                session.connection.set_close_reason(CloseReason::IncomingMemoryExhausted);
+                session.send_rejection(frontend.settings.max_retry_after, &[]);
+                continue;
+            }
             Err(ReadError::Invalid(exception, message)) => {
                 session.keep_alive.set(false);
                 session.connection.set_close_reason(CloseReason::MalformedMessage);
--- a/src/net/front/client_connection.rs
+++ b/src/net/front/client_connection.rs
@@ -3,7 +3,7 @@
 use crate::limits::Limits;
 use crate::net::connection::frame::Frame;
 use crate::net::connection::{
-    is_closed_by_peer, CloseMode, MessageMemory, ReadBuffer, ReadProgress, WorkShare, WriteOverflow,
+    is_closed_by_peer, AwaitedBytes, CloseMode, ReadBuffer, ReadProgress, WorkShare, WriteOverflow,
     WriteQueue,
 };
 use crate::net::front::close_reason::{CloseCounters, CloseReason};
@@ -21,6 +21,17 @@
 /// notified of a disconnect within 100 ms.
 pub(super) const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Outcome of reading from a client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadOutcome {
+    /// Bytes have arrived.
+    Received,
+    /// The connection has ended or has to be closed.
+    Ended,
+    /// The current message must release its memory, as other messages need it. Nothing that has arrived completes it.
+    MemoryRefused,
+}
+
 /// A client's connection. The task that serves it owns the socket; [`FrontendState`](super::FrontendState) lists the
 /// connection until that task has ended.
 pub struct ClientConnection {
@@ -123,9 +134,14 @@
         self.write_queue.push(frame, limits);
     }
 
-    /// Reads from the client. Returns false if the connection has ended or has to be closed. The connection of a client that
-    /// sends nothing, stops inside a message, or only sends messages without an answer, is closed after a short timeout.
-    pub async fn read(&self, read_buffer: &mut ReadBuffer, stream: &TcpStream, limits: &Limits) -> bool {
+    /// Reads from the client. The connection of a client that sends nothing, stops inside a message, or only sends messages without an
+    /// answer, is closed after a short timeout.
+    pub async fn read(
+        &self,
+        read_buffer: &mut ReadBuffer,
+        stream: &TcpStream,
+        limits: &Limits,
+    ) -> ReadOutcome {
         // Bytes that arrive later were not sent while the connection waited to be accepted.
         let checked_at = Instant::now();
         let is_first = !self.was_read.replace(true);
@@ -133,27 +149,33 @@
             self.progress.set_idle(checked_at, false);
         }
         self.set_incomplete(read_buffer);
-        let memory = read_buffer.message_memory();
+        let awaited_bytes = read_buffer.message_memory().map(|memory| memory.await_bytes());
         loop {
+            if awaited_bytes.as_ref().is_some_and(AwaitedBytes::is_release_requested)
+                && has_stopped(read_buffer, stream)
+            {
+                return ReadOutcome::MemoryRefused;
+            }
             let deadline = match self.check(read_buffer, stream, limits) {
                 Ok(deadline) => deadline,
                 Err(reason) => {
                     self.set_close_reason(reason);
-                    return false;
+                    return ReadOutcome::Ended;
                 }
             };
             tokio::select! {
                 filled = timeout_at(deadline, read_buffer.fill(stream, limits)) => {
                     if let Ok(filled) = filled {
                         let is_open = matches!(filled, Ok(true));
-                        if !is_open {
-                            self.set_disconnected();
+                        if is_open {
+                            return ReadOutcome::Received;
                         }
-                        return is_open;
+                        self.set_disconnected();
+                        return ReadOutcome::Ended;
                     }
                 }
                 () = self.write_queue.recheck_requested() => {}
-                () = release_requested(memory.as_deref()) => {}
+                () = release_requested(awaited_bytes.as_ref()) => {}
             }
         }
     }
@@ -194,9 +216,6 @@
         if self.closes_for_eviction(read_buffer, stream) {
             return Err(CloseReason::Evicted);
         }
-        if self.closes_for_memory(read_buffer, stream) {
-            return Err(CloseReason::IncomingMemoryExhausted);
-        }
         // A connection with open requests stays open until they are answered, even if the client sends nothing.
         if self.open_requests.get() > 0 {
             return Ok(Instant::now() + limits.client_silence_timeout);
@@ -253,6 +272,14 @@
         tracing::debug!(%client, reason, open, queued, blocked_ms, ?phase, "client connection closed");
     }
 
+    /// Logs that the message of the client is rejected, as others need its memory.
+    pub fn warn_of_refused_memory(&self) {
+        let (open, used) = (self.open_requests.get(), self.write_queue.shared().incoming.used.bytes());
+        let state = format_args!("{open} open requests, {used} bytes of incomplete messages");
+        let warning = "the memory for incomplete messages is exhausted; rejecting the message of a client that sends slowly";
+        log::warn_of_peer_rate_limited(warning, self.peer, state);
+    }
+
     /// Records that the connection ended because writing to the client ended: it failed, or the queue closed the connection.
     pub fn set_write_ended(&self) {
         self.set_close_reason(match self.write_queue.overflow() {
@@ -312,21 +339,12 @@
         closes
     }
 
-    /// Returns whether the connection closes now because its client stopped sending inside a message, whose memory another
-    /// message needs.
-    fn closes_for_memory(&self, read_buffer: &ReadBuffer, stream: &TcpStream) -> bool {
-        let memory = read_buffer.message_memory();
-        memory.is_some_and(|memory| memory.is_release_requested())
-            && may_close_mid_message(&self.close_conditions_ignoring_writes(read_buffer, stream)).is_ok()
-    }
-
     fn close_conditions(&self, read_buffer: &ReadBuffer, stream: &TcpStream) -> CloseConditions {
         CloseConditions {
             open_requests: self.open_requests.get(),
             unwritten: self.write_queue.queued_bytes(),
             incomplete: read_buffer.incomplete_bytes(),
-            // If the system call fails, unread bytes are assumed.
-            unread: rustix::io::ioctl_fionread(stream).map_or(1, |bytes| bytes as usize),
+            unread: unread_bytes(stream),
         }
     }
 
@@ -353,10 +371,21 @@
     }
 }
 
+/// Returns whether nothing that has arrived can complete the current message.
+fn has_stopped(read_buffer: &ReadBuffer, stream: &TcpStream) -> bool {
+    let unread = unread_bytes(stream);
+    unread == 0 || read_buffer.needs_more_than(unread)
+}
+
+/// Returns the number of bytes that the socket has received and that are not read. If the system call fails, bytes are assumed.
+fn unread_bytes(stream: &TcpStream) -> usize {
+    rustix::io::ioctl_fionread(stream).map_or(1, |bytes| bytes as usize)
+}
+
 /// Waits until the release of the memory is requested; indefinitely without memory.
-async fn release_requested(memory: Option<&MessageMemory>) {
-    match memory {
-        Some(memory) => memory.release_requested().await,
+async fn release_requested(awaited_bytes: Option<&AwaitedBytes>) {
+    match awaited_bytes {
+        Some(awaited_bytes) => awaited_bytes.release_requested().await,
         None => std::future::pending().await,
     }
 }
--- a/src/net/front/thrift/decode.rs
+++ b/src/net/front/thrift/decode.rs
@@ -134,6 +134,26 @@
     }
 }
 
+/// The beginning of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct IncompleteCall {
+    /// Length of the frame including its header.
+    pub(super) length: usize,
+    /// Sequence number of the call.
+    pub(super) seqid: i32,
+}
+
+/// Parses the beginning of a frame. Returns `None` if it is not a call, or too short to tell.
+pub(super) fn incomplete_call(bytes: &[u8]) -> Option<IncompleteCall> {
+    let length = frame_len(bytes)?;
+    let mut input = bytes.get(FRAME_HEADER_BYTES..)?;
+    let head: ParseResult<_> = (be_u32, binary, be_i32).parse_next(&mut input);
+    let (first_word, method, seqid) = head.ok()?;
+    let is_call =
+        first_word & VERSION_MASK == VERSION && (first_word & 0xff) as u8 == CALL && method == b"call";
+    is_call.then_some(IncompleteCall { length, seqid })
+}
+
 /// Parses the message in a frame without its header. Returns `None` if it is not a message of this protocol, or is a
 /// `cancel` with invalid arguments, which cannot be answered with an exception because it is one-way.
 pub fn message(frame: &[u8]) -> Option<Message<'_>> {
--- a/src/net/front/thrift/session.rs
+++ b/src/net/front/thrift/session.rs
@@ -1,15 +1,15 @@
 //! Session of one client connection: reads messages, submits calls and sends their answers.
 
 use super::call::{class_of, read_request, Fields};
-use super::decode::{frame_len, message, Message, FRAME_HEADER_BYTES};
+use super::decode::{frame_len, incomplete_call, message, Message, FRAME_HEADER_BYTES};
 use super::encode;
 use crate::core::{Answer, ResultRows};
 use crate::interface::{ClassId, RequestId};
 use crate::limits::Limits;
 use crate::net::connection::frame::Frame;
-use crate::net::connection::{close_orderly, CloseMode};
+use crate::net::connection::{close_orderly, CloseMode, ReadBuffer};
 use crate::net::front::requests::count_of_answer;
-use crate::net::front::{ClientConnection, CloseReason, FrontendState, ResponseWriter};
+use crate::net::front::{ClientConnection, CloseReason, FrontendState, ReadOutcome, ResponseWriter};
 use starlingplank_admin::metrics::Count;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -123,8 +123,14 @@
             }
             read_buffer.consume(length);
         }
-        if !session.connection.read(&mut read_buffer, stream, limits).await {
-            return;
+        match session.connection.read(&mut read_buffer, stream, limits).await {
+            ReadOutcome::Received => {}
+            ReadOutcome::Ended => return,
+            ReadOutcome::MemoryRefused => {
+                if !session.reject_incomplete_call(&mut read_buffer, stream, frontend).await {
+                    return;
+                }
+            }
         }
     }
 }
@@ -221,6 +227,34 @@
         Ok(())
     }
 
+    /// Discards the call at the front, which is incomplete, and rejects it once all of it has arrived. Returns false if the connection
+    /// has ended or has to be closed.
+    async fn reject_incomplete_call(
+        &self,
+        read_buffer: &mut ReadBuffer,
+        stream: &TcpStream,
+        frontend: &FrontendState,
+    ) -> bool {
+        let Some(call) = incomplete_call(read_buffer.unread()) else {
+            self.connection.set_close_reason(CloseReason::IncomingMemoryExhausted);
+            return false;
+        };
+        self.connection.warn_of_refused_memory();
+        read_buffer.discard_message(call.length);
+        while read_buffer.is_discarding() {
+            if self.connection.read(read_buffer, stream, &self.limits).await != ReadOutcome::Received {
+                return false;
+            }
+        }
+        if let Err(violation) = self.check_sequence(call.seqid) {
+            self.connection.set_close_reason(violation.close_reason());
+            return false;
+        }
+        let frame = encode::overloaded(call.seqid, frontend.settings.max_retry_after);
+        self.send_direct_answer(frame, None, Count::Deferred);
+        true
+    }
+
     /// Checks that the sequence numbers of a connection start at 1 and increase. A client that starts with another number is
     /// rejected: its calls add nothing to the retry budget, and must not use up the retries of other clients.
     fn check_sequence(&self, seqid: i32) -> Result<(), ProtocolViolation> {
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -115,19 +115,21 @@
     let began = Instant::now();
     let (mut client, mut sequence) = (None, 0);
     while began.elapsed() < DURATION {
-        let mut stream = client.take().unwrap_or_else(|| {
-            sequence = 0;
-            TcpStream::connect(address).expect("connected")
-        });
-        sequence += 1;
         answers.requests += 1;
-        let sent_at = Instant::now();
+        sequence += 1;
         let name = name(number * 1_000_000 + answers.requests);
-        let limit = LIMIT.as_millis().to_string();
-        let fields = [("verb", "lookup"), ("txn", &*name), ("limit", &*limit)];
-        let sent = stream.write_all(&call(sequence, &fields, "select 1"));
-        match sent.and_then(|()| read_answer(&mut stream)) {
-            Ok(kind) => {
+        let sent_at = Instant::now();
+        // The gateway may have closed a connection that rested: the request is sent again on a new one.
+        let on_open = client.take().map(|stream| send_request(stream, sequence, &name));
+        let answer = on_open.and_then(Result::ok).map_or_else(
+            || {
+                sequence = 1;
+                send_request(TcpStream::connect(address)?, sequence, &name)
+            },
+            Ok,
+        );
+        match answer {
+            Ok((kind, stream)) => {
                 answers.served += usize::from(kind == "served");
                 if sent_at.elapsed() > LIMIT + SLACK {
                     answers.late.push(sent_at.elapsed());
@@ -141,14 +143,22 @@
     answers
 }
 
-/// Waits for an answer and reads it.
-fn read_answer(stream: &mut TcpStream) -> std::io::Result<&'static str> {
+/// Sends a request, and returns the kind of its answer.
+fn send_request(
+    mut stream: TcpStream,
+    sequence: i32,
+    name: &str,
+) -> std::io::Result<(&'static str, TcpStream)> {
     stream.set_read_timeout(Some(LIMIT + LATE_ANSWER_WAIT))?;
+    let limit = LIMIT.as_millis().to_string();
+    let fields = [("verb", "lookup"), ("txn", name), ("limit", &*limit)];
+    stream.write_all(&call(sequence, &fields, "select 1"))?;
     let mut next = [0];
     if stream.peek(&mut next)? == 0 {
         return Err(ErrorKind::UnexpectedEof.into());
     }
-    Ok(answer(stream).1)
+    let (_, kind, _) = answer(&mut stream);
+    Ok((kind, stream))
 }
 
 /// Runs a crowd beside usual clients, and asserts that the gateway keeps its memory limit and answers the usual clients in time.
