--- a/src/net/runtime/listeners.rs
+++ b/src/net/runtime/listeners.rs
@@ -301,7 +301,8 @@
         let guard = self.listener_guard.clone();
         let share = frontend.shared.scheduler.new_connection(accepted.peer);
         let served = serve_when_admitted(accepted, share.clone(), arrived, frontend, serve, slot, guard);
-        tokio::task::spawn_local(share.run(served));
+        // The measured task would hold a second copy of the state otherwise.
+        tokio::task::spawn_local(share.run(Box::pin(served)));
     }
 }
 
