Messages have at most 256 headers

A message with more than 256 headers is answered as one that cannot be read; trailers are parsed without keeping them.

--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -12,6 +12,9 @@
 use winnow::token::{take, take_till, take_while};
 use winnow::Partial;
 
+/// Maximum number of headers of a message. A parsed header takes many times the memory of a short one.
+const MAX_HEADERS: usize = 256;
+
 type Input<'a> = Partial<&'a [u8]>;
 type ParseResult<T> = Result<T, ErrMode<EmptyError>>;
 
@@ -61,7 +64,7 @@
     let (method_or_version, target_or_status) = (word, word).parse_next(input)?;
     let version_or_reason =
         terminated(take_till(0.., (b'\r', b'\n')).verify_map(text), end_of_line).parse_next(input)?;
-    let headers = terminated(repeat(0.., header), end_of_line).parse_next(input)?;
+    let headers = terminated(repeat(0..=MAX_HEADERS, header), end_of_line).parse_next(input)?;
     Ok(Head { method_or_version, target_or_status, version_or_reason, headers })
 }
 
--- a/src/net/http/chunked.rs
+++ b/src/net/http/chunked.rs
@@ -96,8 +96,7 @@
 
 fn read_trailer(bytes: &[u8]) -> Read<()> {
     read(bytes, |input| {
-        let _: Vec<_> = terminated(repeat(0.., header), end_of_line).parse_next(input)?;
-        Ok(())
+        terminated(repeat::<_, _, (), _, _>(0.., header.void()), end_of_line).parse_next(input)
     })
 }
 
