Limits of memory leave room for what is not counted, and the start tells the least

The limits are divided from what is left after the process (6 MiB, twice where hot restart is possible), 4.5 KB a client's connection, 4 KB an engine's, one long message and an eighth for the allocator. The start logs them, and warns where limits.memory_mb is less than the least in which the process stays: 15.4 MiB with 1,024 descriptors. The limits of memory stand in a module of their own.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -52,7 +52,7 @@
 pub use messages::{Effect, Event, Send};
 pub use types::{
     params_memory, Answer, AttemptEnd, AttemptId, ClientReading, ClientRequest, Counts, Endpoint,
-    EngineError, FlowControl, ResultRows, Statement,
+    EngineError, FlowControl, ResultRows, Statement, PARAM_OVERHEAD,
 };
 
 /// The reducer and the complete state of one gateway process.
@@ -142,7 +142,7 @@
     /// # Errors
     /// Fails if the settings are inconsistent.
     pub fn new(settings: Settings, limits: Limits, now: Milliseconds) -> Result<Self, SettingsError> {
-        let max_sent_requests = limits.max_sent_requests;
+        let max_sent_requests = limits.memory.sent_requests;
         Ok(Self {
             balancer: Balancer::new(settings.clone(), now)?,
             counts: vec![Counts::default(); settings.classes.len()],
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -87,7 +87,7 @@
     fn check_capacity(&self, request: &ClientRequest) -> Result<(), Rejection> {
         let is_full = self.open_requests >= self.limits.max_open_requests;
         if is_full
-            || self.statement_memory.bytes() + request.statement.bytes() > self.limits.max_buffered_bytes
+            || self.statement_memory.bytes() + request.statement.bytes() > self.limits.memory.statement_bytes
         {
             return Err(self.rejection("limits"));
         }
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -83,7 +83,7 @@
 }
 
 /// Memory of one parameter in addition to its name and value, in bytes.
-const PARAM_OVERHEAD: usize = size_of::<(String, String)>() + 2 * MIN_ALLOCATION;
+pub const PARAM_OVERHEAD: usize = size_of::<(String, String)>() + 2 * MIN_ALLOCATION;
 /// Memory that an allocation takes at least, in bytes.
 const MIN_ALLOCATION: usize = 24;
 
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -1,7 +1,11 @@
 //! Limits of the program: sizes, counts and times. They are read from the settings once at the start.
 
+mod memory;
+
 use crate::interface::Milliseconds;
 use crate::simulator::{Fields, LineError};
+use memory::MemoryConsumers;
+pub use memory::MemoryLimits;
 use rustix::process::{getrlimit, Resource};
 use starlingplank_pacing::poll_schedule;
 use starlingplank_service_discovery::flows::MAX_FLOWS;
@@ -27,16 +31,8 @@
     pub max_result_bytes: usize,
     /// Maximum number of bytes queued for one peer. A peer that reads so slowly that the queue exceeds this is disconnected.
     pub max_write_queue_bytes: usize,
-    /// Memory of the answers that wait for one client, in bytes, above which no further messages of the client are handled.
-    pub max_unread_answer_bytes: usize,
-    /// Maximum number of bytes of the statements of open requests.
-    pub max_buffered_bytes: usize,
-    /// Maximum number of requests that are remembered as sent, of classes that must not run twice.
-    pub max_sent_requests: usize,
-    /// Maximum number of bytes of all incomplete messages from clients.
-    pub max_incoming_bytes: usize,
-    /// Maximum number of bytes of all results that are being received and answers that are queued for clients.
-    pub max_outgoing_bytes: usize,
+    /// Division of the machine's memory.
+    pub memory: MemoryLimits,
     /// Number of bytes that one read from a socket requests.
     pub read_chunk_bytes: usize,
     /// Maximum number of slices in one vectored write.
@@ -70,6 +66,8 @@
     pub client_message_timeout: Duration,
     /// Minimum time for which a client connection must have been idle before it may be evicted.
     pub min_idle_before_eviction: Duration,
+    /// Minimum time for which a client must have stopped inside a message before its connection may be evicted.
+    pub min_stall_before_eviction: Duration,
     /// Maximum time for which a new client connection waits for a slot; the connection is closed afterwards.
     pub max_wait_for_slot: Duration,
     /// Time for which a connection that this side closes is still read: unread bytes would cause a reset, which discards data that
@@ -154,20 +152,12 @@
 /// Maximum payload of a UDP datagram over IPv4, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 65_507;
 
-/// Share of the memory that the statements of open requests may take.
-const BUFFERED_SHARE: f64 = 0.4;
-/// Share of the memory that incomplete messages from clients may take.
-const INCOMING_SHARE: f64 = 0.2;
-/// Share of the memory that results and queued answers may take.
-const OUTGOING_SHARE: f64 = 0.2;
-/// Share of the memory that requests may take that are remembered as sent.
-const SENT_REQUESTS_SHARE: f64 = 0.04;
-/// Memory that one request takes that is remembered as sent, here and in the folder's state, in bytes.
-const SENT_REQUEST_BYTES: usize = 192;
-/// Lower bound of [`Limits::max_unread_answer_bytes`].
-const MIN_UNREAD_ANSWER_BYTES: usize = 4 << 10;
-/// Upper bound of [`Limits::max_unread_answer_bytes`].
-const MAX_UNREAD_ANSWER_BYTES: usize = 256 << 10;
+/// Maximum size of one message or of one HTTP body, in bytes.
+const MAX_MESSAGE_BYTES: usize = 1 << 20;
+/// Number of bytes that one read from a socket requests.
+const READ_CHUNK_BYTES: usize = 16 << 10;
+/// Maximum number of processes of one gateway that run at a time, where hot restart is possible.
+const HOT_RESTART_PROCESSES: usize = 2;
 /// Ratio of this side's idle timeout of engine connections to the engine's idle timeout.
 const IDLE_TIMEOUT_SHARE: f64 = 0.8;
 /// Maximum number of open requests. Settings can only lower it.
@@ -211,13 +201,6 @@
     kill_after - (kill_after * SHUTDOWN_MARGIN_SHARE).max(MIN_SHUTDOWN_MARGIN)
 }
 
-/// Returns the memory of the answers that may wait for one client: if no client reads, the answers to messages that are answered
-/// directly take half of the memory for answers.
-fn max_unread_answer_bytes(max_outgoing_bytes: usize, max_client_connections: usize) -> usize {
-    let share = max_outgoing_bytes / (2 * max_client_connections);
-    share.clamp(MIN_UNREAD_ANSWER_BYTES, MAX_UNREAD_ANSWER_BYTES)
-}
-
 impl Limits {
     /// Returns these limits with shutdown deadlines for a gateway whose requests have deadlines of up to `longest_deadline`. SIGKILL
     /// follows SIGTERM after that time, capped at a maximum, plus 0.7 s; open requests are answered earlier.
@@ -238,6 +221,7 @@
     pub fn read(fields: &Fields) -> Result<Self, LineError> {
         let sockets = usable_sockets(fields.number_or("machine.sockets", DEFAULT_SOCKETS)?);
         let memory_bytes = fields.number_or("machine.memory_mb", DEFAULT_MEMORY_MB)? * 1024.0 * 1024.0;
+        let processes = if fields.opt("gateway.operator").is_some() { HOT_RESTART_PROCESSES } else { 1 };
         let open_requests = fields.number_or("limits.max_open", MAX_OPEN_REQUESTS)?;
         let attempts = fields.number_or("limits.streams_per_conn", DEFAULT_ATTEMPTS_PER_CONNECTION)?;
         let connect_timeout = fields.number_or("limits.connect_timeout", DEFAULT_CONNECT_TIMEOUT)?;
@@ -254,30 +238,27 @@
             decision_interval: tick.clamp(MIN_DECISION_INTERVAL, MAX_DECISION_INTERVAL),
             slowest_poll_interval,
             record_timeout: record_timeout.clamp(1.0, MAX_RECORD_TIMEOUT),
-            ..Self::of_machine(sockets, memory_bytes)
+            ..Self::of_machine(sockets, memory_bytes, processes)
         })
     }
 
-    /// Returns the limits for a machine with these numbers of file descriptors and bytes of memory. Limits that the settings may
-    /// override have their defaults.
-    fn of_machine(sockets: usize, memory_bytes: f64) -> Self {
+    /// Returns the limits for a machine with these numbers of file descriptors and bytes of memory, on which this number of processes of
+    /// the gateway may run at a time. Limits that the settings may override have their defaults.
+    fn of_machine(sockets: usize, memory_bytes: f64, processes: usize) -> Self {
         let max_client_connections = sockets * 60 / 100;
-        let max_outgoing_bytes = (memory_bytes * OUTGOING_SHARE) as usize;
+        let max_engine_connections = sockets * 25 / 100;
+        let consumers = MemoryConsumers::of(processes, max_client_connections, max_engine_connections);
         Self {
             max_client_connections,
-            max_engine_connections: sockets * 25 / 100,
+            max_engine_connections,
             max_open_per_connection: 32,
             max_open_requests: MAX_OPEN_REQUESTS as usize,
-            max_message_bytes: 1 << 20,
+            max_message_bytes: MAX_MESSAGE_BYTES,
             max_head_bytes: 16 << 10,
             max_result_bytes: 64 << 10,
             max_write_queue_bytes: 2 << 20,
-            max_buffered_bytes: (memory_bytes * BUFFERED_SHARE) as usize,
-            max_sent_requests: (memory_bytes * SENT_REQUESTS_SHARE) as usize / SENT_REQUEST_BYTES,
-            max_incoming_bytes: (memory_bytes * INCOMING_SHARE) as usize,
-            max_outgoing_bytes,
-            max_unread_answer_bytes: max_unread_answer_bytes(max_outgoing_bytes, max_client_connections),
-            read_chunk_bytes: 16 << 10,
+            memory: MemoryLimits::of_machine(memory_bytes, &consumers),
+            read_chunk_bytes: READ_CHUNK_BYTES,
             max_gathered_slices: 64,
             event_queue_capacity: 1024,
             max_attempts_per_connection: DEFAULT_ATTEMPTS_PER_CONNECTION as usize,
@@ -292,6 +273,7 @@
             client_silence_timeout: duration(1_500.0),
             client_message_timeout: duration(6_000.0),
             min_idle_before_eviction: duration(50.0),
+            min_stall_before_eviction: duration(500.0),
             max_wait_for_slot: duration(1_000.0),
             close_linger: duration(250.0),
             max_waiting_connections: (sockets / 20).clamp(2, 64),
--- a/src/net/connection/read_buffer.rs
+++ b/src/net/connection/read_buffer.rs
@@ -315,7 +315,7 @@
         if self.discarded_bytes > 0 {
             return None;
         }
-        let max_bytes = self.shared.process_share(limits.max_incoming_bytes);
+        let max_bytes = self.shared.process_share(limits.memory.incoming_bytes);
         let is_long = self.is_long(limits);
         if is_long {
             let need = self.long_message_need(max_bytes, limits);
--- a/src/net/connection/write_queue.rs
+++ b/src/net/connection/write_queue.rs
@@ -167,7 +167,7 @@
         self.frames.borrow_mut().push_back(frame);
         self.changed.notify_one();
         if self.is_for_client() {
-            self.shared.outgoing.relieve(self.shared.process_share(limits.max_outgoing_bytes));
+            self.shared.outgoing.relieve(self.shared.process_share(limits.memory.outgoing_bytes));
         }
     }
 
--- a/src/net/engine/clickhouse/response.rs
+++ b/src/net/engine/clickhouse/response.rs
@@ -272,7 +272,7 @@
     fn exceeds_memory(&self, response: &PartialResponse) -> bool {
         let shared = self.connection.write_queue.shared();
         response.bytes > self.limits.max_result_bytes
-            && !shared.outgoing.relieve(shared.process_share(self.limits.max_outgoing_bytes))
+            && !shared.outgoing.relieve(shared.process_share(self.limits.memory.outgoing_bytes))
     }
 
     /// Takes at most `max` bytes from the bytes that have arrived.
--- a/src/net/engine/replies.rs
+++ b/src/net/engine/replies.rs
@@ -132,7 +132,7 @@
 /// Returns whether the memory for results is exceeded, although clients that do not read were disconnected.
 fn exceeds_memory(connection: &Connection, limits: &Limits) -> bool {
     let shared = connection.write_queue.shared();
-    !shared.outgoing.relieve(shared.process_share(limits.max_outgoing_bytes))
+    !shared.outgoing.relieve(shared.process_share(limits.memory.outgoing_bytes))
 }
 
 /// Requests all pages of a result after the first.
--- a/src/net/front/client_connection.rs
+++ b/src/net/front/client_connection.rs
@@ -183,12 +183,12 @@
     /// Waits while the client leaves more answers unread than may wait for it, so that a client that sends faster than it reads is not
     /// read. Returns false if the connection has ended or has to be closed.
     pub async fn wait_for_reader(&self, stream: &TcpStream, limits: &Limits) -> bool {
-        if self.write_queue.memory() <= limits.max_unread_answer_bytes {
+        if self.write_queue.memory() <= limits.memory.unread_answer_bytes {
             return true;
         }
         loop {
             tokio::select! {
-                () = self.write_queue.wait_for_memory(limits.max_unread_answer_bytes) => return true,
+                () = self.write_queue.wait_for_memory(limits.memory.unread_answer_bytes) => return true,
                 () = sleep(DISCONNECT_CHECK_INTERVAL) => {}
             }
             if is_closed_by_peer(stream) {
--- a/src/net/runtime/startup.rs
+++ b/src/net/runtime/startup.rs
@@ -41,6 +41,25 @@
     pub runtime: Runtime,
 }
 
+/// Logs how the memory of the machine is divided, and warns if it is less than the process needs.
+fn log_memory(limits: &Limits) {
+    let machine = limits.memory.machine_bytes;
+    tracing::info!(
+        machine,
+        incoming = limits.memory.incoming_bytes,
+        outgoing = limits.memory.outgoing_bytes,
+        statements = limits.memory.statement_bytes,
+        "memory in bytes"
+    );
+    if machine < limits.memory.least_machine_bytes {
+        tracing::warn!(
+            machine,
+            least = limits.memory.least_machine_bytes,
+            "limits.memory_mb is less than this number of connections needs (limits.sockets): the process may exceed it"
+        );
+    }
+}
+
 /// Opens all resources, recovers the state of earlier processes of this gateway, and runs the first decision cycles with the
 /// initial endpoint list.
 ///
@@ -51,6 +70,7 @@
     let limits = Rc::new(config.limits.clone());
     let settings = Rc::new(config.settings.clone());
     let (sender, events) = mpsc::channel(limits.event_queue_capacity);
+    log_memory(&limits);
     let frontend = FrontendState::new(settings, limits.clone(), sender.clone());
     let mut core = Core::new(config.settings.clone(), config.limits.clone(), frontend.clock.now())?;
     core.set_rule_counters(frontend.shared.rule_counters.clone());
