A message that waits for memory can be rejected, and a slot is taken from one that stops

Connections that waited for memory with nothing read counted as idle, refused their eviction, and were asked again each 50 ms. Dripped chunks were never rejected, as a small chunk might have completed them: usual clients waited 5.1 s for memory. The decoded parameters of a head were counted after they were made.

A message that waits for memory is rejected with an answer, also if all of it may have arrived. The memory of a decoded head is counted before it is decoded.

--- a/src/net/connection/incoming_memory.rs
+++ b/src/net/connection/incoming_memory.rs
@@ -139,7 +139,13 @@
             .then(|| self.counted() as u128 * remaining_time.as_micros())
     }
 
-    fn request_release(&self) {
+    /// Returns whether the message waits for memory.
+    pub fn is_waiting(&self) -> bool {
+        self.rank.get().is_some()
+    }
+
+    /// Requests the release of the memory.
+    pub fn request_release(&self) {
         self.release_requested.set(true);
         self.release.notify_one();
     }
@@ -198,7 +204,7 @@
 
 impl IncomingMemory {
     /// Creates the memory for the messages of a connection.
-    pub(super) fn add_connection(&self) -> Rc<MessageMemory> {
+    pub fn add_connection(&self) -> Rc<MessageMemory> {
         let memory = MessageMemory::new();
         let mut messages = self.messages.borrow_mut();
         messages.retain(|message| message.strong_count() > 0);
--- a/src/net/connection/mod.rs
+++ b/src/net/connection/mod.rs
@@ -22,7 +22,7 @@
 pub use fair_share::{FairScheduler, WorkShare};
 pub use incoming_memory::{AwaitedBytes, MessageMemory};
 pub use outgoing_memory::ResultMemory;
-pub use peer_close::is_closed_by_peer;
+pub use peer_close::{closed_by_peer, is_closed_by_peer};
 pub use read_barrier::ReadBarrier;
 pub use read_buffer::ReadBuffer;
 pub use read_progress::ReadProgress;
--- a/src/net/connection/peer_close.rs
+++ b/src/net/connection/peer_close.rs
@@ -18,7 +18,7 @@
 }
 
 /// Waits until the peer has closed the connection, also while bytes of it are unread.
-pub(super) async fn closed_by_peer(stream: impl AsFd) {
+pub async fn closed_by_peer(stream: impl AsFd) {
     while !is_closed_by_peer(&stream) {
         sleep(CHECK_INTERVAL).await;
     }
--- a/src/net/connection/read_buffer.rs
+++ b/src/net/connection/read_buffer.rs
@@ -75,8 +75,12 @@
     }
 
     /// Creates an empty buffer for a client.
-    pub fn for_client(shared: Rc<SharedState>, share: Rc<WorkShare>, progress: Rc<ReadProgress>) -> Self {
-        let memory = shared.incoming.add_connection();
+    pub fn for_client(
+        shared: Rc<SharedState>,
+        share: Rc<WorkShare>,
+        progress: Rc<ReadProgress>,
+        memory: Rc<MessageMemory>,
+    ) -> Self {
         Self::with_peer(shared, share, Peer::Client(ClientReader { memory, progress }))
     }
 
@@ -99,7 +103,7 @@
     }
 
     /// Returns the memory of the current message, if the peer is a client.
-    pub fn message_memory(&self) -> Option<Rc<MessageMemory>> {
+    fn message_memory(&self) -> Option<Rc<MessageMemory>> {
         match &self.peer {
             Peer::Client(client) => Some(client.memory.clone()),
             Peer::Other => None,
@@ -115,7 +119,10 @@
 
     /// Returns whether the rest of the current message is longer than this number of bytes, as far as its length is announced.
     pub fn needs_more_than(&self, bytes: usize) -> bool {
-        self.announced_bytes > self.received_bytes() + bytes
+        match self.discarded_bytes {
+            0 => self.announced_bytes > self.received_bytes() + bytes,
+            rest => rest > bytes,
+        }
     }
 
     /// Returns the number of bytes of the current message, or of its body, that have arrived.
@@ -340,6 +347,21 @@
         Some(Need { bytes: capacity, announced: capacity, max_bytes, is_long: false })
     }
 
+    /// Counts the memory of the decoded head of the current message, if it is available. The caller allocates it next.
+    pub fn try_allocate_head(&self, head_bytes: usize, limits: &Limits) -> bool {
+        let max_bytes = self.shared.process_share(limits.memory.incoming_bytes);
+        let bytes = self.capacity() + head_bytes;
+        self.message_memory()
+            .is_none_or(|memory| self.shared.incoming.try_allocate(&memory, bytes, max_bytes))
+    }
+
+    /// Waits until the memory of the decoded head of the current message is reserved.
+    pub async fn reserve_head(&mut self, head_bytes: usize, limits: &Limits) {
+        let max_bytes = self.shared.process_share(limits.memory.incoming_bytes);
+        let bytes = self.capacity() + head_bytes;
+        self.reserve(Need { bytes, announced: bytes, max_bytes, is_long: false }).await;
+    }
+
     /// Returns the memory for a long message, or for a head and a long body that is read in parts.
     fn long_message_need(&self, max_bytes: usize, limits: &Limits) -> Need {
         let max_long_bytes = max_bytes / LONG_MESSAGES_DIVISOR;
--- a/src/net/front/clickhouse/request.rs
+++ b/src/net/front/clickhouse/request.rs
@@ -1,7 +1,7 @@
 //! Reading of HTTP requests: the head, then the body.
 
 use super::response::{Exception, Session};
-use crate::core::params_memory;
+use crate::core::{params_memory, PARAM_OVERHEAD};
 use crate::net::connection::frame::Frame;
 use crate::net::connection::ReadBuffer;
 use crate::net::front::ReadOutcome;
@@ -38,11 +38,8 @@
 }
 
 impl Request {
-    /// Creates a request from its head, without the body. `None` if it has too many parameters.
-    fn new(head: &Head<'_>) -> Option<Self> {
-        if head.target_or_status.split('&').count() > MAX_PARAMS {
-            return None;
-        }
+    /// Creates a request from its head, without the body.
+    fn new(head: &Head<'_>) -> Self {
         let (path, mut params) = http::target(head.target_or_status);
         for (header, name) in PARAMETER_HEADERS {
             if let Some(value) =
@@ -51,14 +48,23 @@
                 params.push((name.to_owned(), value.to_owned()));
             }
         }
-        Some(Self {
+        Self {
             method: head.method_or_version.to_owned(),
             path,
             params,
             keep_alive: head.keeps_alive(head.version_or_reason),
             may_stream: head.version_or_reason != "HTTP/1.0",
             body: Vec::new(),
-        })
+        }
+    }
+
+    /// Returns an upper bound of the memory that the parameters of a request take.
+    fn max_params_memory(head: &Head<'_>) -> usize {
+        let values = PARAMETER_HEADERS
+            .iter()
+            .filter_map(|(header, name)| Some(head.header(header)?.len() + name.len()));
+        let params = target_params(head) + PARAMETER_HEADERS.len();
+        head.target_or_status.len() + values.sum::<usize>() + params * PARAM_OVERHEAD
     }
 
     /// Removes a parameter and returns its value; `None` if it is missing or empty.
@@ -85,6 +91,11 @@
     Invalid(Exception, &'static str),
 }
 
+/// Returns the number of parameters in the target of a request.
+fn target_params(head: &Head<'_>) -> usize {
+    head.target_or_status.split('&').count()
+}
+
 const BODY_TOO_LARGE: ReadError = ReadError::Invalid(Exception::TOO_LARGE, "The body is too large");
 
 /// Reader of the requests of one connection.
@@ -158,11 +169,19 @@
                     if body_bytes > limits.max_message_bytes {
                         return Err(BODY_TOO_LARGE);
                     }
+                    if target_params(&head) > MAX_PARAMS {
+                        return Err(invalid("There are too many parameters"));
+                    }
+                    let max_head_memory = Request::max_params_memory(&head);
+                    if !self.buffer.try_allocate_head(max_head_memory, limits) {
+                        self.wait_for_head_memory(max_head_memory).await?;
+                        continue;
+                    }
                     if head.header("expect").is_some() {
                         let frame = Frame::plain(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec());
                         connection.write_queue.push(frame, limits);
                     }
-                    let request = Request::new(&head).ok_or(invalid("There are too many parameters"))?;
+                    let request = Request::new(&head);
                     let head_memory = params_memory(&request.params);
                     self.buffer.begin_body(used, head_memory, body_bytes);
                     return Ok((request, length));
@@ -176,6 +195,19 @@
         }
     }
 
+    /// Waits for the memory of a decoded head.
+    async fn wait_for_head_memory(&mut self, bytes: usize) -> Result<(), ReadError> {
+        let Session { connection, limits, keep_alive, .. } = self.session;
+        match connection.wait_for_head_memory(&mut self.buffer, self.stream, bytes, limits).await {
+            ReadOutcome::Received => Ok(()),
+            ReadOutcome::Ended => {
+                keep_alive.set(false);
+                Err(ReadError::Closed)
+            }
+            ReadOutcome::MemoryRefused => Err(ReadError::MemoryRefused),
+        }
+    }
+
     /// Reads until the body has this length.
     async fn read_body_until(&mut self, length: usize) -> Result<(), ReadError> {
         loop {
--- a/src/net/front/client_connection.rs
+++ b/src/net/front/client_connection.rs
@@ -3,8 +3,8 @@
 use crate::limits::Limits;
 use crate::net::connection::frame::Frame;
 use crate::net::connection::{
-    is_closed_by_peer, AwaitedBytes, CloseMode, ReadBuffer, ReadProgress, WorkShare, WriteOverflow,
-    WriteQueue,
+    closed_by_peer, is_closed_by_peer, CloseMode, MessageMemory, ReadBuffer, ReadProgress, WorkShare,
+    WriteOverflow, WriteQueue,
 };
 use crate::net::front::close_reason::{CloseCounters, CloseReason};
 use crate::net::front::shutdown_phase::ShutdownPhase;
@@ -21,6 +21,26 @@
 /// notified of a disconnect within 100 ms.
 pub(super) const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Kind of connection that may be evicted, in the order in which they are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum EvictableKind {
+    /// The client has no request open and has sent nothing.
+    Idle,
+    /// The client's message was rejected, and its rest is discarded.
+    Rejected,
+    /// The client stopped inside a message.
+    Stalled,
+}
+
+/// State in which a connection may be evicted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Evictable {
+    /// Kind of connection.
+    pub kind: EvictableKind,
+    /// Time from which on it may be evicted.
+    pub from: Instant,
+}
+
 /// Outcome of reading from a client.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadOutcome {
@@ -43,6 +63,8 @@
     pub progress: Rc<ReadProgress>,
     /// Queue of responses to the client.
     pub write_queue: Rc<WriteQueue>,
+    /// Memory of the message that is being read.
+    memory: Rc<MessageMemory>,
     shutdown_phase: Rc<Cell<ShutdownPhase>>,
     /// Whether an answer was sent since the shutdown phase requires connections to close after an answer.
     answered_in_shutdown: Cell<bool>,
@@ -58,6 +80,10 @@
     open_requests: Cell<usize>,
     /// Number of received bytes that belong to no request yet: an incomplete message, or messages that follow an open request.
     incomplete_bytes: Cell<usize>,
+    /// Whether the rest of a message is discarded that was rejected.
+    is_discarding: Cell<bool>,
+    /// Time at which bytes last arrived.
+    last_received: Cell<Instant>,
     was_answered: Cell<bool>,
     /// Time at which the connection was opened, or a request on it was last received or answered.
     last_active: Cell<Instant>,
@@ -77,6 +103,7 @@
             peer,
             share,
             progress: ReadProgress::new(write_queue.shared().read_barrier.read_until()),
+            memory: write_queue.shared().incoming.add_connection(),
             write_queue,
             shutdown_phase,
             answered_in_shutdown: Cell::new(false),
@@ -87,6 +114,8 @@
             close_counters,
             open_requests: Cell::new(0),
             incomplete_bytes: Cell::new(0),
+            is_discarding: Cell::new(false),
+            last_received: Cell::new(opened),
             was_answered: Cell::new(false),
             last_active: Cell::new(opened),
         }
@@ -94,7 +123,8 @@
 
     /// Creates an empty buffer for the messages of the client.
     pub fn read_buffer(&self) -> ReadBuffer {
-        ReadBuffer::for_client(self.write_queue.shared(), self.share.clone(), self.progress.clone())
+        let (shared, memory) = (self.write_queue.shared(), self.memory.clone());
+        ReadBuffer::for_client(shared, self.share.clone(), self.progress.clone(), memory)
     }
 
     /// Requests the eviction of the connection. The reading task first checks whether a request has arrived.
@@ -149,10 +179,11 @@
             self.progress.set_idle(checked_at, false);
         }
         self.set_incomplete(read_buffer);
-        let awaited_bytes = read_buffer.message_memory().map(|memory| memory.await_bytes());
+        let awaited_bytes = self.memory.await_bytes();
         loop {
-            if awaited_bytes.as_ref().is_some_and(AwaitedBytes::is_release_requested)
-                && has_stopped(read_buffer, stream)
+            // A message that waits for memory is rejected even if all of it may have arrived.
+            if awaited_bytes.is_release_requested()
+                && (self.memory.is_waiting() || has_stopped(read_buffer, stream))
             {
                 return ReadOutcome::MemoryRefused;
             }
@@ -175,7 +206,29 @@
                     }
                 }
                 () = self.write_queue.recheck_requested() => {}
-                () = release_requested(awaited_bytes.as_ref()) => {}
+                () = awaited_bytes.release_requested() => {}
+            }
+        }
+    }
+
+    /// Waits for the memory of the decoded head of the current message, of which the head has arrived.
+    pub async fn wait_for_head_memory(
+        &self,
+        read_buffer: &mut ReadBuffer,
+        stream: &TcpStream,
+        bytes: usize,
+        limits: &Limits,
+    ) -> ReadOutcome {
+        let awaited_bytes = self.memory.await_bytes();
+        tokio::select! {
+            () = read_buffer.reserve_head(bytes, limits) => ReadOutcome::Received,
+            () = awaited_bytes.release_requested() => {
+                self.warn_of_refused_memory();
+                ReadOutcome::MemoryRefused
+            }
+            () = closed_by_peer(stream) => {
+                self.set_disconnected();
+                ReadOutcome::Ended
             }
         }
     }
@@ -213,7 +266,7 @@
         if self.closes_for_shutdown(read_buffer, stream) {
             return Err(CloseReason::Shutdown);
         }
-        if self.closes_for_eviction(read_buffer, stream) {
+        if self.closes_for_eviction(read_buffer, stream, limits) {
             return Err(CloseReason::Evicted);
         }
         // A connection with open requests stays open until they are answered, even if the client sends nothing.
@@ -303,6 +356,8 @@
     /// Records the bytes in the read buffer that belong to no request yet.
     pub fn set_incomplete(&self, read_buffer: &ReadBuffer) {
         self.incomplete_bytes.set(read_buffer.incomplete_bytes());
+        self.is_discarding.set(read_buffer.is_discarding());
+        self.last_received.set(read_buffer.last_filled());
     }
 
     /// Returns whether the connection is closed after its next answer, because this process is shutting down. Requests that
@@ -324,14 +379,22 @@
     }
 
     /// Returns whether the connection closes now because another client needs the slot. A connection on which bytes have
-    /// arrived is not evicted.
-    fn closes_for_eviction(&self, read_buffer: &ReadBuffer, stream: &TcpStream) -> bool {
+    /// arrived is not evicted, unless they cannot complete its message and the client has stopped sending or was rejected.
+    fn closes_for_eviction(&self, read_buffer: &ReadBuffer, stream: &TcpStream, limits: &Limits) -> bool {
         if !self.eviction_requested.take() {
             return false;
         }
-        let closes = may_close(&self.close_conditions(read_buffer, stream)).is_ok();
+        let is_slow = read_buffer.is_discarding()
+            || read_buffer.last_filled().elapsed() >= limits.min_stall_before_eviction;
+        let is_stopped = read_buffer.incomplete_bytes() > 0 && is_slow && has_stopped(read_buffer, stream);
+        let conditions = self.close_conditions(read_buffer, stream);
+        let closes = may_close(&conditions).is_ok()
+            || is_stopped && may_close_mid_message(&CloseConditions { unread: 0, ..conditions }).is_ok();
         if closes {
             self.write_queue.close(CloseMode::Immediately);
+        } else if read_buffer.incomplete_bytes() > 0 && self.memory.is_waiting() {
+            // The message is answered with a rejection, as all of it may have arrived.
+            self.memory.request_release();
         } else {
             // The connection is in use: connections that have been idle for longer are evicted before it.
             self.last_active.set(Instant::now());
@@ -357,17 +420,30 @@
         CloseConditions { unwritten: 0, ..self.close_conditions(read_buffer, stream) }
     }
 
-    /// Returns the time of the last activity of an idle connection; `None` if it has open requests or queued bytes, is inside a
-    /// message or is closing. Bytes that are still unread are checked before it is closed.
-    pub fn idle_since(&self) -> Option<Instant> {
+    /// Returns the state in which the connection may be evicted; `None` if it has open requests or queued bytes, is inside a
+    /// message that arrives, or is closing. Bytes that are still unread are checked before it is closed.
+    pub fn evictable(&self, limits: &Limits) -> Option<Evictable> {
         let conditions = CloseConditions {
             open_requests: self.open_requests.get(),
             unwritten: self.write_queue.queued_bytes(),
             incomplete: self.incomplete_bytes.get(),
             unread: 0,
         };
-        let is_idle = may_close(&conditions).is_ok() && !self.write_queue.is_closing();
-        is_idle.then_some(self.last_active.get())
+        let awaits_memory_for_unread = conditions.incomplete == 0 && self.memory.is_waiting();
+        if awaits_memory_for_unread
+            || self.write_queue.is_closing()
+            || may_close_mid_message(&conditions).is_err()
+        {
+            return None;
+        }
+        let (kind, from) = if conditions.incomplete == 0 {
+            (EvictableKind::Idle, self.last_active.get() + limits.min_idle_before_eviction)
+        } else if self.is_discarding.get() {
+            (EvictableKind::Rejected, self.last_active.get() + limits.min_idle_before_eviction)
+        } else {
+            (EvictableKind::Stalled, self.last_received.get() + limits.min_stall_before_eviction)
+        };
+        Some(Evictable { kind, from })
     }
 }
 
@@ -382,13 +458,5 @@
     rustix::io::ioctl_fionread(stream).map_or(1, |bytes| bytes as usize)
 }
 
-/// Waits until the release of the memory is requested; indefinitely without memory.
-async fn release_requested(awaited_bytes: Option<&AwaitedBytes>) {
-    match awaited_bytes {
-        Some(awaited_bytes) => awaited_bytes.release_requested().await,
-        None => std::future::pending().await,
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -13,7 +13,7 @@
 mod state;
 pub mod thrift;
 
-pub use client_connection::{ClientConnection, ReadOutcome};
+pub use client_connection::{ClientConnection, Evictable, EvictableKind, ReadOutcome};
 pub use close_reason::{CloseCounters, CloseReason};
 pub use requests::{ReceivedRequest, ResponseWriter};
 pub use shutdown_phase::ShutdownPhase;
--- a/src/net/front/state.rs
+++ b/src/net/front/state.rs
@@ -5,7 +5,7 @@
 use crate::limits::Limits;
 use crate::net::clock::Clock;
 use crate::net::connection::{SharedState, WorkShare, WriteQueue};
-use crate::net::front::client_connection::ClientConnection;
+use crate::net::front::client_connection::{ClientConnection, Evictable};
 use crate::net::front::close_reason::CloseCounters;
 use crate::net::front::requests::{ReceivedRequest, ResponseWriter};
 use crate::net::front::shutdown_phase::ShutdownPhase;
@@ -120,7 +120,7 @@
         })
     }
 
-    /// Registers the new connection of the client at the address `peer`, which is served by a task with this share. If all slots are in use, the connection that has been idle longest is evicted,
+    /// Registers the new connection of the client at the address `peer`, which is served by a task with this share. If all slots are in use, a connection that is idle, was rejected or has stopped inside a message is evicted,
     /// because a new one is likely to send a request whose client waits for the answer. Returns `None` if no slot is
     /// released within `max_wait_for_slot`.
     pub async fn accept_connection(
@@ -149,28 +149,30 @@
         self.connections.borrow().len() < self.shared.process_share(self.limits.max_client_connections)
     }
 
-    /// Requests the eviction of the connection that has been idle longest, if it has been idle for at least
-    /// `min_idle_before_eviction`. Returns the time of the next check.
+    /// Requests the eviction of one connection, if one may be evicted now. Returns the time of the next check.
     fn request_eviction(&self) -> Instant {
-        let min_idle = self.limits.min_idle_before_eviction;
-        match self.longest_idle() {
-            Some((idle_since, connection)) if idle_since.elapsed() >= min_idle => {
+        let next_check = Instant::now() + self.limits.min_idle_before_eviction;
+        match self.first_evictable() {
+            Some((evictable, connection)) if evictable.from <= Instant::now() => {
                 // The connection first checks whether a request has arrived; if so, the next check chooses another connection.
                 connection.request_eviction();
-                Instant::now() + min_idle
+                next_check
             }
-            Some((idle_since, _)) => idle_since + min_idle,
+            Some((evictable, _)) => evictable.from.min(next_check),
             // A connection may become idle within this time.
-            None => Instant::now() + min_idle,
+            None => next_check,
         }
     }
 
-    /// Returns the connection that has been idle longest, among those whose eviction has not been requested.
-    fn longest_idle(&self) -> Option<(Instant, Rc<ClientConnection>)> {
+    /// Returns the connection that is evicted first, among those whose eviction has not been requested: of those that may be evicted now, the
+    /// one of the first kind that has been evictable for longest; else the one that may be evicted next.
+    fn first_evictable(&self) -> Option<(Evictable, Rc<ClientConnection>)> {
+        let now = Instant::now();
         let connections = self.connections.borrow();
         let candidates = connections.iter().filter(|connection| !connection.is_eviction_requested());
-        let idle = candidates.filter_map(|connection| Some((connection.idle_since()?, connection.clone())));
-        idle.min_by_key(|(idle_since, _)| *idle_since)
+        let evictable = candidates
+            .filter_map(|connection| Some((connection.evictable(&self.limits)?, connection.clone())));
+        evictable.min_by_key(|(evictable, _)| (evictable.from.max(now), *evictable))
     }
 
     /// Releases the slot of a client connection that has ended.
