Short and long messages of clients wait for memory separately

The time before the first byte of a message counted as time in which it arrived slowly.

Long messages have a part of the memory, one message at least, and short ones and the first parts of long ones have another, of which an eighth is for messages of up to 2 KiB. Each kind waits, and releases, by itself. A message that waits itself is asked last, and keeps what it has for 500 ms.

--- a/src/limits/memory.rs
+++ b/src/limits/memory.rs
@@ -39,14 +39,14 @@
     pub client_connections: usize,
     /// Maximum number of connections to engines of all processes together.
     pub engine_connections: usize,
-    /// Bytes by which one long message may exceed the limit of its owner.
+    /// Memory of one long message of each process, in bytes.
     pub long_message_bytes: usize,
 }
 
 impl MemoryConsumers {
     /// Returns the consumers on a machine with these numbers of processes and of connections.
     pub(super) fn of(processes: usize, client_connections: usize, engine_connections: usize) -> Self {
-        let long_message_bytes = MAX_MESSAGE_BYTES + READ_CHUNK_BYTES;
+        let long_message_bytes = processes * (MAX_MESSAGE_BYTES + READ_CHUNK_BYTES);
         Self { processes, client_connections, engine_connections, long_message_bytes }
     }
 
@@ -69,8 +69,10 @@
     pub least_machine_bytes: usize,
     /// Maximum number of bytes of the statements of open requests.
     pub statement_bytes: usize,
-    /// Maximum number of bytes of all incomplete messages from clients.
-    pub incoming_bytes: usize,
+    /// Maximum number of bytes of all incomplete messages from clients that are no longer than one read, or of which no more was read.
+    pub short_incoming_bytes: usize,
+    /// Maximum number of bytes of all longer incomplete messages from clients, of each process one at least.
+    pub long_incoming_bytes: usize,
     /// Maximum number of bytes of all results that are being received and answers that are queued for clients.
     pub outgoing_bytes: usize,
     /// Memory of the answers that wait for one client, in bytes, above which no further messages of the client are handled: if no client
@@ -86,13 +88,16 @@
         let rest = (machine_bytes - consumers.bytes() as f64) / ALLOCATION_OVERHEAD;
         let counted = rest.max(MIN_COUNTED_BYTES as f64);
         let outgoing_bytes = (counted * OUTGOING_SHARE) as usize;
+        let incoming_bytes = (counted * INCOMING_SHARE) as usize + consumers.long_message_bytes;
+        let long_incoming_bytes = (incoming_bytes / 2).max(consumers.long_message_bytes);
         let unread_answer_share = outgoing_bytes / (2 * consumers.client_connections);
         Self {
             machine_bytes: machine_bytes as usize,
             least_machine_bytes: consumers.bytes()
                 + (MIN_COUNTED_BYTES as f64 * ALLOCATION_OVERHEAD) as usize,
             statement_bytes: (counted * STATEMENTS_SHARE) as usize,
-            incoming_bytes: (counted * INCOMING_SHARE) as usize,
+            short_incoming_bytes: incoming_bytes - long_incoming_bytes,
+            long_incoming_bytes,
             outgoing_bytes,
             unread_answer_bytes: unread_answer_share.clamp(MIN_UNREAD_ANSWER_BYTES, MAX_UNREAD_ANSWER_BYTES),
             sent_requests: (counted * SENT_REQUESTS_SHARE) as usize / SENT_REQUEST_BYTES,
--- a/src/net/connection/incoming_memory.rs
+++ b/src/net/connection/incoming_memory.rs
@@ -2,7 +2,8 @@
 //!
 //! Memory is counted before it is allocated, and no task can run between the check of the limit and the allocation. The complete length
 //! of a long message is reserved before the rest of it is read, so that each message that is being read can be completed; a
-//! reservation serves for the length that it was made for, and for one message. Messages wait for memory, and their bytes stay in the
+//! reservation serves for the length that it was made for, and for one message. Long messages have a part of the memory, and short ones and
+//! the first parts of long ones have another, so that neither waits for the other kind. Messages wait for memory, and their bytes stay in the
 //! socket meanwhile: shorter ones go first, unless a longer one has waited for much longer. While one waits, messages that will not be
 //! complete soon are requested to release their memory, those first that would take the most memory for the longest time. A message
 //! that is complete is counted until the reducer takes its request.
@@ -17,12 +18,17 @@
 
 /// Time until a message is complete, as it is estimated, from which on it releases its memory if another message waits.
 const MAX_REMAINING_TIME_WHILE_OTHERS_WAIT: Duration = Duration::from_millis(250);
-/// Time by which a message that is one byte longer is served later, as if it had arrived later: 10 s for 1 MB.
-const DELAY_PER_BYTE: Duration = Duration::from_micros(10);
+/// Time for which a message that waits for memory itself keeps what it has. It has to be longer than a message that is not complete soon keeps
+/// its memory, so that the first that waits gets it.
+const MAX_WAIT_WHILE_OTHERS_WAIT: Duration = Duration::from_millis(500);
+/// Time by which a message that is one byte longer is served later, as if it had arrived later: 1.6 s for 16 KiB.
+const DELAY_PER_BYTE: Duration = Duration::from_micros(100);
 /// Interval at which the first waiting message checks for memory to release.
 const RELEASE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for which a long message waits for a reservation. Afterwards it is rejected, unless all of it has arrived.
 const MAX_LONG_MESSAGE_WAIT: Duration = Duration::from_secs(1);
+/// Length of a complete message, in bytes, up to which it counts as a short one.
+const MAX_SHORT_BYTES: usize = 16 << 10;
 /// Memory of a message, in bytes, up to which it is not requested to release it.
 const MIN_RELEASED_BYTES: usize = 1 << 10;
 
@@ -56,6 +62,15 @@
     }
 }
 
+/// Order in which messages release their memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum ReleaseOrder {
+    /// The client sends slowly: first those that will take the most memory for the longest time.
+    Slow(Reverse<u128>),
+    /// The message waits for memory itself: first those that wait for the longest one.
+    Waiting(Reverse<Instant>),
+}
+
 /// Memory that the incomplete message of one client takes.
 #[derive(Debug)]
 pub struct MessageMemory {
@@ -63,8 +78,12 @@
     allocated: Cell<usize>,
     /// Number of bytes that are reserved; 0 without a reservation.
     reserved: Cell<usize>,
+    /// Whether the reservation is for a long message: its memory is counted with that of other long ones.
+    is_long: Cell<bool>,
     /// Time that determines the order of the waiting messages; `None` if this one does not wait.
     rank: Cell<Option<Instant>>,
+    /// Whether the message waits for the memory of a long one.
+    waits_as_long: Cell<bool>,
     /// Notified when the message may have become the first of those that wait, or memory was released.
     may_reserve: Notify,
     progress: Cell<Progress>,
@@ -81,7 +100,9 @@
         Rc::new(Self {
             allocated: Cell::new(0),
             reserved: Cell::new(0),
+            is_long: Cell::new(false),
             rank: Cell::new(None),
+            waits_as_long: Cell::new(false),
             may_reserve: Notify::new(),
             progress: Cell::new(Progress::begin(Instant::now())),
             awaits_bytes: Cell::new(false),
@@ -99,11 +120,13 @@
     /// Records that bytes of the message have arrived: `received` of the `expected` ones in all, which are 0 if not known. They withdraw
     /// a request to release the memory if the message will be complete soon.
     pub(super) fn set_arrived(&self, at: Instant, received: usize, expected: usize) {
+        let before = self.progress.get();
         let progress = Progress {
+            // The time before the first byte says nothing about the client.
+            began_at: if before.received_bytes == 0 { at } else { before.began_at },
             last_arrival: at,
             received_bytes: received,
             expected_bytes: expected,
-            ..self.progress.get()
         };
         self.progress.set(progress);
         if progress.remaining_time(at) < MAX_REMAINING_TIME_WHILE_OTHERS_WAIT {
@@ -117,11 +140,6 @@
         AwaitedBytes(self.clone())
     }
 
-    /// Returns whether memory is reserved.
-    pub(super) fn has_reservation(&self) -> bool {
-        self.reserved.get() > 0
-    }
-
     /// Returns whether this number of bytes is counted already.
     pub(super) fn covers(&self, bytes: usize) -> bool {
         self.counted() >= bytes
@@ -131,12 +149,32 @@
         self.allocated.get().max(self.reserved.get())
     }
 
-    /// Returns the memory times the time for which it will be taken, if it is worth releasing.
-    fn releasable(&self, now: Instant) -> Option<u128> {
+    /// Returns the number of bytes that are counted with those of long messages.
+    fn long_bytes(&self) -> usize {
+        if self.is_long.get() {
+            self.counted()
+        } else {
+            0
+        }
+    }
+
+    /// Returns the position of the message among those that release their memory, if it is worth releasing.
+    fn release_order(&self, now: Instant) -> Option<ReleaseOrder> {
         let remaining_time = self.progress.get().remaining_time(now);
-        let is_slow = remaining_time >= MAX_REMAINING_TIME_WHILE_OTHERS_WAIT;
-        (is_slow && self.awaits_bytes.get() && self.counted() > MIN_RELEASED_BYTES)
-            .then(|| self.counted() as u128 * remaining_time.as_micros())
+        let max_remaining_time = match self.is_waiting() {
+            false => MAX_REMAINING_TIME_WHILE_OTHERS_WAIT,
+            true => MAX_WAIT_WHILE_OTHERS_WAIT,
+        };
+        if remaining_time < max_remaining_time
+            || !self.awaits_bytes.get()
+            || self.counted() <= MIN_RELEASED_BYTES
+        {
+            return None;
+        }
+        Some(match self.rank.get() {
+            None => ReleaseOrder::Slow(Reverse(self.counted() as u128 * remaining_time.as_micros())),
+            Some(rank) => ReleaseOrder::Waiting(Reverse(rank)),
+        })
     }
 
     /// Returns whether the message waits for memory.
@@ -180,13 +218,22 @@
     pub bytes: usize,
     /// Length of the message as far as it is known, which determines its place among those that wait.
     pub announced: usize,
-    /// Maximum number of bytes of all messages together.
+    /// Maximum number of bytes of all long messages, or of all short ones.
     pub max_bytes: usize,
     /// Whether the message is longer than one read. It may exceed the limit if no other one has a reservation, so that it can be read at
     /// all, and is not awaited for longer than [`MAX_LONG_MESSAGE_WAIT`] unless it has arrived.
     pub is_long: bool,
 }
 
+/// Returns the part of a complete message's memory that is counted with that of long ones: all or nothing.
+fn long_part(bytes: usize) -> usize {
+    if bytes > MAX_SHORT_BYTES {
+        bytes
+    } else {
+        0
+    }
+}
+
 /// Memory for the incomplete messages of all clients.
 #[derive(Debug, Default)]
 pub struct IncomingMemory {
@@ -194,11 +241,11 @@
     pub used: UsedMemory,
     /// The part of it that complete messages take until the reducer takes their requests.
     pub submitted: UsedMemory,
+    /// The part of it that long messages take.
+    long: UsedMemory,
     /// Messages of all open connections.
     messages: RefCell<Vec<Weak<MessageMemory>>>,
-    /// Number of messages with a reservation.
-    reservations: Cell<usize>,
-    /// Messages that wait for a reservation.
+    /// Messages that wait for a reservation. The long and the short ones wait separately.
     waiting: RefCell<Vec<Rc<MessageMemory>>>,
 }
 
@@ -216,12 +263,14 @@
     pub fn add_submitted(&self, bytes: usize) {
         self.used.update(bytes, 0);
         self.submitted.update(bytes, 0);
+        self.long.update(long_part(bytes), 0);
     }
 
     /// Removes the bytes of a complete message: the reducer has taken its request, or its connection has ended.
     pub fn remove_submitted(&self, bytes: usize) {
         self.used.update(0, bytes);
         self.submitted.update(0, bytes);
+        self.long.update(0, long_part(bytes));
         self.notify_first();
     }
 
@@ -230,11 +279,12 @@
         self.update(memory, |memory| memory.allocated.set(bytes));
     }
 
-    /// Counts `bytes` as allocated for a message, if all messages together stay within `max_bytes`. The caller allocates them
+    /// Counts `bytes` as allocated for a message, if all short messages together stay within `max_bytes`. The caller allocates them
     /// next. Returns whether they are counted.
     pub(super) fn try_allocate(&self, memory: &MessageMemory, bytes: usize, max_bytes: usize) -> bool {
         let is_covered = memory.covers(bytes);
-        let fits = self.used.bytes() + bytes.saturating_sub(memory.counted()) <= max_bytes;
+        let need = Need { bytes, announced: bytes, max_bytes, is_long: false };
+        let fits = !memory.is_long.get() && self.missing(memory, need) == 0;
         if fits || is_covered {
             self.set_allocated(memory, bytes.max(memory.allocated.get()));
         }
@@ -249,6 +299,7 @@
             memory.rank.set(Some(Instant::now() + delay));
             self.waiting.borrow_mut().push(memory.clone());
         }
+        memory.waits_as_long.set(need.is_long);
         let refused_at = Instant::now() + MAX_LONG_MESSAGE_WAIT;
         while !self.may_reserve(memory, need) {
             if self.is_first(memory) {
@@ -260,21 +311,22 @@
             let _ = timeout(RELEASE_CHECK_INTERVAL, memory.may_reserve.notified()).await;
         }
         self.stop_waiting(memory);
-        self.set_reserved(memory, need.bytes);
+        self.set_reserved(memory, need.bytes, need.is_long);
         memory.begin_message();
         self.notify_first();
     }
 
-    fn set_reserved(&self, memory: &MessageMemory, bytes: usize) {
-        let count = |bytes: usize| usize::from(bytes > 0);
-        self.reservations.set(self.reservations.get() + count(bytes) - count(memory.reserved.get()));
-        self.update(memory, |memory| memory.reserved.set(bytes));
+    fn set_reserved(&self, memory: &MessageMemory, bytes: usize, is_long: bool) {
+        self.update(memory, |memory| {
+            memory.reserved.set(bytes);
+            memory.is_long.set(is_long);
+        });
     }
 
     /// Releases the reservation of a message, and its place among the waiting messages.
     pub(super) fn release(&self, memory: &Rc<MessageMemory>) {
         self.stop_waiting(memory);
-        self.set_reserved(memory, 0);
+        self.set_reserved(memory, 0, false);
         memory.begin_message();
         self.notify_first();
     }
@@ -286,37 +338,47 @@
     }
 
     fn update(&self, memory: &MessageMemory, change: impl FnOnce(&MessageMemory)) {
-        let before = memory.counted();
+        let (before, long_before) = (memory.counted(), memory.long_bytes());
         change(memory);
-        let after = memory.counted();
+        let (after, long_after) = (memory.counted(), memory.long_bytes());
         self.used.update(after, before);
-        if after < before {
+        self.long.update(long_after, long_before);
+        if after < before || long_after != long_before {
             self.notify_first();
         }
     }
 
     fn may_reserve(&self, memory: &Rc<MessageMemory>, need: Need) -> bool {
-        let is_alone = self.reservations.get() == usize::from(memory.has_reservation());
+        let is_alone = self.long.bytes() == memory.long_bytes();
         self.is_first(memory) && (self.missing(memory, need) == 0 || (need.is_long && is_alone))
     }
 
     /// Returns the number of bytes that other messages have to release.
     fn missing(&self, memory: &MessageMemory, need: Need) -> usize {
-        let additional = need.bytes.saturating_sub(memory.counted());
-        (self.used.bytes() + additional).saturating_sub(need.max_bytes)
+        let (others, additional) = if need.is_long {
+            (self.long.bytes(), need.bytes.saturating_sub(memory.long_bytes()))
+        } else {
+            (self.used.bytes() - self.long.bytes(), need.bytes.saturating_sub(memory.counted()))
+        };
+        (others + additional).saturating_sub(need.max_bytes)
     }
 
-    fn first_waiting(&self) -> Option<Rc<MessageMemory>> {
-        self.waiting.borrow().iter().min_by_key(|memory| memory.rank.get()).cloned()
+    /// Returns the first of the long or of the short messages that wait.
+    fn first_waiting(&self, is_long: bool) -> Option<Rc<MessageMemory>> {
+        let waiting = self.waiting.borrow();
+        let of_same_kind = waiting.iter().filter(|memory| memory.waits_as_long.get() == is_long);
+        of_same_kind.min_by_key(|memory| memory.rank.get()).cloned()
     }
 
     fn is_first(&self, memory: &Rc<MessageMemory>) -> bool {
-        self.first_waiting().is_some_and(|first| Rc::ptr_eq(&first, memory))
+        self.first_waiting(memory.waits_as_long.get()).is_some_and(|first| Rc::ptr_eq(&first, memory))
     }
 
     fn notify_first(&self) {
-        if let Some(first) = self.first_waiting() {
-            first.may_reserve.notify_one();
+        for is_long in [false, true] {
+            if let Some(first) = self.first_waiting(is_long) {
+                first.may_reserve.notify_one();
+            }
         }
     }
 
@@ -325,8 +387,10 @@
         let now = Instant::now();
         let messages = self.messages.borrow();
         let others = messages.iter().filter_map(Weak::upgrade).filter(|other| !Rc::ptr_eq(other, waiting));
-        let mut slow: Vec<_> = others.filter_map(|memory| Some((memory.releasable(now)?, memory))).collect();
-        slow.sort_by_key(|(taken, _)| Reverse(*taken));
+        let of_same_kind = others.filter(|other| other.is_long.get() == need.is_long);
+        let mut slow: Vec<_> =
+            of_same_kind.filter_map(|memory| Some((memory.release_order(now)?, memory))).collect();
+        slow.sort_by_key(|(order, _)| *order);
         let mut missing = self.missing(waiting, need);
         for (_, memory) in slow {
             if missing == 0 {
--- a/src/net/connection/incoming_memory/tests.rs
+++ b/src/net/connection/incoming_memory/tests.rs
@@ -106,10 +106,13 @@
             pool.reserve(memory, long_need(LARGE / 2, LARGE)).await;
         }
         let _awaited = [dripping.await_bytes(), fast.await_bytes()];
+        for memory in [&dripping, &fast] {
+            memory.set_arrived(Instant::now(), 1, LARGE / 2);
+        }
         tokio::time::sleep(MAX_REMAINING_TIME_WHILE_OTHERS_WAIT / 10).await;
         dripping.set_arrived(Instant::now(), LARGE / 200, LARGE / 2);
         fast.set_arrived(Instant::now(), LARGE / 2 - 1, LARGE / 2);
-        assert!(!is_ready(pool.reserve(&waiting, short_need(10, LARGE))).await);
+        assert!(!is_ready(pool.reserve(&waiting, long_need(10, LARGE))).await);
         assert!(dripping.release_requested.get() && !fast.release_requested.get());
     });
 }
@@ -143,7 +146,7 @@
         assert_eq!(pool.used.bytes(), 60);
         pool.set_allocated(&memory, 0);
         pool.release(&memory);
-        assert_eq!((pool.used.bytes(), pool.reservations.get()), (0, 0));
+        assert_eq!((pool.used.bytes(), pool.long.bytes()), (0, 0));
     });
 }
 
@@ -198,14 +201,49 @@
 
 #[test]
 fn a_submitted_message_counts_until_it_is_taken() {
+    run(async {
+        let pool = IncomingMemory::default();
+        let [short, long] = [0; 2].map(|_| pool.add_connection());
+        let holder = pool.add_connection();
+        pool.reserve(&holder, long_need(10, LARGE)).await;
+        let needs = [
+            (&short, MAX_SHORT_BYTES, short_need(10, MAX_SHORT_BYTES)),
+            (&long, MAX_SHORT_BYTES + 1, long_need(10, MAX_SHORT_BYTES)),
+        ];
+        for (memory, submitted, need) in needs {
+            pool.add_submitted(submitted);
+            assert!(!is_ready(pool.reserve(memory, need)).await);
+            pool.remove_submitted(submitted);
+            assert!(is_ready(pool.reserve(memory, need)).await);
+        }
+    });
+}
+
+/// A long message that exceeded the limit alone used to keep all short ones waiting.
+#[test]
+fn short_messages_do_not_wait_for_long_ones() {
+    run(async {
+        let pool = IncomingMemory::default();
+        let [long, short] = [0; 2].map(|_| pool.add_connection());
+        pool.reserve(&long, long_need(2 * LIMIT, LIMIT)).await;
+        assert!(pool.try_allocate(&short, LIMIT, LIMIT));
+        assert!(!pool.try_allocate(&pool.add_connection(), 1, LIMIT));
+        assert_eq!((pool.used.bytes(), pool.long.bytes()), (3 * LIMIT, 2 * LIMIT));
+    });
+}
+
+/// The time before the first byte of a message used to count as time in which it arrived slowly.
+#[test]
+fn a_message_after_an_idle_time_is_not_slow() {
     run(async {
         let pool = IncomingMemory::default();
         let memory = pool.add_connection();
-        pool.reserve(&memory, long_need(10, LIMIT)).await;
-        pool.add_submitted(LIMIT);
-        let next = pool.add_connection();
-        assert!(!is_ready(pool.reserve(&next, long_need(10, LIMIT))).await);
-        pool.remove_submitted(LIMIT);
-        assert!(is_ready(pool.reserve(&next, long_need(10, LIMIT))).await);
+        assert!(pool.try_allocate(&memory, LARGE, LARGE));
+        let _awaited = memory.await_bytes();
+        memory.progress.set(Progress::begin(long_ago()));
+        memory.set_arrived(Instant::now(), 1, LARGE);
+        assert!(memory.release_order(Instant::now()).is_none());
+        memory.set_arrived(long_ago(), 1, LARGE);
+        assert!(memory.release_order(Instant::now()).is_some());
     });
 }
--- a/src/net/connection/read_buffer.rs
+++ b/src/net/connection/read_buffer.rs
@@ -13,13 +13,23 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// Divisor of the memory for incoming messages that gives the part for long ones. The rest is for short messages, which then do not
-/// wait for long ones.
-const LONG_MESSAGES_DIVISOR: usize = 2;
-
 /// Minimum space for a read from a client, in bytes.
 const MIN_READ_BYTES: usize = 256;
 
+/// Length of a message, in bytes, up to which it may take all of the memory. Longer ones leave a part to it, so that usual requests do not
+/// wait for them.
+const SMALL_MESSAGE_BYTES: usize = 2 << 10;
+/// Divisor of the memory for incoming messages that gives the part for small messages.
+const SMALL_MESSAGES_DIVISOR: usize = 8;
+
+/// Returns the part of the memory for short messages that a message of this length may take together with all others.
+fn max_short_bytes(message_bytes: usize, max_bytes: usize) -> usize {
+    match message_bytes {
+        0..=SMALL_MESSAGE_BYTES => max_bytes,
+        _ => max_bytes - max_bytes / SMALL_MESSAGES_DIVISOR,
+    }
+}
+
 /// Peer from which a buffer is filled.
 #[derive(Debug)]
 enum Peer {
@@ -322,10 +332,13 @@
         if self.discarded_bytes > 0 {
             return None;
         }
-        let max_bytes = self.shared.process_share(limits.memory.incoming_bytes);
+        // If the system call fails, the space of a complete read is taken.
+        let available =
+            rustix::io::ioctl_fionread(stream).map_or(limits.read_chunk_bytes, |bytes| bytes as usize);
         let is_long = self.is_long(limits);
-        if is_long {
-            let need = self.long_message_need(max_bytes, limits);
+        // Nothing is reserved for a client that has sent nothing further.
+        if is_long && available > 0 {
+            let need = self.long_message_need(limits);
             if !memory.covers(need.bytes) {
                 return Some(need);
             }
@@ -335,11 +348,9 @@
         if is_long && has_space && self.body.is_none() {
             return None;
         }
-        // If the system call fails, the space of a complete read is taken.
-        let available =
-            rustix::io::ioctl_fionread(stream).map_or(limits.read_chunk_bytes, |bytes| bytes as usize);
         let additional = available.clamp(MIN_READ_BYTES, limits.read_chunk_bytes);
         let capacity = self.capacity() - self.bytes.capacity() + self.bytes.len() + additional;
+        let max_bytes = self.max_short_bytes(capacity, limits);
         if self.shared.incoming.try_allocate(&memory, capacity, max_bytes) {
             self.bytes.reserve_exact(additional);
             return None;
@@ -349,31 +360,35 @@
 
     /// Counts the memory of the decoded head of the current message, if it is available. The caller allocates it next.
     pub fn try_allocate_head(&self, head_bytes: usize, limits: &Limits) -> bool {
-        let max_bytes = self.shared.process_share(limits.memory.incoming_bytes);
         let bytes = self.capacity() + head_bytes;
+        let max_bytes = self.max_short_bytes(bytes, limits);
         self.message_memory()
             .is_none_or(|memory| self.shared.incoming.try_allocate(&memory, bytes, max_bytes))
     }
 
     /// Waits until the memory of the decoded head of the current message is reserved.
     pub async fn reserve_head(&mut self, head_bytes: usize, limits: &Limits) {
-        let max_bytes = self.shared.process_share(limits.memory.incoming_bytes);
         let bytes = self.capacity() + head_bytes;
+        let max_bytes = self.max_short_bytes(bytes, limits);
         self.reserve(Need { bytes, announced: bytes, max_bytes, is_long: false }).await;
     }
 
     /// Returns the memory for a long message, or for a head and a long body that is read in parts.
-    fn long_message_need(&self, max_bytes: usize, limits: &Limits) -> Need {
-        let max_long_bytes = max_bytes / LONG_MESSAGES_DIVISOR;
+    fn long_message_need(&self, limits: &Limits) -> Need {
         let parts = if self.body.is_some() { self.head_memory + limits.read_chunk_bytes } else { 0 };
         Need {
             bytes: self.expected_bytes + parts,
             announced: self.announced_bytes,
-            max_bytes: max_long_bytes,
+            max_bytes: self.shared.process_share(limits.memory.long_incoming_bytes),
             is_long: true,
         }
     }
 
+    /// Returns the memory that a short message of this length may take together with all others.
+    fn max_short_bytes(&self, message_bytes: usize, limits: &Limits) -> usize {
+        max_short_bytes(message_bytes, self.shared.process_share(limits.memory.short_incoming_bytes))
+    }
+
     /// Allocates the memory for a long message, which is reserved.
     fn allocate_long_message(&mut self) {
         let expected = self.expected_bytes;
--- a/src/net/runtime/startup.rs
+++ b/src/net/runtime/startup.rs
@@ -46,7 +46,8 @@
     let machine = limits.memory.machine_bytes;
     tracing::info!(
         machine,
-        incoming = limits.memory.incoming_bytes,
+        short_messages = limits.memory.short_incoming_bytes,
+        long_messages = limits.memory.long_incoming_bytes,
         outgoing = limits.memory.outgoing_bytes,
         statements = limits.memory.statement_bytes,
         "memory in bytes"
