--- a/src/net/connection/peer_close.rs
+++ b/src/net/connection/peer_close.rs
@@ -6,7 +6,7 @@
 use tokio::time::sleep;
 
 /// Interval of checks for a closed connection whose bytes are not read.
-const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Returns whether the peer has closed the connection or its side of it, or the connection has failed. If the system call fails, the
 /// connection counts as open.
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -30,6 +30,42 @@
     );
 }
 
+/// The limits of all owners, and what is not counted byte by byte, used to exceed a small machine together.
+#[rstest]
+fn limits_of_memory_stay_within_the_machine(
+    #[values(16, 24, 32, 48, 96, 192)] memory_mb: usize,
+    #[values(256, 1_024)] sockets: usize,
+    #[values(false, true)] may_hot_restart: bool,
+) {
+    /// Memory that a process takes at rest with nothing connected, rounded up.
+    const PROCESS_BYTES: usize = 5_200_000;
+    /// Memory that a connection takes beside what is counted.
+    const CONNECTION_BYTES: usize = 4_000;
+    let mut settings = BTreeMap::from([
+        ("machine.sockets".to_owned(), sockets.to_string()),
+        ("machine.memory_mb".to_owned(), memory_mb.to_string()),
+    ]);
+    settings.extend(may_hot_restart.then(|| ("gateway.operator".to_owned(), "127.0.0.1:1".to_owned())));
+    let limits = Limits::read(&Fields::new("settings", settings)).expect("numbers");
+    let memory = limits.memory;
+    let connections = limits.max_client_connections + limits.max_engine_connections;
+    let processes = 1 + usize::from(may_hot_restart);
+    let counted = memory.statement_bytes
+        + memory.outgoing_bytes
+        + memory.short_incoming_bytes
+        + memory.long_incoming_bytes;
+    let sum = counted + processes * PROCESS_BYTES + connections * CONNECTION_BYTES;
+    assert!(memory.long_incoming_bytes > processes * limits.max_message_bytes, "{memory:?}");
+    if memory_mb << 20 >= memory.least_machine_bytes {
+        assert!(sum <= memory_mb << 20, "{sum} bytes of {memory_mb} MiB: {memory:?}");
+    } else {
+        assert!(
+            may_hot_restart && memory_mb < 32,
+            "one process fits into 16 MiB, and two into 32: {memory:?}"
+        );
+    }
+}
+
 /// SIGKILL follows SIGTERM after the longest request deadline, capped at 3 s, plus 0.7 s. Before that the process must have answered
 /// its requests and closed its connections, with a margin.
 #[rstest]
