A dropped wait for memory holds up no other message

A wait for memory that was dropped (the query before was answered, a check was due) kept its position until the message ended. If the memory for the next read was then there without a wait, or the client sent nothing more, the message stayed the first of those that wait with nobody to take what it waited for, and all others of its kind waited behind it.

The position of a dropped wait is left, and taken again by the next call; memory that is allocated without a wait ends it.

--- a/src/net/connection/incoming_memory.rs
+++ b/src/net/connection/incoming_memory.rs
@@ -286,20 +286,22 @@
         let need = Need { bytes, announced: bytes, max_bytes, is_long: false };
         let fits = !memory.is_long.get() && self.missing(memory, need) == 0;
         if fits || is_covered {
+            memory.rank.set(None);
             self.set_allocated(memory, bytes.max(memory.allocated.get()));
         }
         fits || is_covered
     }
 
     /// Reserves memory for a complete message, once it is available and no message waits that goes first.
-    /// A call that is dropped retains its position among the waiting messages until [`release`](Self::release).
+    /// A message whose call is dropped does not hold up others; its next call takes the position of the first one, until
+    /// [`release`](Self::release).
     pub(super) async fn reserve(&self, memory: &Rc<MessageMemory>, need: Need) {
         if memory.rank.get().is_none() {
             let delay = DELAY_PER_BYTE * need.announced.try_into().unwrap_or(u32::MAX);
             memory.rank.set(Some(Instant::now() + delay));
-            self.waiting.borrow_mut().push(memory.clone());
         }
         memory.waits_as_long.set(need.is_long);
+        let position = Position::take(self, memory);
         let refused_at = Instant::now() + MAX_LONG_MESSAGE_WAIT;
         while !self.may_reserve(memory, need) {
             if self.is_first(memory) {
@@ -310,7 +312,8 @@
             }
             let _ = timeout(RELEASE_CHECK_INTERVAL, memory.may_reserve.notified()).await;
         }
-        self.stop_waiting(memory);
+        drop(position);
+        memory.rank.set(None);
         self.set_reserved(memory, need.bytes, need.is_long);
         memory.begin_message();
         self.notify_first();
@@ -325,18 +328,12 @@
 
     /// Releases the reservation of a message, and its place among the waiting messages.
     pub(super) fn release(&self, memory: &Rc<MessageMemory>) {
-        self.stop_waiting(memory);
+        memory.rank.set(None);
         self.set_reserved(memory, 0, false);
         memory.begin_message();
         self.notify_first();
     }
 
-    fn stop_waiting(&self, memory: &Rc<MessageMemory>) {
-        if memory.rank.take().is_some() {
-            self.waiting.borrow_mut().retain(|waiting| !Rc::ptr_eq(waiting, memory));
-        }
-    }
-
     fn update(&self, memory: &MessageMemory, change: impl FnOnce(&MessageMemory)) {
         let (before, long_before) = (memory.counted(), memory.long_bytes());
         change(memory);
@@ -402,5 +399,25 @@
     }
 }
 
+/// Position of a message among those that wait, which it leaves on drop: nobody would use it any more.
+struct Position<'a> {
+    pool: &'a IncomingMemory,
+    memory: &'a Rc<MessageMemory>,
+}
+
+impl<'a> Position<'a> {
+    fn take(pool: &'a IncomingMemory, memory: &'a Rc<MessageMemory>) -> Self {
+        pool.waiting.borrow_mut().push(memory.clone());
+        Self { pool, memory }
+    }
+}
+
+impl Drop for Position<'_> {
+    fn drop(&mut self) {
+        self.pool.waiting.borrow_mut().retain(|waiting| !Rc::ptr_eq(waiting, self.memory));
+        self.pool.notify_first();
+    }
+}
+
 #[cfg(test)]
 mod tests;
