Tests of crowds have usual clients over HTTP, longer requests, and clients that send ahead

The usual clients beside a crowd spoke Thrift alone and sent requests of 100 bytes. Half of them speak HTTP now, and each third request on a connection has 6 KB. A new crowd sends 400 queries ahead over HTTP and reads nothing, so that its unread requests hold memory.

--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -5,7 +5,7 @@
 
 use stand::requests::{name, served};
 use stand::*;
-use std::io::{ErrorKind, Write};
+use std::io::{BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Condvar, Mutex};
 use std::thread;
@@ -24,6 +24,9 @@
 const LATE_ANSWER_WAIT: Duration = Duration::from_secs(3);
 /// Time between two requests of a usual client.
 const THINK_TIME: Duration = Duration::from_millis(100);
+/// Length of the longer statements of usual clients, in bytes, and the number of requests on a connection from one to the next.
+const LONGER_STATEMENT_BYTES: usize = 6_000;
+const LONGER_STATEMENT_INTERVAL: usize = 3;
 /// Time for which usual clients send requests.
 const DURATION: Duration = Duration::from_secs(3);
 /// Number of usual clients.
@@ -80,7 +83,7 @@
     fn address(self, gateway: &Gateway) -> SocketAddr {
         match self {
             Self::Thrift | Self::ThriftShort => gateway.thrift,
-            _ => gateway.http.expect("an HTTP address"),
+            _ => http_address(gateway),
         }
     }
 
@@ -116,6 +119,10 @@
     }
 }
 
+fn http_address(gateway: &Gateway) -> SocketAddr {
+    gateway.http.expect("an HTTP address")
+}
+
 /// What the usual clients of one run saw.
 #[derive(Debug, Default)]
 struct Answers {
@@ -136,56 +143,91 @@
     }
 }
 
-/// Sends requests one after the other, on one connection or each on a new one.
-fn run_usual_client(address: SocketAddr, number: usize, keeps_connection: bool) -> Answers {
-    let mut answers = Answers::default();
-    let began = Instant::now();
-    let (mut client, mut sequence) = (None, 0);
-    while began.elapsed() < DURATION {
-        answers.requests += 1;
-        sequence += 1;
-        let name = name(number * 1_000_000 + answers.requests);
-        let sent_at = Instant::now();
-        // The gateway may have closed a connection that rested: the request is sent again on a new one.
-        let on_open = client.take().map(|stream| send_request(stream, sequence, &name));
-        let answer = on_open.and_then(Result::ok).map_or_else(
-            || {
-                sequence = 1;
-                send_request(TcpStream::connect(address)?, sequence, &name)
-            },
-            Ok,
-        );
-        match answer {
-            Ok((kind, stream)) => {
-                answers.served += usize::from(kind == "served");
-                if sent_at.elapsed() > LIMIT + SLACK {
-                    answers.late.push(sent_at.elapsed());
+/// How a usual client sends its requests.
+#[derive(Debug, Clone, Copy)]
+struct UsualClient {
+    number: usize,
+    thrift: SocketAddr,
+    http: SocketAddr,
+}
+
+impl UsualClient {
+    /// Returns whether the client sends all requests on one connection, or each on a new one.
+    fn keeps_connection(self) -> bool {
+        self.number % 2 == 0
+    }
+
+    fn uses_http(self) -> bool {
+        self.number % 4 >= 2
+    }
+
+    /// Sends requests one after the other.
+    fn run(self) -> Answers {
+        let mut answers = Answers::default();
+        let began = Instant::now();
+        let (mut client, mut sequence) = (None, 0);
+        while began.elapsed() < DURATION {
+            answers.requests += 1;
+            sequence += 1;
+            let name = name((self.number + 1) * 1_000_000 + answers.requests);
+            let sent_at = Instant::now();
+            // The gateway may have closed a connection that rested: the request is sent again on a new one.
+            let on_open = client.take().map(|stream| self.send(stream, sequence, &name));
+            let answer = on_open.and_then(Result::ok).map_or_else(
+                || {
+                    sequence = 1;
+                    self.send(self.connect()?, sequence, &name)
+                },
+                Ok,
+            );
+            match answer {
+                Ok((is_served, stream)) => {
+                    answers.served += usize::from(is_served);
+                    if sent_at.elapsed() > LIMIT + SLACK {
+                        answers.late.push(sent_at.elapsed());
+                    }
+                    client = Some(stream).filter(|_| self.keeps_connection());
                 }
-                client = Some(stream).filter(|_| keeps_connection);
+                Err(_) => answers.unanswered += 1,
             }
-            Err(_) => answers.unanswered += 1,
+            thread::sleep(THINK_TIME);
         }
-        thread::sleep(THINK_TIME);
+        answers
     }
-    answers
-}
 
-/// Sends a request, and returns the kind of its answer.
-fn send_request(
-    mut stream: TcpStream,
-    sequence: i32,
-    name: &str,
-) -> std::io::Result<(&'static str, TcpStream)> {
-    stream.set_read_timeout(Some(LIMIT + LATE_ANSWER_WAIT))?;
-    let limit = LIMIT.as_millis().to_string();
-    let fields = [("verb", "lookup"), ("txn", name), ("limit", &*limit)];
-    stream.write_all(&call(sequence, &fields, "select 1"))?;
-    let mut next = [0];
-    if stream.peek(&mut next)? == 0 {
-        return Err(ErrorKind::UnexpectedEof.into());
+    fn connect(self) -> std::io::Result<TcpStream> {
+        TcpStream::connect(if self.uses_http() { self.http } else { self.thrift })
+    }
+
+    /// Sends a request, and returns whether its answer is that it was served.
+    fn send(self, mut stream: TcpStream, sequence: i32, name: &str) -> std::io::Result<(bool, TcpStream)> {
+        stream.set_read_timeout(Some(LIMIT + LATE_ANSWER_WAIT))?;
+        stream.write_all(&self.request(sequence, name))?;
+        let mut next = [0];
+        if stream.peek(&mut next)? == 0 {
+            return Err(ErrorKind::UnexpectedEof.into());
+        }
+        let is_served = if self.uses_http() {
+            let (head, _) = read_http(&mut BufReader::new(&stream)).ok_or(ErrorKind::UnexpectedEof)?;
+            head[0].starts_with("HTTP/1.1 200")
+        } else {
+            answer(&mut stream).1 == "served"
+        };
+        Ok((is_served, stream))
+    }
+
+    fn request(self, sequence: i32, name: &str) -> Vec<u8> {
+        let is_longer = sequence as usize % LONGER_STATEMENT_INTERVAL == 0;
+        let comment = "x".repeat(if is_longer { LONGER_STATEMENT_BYTES } else { 0 });
+        let statement = format!("select 1 -- {comment}");
+        if self.uses_http() {
+            let target = format!("/?query_id={name}&max_execution_time={}", LIMIT.as_secs_f64());
+            let length = statement.len();
+            return format!("POST {target} HTTP/1.1\r\nContent-Length: {length}\r\n\r\n{statement}").into();
+        }
+        let limit = LIMIT.as_millis().to_string();
+        call(sequence, &[("verb", "lookup"), ("txn", name), ("limit", &*limit)], &statement)
     }
-    let (_, kind, _) = answer(&mut stream);
-    Ok((kind, stream))
 }
 
 /// Starts a gateway with this memory on one core, before an engine that answers with these rows.
@@ -215,10 +257,8 @@
     wait_until(|| crowd.connected() >= clients * 9 / 10);
     let answers = thread::scope(|scope| {
         let usual: Vec<_> = (0..USUAL_CLIENTS)
-            .map(|number| {
-                let address = gateway.thrift;
-                scope.spawn(move || run_usual_client(address, number + 1, number % 2 == 0))
-            })
+            .map(|number| UsualClient { number, thrift: gateway.thrift, http: http_address(&gateway) })
+            .map(|client| scope.spawn(move || client.run()))
             .collect();
         let mut all = Answers::default();
         usual.into_iter().for_each(|client| all.add(client.join().expect("a usual client")));
@@ -329,3 +369,18 @@
         assert_bounded(gateway, crowd, clients, memory_mb, &format!("NeverRead {clients} clients"));
     }
 }
+
+/// Requests that clients send ahead of their reading used to hold the memory for the messages of all others.
+#[test]
+fn clients_that_send_ahead_and_do_not_read_do_not_delay_usual_clients() {
+    const QUERIES: usize = 400;
+    let rows: &'static str = "a\tb\tc\n".repeat(10_000).leak();
+    let query = "POST / HTTP/1.1\r\nContent-Length: 8\r\n\r\nselect 1";
+    for (clients, memory_mb) in [(500, 48), (300, 24), (500, 16)] {
+        let _running = RunningCrowd::begin();
+        let gateway = start_gateway(memory_mb, rows);
+        let queries = query.repeat(QUERIES).into_bytes();
+        let crowd = Crowd::start(http_address(&gateway), queries, Sending::NeverRead, clients);
+        assert_bounded(gateway, crowd, clients, memory_mb, &format!("SendAhead {clients} clients"));
+    }
+}
--- a/tests/stand/crowd.rs
+++ b/tests/stand/crowd.rs
@@ -9,6 +9,8 @@
 
 /// Time between two looks at all clients.
 const STEP: Duration = Duration::from_millis(5);
+/// Size of the receive buffer of a client that does not read, in bytes.
+const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
 /// Maximum number of bytes that one client writes in a step.
 const MAX_WRITE: usize = 128 << 10;
 
@@ -94,6 +96,10 @@
 impl Client {
     fn connect(address: SocketAddr, sending: Sending, length: usize, number: usize) -> Self {
         let stream = TcpStream::connect(address).expect("connected");
+        if sending == Sending::NeverRead {
+            let set = rustix::net::sockopt::set_socket_recv_buffer_size(&stream, RECEIVE_BUFFER_BYTES);
+            set.expect("a socket option");
+        }
         stream.set_nonblocking(true).expect("set");
         let now = Instant::now();
         // Spreads the clients without a source of random numbers.
