--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -154,7 +154,7 @@
 impl UsualClient {
     /// Returns whether the client sends all requests on one connection, or each on a new one.
     fn keeps_connection(self) -> bool {
-        self.number % 2 == 0
+        self.number.is_multiple_of(2)
     }
 
     fn uses_http(self) -> bool {
@@ -217,7 +217,7 @@
     }
 
     fn request(self, sequence: i32, name: &str) -> Vec<u8> {
-        let is_longer = sequence as usize % LONGER_STATEMENT_INTERVAL == 0;
+        let is_longer = (sequence as usize).is_multiple_of(LONGER_STATEMENT_INTERVAL);
         let comment = "x".repeat(if is_longer { LONGER_STATEMENT_BYTES } else { 0 });
         let statement = format!("select 1 -- {comment}");
         if self.uses_http() {
