Messages behind open requests and unread answers give up their memory when it is scarce

Callers saw: usual requests in 16 MiB waited for memory that clients held which had sent queries ahead over HTTP and read nothing.

Cause: up to 16 KiB of requests were read behind an open one, or behind answers that wait for their reader, however scarce memory was, and none of them could be requested to release it: only a task that awaits bytes was. Nothing is read ahead now while more than half of the memory for short messages is taken, and a client that has blocked its answers for the time of a stalled one is closed if another message needs its memory.

Measured: the new unit test fails without the change to may_read_ahead by its definition (the former condition looked at the length alone).

--- a/src/net/connection/incoming_memory.rs
+++ b/src/net/connection/incoming_memory.rs
@@ -274,6 +274,11 @@
         self.notify_first();
     }
 
+    /// Returns the number of bytes that short messages and the first parts of long ones take.
+    pub(super) fn short_bytes(&self) -> usize {
+        self.used.bytes() - self.long.bytes()
+    }
+
     /// Sets the number of bytes that are allocated for a message.
     pub(super) fn set_allocated(&self, memory: &MessageMemory, bytes: usize) {
         self.update(memory, |memory| memory.allocated.set(bytes));
@@ -355,7 +360,7 @@
         let (others, additional) = if need.is_long {
             (self.long.bytes(), need.bytes.saturating_sub(memory.long_bytes()))
         } else {
-            (self.used.bytes() - self.long.bytes(), need.bytes.saturating_sub(memory.counted()))
+            (self.short_bytes(), need.bytes.saturating_sub(memory.counted()))
         };
         (others + additional).saturating_sub(need.max_bytes)
     }
--- a/src/net/connection/read_buffer.rs
+++ b/src/net/connection/read_buffer.rs
@@ -17,6 +17,8 @@
 /// Minimum space for a read from a client, in bytes.
 const MIN_READ_BYTES: usize = 256;
 
+/// Divisor of the memory for short messages that gives the part from which on it is scarce.
+const SCARCE_MEMORY_DIVISOR: usize = 2;
 /// Length of a message, in bytes, up to which it may take all of the memory. Longer ones leave a part to it, so that usual requests do not
 /// wait for them.
 const SMALL_MESSAGE_BYTES: usize = 2 << 10;
@@ -424,6 +426,17 @@
         }
     }
 
+    fn is_memory_scarce(&self, limits: &Limits) -> bool {
+        let max_short = self.shared.process_share(limits.memory.short_incoming_bytes);
+        self.shared.incoming.short_bytes() > max_short / SCARCE_MEMORY_DIVISOR
+    }
+
+    /// Returns whether messages behind an open request may be read: a limited number of bytes, and none while memory is scarce, as they
+    /// could not release it before the answer.
+    pub fn may_read_ahead(&self, limits: &Limits) -> bool {
+        self.unread().len() < limits.read_chunk_bytes && !self.is_memory_scarce(limits)
+    }
+
     /// Returns the memory that a short message of this length may take together with all others.
     fn max_short_bytes(&self, message_bytes: usize, limits: &Limits) -> usize {
         max_short_bytes(message_bytes, self.shared.process_share(limits.memory.short_incoming_bytes))
@@ -503,3 +516,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/connection/read_buffer/tests.rs
@@ -0,0 +1,74 @@
+use super::*;
+use crate::simulator::Fields;
+use std::collections::BTreeMap;
+use std::future::Future;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+/// Number of bytes that the client sends at once.
+const SENT_BYTES: usize = 8_000;
+
+fn run(test: impl Future<Output = ()>) {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime").block_on(test);
+}
+
+fn limits() -> Limits {
+    Limits::read(&Fields::new("settings", BTreeMap::new())).expect("default limits are valid")
+}
+
+/// A client that has sent [`SENT_BYTES`], and the buffer into which they are read.
+struct Reading {
+    shared: Rc<SharedState>,
+    limits: Limits,
+    buffer: ReadBuffer,
+    stream: TcpStream,
+    _client: TcpStream,
+}
+
+impl Reading {
+    async fn begin() -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let mut client = TcpStream::connect(address).await.expect("connected");
+        let (stream, peer) = listener.accept().await.expect("accepted");
+        client.write_all(&[b'x'; SENT_BYTES]).await.expect("sent");
+        let shared = SharedState::new(1);
+        let memory = shared.incoming.add_connection();
+        let share = shared.scheduler.new_connection(peer);
+        let progress = ReadProgress::new(shared.read_barrier.read_until());
+        let buffer = ReadBuffer::for_client(shared.clone(), share, progress, memory);
+        Self { shared, limits: limits(), buffer, stream, _client: client }
+    }
+
+    /// Lets another message take so much memory that it is scarce.
+    fn make_memory_scarce(&self) {
+        let bytes = self.limits.memory.short_incoming_bytes / SCARCE_MEMORY_DIVISOR + 1;
+        self.shared.incoming.set_allocated(&self.shared.incoming.add_connection(), bytes);
+    }
+
+    /// Reads once, and returns the number of unread bytes.
+    async fn read(&mut self) -> usize {
+        assert!(self.buffer.fill(&self.stream, &self.limits).await.expect("read"));
+        self.buffer.unread().len()
+    }
+}
+
+#[test]
+fn all_that_has_arrived_is_read_while_there_is_memory() {
+    run(async {
+        let mut reading = Reading::begin().await;
+        assert_eq!(reading.read().await, SENT_BYTES);
+        assert!(reading.buffer.may_read_ahead(&reading.limits));
+    });
+}
+
+/// Requests behind an open one used to take memory that they cannot release before its answer.
+#[test]
+fn nothing_is_read_ahead_while_memory_is_scarce() {
+    run(async {
+        let reading = Reading::begin().await;
+        assert!(reading.buffer.may_read_ahead(&reading.limits));
+        reading.make_memory_scarce();
+        assert!(!reading.buffer.may_read_ahead(&reading.limits));
+    });
+}
--- a/src/net/front/clickhouse/session.rs
+++ b/src/net/front/clickhouse/session.rs
@@ -99,8 +99,7 @@
 /// Waits until the open query is answered. Returns `Break` if the client has disconnected.
 async fn wait_for_answer(stream: &TcpStream, session: &Session, buffer: &mut ReadBuffer) -> ControlFlow<()> {
     loop {
-        // At most `read_chunk_bytes` of pipelined requests are read ahead.
-        let may_read = buffer.unread().len() < session.limits.read_chunk_bytes;
+        let may_read = buffer.may_read_ahead(&session.limits);
         tokio::select! {
             () = session.answered.notified() => return ControlFlow::Continue(()),
             filled = buffer.fill(stream, &session.limits), if may_read => {
--- a/src/net/front/client_connection.rs
+++ b/src/net/front/client_connection.rs
@@ -239,11 +239,19 @@
         if self.write_queue.memory() <= limits.memory.unread_answer_bytes {
             return true;
         }
+        let awaited_reader = self.memory.await_bytes();
         loop {
             tokio::select! {
                 () = self.write_queue.wait_for_memory(limits.memory.unread_answer_bytes) => return true,
                 () = sleep(DISCONNECT_CHECK_INTERVAL) => {}
             }
+            // The bytes that were read ahead are held until the client reads.
+            if awaited_reader.is_release_requested()
+                && self.write_queue.blocked_for() >= limits.min_stall_before_eviction
+            {
+                self.set_close_reason(CloseReason::IncomingMemoryExhausted);
+                return false;
+            }
             if is_closed_by_peer(stream) {
                 self.set_disconnected();
                 return false;
--- a/src/net/front/close_reason.rs
+++ b/src/net/front/close_reason.rs
@@ -15,7 +15,8 @@
     Evicted,
     /// The client stopped sending, before the first answer or inside a message.
     Silent,
-    /// The client stopped sending inside a message, and the message of another client needs its memory.
+    /// The client stopped sending inside a message, or does not read while messages behind its answers are held, and the message of
+    /// another client needs the memory.
     IncomingMemoryExhausted,
     /// No request was received or answered within the idle timeout.
     Idle,
@@ -89,7 +90,7 @@
             | Self::Idle
             | Self::NotPersistent => None,
             Self::IncomingMemoryExhausted => Some(
-                "the memory for incomplete messages is exhausted; closing the connection of a client that stopped sending",
+                "the memory for incomplete messages is exhausted; closing the connection of a client that stopped sending or reading",
             ),
             Self::MessageTooLong => Some("a client message exceeds the maximum message size; closing the connection"),
             Self::MalformedMessage => Some("a client message cannot be decoded; closing the connection"),
