While memory is scarce, little is read of a message until its length is known

Cause: each client's first read took what had arrived, up to 16 KiB, before anything was known of the message; 70 clients took all memory of 16 MiB for short messages, and the others could not show that they had sent a whole request, or had left. Their slots waited with them.

From half of the memory on, a read without a reservation takes at most 1 KiB, and a short message whose length is known reserves all of its rest at once, so that it waits no more than once. With 600 clients all first reads fit.

Unit tests of the new reads are in read_buffer/tests.rs.

--- a/src/net/connection/incoming_memory.rs
+++ b/src/net/connection/incoming_memory.rs
@@ -287,14 +287,23 @@
     /// Counts `bytes` as allocated for a message, if all short messages together stay within `max_bytes`. The caller allocates them
     /// next. Returns whether they are counted.
     pub(super) fn try_allocate(&self, memory: &MessageMemory, bytes: usize, max_bytes: usize) -> bool {
-        let is_covered = memory.covers(bytes);
         let need = Need { bytes, announced: bytes, max_bytes, is_long: false };
-        let fits = !memory.is_long.get() && self.missing(memory, need) == 0;
-        if fits || is_covered {
+        let fits = memory.covers(bytes) || (!memory.is_long.get() && self.missing(memory, need) == 0);
+        if fits {
             memory.rank.set(None);
             self.set_allocated(memory, bytes.max(memory.allocated.get()));
         }
-        fits || is_covered
+        fits
+    }
+
+    /// Reserves memory for a short message if it is available now. Returns whether it is.
+    pub(super) fn try_reserve(&self, memory: &MessageMemory, need: Need) -> bool {
+        let fits = memory.covers(need.bytes) || (!memory.is_long.get() && self.missing(memory, need) == 0);
+        if fits {
+            memory.rank.set(None);
+            self.set_reserved(memory, need.bytes.max(memory.reserved.get()), memory.is_long.get());
+        }
+        fits
     }
 
     /// Reserves memory for a complete message, once it is available and no message waits that goes first.
--- a/src/net/connection/incoming_memory/tests.rs
+++ b/src/net/connection/incoming_memory/tests.rs
@@ -276,3 +276,15 @@
         assert!(memory.release_order(Instant::now()).is_some());
     });
 }
+
+#[test]
+fn memory_of_a_short_message_is_reserved_without_a_wait_if_it_is_available() {
+    let pool = IncomingMemory::default();
+    let [first, second] = [0; 2].map(|_| pool.add_connection());
+    assert!(pool.try_reserve(&first, short_need(60, LIMIT)));
+    assert!(!pool.try_reserve(&second, short_need(60, LIMIT)));
+    assert!(pool.try_reserve(&first, short_need(10, 0)), "it is counted already");
+    assert_eq!(pool.short_bytes(), 60);
+    pool.release(&first);
+    assert!(pool.try_reserve(&second, short_need(60, LIMIT)));
+}
--- a/src/net/connection/read_buffer.rs
+++ b/src/net/connection/read_buffer.rs
@@ -17,6 +17,8 @@
 /// Minimum space for a read from a client, in bytes.
 const MIN_READ_BYTES: usize = 256;
 
+/// Maximum length of a read without a reservation while memory is scarce, in bytes.
+const SCARCE_READ_BYTES: usize = 1 << 10;
 /// Divisor of the memory for short messages that gives the part from which on it is scarce.
 const SCARCE_MEMORY_DIVISOR: usize = 2;
 /// Length of a message, in bytes, up to which it may take all of the memory. Longer ones leave a part to it, so that usual requests do not
@@ -390,14 +392,32 @@
         if is_long && has_space && self.body.is_none() {
             return None;
         }
-        let additional = available.clamp(MIN_READ_BYTES, limits.read_chunk_bytes);
-        let capacity = self.capacity() - self.bytes.capacity() + self.bytes.len() + additional;
-        let max_bytes = self.max_short_bytes(capacity, limits);
-        if self.shared.incoming.try_allocate(&memory, capacity, max_bytes) {
+        let fixed = self.capacity() - self.bytes.capacity() + self.bytes.len();
+        if let Some(rest) = self.rest_of_short_message(limits) {
+            let need = self.short_message_need(fixed + rest, limits);
+            if !self.shared.incoming.try_reserve(&memory, need) {
+                return Some(need);
+            }
+        }
+        let additional = available.clamp(MIN_READ_BYTES, self.max_read_bytes(&memory, limits));
+        let need = self.short_message_need(fixed + additional, limits);
+        if self.shared.incoming.try_allocate(&memory, need.bytes, need.max_bytes) {
             self.bytes.reserve_exact(additional);
             return None;
         }
-        Some(Need { bytes: capacity, announced: capacity, max_bytes, is_long: false })
+        Some(need)
+    }
+
+    /// Returns the length of the rest of a short message whose length is known, and of which the first bytes have arrived: all of it is
+    /// reserved at once while memory is scarce, so that it waits no more than once.
+    fn rest_of_short_message(&self, limits: &Limits) -> Option<usize> {
+        let is_known = self.expected_bytes > 0 && !self.is_long(limits);
+        (is_known && self.is_memory_scarce(limits))
+            .then(|| self.expected_bytes.saturating_sub(self.received_bytes()))
+    }
+
+    fn short_message_need(&self, bytes: usize, limits: &Limits) -> Need {
+        Need { bytes, announced: bytes, max_bytes: self.max_short_bytes(bytes, limits), is_long: false }
     }
 
     /// Counts the memory of the decoded head of the current message, if it is available. The caller allocates it next.
@@ -410,9 +430,8 @@
 
     /// Waits until the memory of the decoded head of the current message is reserved.
     pub async fn reserve_head(&mut self, head_bytes: usize, limits: &Limits) {
-        let bytes = self.capacity() + head_bytes;
-        let max_bytes = self.max_short_bytes(bytes, limits);
-        self.reserve(Need { bytes, announced: bytes, max_bytes, is_long: false }).await;
+        let need = self.short_message_need(self.capacity() + head_bytes, limits);
+        self.reserve(need).await;
     }
 
     /// Returns the memory for a long message, or for a head and a long body that is read in parts.
@@ -426,6 +445,16 @@
         }
     }
 
+    /// Returns the maximum length of the next read. While memory is scarce, little is read of a message whose length is not known or that
+    /// has no reservation, so that many clients can show what they send.
+    fn max_read_bytes(&self, memory: &MessageMemory, limits: &Limits) -> usize {
+        if self.is_memory_scarce(limits) && !memory.covers(self.capacity() + limits.read_chunk_bytes) {
+            SCARCE_READ_BYTES
+        } else {
+            limits.read_chunk_bytes
+        }
+    }
+
     fn is_memory_scarce(&self, limits: &Limits) -> bool {
         let max_short = self.shared.process_share(limits.memory.short_incoming_bytes);
         self.shared.incoming.short_bytes() > max_short / SCARCE_MEMORY_DIVISOR
--- a/src/net/connection/read_buffer/tests.rs
+++ b/src/net/connection/read_buffer/tests.rs
@@ -20,6 +20,7 @@
 struct Reading {
     shared: Rc<SharedState>,
     limits: Limits,
+    memory: Rc<MessageMemory>,
     buffer: ReadBuffer,
     stream: TcpStream,
     _client: TcpStream,
@@ -36,8 +37,8 @@
         let memory = shared.incoming.add_connection();
         let share = shared.scheduler.new_connection(peer);
         let progress = ReadProgress::new(shared.read_barrier.read_until());
-        let buffer = ReadBuffer::for_client(shared.clone(), share, progress, memory);
-        Self { shared, limits: limits(), buffer, stream, _client: client }
+        let buffer = ReadBuffer::for_client(shared.clone(), share, progress, memory.clone());
+        Self { shared, limits: limits(), memory, buffer, stream, _client: client }
     }
 
     /// Lets another message take so much memory that it is scarce.
@@ -62,6 +63,30 @@
     });
 }
 
+/// Each message used to take the memory of a complete read, so that few of many clients could show what they send.
+#[test]
+fn little_is_read_of_a_message_of_unknown_length_while_memory_is_scarce() {
+    run(async {
+        let mut reading = Reading::begin().await;
+        reading.make_memory_scarce();
+        assert_eq!(reading.read().await, SCARCE_READ_BYTES);
+        assert_eq!(reading.read().await, 2 * SCARCE_READ_BYTES);
+        assert!(!reading.memory.covers(SENT_BYTES));
+    });
+}
+
+#[test]
+fn rest_of_a_short_message_is_reserved_at_once_while_memory_is_scarce() {
+    run(async {
+        let mut reading = Reading::begin().await;
+        reading.make_memory_scarce();
+        reading.read().await;
+        reading.buffer.expect_message(SENT_BYTES);
+        reading.read().await;
+        assert!(reading.memory.covers(SENT_BYTES));
+    });
+}
+
 /// Requests behind an open one used to take memory that they cannot release before its answer.
 #[test]
 fn nothing_is_read_ahead_while_memory_is_scarce() {
