Memory of messages, space for reads and eviction are modules; tests share their limit of runs

The memory of one message, the space for a client's read, and the eviction of connections are modules of their own now. The limit of tests that run at a time stood twice, as did the beginning of two rejected bodies. No behaviour and no assertion is changed.

--- a/src/net/connection/incoming_memory/tests.rs
+++ b/src/net/connection/incoming_memory/tests.rs
@@ -1,3 +1,4 @@
+use super::message_memory::{Progress, MAX_REMAINING_TIME_WHILE_OTHERS_WAIT, MIN_RELEASED_BYTES};
 use super::*;
 use std::future::Future;
 use std::pin::pin;
--- a/src/net/connection/read_buffer/tests.rs
+++ b/src/net/connection/read_buffer/tests.rs
@@ -1,3 +1,4 @@
+use super::message_space::{SCARCE_MEMORY_DIVISOR, SCARCE_READ_BYTES};
 use super::*;
 use crate::simulator::Fields;
 use std::collections::BTreeMap;
--- a/src/net/front/client_connection.rs
+++ b/src/net/front/client_connection.rs
@@ -1,5 +1,9 @@
 //! A client's connection: its open requests and the conditions under which it is closed.
 
+mod eviction;
+
+pub use eviction::{Evictable, EvictableKind};
+
 use crate::limits::Limits;
 use crate::net::connection::frame::Frame;
 use crate::net::connection::{
@@ -21,26 +25,6 @@
 /// notified of a disconnect within 100 ms.
 pub(super) const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Kind of connection that may be evicted, in the order in which they are.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum EvictableKind {
-    /// The client has no request open and has sent nothing.
-    Idle,
-    /// The client's message was rejected, and its rest is discarded.
-    Rejected,
-    /// The client stopped inside a message.
-    Stalled,
-}
-
-/// State in which a connection may be evicted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Evictable {
-    /// Kind of connection.
-    pub kind: EvictableKind,
-    /// Time from which on it may be evicted.
-    pub from: Instant,
-}
-
 /// Outcome of reading from a client.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadOutcome {
@@ -127,17 +111,6 @@
         ReadBuffer::for_client(shared, self.share.clone(), self.progress.clone(), memory)
     }
 
-    /// Requests the eviction of the connection. The reading task first checks whether a request has arrived.
-    pub fn request_eviction(&self) {
-        self.eviction_requested.set(true);
-        self.write_queue.request_recheck();
-    }
-
-    /// Returns whether eviction was requested and is not decided yet.
-    pub fn is_eviction_requested(&self) -> bool {
-        self.eviction_requested.get()
-    }
-
     /// Returns the earliest time at which the message that is handled now may have arrived.
     pub fn earliest_arrival(&self, now: Instant) -> Instant {
         self.progress.earliest_arrival(now)
@@ -386,30 +359,6 @@
             && may_close(&self.close_conditions(read_buffer, stream)).is_ok()
     }
 
-    /// Returns whether the connection closes now because another client needs the slot. A connection on which bytes have
-    /// arrived is not evicted, unless they cannot complete its message and the client has stopped sending or was rejected.
-    fn closes_for_eviction(&self, read_buffer: &ReadBuffer, stream: &TcpStream, limits: &Limits) -> bool {
-        if !self.eviction_requested.take() {
-            return false;
-        }
-        let is_slow = read_buffer.is_discarding()
-            || read_buffer.last_filled().elapsed() >= limits.min_stall_before_eviction;
-        let is_stopped = read_buffer.incomplete_bytes() > 0 && is_slow && has_stopped(read_buffer, stream);
-        let conditions = self.close_conditions(read_buffer, stream);
-        let closes = may_close(&conditions).is_ok()
-            || is_stopped && may_close_mid_message(&CloseConditions { unread: 0, ..conditions }).is_ok();
-        if closes {
-            self.write_queue.close(CloseMode::Immediately);
-        } else if read_buffer.incomplete_bytes() > 0 && self.memory.is_waiting() {
-            // The message is answered with a rejection, as all of it may have arrived.
-            self.memory.request_release();
-        } else {
-            // The connection is in use: connections that have been idle for longer are evicted before it.
-            self.last_active.set(Instant::now());
-        }
-        closes
-    }
-
     fn close_conditions(&self, read_buffer: &ReadBuffer, stream: &TcpStream) -> CloseConditions {
         CloseConditions {
             open_requests: self.open_requests.get(),
@@ -427,32 +376,6 @@
     ) -> CloseConditions {
         CloseConditions { unwritten: 0, ..self.close_conditions(read_buffer, stream) }
     }
-
-    /// Returns the state in which the connection may be evicted; `None` if it has open requests or queued bytes, is inside a
-    /// message that arrives, or is closing. Bytes that are still unread are checked before it is closed.
-    pub fn evictable(&self, limits: &Limits) -> Option<Evictable> {
-        let conditions = CloseConditions {
-            open_requests: self.open_requests.get(),
-            unwritten: self.write_queue.queued_bytes(),
-            incomplete: self.incomplete_bytes.get(),
-            unread: 0,
-        };
-        let awaits_memory_for_unread = conditions.incomplete == 0 && self.memory.is_waiting();
-        if awaits_memory_for_unread
-            || self.write_queue.is_closing()
-            || may_close_mid_message(&conditions).is_err()
-        {
-            return None;
-        }
-        let (kind, from) = if conditions.incomplete == 0 {
-            (EvictableKind::Idle, self.last_active.get() + limits.min_idle_before_eviction)
-        } else if self.is_discarding.get() {
-            (EvictableKind::Rejected, self.last_active.get() + limits.min_idle_before_eviction)
-        } else {
-            (EvictableKind::Stalled, self.last_received.get() + limits.min_stall_before_eviction)
-        };
-        Some(Evictable { kind, from })
-    }
 }
 
 /// Returns whether nothing that has arrived can complete the current message.
--- a/tests/busy_clients.rs
+++ b/tests/busy_clients.rs
@@ -9,7 +9,7 @@
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Condvar, Mutex};
+use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -33,33 +33,6 @@
 /// Size of the receive buffer of a busy client, in bytes.
 const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
 
-/// Number of tests that run at a time, as they share the machine's cores.
-const CONCURRENT_TESTS: usize = 2;
-
-/// Number of tests that run now.
-static RUNNING: (Mutex<usize>, Condvar) = (Mutex::new(0), Condvar::new());
-
-/// Counts a test as running until it is dropped.
-struct RunningTest;
-
-impl RunningTest {
-    fn begin() -> Self {
-        let mut running = RUNNING.0.lock().expect("running");
-        while *running >= CONCURRENT_TESTS {
-            running = RUNNING.1.wait(running).expect("running");
-        }
-        *running += 1;
-        Self
-    }
-}
-
-impl Drop for RunningTest {
-    fn drop(&mut self) {
-        *RUNNING.0.lock().expect("running") -= 1;
-        RUNNING.1.notify_one();
-    }
-}
-
 /// What the busy clients send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Message {
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -7,7 +7,7 @@
 use stand::*;
 use std::io::{BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::{Condvar, Mutex};
+use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -31,33 +31,6 @@
 const DURATION: Duration = Duration::from_secs(3);
 /// Number of usual clients.
 const USUAL_CLIENTS: usize = 24;
-/// Number of crowds that run at a time, as they share the machine's cores.
-const CONCURRENT_CROWDS: usize = 2;
-
-/// Number of crowds that run now.
-static RUNNING: (Mutex<usize>, Condvar) = (Mutex::new(0), Condvar::new());
-
-/// Counts a crowd as running until it is dropped.
-struct RunningCrowd;
-
-impl RunningCrowd {
-    fn begin() -> Self {
-        let mut running = RUNNING.0.lock().expect("running");
-        while *running >= CONCURRENT_CROWDS {
-            running = RUNNING.1.wait(running).expect("running");
-        }
-        *running += 1;
-        Self
-    }
-}
-
-impl Drop for RunningCrowd {
-    fn drop(&mut self) {
-        *RUNNING.0.lock().expect("running") -= 1;
-        RUNNING.1.notify_one();
-    }
-}
-
 /// Form of the message that a crowd does not complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Form {
@@ -244,7 +217,7 @@
 
 /// Runs a crowd beside usual clients, and asserts that the gateway keeps its memory limit and answers the usual clients in time.
 fn assert_bounded_beside(form: Form, sending: Sending, clients: usize, memory_mb: usize) {
-    let _running = RunningCrowd::begin();
+    let _running = RunningTest::begin();
     let gateway = start_gateway(memory_mb, "a\tb\tc\n");
     let crowd = Crowd::start(form.address(&gateway), form.message(), sending, clients);
     let case = format!("{form:?} {sending:?} {clients} clients");
@@ -281,7 +254,7 @@
     let number = cases.len();
     let (remaining, failed) = (Mutex::new(cases), Mutex::new(Vec::new()));
     thread::scope(|scope| {
-        for _ in 0..CONCURRENT_CROWDS {
+        for _ in 0..CONCURRENT_TESTS {
             scope.spawn(|| loop {
                 let Some(case) = remaining.lock().expect("cases").pop() else { break };
                 let (form, sending, clients, memory_mb) = case;
@@ -355,7 +328,7 @@
     const CALLS: usize = 30;
     let rows: &'static str = "a\tb\tc\n".repeat(10_000).leak();
     for (clients, memory_mb) in [(500, 48), (300, 24), (500, 16)] {
-        let _running = RunningCrowd::begin();
+        let _running = RunningTest::begin();
         let gateway = start_gateway(memory_mb, rows);
         let calls = |client: usize| {
             let call_of = |number: usize| {
@@ -377,7 +350,7 @@
     let rows: &'static str = "a\tb\tc\n".repeat(10_000).leak();
     let query = "POST / HTTP/1.1\r\nContent-Length: 8\r\n\r\nselect 1";
     for (clients, memory_mb) in [(500, 48), (300, 24), (500, 16)] {
-        let _running = RunningCrowd::begin();
+        let _running = RunningTest::begin();
         let gateway = start_gateway(memory_mb, rows);
         let queries = query.repeat(QUERIES).into_bytes();
         let crowd = Crowd::start(http_address(&gateway), queries, Sending::NeverRead, clients);
--- a/tests/rejected_messages.rs
+++ b/tests/rejected_messages.rs
@@ -32,6 +32,15 @@
     assert_eq!(answer(&mut other).1, "served");
 }
 
+/// Sends a head whose end is `framing`, and half of the body, and waits until they are read.
+fn send_half_of_body(gateway: &Gateway, framing: &str) -> TcpStream {
+    let mut client = gateway.http_client();
+    client.write_all(format!("POST / HTTP/1.1\r\n{framing}").as_bytes()).expect("sent");
+    client.write_all(&vec![b'x'; STATEMENT_BYTES / 2]).expect("sent");
+    wait_until_read(gateway.http.expect("an HTTP address"));
+    client
+}
+
 fn read_status(client: &mut TcpStream) -> String {
     let (head, _) = read_http(&mut BufReader::new(client)).expect("an answer");
     head[0].clone()
@@ -56,11 +65,7 @@
 #[test]
 fn body_that_was_rejected_while_it_arrived_is_answered_once_it_is_complete() {
     let gateway = start_gateway();
-    let mut slow = gateway.http_client();
-    let head = format!("POST / HTTP/1.1\r\nContent-Length: {STATEMENT_BYTES}\r\n\r\n");
-    slow.write_all(head.as_bytes()).expect("sent");
-    slow.write_all(&vec![b'x'; STATEMENT_BYTES / 2]).expect("sent");
-    wait_until_read(gateway.http.expect("an HTTP address"));
+    let mut slow = send_half_of_body(&gateway, &format!("Content-Length: {STATEMENT_BYTES}\r\n\r\n"));
     assert_other_call_served(&gateway);
     slow.write_all(&vec![b'x'; STATEMENT_BYTES / 2]).expect("sent");
     assert!(read_status(&mut slow).starts_with("HTTP/1.1 503"));
@@ -72,11 +77,8 @@
 #[test]
 fn chunked_body_is_answered_as_it_is_rejected() {
     let gateway = start_gateway();
-    let mut slow = gateway.http_client();
-    let head = format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{STATEMENT_BYTES:x}\r\n");
-    slow.write_all(head.as_bytes()).expect("sent");
-    slow.write_all(&vec![b'x'; STATEMENT_BYTES / 2]).expect("sent");
-    wait_until_read(gateway.http.expect("an HTTP address"));
+    let chunked = format!("Transfer-Encoding: chunked\r\n\r\n{STATEMENT_BYTES:x}\r\n");
+    let mut slow = send_half_of_body(&gateway, &chunked);
     assert_other_call_served(&gateway);
     assert!(read_status(&mut slow).starts_with("HTTP/1.1 503"));
 }
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -2,6 +2,7 @@
 // No test file uses all of these helpers.
 #![allow(dead_code, unused_imports)]
 
+mod concurrency;
 mod config;
 mod core_share;
 mod crowd;
@@ -16,6 +17,7 @@
 mod thrift;
 mod waits;
 
+pub(crate) use concurrency::*;
 pub(crate) use config::*;
 pub(crate) use core_share::*;
 pub(crate) use crowd::*;
