--- a/tests/busy_clients.rs
+++ b/tests/busy_clients.rs
@@ -323,13 +323,6 @@
     }
 }
 
-/// Returns the maximum resident memory of the process so far, in bytes.
-fn peak_memory(gateway: &Gateway) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.child.id())).expect("a process");
-    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
-    peak.trim().trim_end_matches(" kB").parse::<usize>().expect("a number") * 1024
-}
-
 /// Runs busy clients beside usual ones, and asserts that the rules hold for the usual ones and for the memory.
 fn assert_rules_hold_beside(message: Message, reading: Reading, busy_clients: usize, busy_threads: usize) {
     let _running = RunningTest::begin();
@@ -361,7 +354,7 @@
         stop_busy.store(true, Ordering::SeqCst);
         stop_usual.store(true, Ordering::SeqCst);
     });
-    let peak = peak_memory(&gateway);
+    let peak = gateway.peak_memory();
     eprintln!("peak memory {} KiB", peak >> 10);
     answers.assert_in_time();
     assert!(peak < MEMORY_MB << 20, "{} MiB of {MEMORY_MB}", peak >> 20);
--- a/tests/stand/gateway.rs
+++ b/tests/stand/gateway.rs
@@ -10,6 +10,13 @@
 use std::process::{Child, Command, Stdio};
 use std::thread;
 
+/// Returns the maximum resident memory of a process so far, in bytes; `None` if it has exited.
+pub(crate) fn peak_memory(process_id: u32) -> Option<usize> {
+    let status = std::fs::read_to_string(format!("/proc/{process_id}/status")).ok()?;
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+    Some(peak.trim().trim_end_matches(" kB").parse::<usize>().expect("a number") * 1024)
+}
+
 /// A running gateway process. It is killed when it is dropped.
 pub(crate) struct Gateway {
     pub(crate) child: Child,
@@ -176,9 +183,7 @@
 
     /// Returns the maximum resident memory of the process so far, in bytes.
     pub(crate) fn peak_memory(&self) -> usize {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("a process");
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
-        peak.trim().trim_end_matches(" kB").parse::<usize>().expect("a number") * 1024
+        peak_memory(self.child.id()).expect("a process")
     }
 
     pub(crate) fn thrift_client(&self) -> TcpStream {
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -22,7 +22,7 @@
 pub(crate) use core_share::*;
 pub(crate) use crowd::*;
 pub(crate) use engines::*;
-pub(crate) use gateway::Gateway;
+pub(crate) use gateway::{peak_memory, Gateway};
 pub(crate) use http::*;
 pub(crate) use names::*;
 pub(crate) use network::*;
