--- a/src/net/connection/incoming_memory.rs
+++ b/src/net/connection/incoming_memory.rs
@@ -196,13 +196,13 @@
         (others + additional).saturating_sub(need.max_bytes)
     }
 
-    /// Returns the number of bytes that are held by long or by short messages which do not wait for more.
-    fn held_without_wait(&self, is_long: bool) -> usize {
+    /// Returns the number of bytes of the long or of the short messages that do not wait for more.
+    fn active_bytes(&self, is_long: bool) -> usize {
         let waiting = self.waiting.borrow();
         let of_same_kind = waiting.iter().filter(|memory| memory.is_long.get() == is_long);
-        let held_by_waiting: usize = of_same_kind.map(|memory| memory.counted()).sum();
-        let held = if is_long { self.long.bytes() } else { self.short_bytes() };
-        held.saturating_sub(held_by_waiting)
+        let waiting_bytes: usize = of_same_kind.map(|memory| memory.counted()).sum();
+        let all_bytes = if is_long { self.long.bytes() } else { self.short_bytes() };
+        all_bytes.saturating_sub(waiting_bytes)
     }
 
     /// Returns the first of the long or of the short messages that wait.
@@ -224,11 +224,11 @@
         }
     }
 
-    /// Requests slow messages to release as much memory as another one needs. Where messages that wait themselves hold so much that the others
-    /// cannot release enough, they do so at once.
+    /// Requests slow messages to release as much memory as another one needs. Where the messages that do not wait have less than that, those
+    /// that wait release theirs at once.
     fn request_releases(&self, waiting: &Rc<MessageMemory>, need: Need) {
         let now = Instant::now();
-        let max_wait = match self.held_without_wait(need.is_long) < self.missing(waiting, need) {
+        let max_wait = match self.active_bytes(need.is_long) < self.missing(waiting, need) {
             true => Duration::ZERO,
             false => MAX_WAIT_WHILE_OTHERS_WAIT,
         };
