The memory of a long body stays that of a long message behind unread bytes

Found by reading. Callers would see: while a long body comes in chunks, short messages wait for memory that is not short of them.

Cause: a long body's reservation has one read beside it. Where the first bytes of a chunk's length waited in the buffer, the next read exceeded the reservation by these bytes, and asked for memory as a short message. Only the few bytes were compared with the limit of short messages, and then all of it, 1 MB, counted there and no longer with the long ones. A check for one kind served for the other.

Unread bytes count with the read that the reservation has room for, and a message that has the memory of a long one keeps it as such.

--- a/src/net/connection/incoming_memory.rs
+++ b/src/net/connection/incoming_memory.rs
@@ -150,7 +150,7 @@
         }
         drop(position);
         memory.rank.set(None);
-        self.set_reserved(memory, need.bytes, need.is_long);
+        self.set_reserved(memory, need.bytes, need.is_long || memory.is_long.get());
         memory.begin_message();
         self.notify_first();
     }
--- a/src/net/connection/incoming_memory/tests.rs
+++ b/src/net/connection/incoming_memory/tests.rs
@@ -174,6 +174,8 @@
         assert!(!pool.try_allocate(&memory, LIMIT + 1, LIMIT));
         pool.reserve(&memory, long_need(60, LIMIT)).await;
         assert_eq!(pool.used.bytes(), 60);
+        pool.reserve(&memory, short_need(61, LIMIT)).await;
+        assert_eq!((pool.long.bytes(), pool.short_bytes()), (61, 0), "it stays that of a long message");
         pool.set_allocated(&memory, 0);
         pool.release(&memory);
         assert_eq!((pool.used.bytes(), pool.long.bytes()), (0, 0));
--- a/src/net/connection/read_buffer/message_space.rs
+++ b/src/net/connection/read_buffer/message_space.rs
@@ -113,9 +113,14 @@
         }
     }
 
-    /// Returns the maximum length of the next read. While memory is scarce, little is read of a message whose length is not known or that
-    /// has no reservation, so that many clients can show what they send.
+    /// Returns the maximum length of the next read. The reservation of a long message has one read beside its body, unread bytes included.
+    /// While memory is scarce, little is read of a message whose length is not known or that has no reservation, so that many clients can
+    /// show what they send.
     fn max_read_bytes(&self, memory: &MessageMemory, limits: &Limits) -> usize {
+        if self.is_long(limits) {
+            let remaining = limits.read_chunk_bytes.saturating_sub(self.bytes.len());
+            return remaining.max(MIN_READ_BYTES);
+        }
         if self.is_memory_scarce(limits) && !memory.covers(self.capacity() + limits.read_chunk_bytes) {
             SCARCE_READ_BYTES
         } else {
--- a/src/net/connection/read_buffer/tests.rs
+++ b/src/net/connection/read_buffer/tests.rs
@@ -24,7 +24,7 @@
     memory: Rc<MessageMemory>,
     buffer: ReadBuffer,
     stream: TcpStream,
-    _client: TcpStream,
+    client: TcpStream,
 }
 
 impl Reading {
@@ -39,7 +39,7 @@
         let share = shared.scheduler.new_connection(peer);
         let progress = ReadProgress::new(shared.read_barrier.read_until());
         let buffer = ReadBuffer::for_client(shared.clone(), share, progress, memory.clone());
-        Self { shared, limits: limits(), memory, buffer, stream, _client: client }
+        Self { shared, limits: limits(), memory, buffer, stream, client }
     }
 
     /// Lets another message take so much memory that it is scarce.
@@ -98,3 +98,20 @@
         assert!(!reading.buffer.may_read_ahead(&reading.limits));
     });
 }
+
+/// The first bytes of a chunk's length, which wait for the rest, used to turn the memory of a long body into that of a short message.
+#[test]
+fn memory_of_a_long_body_stays_that_of_a_long_message_behind_unread_bytes() {
+    const HEAD_BYTES: usize = 100;
+    const UNREAD_BYTES: usize = 4;
+    run(async {
+        let mut reading = Reading::begin().await;
+        assert_eq!(reading.read().await, SENT_BYTES);
+        reading.buffer.begin_body(HEAD_BYTES, HEAD_BYTES, reading.limits.max_message_bytes);
+        reading.buffer.move_to_body(SENT_BYTES - HEAD_BYTES - UNREAD_BYTES);
+        let sent = vec![b'x'; 2 * reading.limits.read_chunk_bytes];
+        reading.client.write_all(&sent).await.expect("sent");
+        assert!(reading.read().await > UNREAD_BYTES);
+        assert_eq!(reading.shared.incoming.short_bytes(), 0);
+    });
+}
