--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -4,6 +4,7 @@
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -12,6 +13,7 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: usize) -> i32;
 }
 
 pub const SIGHUP: i32 = 1;
@@ -19,6 +21,8 @@
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
+/// Has a process receive a signal when the one that started it ends.
+const PR_SET_PDEATHSIG: i32 = 1;
 
 /// One run of a case: its record, its temporary folder, and whether the disruption is played.
 pub struct Case {
@@ -35,6 +39,7 @@
         let record = File::create(folder.join("record.txt")).unwrap_or_else(|_| cannot_run("no record"));
         let tmp = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&tmp).unwrap_or_else(|_| cannot_run("no temporary folder"));
+        std::panic::set_hook(Box::new(|panic| cannot_run(&panic.to_string())));
         let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
         let case = Self { trouble, tmp, started: Instant::now(), record: Mutex::new(record) };
         // The scripts may take 120 s.
@@ -100,7 +105,17 @@
         let _ = fs::create_dir_all(&shared);
         let mut command = Command::new("/bin/sh");
         command.arg("-c").arg(run).env("TMPDIR", &shared).stdin(Stdio::null()).stdout(out).stderr(err);
+        for name in ["PROXY_NAME", "PROXY_LISTEN", "PROXY_CONFIG", "PROXY_OPERATOR", "STARLINGPLANK_OPERATOR"]
+        {
+            command.env_remove(name);
+        }
         command.envs(environment.iter().map(|(name, value)| (*name, value.as_str())));
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as usize);
+                Ok(())
+            });
+        }
         let child = command.spawn().unwrap_or_else(|_| cannot_run("the gateway does not start"));
         let pid = child.id() as i32;
         PIDS.lock().unwrap().push(pid);
